--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# The one source of truth for build tasks. `make demo` and `make test` do all the
+# set-up that they need.
+GO ?= go
+
+.PHONY: build demo up test lint model bench capacity soak fuzz clean
+
+build:
+	@mkdir -p bin
+	$(GO) build -o bin/ . ./cmd/standin ./cmd/fleet
+
+demo: build
+	./bin/fleet demo
+
+up: build
+	./bin/fleet up
+
+test:
+	$(GO) test ./...
+
+lint:
+	@test -z "$$(gofmt -l .)" || (echo "gofmt needed:"; gofmt -l .; exit 1)
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/internal/caller/apierror/error.go
@@ -0,0 +1,118 @@
+// Package apierror holds the refusals that callers see, in the error shape of
+// the OpenAI API.
+package apierror
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Code is a stable name of a refusal.
+type Code string
+
+const (
+	// NotRun means that the request did not run and will not.
+	NotRun Code = "not_run"
+	// UnknownOutcome means that the call may have run.
+	UnknownOutcome Code = "unknown_outcome"
+	// Limit means that the organisation's limit is used up; it was not run.
+	Limit Code = "rate_limit_exceeded"
+	// NoModel means that no such model exists for the organisation.
+	NoModel Code = "model_not_found"
+	// NoService means that no such service exists for the organisation.
+	NoService Code = "service_not_found"
+	// BadRequest means that the request is malformed.
+	BadRequest Code = "invalid_request"
+	// TooLarge means that the body is too large.
+	TooLarge Code = "request_too_large"
+	// Unauthenticated means that the key is missing or wrong.
+	Unauthenticated Code = "invalid_api_key"
+	// WrongGeneration means that the position is of another generation.
+	WrongGeneration Code = "wrong_generation"
+	// GenerationGone means that no copy of the generation is left.
+	GenerationGone Code = "generation_gone"
+	// KeyReused means that the key came with another request before.
+	KeyReused Code = "idempotency_key_reused"
+	// Interrupted means that the answer was lost and can't go on.
+	Interrupted Code = "interrupted"
+	// TimedOut means that the answer took too long.
+	TimedOut Code = "timed_out"
+	// NotFound means that there is nothing at this path.
+	NotFound Code = "not_found"
+)
+
+var statuses = map[Code]int{
+	NotRun:          http.StatusServiceUnavailable,
+	UnknownOutcome:  http.StatusBadGateway,
+	Limit:           http.StatusTooManyRequests,
+	NoModel:         http.StatusNotFound,
+	NoService:       http.StatusNotFound,
+	BadRequest:      http.StatusBadRequest,
+	TooLarge:        http.StatusRequestEntityTooLarge,
+	Unauthenticated: http.StatusUnauthorized,
+	WrongGeneration: http.StatusConflict,
+	GenerationGone:  http.StatusGone,
+	KeyReused:       http.StatusUnprocessableEntity,
+	Interrupted:     http.StatusBadGateway,
+	TimedOut:        http.StatusGatewayTimeout,
+	NotFound:        http.StatusNotFound,
+}
+
+// Error is a refusal.
+type Error struct {
+	Code    Code
+	Message string
+	RetryAt time.Time // zero for none
+}
+
+// Error returns code and message.
+func (e *Error) Error() string { return string(e.Code) + ": " + e.Message }
+
+// New returns a refusal.
+func New(code Code, message string) *Error { return &Error{Code: code, Message: message} }
+
+// Retry returns a refusal with a hint when to retry.
+func Retry(code Code, message string, at time.Time) *Error {
+	return &Error{Code: code, Message: message, RetryAt: at}
+}
+
+type wireError struct {
+	Error wireBody `json:"error"`
+}
+
+type wireBody struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Code    Code    `json:"code"`
+	Param   *string `json:"param"`
+}
+
+// Write answers a request with the refusal.
+func (e *Error) Write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	if !e.RetryAt.IsZero() {
+		seconds := math.Ceil(time.Until(e.RetryAt).Seconds())
+		w.Header().Set("Retry-After", strconv.Itoa(int(max(seconds, 1))))
+	}
+	w.WriteHeader(e.Status())
+	_, _ = w.Write(e.JSON())
+}
+
+// Status returns the HTTP status.
+func (e *Error) Status() int { return statuses[e.Code] }
+
+// JSON returns the body.
+func (e *Error) JSON() []byte {
+	body, _ := json.Marshal(wireError{wireBody{Message: e.Message, Type: e.kind(), Code: e.Code}})
+	return body
+}
+
+func (e *Error) kind() string {
+	if e.Status() >= http.StatusInternalServerError {
+		return "server_error"
+	}
+	return "invalid_request_error"
+}
--- /dev/null
+++ b/internal/caller/openai/body.go
@@ -0,0 +1,27 @@
+package openai
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriafield/internal/caller/apierror"
+)
+
+// ReadBody reads a body of bounded size in bounded time.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, *apierror.Error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(timeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, apierror.New(apierror.TooLarge, "body is too large")
+	}
+	return nil, apierror.New(apierror.BadRequest, "body could not be read")
+}
--- /dev/null
+++ b/internal/caller/openai/handler.go
@@ -0,0 +1,215 @@
+// Package openai serves generations to callers by the published OpenAI-style
+// HTTP API.
+package openai
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriafield/internal/caller/apierror"
+	"wisteriafield/internal/config/document"
+	"wisteriafield/internal/decision/generation"
+	"wisteriafield/internal/router/entry"
+	"wisteriafield/internal/router/limits"
+)
+
+const maxKey = 128 // bytes of an Idempotency-Key
+
+// Deps is what the handlers need.
+type Deps struct {
+	View        func() *document.View
+	Entry       *entry.Entry
+	Limits      *limits.Limits
+	Serving     func(model string) (version string, ok bool) // version for new work
+	MaxBody     int64
+	BodyTimeout time.Duration
+}
+
+// Handler serves the API.
+type Handler struct{ deps Deps }
+
+// New returns a handler.
+func New(deps Deps) *Handler { return &Handler{deps: deps} }
+
+// Register adds the routes.
+func (h *Handler) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/completions", h.serve(parseCompletion))
+	mux.HandleFunc("POST /v1/chat/completions", h.serve(parseChat))
+	mux.HandleFunc("GET /v1/models", h.models)
+}
+
+type parser func(body []byte) (*parsed, *apierror.Error)
+
+func (h *Handler) serve(parse parser) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		call, refusal := h.admit(w, r, parse)
+		if refusal != nil {
+			refusal.Write(w)
+			return
+		}
+		defer func() { h.deps.Limits.Release(call.organisation, call.unused()) }()
+		g, err := h.deps.Entry.Open(r.Context(), call.request, call.last)
+		if err != nil {
+			refusalOf(err).Write(w)
+			return
+		}
+		call.g = g
+		g.Copy.Join()
+		defer func() { g.Copy.Leave(time.Now()) }()
+		if call.parsed.stream {
+			call.stream(w, r)
+			return
+		}
+		call.whole(w, r)
+	}
+}
+
+// call is one request while it is served.
+type call struct {
+	organisation *document.Organisation
+	parsed       *parsed
+	request      entry.Request
+	last         *generation.EventID
+	g            *entry.Generation
+	created      time.Time
+}
+
+// unused returns the reserved tokens that the answer did not need.
+func (c *call) unused() float64 {
+	if c.g == nil {
+		return float64(c.request.MaxTokens)
+	}
+	return float64(c.request.MaxTokens - c.g.Copy.State().Count)
+}
+
+// admit checks key, body, model and limits.
+func (h *Handler) admit(w http.ResponseWriter, r *http.Request, parse parser) (*call, *apierror.Error) {
+	view := h.deps.View()
+	if view == nil {
+		return nil, apierror.Retry(apierror.NotRun, "no configuration yet", time.Now().Add(time.Second))
+	}
+	o, refusal := Authenticate(view, r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	body, refusal := ReadBody(w, r, h.deps.MaxBody, h.deps.BodyTimeout)
+	if refusal != nil {
+		return nil, refusal
+	}
+	p, refusal := parse(body)
+	if refusal != nil {
+		return nil, refusal
+	}
+	c := &call{organisation: o, parsed: p, created: time.Now()}
+	if refusal := h.resolve(c, view, r, body); refusal != nil {
+		return nil, refusal
+	}
+	v := h.deps.Limits.Acquire(r.Context(), o, float64(c.request.MaxTokens))
+	if !v.Allowed {
+		return nil, apierror.Retry(apierror.Limit, "limit of the organisation: "+v.Cause, v.RetryAt)
+	}
+	return c, nil
+}
+
+// resolve fills in the request from the document.
+func (h *Handler) resolve(c *call, view *document.View, r *http.Request, body []byte) *apierror.Error {
+	name, adapter, _ := strings.Cut(c.parsed.model, ":")
+	m := view.Model(name)
+	if m == nil || !document.Allows(c.organisation.Models, name) || adapter != "" && !contains(m.Adapters, adapter) {
+		return apierror.New(apierror.NoModel, "no such model")
+	}
+	version, ok := h.deps.Serving(name)
+	if !ok {
+		version = m.Version
+	}
+	key := r.Header.Get("Idempotency-Key")
+	if len(key) > maxKey {
+		return apierror.New(apierror.BadRequest, "Idempotency-Key is too long")
+	}
+	if words := len(strings.Fields(c.parsed.prompt)); words+c.parsed.maxTokens > m.Context {
+		return apierror.New(apierror.BadRequest, "prompt and max_tokens are longer than the model's context")
+	}
+	if last := r.Header.Get("Last-Event-ID"); last != "" {
+		id, err := generation.ParseEventID(last)
+		if err != nil || key == "" {
+			return apierror.New(apierror.BadRequest, "Last-Event-ID needs the id of an event and the Idempotency-Key of its request")
+		}
+		c.last = &id
+	}
+	sum := sha256.Sum256(append([]byte(r.URL.Path+"\n"), body...))
+	class, wait := classOf(c.parsed, &view.Policy)
+	c.request = entry.Request{
+		Organisation: c.organisation, Key: key, Digest: hex.EncodeToString(sum[:]),
+		Model: m, Version: version, Adapter: adapter,
+		Prompt: c.parsed.prompt, MaxTokens: c.parsed.maxTokens, Class: class,
+		StartBy: c.created.Add(wait), AnswerBy: c.created.Add(view.Policy.AnswerTimeout),
+	}
+	return nil
+}
+
+func (h *Handler) models(w http.ResponseWriter, r *http.Request) {
+	view := h.deps.View()
+	if view == nil {
+		apierror.Retry(apierror.NotRun, "no configuration yet", time.Now().Add(time.Second)).Write(w)
+		return
+	}
+	o, refusal := Authenticate(view, r)
+	if refusal != nil {
+		refusal.Write(w)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, m := range view.Models {
+		if !document.Allows(o.Models, m.Name) {
+			continue
+		}
+		list.Data = append(list.Data, modelEntry{ID: m.Name, Object: "model", OwnedBy: "wisteriafield"})
+		for _, a := range m.Adapters {
+			list.Data = append(list.Data, modelEntry{ID: m.Name + ":" + a, Object: "model", OwnedBy: "wisteriafield"})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+// Authenticate returns the organisation that the request's key belongs to.
+func Authenticate(view *document.View, r *http.Request) (*document.Organisation, *apierror.Error) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return nil, apierror.New(apierror.Unauthenticated, "Authorization: Bearer KEY is missing")
+	}
+	o := view.ByKey(key)
+	if o == nil {
+		return nil, apierror.New(apierror.Unauthenticated, "wrong key")
+	}
+	return o, nil
+}
+
+func refusalOf(err error) *apierror.Error {
+	switch {
+	case errors.Is(err, entry.ErrGone):
+		return apierror.New(apierror.GenerationGone, "no copy of that generation is left; start again without Last-Event-ID")
+	case errors.Is(err, entry.ErrWrongGeneration):
+		return apierror.New(apierror.WrongGeneration, "Last-Event-ID is not part of this generation")
+	case errors.Is(err, entry.ErrKeyReused):
+		return apierror.New(apierror.KeyReused, "the key came with another request before")
+	default:
+		return apierror.Retry(apierror.NotRun, "could not start", time.Now().Add(time.Second))
+	}
+}
+
+// wait returns the answer's tokens after a position.
+func (c *call) wait(ctx context.Context, position int) ([]generation.Token, string, *apierror.Error) {
+	tokens, state := c.g.Copy.Wait(ctx, position)
+	if len(tokens) > 0 || state.Reason != "" {
+		return tokens, state.Reason, nil
+	}
+	return nil, "", c.failure()
+}
--- /dev/null
+++ b/internal/caller/service/handler.go
@@ -0,0 +1,146 @@
+// Package service routes callers to plain services. Calls that the document
+// says are repeatable may be hedged and retried; all others run at most once.
+package service
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	backend "wisteriafield/internal/backend/service"
+	"wisteriafield/internal/caller/apierror"
+	"wisteriafield/internal/caller/openai"
+	"wisteriafield/internal/config/document"
+	"wisteriafield/internal/decision/claim"
+	"wisteriafield/internal/platform/hosts"
+)
+
+// Deps is what the handler needs.
+type Deps struct {
+	View        func() *document.View
+	Hosts       *hosts.List
+	Once        *Once
+	Log         *logrus.Entry
+	MaxBody     int64
+	BodyTimeout time.Duration
+}
+
+// Handler serves /services/.
+type Handler struct {
+	deps    Deps
+	client  *backend.Client
+	servers *servers
+}
+
+// New returns a handler.
+func New(deps Deps) *Handler {
+	h := &Handler{deps: deps, client: backend.New(), servers: newServers()}
+	deps.Once.send = h.sendOnce
+	return h
+}
+
+// Register adds the routes.
+func (h *Handler) Register(mux *http.ServeMux) {
+	mux.HandleFunc("/services/{name}/{path...}", h.serve)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
+	view := h.deps.View()
+	if view == nil {
+		apierror.Retry(apierror.NotRun, "no configuration yet", time.Now().Add(time.Second)).Write(w)
+		return
+	}
+	o, refusal := openai.Authenticate(view, r)
+	if refusal != nil {
+		refusal.Write(w)
+		return
+	}
+	s := view.Service(r.PathValue("name"))
+	if s == nil || !document.Allows(o.Services, s.Name) {
+		apierror.New(apierror.NoService, "no such service").Write(w)
+		return
+	}
+	body, refusal := openai.ReadBody(w, r, h.deps.MaxBody, h.deps.BodyTimeout)
+	if refusal != nil {
+		refusal.Write(w)
+		return
+	}
+	call := newCall(r, body)
+	path, _, _ := strings.Cut(call.Target, "?")
+	if s.IsRepeatable(r.Method, path) {
+		ctx, cancel := context.WithTimeout(r.Context(), s.Timeout)
+		defer cancel()
+		h.repeatable(ctx, w, view, s, call)
+		return
+	}
+	// A caller that goes away does not cut a call that must run at most once:
+	// its outcome is recorded for the retry.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), s.Timeout)
+	defer cancel()
+	h.once(ctx, w, o, s, r.Header.Get("Idempotency-Key"), call)
+}
+
+func newCall(r *http.Request, body []byte) backend.Call {
+	target := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		target += "?" + r.URL.RawQuery
+	}
+	header := make(http.Header)
+	for _, name := range []string{"Content-Type", "Accept", "Accept-Language", "Idempotency-Key"} {
+		if v := r.Header.Get(name); v != "" {
+			header.Set(name, v)
+		}
+	}
+	return backend.Call{Method: r.Method, Target: target, Header: header, Body: body}
+}
+
+// once runs a call that must not repeat.
+func (h *Handler) once(ctx context.Context, w http.ResponseWriter, o *document.Organisation, s *document.Service, key string, call backend.Call) {
+	now := time.Now()
+	expires, err := claim.CheckKey(key, now)
+	if err != nil {
+		apierror.New(apierror.BadRequest, "this call needs an Idempotency-Key: "+err.Error()).Write(w)
+		return
+	}
+	sum := sha256.Sum256([]byte(s.Name + "\n" + call.Method + "\n" + call.Target + "\n" + string(call.Body)))
+	result := h.deps.Once.Do(ctx, onceRequest{
+		Key:       claimKey(o.Name, key, expires),
+		Digest:    hex.EncodeToString(sum[:]),
+		ExpiresAt: expires,
+		Service:   s,
+		Call:      call,
+	})
+	result.write(w)
+}
+
+// claimKey names a claim in the store. The hour at which it may be deleted comes
+// first, so that old claims are found by prefix.
+func claimKey(organisation, key string, expires time.Time) string {
+	return "claim/" + expires.UTC().Format("2006010215") + "/" + organisation + "/" + strings.ToLower(key)
+}
+
+// sendOnce sends a claimed call. A server that can't be connected to did not
+// get a byte of it, so another one may be tried.
+func (h *Handler) sendOnce(ctx context.Context, s *document.Service, call backend.Call) (*backend.Answer, error) {
+	var err error = backend.ErrNotSent
+	for _, server := range h.servers.order(s, h.leaving) {
+		done := h.servers.begin(server.name)
+		var answer *backend.Answer
+		answer, err = h.client.Do(ctx, server.address, call)
+		done(err)
+		if err == nil || !isNotSent(err) {
+			return answer, err
+		}
+	}
+	return nil, err
+}
+
+func (h *Handler) leaving(name string) bool {
+	host, ok := h.deps.Hosts.Host(name)
+	return ok && host.State == hosts.Leaving
+}
--- /dev/null
+++ b/internal/config/inifile/decode.go
@@ -0,0 +1,112 @@
+package inifile
+
+import (
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+// decode sets the exported fields of target from the keys of the same name. A
+// field tagged `ini:"-"` is not a key; `ini:"required"` must be there.
+func (f *File) decode(s *ini.Section, target any) {
+	v := reflect.ValueOf(target).Elem()
+	known := make([]string, 0, v.NumField())
+	for i := range v.NumField() {
+		field := v.Type().Field(i)
+		tag := field.Tag.Get("ini")
+		if tag == "-" {
+			continue
+		}
+		known = append(known, field.Name)
+		if !s.HasKey(field.Name) {
+			if tag == "required" {
+				f.Add(s.Name(), field.Name, "is missing; expected %s", expected(field.Type))
+			}
+			continue
+		}
+		key := s.Key(field.Name)
+		if len(key.ValueWithShadows()) > 1 {
+			f.Add(s.Name(), field.Name, "stands twice")
+			continue
+		}
+		if !set(v.Field(i), key.Value()) {
+			f.Add(s.Name(), field.Name, "%q is wrong; expected %s", key.Value(), expected(field.Type))
+		}
+	}
+	for _, key := range s.Keys() {
+		if !contains(known, key.Name()) {
+			f.Add(s.Name(), key.Name(), "unknown key; expected one of %s", strings.Join(known, ", "))
+		}
+	}
+}
+
+func set(v reflect.Value, text string) bool {
+	if v.Type() == durationType {
+		d, err := time.ParseDuration(text)
+		if err != nil || d < 0 {
+			return false
+		}
+		v.SetInt(int64(d))
+		return true
+	}
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(text)
+	case reflect.Int:
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return false
+		}
+		v.SetInt(int64(n))
+	case reflect.Float64:
+		n, err := strconv.ParseFloat(text, 64)
+		if err != nil || n != n {
+			return false
+		}
+		v.SetFloat(n)
+	case reflect.Bool:
+		b, err := strconv.ParseBool(text)
+		if err != nil {
+			return false
+		}
+		v.SetBool(b)
+	case reflect.Slice:
+		v.Set(reflect.ValueOf(splitList(text)).Convert(v.Type()))
+	default:
+		return false
+	}
+	return true
+}
+
+func splitList(text string) []string {
+	var list []string
+	for _, s := range strings.Split(text, ",") {
+		if s = strings.TrimSpace(s); s != "" {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func expected(t reflect.Type) string {
+	if t == durationType {
+		return "a duration such as 2s or 500ms"
+	}
+	switch t.Kind() {
+	case reflect.Int:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Slice:
+		return "a list, separated by commas"
+	default:
+		return "text"
+	}
+}
--- /dev/null
+++ b/internal/config/inifile/fault.go
@@ -0,0 +1,39 @@
+// Package inifile reads INI files into structs and reports every fault with its
+// file, section, key and what was expected.
+package inifile
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one thing wrong in a file.
+type Fault struct {
+	File    string
+	Section string
+	Key     string
+	Problem string
+}
+
+// Error returns the fault in one line.
+func (f Fault) Error() string {
+	if f.Section == "" {
+		return fmt.Sprintf("%s: %s", f.File, f.Problem)
+	}
+	if f.Key == "" {
+		return fmt.Sprintf("%s: [%s]: %s", f.File, f.Section, f.Problem)
+	}
+	return fmt.Sprintf("%s: [%s] %s: %s", f.File, f.Section, f.Key, f.Problem)
+}
+
+// Faults is all that is wrong in a file.
+type Faults []Fault
+
+// Error returns one fault a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i := range f {
+		lines[i] = f[i].Error()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/config/inifile/file.go
@@ -0,0 +1,133 @@
+package inifile
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// noDelimiter stands where the library wants a child section delimiter; section
+// names here are flat and may hold dots.
+const noDelimiter = "\x00"
+
+// File is a parsed file that collects faults while it is decoded.
+type File struct {
+	Name   string
+	Faults Faults
+
+	ini *ini.File
+}
+
+// Parse reads INI text. A syntax error is the only fault reported then.
+func Parse(name string, text []byte) (*File, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{
+		AllowShadows:               true,
+		AllowNonUniqueSections:     true,
+		ChildSectionDelimiter:      noDelimiter,
+		SkipUnrecognizableLines:    false,
+		IgnoreInlineComment:        true,
+		UnescapeValueDoubleQuotes:  true,
+		AllowDuplicateShadowValues: true,
+	}, text)
+	if err != nil {
+		return nil, Faults{{File: name, Problem: fmt.Sprintf("not INI: %v", err)}}
+	}
+	return &File{Name: name, ini: f}, nil
+}
+
+// Err returns the faults found so far, or nil.
+func (f *File) Err() error {
+	if len(f.Faults) == 0 {
+		return nil
+	}
+	sort.SliceStable(f.Faults, func(i, j int) bool {
+		return f.Faults[i].Section+"\x00"+f.Faults[i].Key < f.Faults[j].Section+"\x00"+f.Faults[j].Key
+	})
+	return f.Faults
+}
+
+// Add reports a fault.
+func (f *File) Add(section, key, format string, args ...any) {
+	f.Faults = append(f.Faults, Fault{File: f.Name, Section: section, Key: key, Problem: fmt.Sprintf(format, args...)})
+}
+
+// Drop forgets the faults of some keys of a section.
+func (f *File) Drop(section string, keys ...string) {
+	var kept Faults
+	for _, fault := range f.Faults {
+		if fault.Section != section || !contains(keys, fault.Key) {
+			kept = append(kept, fault)
+		}
+	}
+	f.Faults = kept
+}
+
+// Known reports every section whose kind is not listed and every section that
+// stands twice. A section is named "Kind" or "Kind name".
+func (f *File) Known(kinds ...string) {
+	seen := make(map[string]bool)
+	for _, s := range f.ini.Sections() {
+		name := s.Name()
+		if name == ini.DefaultSection {
+			for _, k := range s.Keys() {
+				f.Add("", k.Name(), "key %q stands before any section", k.Name())
+			}
+			continue
+		}
+		if seen[name] {
+			f.Add(name, "", "section stands twice")
+		}
+		seen[name] = true
+		kind, _, _ := strings.Cut(name, " ")
+		if !contains(kinds, kind) {
+			f.Add(name, "", "unknown section; expected one of %s", strings.Join(kinds, ", "))
+		}
+	}
+}
+
+// Section decodes the section without a name into target, a pointer to struct.
+func (f *File) Section(kind string, target any) {
+	if s := f.find(kind); s != nil {
+		f.decode(s, target)
+	}
+}
+
+// Has reports whether the section is there.
+func (f *File) Has(section string) bool { return f.find(section) != nil }
+
+// Named returns the names of all sections "kind name".
+func (f *File) Named(kind string) []string {
+	var names []string
+	for _, s := range f.ini.Sections() {
+		k, name, ok := strings.Cut(s.Name(), " ")
+		if k != kind {
+			continue
+		}
+		if !ok || strings.TrimSpace(name) == "" {
+			f.Add(s.Name(), "", "needs a name, as in [%s NAME]", kind)
+			continue
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+func (f *File) find(name string) *ini.Section {
+	for _, s := range f.ini.Sections() {
+		if s.Name() == name {
+			return s
+		}
+	}
+	return nil
+}
+
+func contains(all []string, one string) bool {
+	for _, s := range all {
+		if s == one {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/config/settings/settings.go
@@ -0,0 +1,163 @@
+// Package settings reads the settings of one host: its addresses, its failure
+// domain, the platform's address and the credentials.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"wisteriafield/internal/config/inifile"
+)
+
+// Host says who this process is and where it listens.
+type Host struct {
+	Name          string `ini:"required"`
+	Environment   string `ini:"required"`
+	Domain        string `ini:"required"` // failure domain
+	Region        string `ini:"required"`
+	CallerAddress string `ini:"required"`
+	PeerAddress   string `ini:"required"`
+	AdminAddress  string `ini:"required"`
+}
+
+// Platform says where the key-value service and the host list are.
+type Platform struct {
+	Address    string `ini:"required"`
+	Credential string
+	Timeout    time.Duration
+}
+
+// Credentials holds one secret for each kind of peer.
+type Credentials struct {
+	Peer   string `ini:"required"` // between routers
+	Admin  string `ini:"required"` // for operators
+	Orders string `ini:"required"` // for orders to engines
+}
+
+// Log says what is logged and how.
+type Log struct {
+	Level  string
+	Format string
+}
+
+// Bounds limits what one caller may cost.
+type Bounds struct {
+	MaxBody       int           // bytes of a request body
+	MaxHeader     int           // bytes of all headers
+	HeaderTimeout time.Duration // to receive all headers
+	BodyTimeout   time.Duration // to receive the body
+	DrainTimeout  time.Duration // how long a stop waits for streams
+	LameDuck      time.Duration // how long a stop still takes connections, for the balancer
+}
+
+// Settings is the whole file.
+type Settings struct {
+	Host        Host
+	Platform    Platform
+	Credentials Credentials
+	Log         Log
+	Bounds      Bounds
+}
+
+// Default returns the settings that a file may leave out.
+func Default() Settings {
+	return Settings{
+		Platform: Platform{Timeout: time.Second},
+		Log:      Log{Level: "info", Format: "text"},
+		Bounds: Bounds{
+			MaxBody:       1 << 20,
+			MaxHeader:     16 << 10,
+			HeaderTimeout: 5 * time.Second,
+			BodyTimeout:   10 * time.Second,
+			DrainTimeout:  15 * time.Minute,
+			LameDuck:      2 * time.Second,
+		},
+	}
+}
+
+// Load reads and checks a file.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse reads and checks INI text.
+func Parse(name string, text []byte) (Settings, error) {
+	f, err := inifile.Parse(name, text)
+	if err != nil {
+		return Settings{}, err
+	}
+	cfg := Default()
+	f.Known("Host", "Platform", "Credentials", "Log", "Bounds")
+	for _, section := range []string{"Host", "Platform", "Credentials"} {
+		if !f.Has(section) {
+			f.Add(section, "", "section is missing")
+		}
+	}
+	f.Section("Host", &cfg.Host)
+	f.Section("Platform", &cfg.Platform)
+	f.Section("Credentials", &cfg.Credentials)
+	f.Section("Log", &cfg.Log)
+	f.Section("Bounds", &cfg.Bounds)
+	cfg.check(f)
+	return cfg, f.Err()
+}
+
+// LoadOperator reads the settings that the operators' commands need: the
+// platform and the administration credential. Other sections may be there.
+func LoadOperator(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	f, err := inifile.Parse(path, text)
+	if err != nil {
+		return Settings{}, err
+	}
+	cfg := Default()
+	f.Section("Platform", &cfg.Platform)
+	f.Section("Credentials", &cfg.Credentials)
+	f.Drop("Credentials", "Peer", "Orders")
+	checkAddress(f, "Platform", "Address", cfg.Platform.Address)
+	return cfg, f.Err()
+}
+
+func (cfg *Settings) check(f *inifile.File) {
+	checkAddress(f, "Host", "CallerAddress", cfg.Host.CallerAddress)
+	checkAddress(f, "Host", "PeerAddress", cfg.Host.PeerAddress)
+	checkAddress(f, "Host", "AdminAddress", cfg.Host.AdminAddress)
+	checkAddress(f, "Platform", "Address", cfg.Platform.Address)
+	checkOneOf(f, "Log", "Level", cfg.Log.Level, "debug", "info", "warning", "error")
+	checkOneOf(f, "Log", "Format", cfg.Log.Format, "text", "json")
+	c := cfg.Credentials
+	if c.Peer != "" && (c.Peer == c.Admin || c.Peer == c.Orders || c.Admin == c.Orders) {
+		f.Add("Credentials", "", "Peer, Admin and Orders must differ")
+	}
+	if cfg.Bounds.MaxBody < 1<<10 {
+		f.Add("Bounds", "MaxBody", "%d is too small; expected at least 1024 bytes", cfg.Bounds.MaxBody)
+	}
+}
+
+func checkAddress(f *inifile.File, section, key, value string) {
+	if value == "" {
+		return
+	}
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		f.Add(section, key, "%q is wrong; expected IP:PORT", value)
+	}
+}
+
+func checkOneOf(f *inifile.File, section, key, value string, allowed ...string) {
+	for _, a := range allowed {
+		if value == a {
+			return
+		}
+	}
+	f.Add(section, key, "%q is wrong; expected one of %v", value, allowed)
+}
--- /dev/null
+++ b/internal/decision/claim/key.go
@@ -0,0 +1,40 @@
+package claim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+)
+
+const (
+	// Retention is how long after the date in its key a claim is kept.
+	Retention = 24 * time.Hour
+	// deletionMargin is how much later the record may be deleted. It covers
+	// clocks that differ between routers.
+	deletionMargin = time.Hour
+	// maxAhead is how far in the future a key's date may lie.
+	maxAhead = 5 * time.Minute
+)
+
+// ErrKeyForm reports a key that is not a UUID of version 7.
+var ErrKeyForm = errors.New("key is not a version 7 UUID")
+
+// ErrKeyAge reports a key whose date is out of bounds.
+var ErrKeyAge = errors.New("key is older than 24 h or from the future")
+
+// CheckKey returns when the claim of a key may be deleted. A key older than
+// the retention is refused, so a claim that is gone can't run a second time.
+func CheckKey(key string, now time.Time) (time.Time, error) {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, ErrKeyForm
+	}
+	sec, nsec := id.Time().UnixTime()
+	at := time.Unix(sec, nsec)
+	if now.Sub(at) > Retention || at.Sub(now) > maxAhead {
+		return time.Time{}, fmt.Errorf("key of %s: %w", at.UTC().Format(time.RFC3339), ErrKeyAge)
+	}
+	return at.Add(Retention + deletionMargin), nil
+}
--- /dev/null
+++ b/internal/decision/pace/tracker.go
@@ -0,0 +1,80 @@
+// Package pace judges a backend server by the time between its tokens: how slow
+// it is against its own past, and how long a silence is too long.
+package pace
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	recentWeight    = 0.1   // share of the newest gap in the recent pace
+	referenceWeight = 0.002 // the same in the long-term pace
+	loadBuckets     = 4     // the long-term pace is kept for each quarter of load
+	minObservations = 20
+
+	slowRatio = 1.5 // recent over long-term pace from which a server is slow
+
+	silenceGaps    = 10
+	silenceFloor   = 300 * time.Millisecond
+	silenceCeiling = 900 * time.Millisecond
+	startFloor     = 600 * time.Millisecond
+	startCeiling   = 1500 * time.Millisecond
+	startFactor    = 4
+)
+
+// Tracker follows the pace of one server. It is not safe for concurrent use.
+type Tracker struct {
+	Recent    time.Duration              // time between tokens, lately
+	Reference [loadBuckets]time.Duration // the same over long, by load
+	Start     time.Duration              // time to the first token, lately
+
+	observed [loadBuckets]int
+	bucket   int
+}
+
+// Observe records the time between two tokens at a load from 0 to 1.
+func (t *Tracker) Observe(gap time.Duration, load float64) {
+	b := min(max(int(load*loadBuckets), 0), loadBuckets-1)
+	t.bucket = b
+	t.Recent = blend(t.Recent, gap, recentWeight)
+	t.observed[b]++
+	weight := math.Max(referenceWeight, 1/float64(t.observed[b]))
+	t.Reference[b] = blend(t.Reference[b], gap, weight)
+}
+
+// ObserveStart records the time from dispatch to the first token.
+func (t *Tracker) ObserveStart(d time.Duration) {
+	t.Start = blend(t.Start, d, recentWeight)
+}
+
+// Slowdown returns how many times slower than its own past the server is, at
+// least 1. It is 1 until enough tokens were seen.
+func (t *Tracker) Slowdown() float64 {
+	ref := t.Reference[t.bucket]
+	if t.observed[t.bucket] < minObservations || ref <= 0 {
+		return 1
+	}
+	return math.Max(1, float64(t.Recent)/float64(ref))
+}
+
+// Slow reports whether work should move away from the server.
+func (t *Tracker) Slow() bool { return t.Slowdown() >= slowRatio }
+
+// Silence returns how long after a token the next one is overdue and the
+// server should be probed.
+func (t *Tracker) Silence() time.Duration {
+	return min(max(silenceGaps*t.Recent, silenceFloor), silenceCeiling)
+}
+
+// StartSilence is Silence for the first token after dispatch.
+func (t *Tracker) StartSilence() time.Duration {
+	return min(max(startFactor*t.Start, startFloor), startCeiling)
+}
+
+func blend(old, seen time.Duration, weight float64) time.Duration {
+	if old == 0 {
+		return seen
+	}
+	return time.Duration((1-weight)*float64(old) + weight*float64(seen))
+}
--- /dev/null
+++ b/internal/operator/cli/status.go
@@ -0,0 +1,144 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"wisteriafield/internal/config/settings"
+	"wisteriafield/internal/platform/hosts"
+	"wisteriafield/internal/platform/publish"
+	"wisteriafield/internal/router/node"
+)
+
+const askTimeout = 2 * time.Second
+
+type statusCommand struct {
+	output
+	Settings string `long:"settings" required:"true" description:"operator settings"`
+	JSON     bool   `long:"json" description:"print JSON"`
+}
+
+// routerStatus is what a router confirms, or why it does not.
+type routerStatus struct {
+	Host      hosts.Host
+	Status    node.Status
+	Confirmed bool   // the router runs what the store has
+	Problem   string `json:",omitempty"`
+}
+
+// Execute shows the revision in force on each router.
+func (c *statusCommand) Execute([]string) error {
+	cfg, err := settings.LoadOperator(c.Settings)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	var all []routerStatus
+	for _, environment := range []string{trial, production} {
+		newest, _, err := publish.Read(ctx, newStore(cfg), environment)
+		known := err == nil
+		for _, r := range collect(ctx, cfg, environment) {
+			r.Confirmed = known && r.Problem == "" && r.Status.Revision == newest.Revision && r.Status.Digest == newest.Digest
+			if !known && r.Problem == "" {
+				r.Problem = "the store does not answer"
+			}
+			all = append(all, r)
+		}
+	}
+	if c.JSON {
+		if err := json.NewEncoder(c.out).Encode(all); err != nil {
+			return fmt.Errorf("write: %w", err)
+		}
+	} else {
+		c.table(all)
+	}
+	for _, r := range all {
+		if !r.Confirmed {
+			return errUnconfirmed
+		}
+	}
+	return nil
+}
+
+func (c *statusCommand) table(all []routerStatus) {
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "ENVIRONMENT\tROUTER\tREVISION\tDIGEST\tSTATE")
+	for _, r := range all {
+		state := "in force"
+		switch {
+		case r.Problem != "":
+			state = "unconfirmed: " + r.Problem
+		case !r.Confirmed:
+			state = "unconfirmed: behind"
+		case r.Status.Stopping:
+			state = "in force, stopping"
+		}
+		digest := r.Status.Digest
+		if len(digest) > 12 {
+			digest = digest[:12]
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", r.Host.Environment, r.Host.Name, r.Status.Revision, digest, state)
+	}
+	_ = w.Flush()
+}
+
+// collect asks all listed routers of an environment for their status.
+func collect(ctx context.Context, cfg settings.Settings, environment string) []routerStatus {
+	list := hosts.New(hosts.Config{Address: cfg.Platform.Address, Credential: cfg.Platform.Credential})
+	if err := list.Fetch(ctx, time.Millisecond); err != nil {
+		return nil
+	}
+	routers := list.Routers(environment)
+	sort.Slice(routers, func(i, j int) bool { return routers[i].Name < routers[j].Name })
+	all := make([]routerStatus, len(routers))
+	var wg sync.WaitGroup
+	for i, h := range routers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			all[i].Host = h
+			if err := ask(ctx, cfg, h, "/status", &all[i].Status); err != nil {
+				all[i].Problem = err.Error()
+			}
+		}()
+	}
+	wg.Wait()
+	return all
+}
+
+// ask gets a page of a router's administration address.
+func ask(ctx context.Context, cfg settings.Settings, h hosts.Host, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.AdminAddress+path, nil)
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+cfg.Credentials.Admin)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("no answer: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", res.StatusCode)
+	}
+	return json.NewDecoder(res.Body).Decode(into)
+}
+
+func unconfirmed(routers []routerStatus, revision int64) []string {
+	var left []string
+	for _, r := range routers {
+		if r.Problem != "" || r.Status.Revision < revision {
+			left = append(left, r.Host.Name)
+		}
+	}
+	return left
+}
--- /dev/null
+++ b/internal/router/control/client.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// ErrUnreachable means that a peer did not answer in time.
+var ErrUnreachable = errors.New("peer unreachable")
+
+const (
+	dialTimeout = 300 * time.Millisecond
+	// idleAfter is when an unused connection is closed, so that a large fleet
+	// does not hold a connection for every pair.
+	idleAfter = 30 * time.Second
+)
+
+// Client calls other routers.
+type Client struct {
+	Messages atomic.Int64 // calls sent
+
+	credential string
+	mu         sync.Mutex
+	conns      map[string]*peerConn
+}
+
+type peerConn struct {
+	rpc    *jsonrpc2.Conn
+	usedAt time.Time
+}
+
+// NewClient returns a client with the credential for peers.
+func NewClient(credential string) *Client {
+	return &Client{credential: credential, conns: make(map[string]*peerConn)}
+}
+
+// Call calls a method of the router at a peer address. After a call that failed
+// the connection is closed, since it may be silent for good.
+func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
+	rpc, err := c.conn(ctx, address)
+	if err != nil {
+		return fmt.Errorf("%s: %v: %w", method, err, ErrUnreachable)
+	}
+	c.Messages.Add(1)
+	err = rpc.Call(ctx, method, params, result)
+	if err == nil {
+		return nil
+	}
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) {
+		return fmt.Errorf("%s: %w", method, err)
+	}
+	c.drop(address, rpc)
+	return fmt.Errorf("%s: %v: %w", method, err, ErrUnreachable)
+}
+
+// Sweep closes idle connections.
+func (c *Client) Sweep(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.conns {
+		if now.Sub(p.usedAt) > idleAfter {
+			delete(c.conns, address)
+			_ = p.rpc.Close()
+		}
+	}
+}
+
+func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	c.mu.Lock()
+	p := c.conns[address]
+	if p != nil {
+		p.usedAt = time.Now()
+	}
+	c.mu.Unlock()
+	if p != nil {
+		return p.rpc, nil
+	}
+	rpc, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.conns[address]; other != nil {
+		_ = rpc.Close()
+		return other.rpc, nil
+	}
+	c.conns[address] = &peerConn{rpc: rpc, usedAt: time.Now()}
+	return rpc, nil
+}
+
+func (c *Client) drop(address string, rpc *jsonrpc2.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.conns[address]; p != nil && p.rpc == rpc {
+		delete(c.conns, address)
+	}
+	_ = rpc.Close()
+}
+
+func (c *Client) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(deadline)
+	}
+	if err := c.upgrade(conn, address); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	_ = conn.SetDeadline(time.Time{})
+	stream := jsonrpc2.NewPlainObjectStream(conn)
+	return jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse)), nil
+}
+
+func (c *Client) upgrade(conn net.Conn, address string) error {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, nil)
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	req.Header.Set("Connection", "Upgrade")
+	req.Header.Set("Upgrade", protocol)
+	req.Header.Set("Authorization", "Bearer "+c.credential)
+	if err := req.Write(conn); err != nil {
+		return fmt.Errorf("send upgrade: %w", err)
+	}
+	res, err := http.ReadResponse(bufio.NewReaderSize(conn, 512), req)
+	if err != nil {
+		return fmt.Errorf("read upgrade: %w", err)
+	}
+	if res.StatusCode != http.StatusSwitchingProtocols {
+		return fmt.Errorf("upgrade: status %d", res.StatusCode)
+	}
+	return nil
+}
+
+// refuse answers calls in the direction that is not used.
+func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "calls go the other way"}
+}
--- /dev/null
+++ b/internal/router/control/server.go
@@ -0,0 +1,97 @@
+// Package control carries the short calls between routers as JSON-RPC 2.0, over
+// one connection for each pair that talks.
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	path     = "/peer/v1/control"
+	protocol = "wisteriafield-control"
+)
+
+// Handler answers one method.
+type Handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Server answers calls of other routers.
+type Server struct {
+	handlers map[string]Handler
+}
+
+// NewServer returns a server without methods.
+func NewServer() *Server { return &Server{handlers: make(map[string]Handler)} }
+
+// Handle adds a method. All methods are added before the first call.
+func (s *Server) Handle(method string, h Handler) { s.handlers[method] = h }
+
+// Register adds the route.
+func (s *Server) Register(mux *http.ServeMux) { mux.HandleFunc("POST "+path, s.serve) }
+
+// Call answers a call of this process without a connection.
+func (s *Server) Call(ctx context.Context, method string, params, result any) error {
+	encoded, err := json.Marshal(params)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", method, err)
+	}
+	value, err := s.answer(ctx, method, encoded)
+	if err != nil {
+		return err
+	}
+	reply, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("encode reply of %s: %w", method, err)
+	}
+	return json.Unmarshal(reply, result)
+}
+
+func (s *Server) answer(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	h := s.handlers[method]
+	if h == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: method}
+	}
+	return h(ctx, params)
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Upgrade") != protocol {
+		w.WriteHeader(http.StatusUpgradeRequired)
+		return
+	}
+	conn, rw, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = rw.WriteString("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + protocol + "\r\n\r\n")
+	if err := rw.Flush(); err != nil {
+		_ = conn.Close()
+		return
+	}
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
+	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(conn), handler)
+	<-rpc.DisconnectNotify()
+}
+
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	return s.answer(ctx, req.Method, params)
+}
+
+// Decode reads the parameters of a call.
+func Decode[T any](params json.RawMessage) (T, error) {
+	var v T
+	if err := json.Unmarshal(params, &v); err != nil {
+		return v, errors.WithStack(&jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()})
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/router/entry/costs.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+// Costs remembers what the keepers said of their expected waits, in replies and
+// in gossip.
+type Costs struct {
+	mu  sync.Mutex
+	all map[costKey]cost
+}
+
+type costKey struct{ keeper, needs string }
+
+type cost struct {
+	wait   time.Duration
+	seenAt time.Time
+}
+
+// NewCosts returns an empty table.
+func NewCosts() *Costs { return &Costs{all: make(map[costKey]cost)} }
+
+// Learn records a keeper's wait for something its servers carry.
+func (c *Costs) Learn(keeper, needs string, wait time.Duration, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all[costKey{keeper, needs}] = cost{wait, now}
+}
+
+// Get returns what was last learnt, with a zero time if nothing was.
+func (c *Costs) Get(keeper, needs string) (time.Duration, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := c.all[costKey{keeper, needs}]
+	return v.wait, v.seenAt
+}
+
+// Better returns the keeper with the shortest fresh wait, or "".
+func (c *Costs) Better(needs, without string, now time.Time) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	best := ""
+	var least time.Duration
+	for key, v := range c.all {
+		if key.needs != needs || key.keeper == without || now.Sub(v.seenAt) > 3*time.Second {
+			continue
+		}
+		if best == "" || v.wait < least {
+			best, least = key.keeper, v.wait
+		}
+	}
+	return best
+}
+
+// Sweep forgets keepers that were not heard of for long.
+func (c *Costs) Sweep(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, v := range c.all {
+		if now.Sub(v.seenAt) > time.Minute {
+			delete(c.all, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/node/admin.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	stdlog "log"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"wisteriafield/internal/caller/apierror"
+	"wisteriafield/internal/decision/invariant"
+	"wisteriafield/internal/router/keeper"
+)
+
+// Status is what operators see of a router.
+type Status struct {
+	Name        string
+	Environment string
+	Revision    int64
+	Digest      string
+	Stopping    bool
+	StartedAt   time.Time
+}
+
+// Dump is the whole state of a router on request. It holds no prompt, no token
+// and no key.
+type Dump struct {
+	Status     Status
+	Routers    []string
+	Suspects   []string
+	Keeper     keeper.Dump
+	Entry      EntryDump
+	Claims     ClaimsDump
+	Directory  int // records
+	Store      StoreDump
+	Invariants uint64 // breaks so far
+}
+
+// EntryDump is the state of the entry role.
+type EntryDump struct {
+	Running int
+}
+
+// ClaimsDump is the state of calls that must not repeat.
+type ClaimsDump struct {
+	Known   int
+	Running int
+}
+
+// StoreDump counts the calls of the platform's store.
+type StoreDump struct {
+	Reads, Writes, Watches int64
+}
+
+// Dump returns the state.
+func (n *Node) Dump() Dump {
+	now := time.Now()
+	return Dump{
+		Status:     n.Status(),
+		Routers:    n.members.Names(now),
+		Suspects:   n.members.Suspects.Names(now),
+		Keeper:     n.keeper.Dump(),
+		Entry:      EntryDump{Running: n.entry.Running()},
+		Claims:     ClaimsDump{Known: n.book.Len(), Running: n.book.Running()},
+		Directory:  n.directory.Len(),
+		Store:      StoreDump{n.store.Calls.Reads.Load(), n.store.Calls.Writes.Load(), n.store.Calls.Watches.Load()},
+		Invariants: invariant.Broken(),
+	}
+}
+
+// Status returns the short state.
+func (n *Node) Status() Status {
+	s := Status{Name: n.cfg.Host.Name, Environment: n.cfg.Host.Environment, Stopping: n.members.Stopping(), StartedAt: n.startedAt}
+	if v := n.View(); v != nil {
+		s.Revision, s.Digest = v.Revision, v.Digest
+	}
+	return s
+}
+
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.Status()) })
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.Dump()) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	open := http.NewServeMux()
+	n.registerHealth(open)
+	open.Handle("/", requireCredential(n.cfg.Credentials.Admin, mux))
+	return open
+}
+
+func (n *Node) registerHealth(mux *http.ServeMux) {
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", n.ready)
+}
+
+// ready tells the balancer whether to send callers here.
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case n.members.Stopping():
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+	case n.View() == nil:
+		http.Error(w, "no configuration", http.StatusServiceUnavailable)
+	default:
+		_, _ = io.WriteString(w, "ok\n")
+	}
+}
+
+func requireCredential(credential string, h http.Handler) http.Handler {
+	want := []byte("Bearer " + credential)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), want) != 1 {
+			apierror.New(apierror.Unauthenticated, "wrong credential").Write(w)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func notFound(w http.ResponseWriter, _ *http.Request) {
+	apierror.New(apierror.NotFound, "nothing is here").Write(w)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	out := json.NewEncoder(w)
+	out.SetIndent("", "  ")
+	_ = out.Encode(v)
+}
+
+// discardLog drops the library's lines on connections that callers broke off.
+func discardLog() *stdlog.Logger { return stdlog.New(io.Discard, "", 0) }
--- /dev/null
+++ b/internal/router/stream/client.go
@@ -0,0 +1,148 @@
+package stream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriafield/internal/router/keeper"
+)
+
+var (
+	// ErrUnreachable means that no byte of the request was answered.
+	ErrUnreachable = errors.New("keeper unreachable")
+	// ErrSilent means that a keeper's stream stopped without an end.
+	ErrSilent = errors.New("keeper silent")
+)
+
+const (
+	dialTimeout   = 300 * time.Millisecond
+	headerTimeout = 500 * time.Millisecond
+	followTimeout = 300 * time.Millisecond
+	// silentAfter is how long a keeper may send nothing, not even a beat.
+	silentAfter   = 500 * time.Millisecond
+	cancelTimeout = 500 * time.Millisecond
+	maxLine       = 64 << 20 // bytes: a prefix may be long
+)
+
+// Client calls the keepers of other routers.
+type Client struct {
+	http       *http.Client
+	credential string
+}
+
+// NewClient returns a client with the credential for peers.
+func NewClient(credential string) *Client {
+	return &Client{
+		credential: credential,
+		http: &http.Client{Transport: &http.Transport{
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		}},
+	}
+}
+
+// Start runs an attempt at a keeper.
+func (c *Client) Start(address string, req keeper.Request) (keeper.Stream, error) {
+	return c.open(address, attemptsPath, req.Generation, newStartBody(req, time.Now()), headerTimeout)
+}
+
+// Follow follows a generation that a keeper has a copy of.
+func (c *Client) Follow(address, generationID, organisation string) (keeper.Stream, error) {
+	return c.open(address, followPath, generationID, followBody{generationID, organisation}, followTimeout)
+}
+
+// Cancel stops an attempt at a keeper.
+func (c *Client) Cancel(address, attempt string) error {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	res, err := c.post(ctx, address, cancelPath, cancelBody{attempt})
+	if err != nil {
+		return fmt.Errorf("cancel: %w", err)
+	}
+	return res.Body.Close()
+}
+
+func (c *Client) open(address, path, generationID string, body any, limit time.Duration) (keeper.Stream, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	timer := time.AfterFunc(limit, stop)
+	res, err := c.post(ctx, address, path, body)
+	timer.Stop()
+	if err != nil {
+		stop()
+		return nil, fmt.Errorf("%v: %w", err, ErrUnreachable)
+	}
+	switch res.StatusCode {
+	case http.StatusOK:
+		return newRemote(res.Body, generationID, stop), nil
+	case http.StatusNotFound:
+		stop()
+		return nil, keeper.ErrUnknownGeneration
+	default:
+		stop()
+		return nil, fmt.Errorf("status %d: %w", res.StatusCode, ErrUnreachable)
+	}
+}
+
+func (c *Client) post(ctx context.Context, address, path string, body any) (*http.Response, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("encode: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.credential)
+	req.Header.Set("Content-Type", "application/json")
+	return c.http.Do(req)
+}
+
+// remote is the stream of a keeper on another host.
+type remote struct {
+	body       io.ReadCloser
+	scanner    *bufio.Scanner
+	generation string
+	stop       context.CancelFunc
+	once       sync.Once
+	silence    *time.Timer
+}
+
+func newRemote(body io.ReadCloser, generationID string, stop context.CancelFunc) *remote {
+	r := &remote{body: body, scanner: bufio.NewScanner(body), generation: generationID, stop: stop}
+	r.scanner.Buffer(make([]byte, 0, 4<<10), maxLine)
+	r.silence = time.AfterFunc(silentAfter, stop)
+	return r
+}
+
+// Next returns the next event, or ErrSilent if none came in time.
+func (r *remote) Next() (keeper.Event, error) {
+	r.silence.Reset(silentAfter)
+	if !r.scanner.Scan() {
+		return keeper.Event{}, fmt.Errorf("read: %v: %w", r.scanner.Err(), ErrSilent)
+	}
+	var l eventLine
+	if err := json.Unmarshal(r.scanner.Bytes(), &l); err != nil {
+		return keeper.Event{}, fmt.Errorf("decode: %v: %w", err, ErrSilent)
+	}
+	return l.event(r.generation), nil
+}
+
+// Close stops following.
+func (r *remote) Close() {
+	r.once.Do(func() {
+		r.silence.Stop()
+		r.stop()
+		_ = r.body.Close()
+	})
+}
--- /dev/null
+++ b/internal/router/stream/wire.go
@@ -0,0 +1,105 @@
+package stream
+
+import (
+	"time"
+
+	"wisteriafield/internal/decision/admission"
+	"wisteriafield/internal/decision/generation"
+	"wisteriafield/internal/router/keeper"
+)
+
+const (
+	attemptsPath = "/peer/v1/attempts"
+	followPath   = "/peer/v1/follow"
+	cancelPath   = "/peer/v1/cancel"
+
+	contentType = "application/x-ndjson"
+)
+
+// startBody is the body of POST attemptsPath. Deadlines travel as the time that
+// is left, since the clocks of two hosts differ.
+type startBody struct {
+	Generation   string
+	Attempt      string
+	Organisation string
+	Weight       float64
+	Digest       string
+	Class        admission.Class
+	Model        string
+	Version      string
+	Adapter      string `json:",omitempty"`
+	Prompt       string
+	Segments     []generation.Segment `json:",omitempty"`
+	MaxTokens    int
+	LeftMillis   int64
+	Servers      []string         `json:",omitempty"`
+	Avoid        string           `json:",omitempty"`
+	Replaces     *keeper.Replaced `json:",omitempty"`
+}
+
+type followBody struct {
+	Generation   string
+	Organisation string
+}
+
+type cancelBody struct {
+	Attempt string
+}
+
+// eventLine is one line of a reply. A token's generation is that of the request.
+type eventLine struct {
+	Kind        keeper.EventKind     `json:"K"`
+	Attempt     string               `json:"A,omitempty"`
+	Position    int                  `json:"P,omitempty"`
+	Text        string               `json:"T,omitempty"`
+	Segments    []generation.Segment `json:"Segments,omitempty"`
+	Server      string               `json:"Server,omitempty"`
+	Keeper      string               `json:"Keeper,omitempty"`
+	Version     string               `json:"Version,omitempty"`
+	Digest      string               `json:"Digest,omitempty"`
+	Reason      string               `json:"Reason,omitempty"`
+	Better      string               `json:"Better,omitempty"`
+	WaitMillis  int64                `json:"WaitMillis,omitempty"`
+	RetryMillis int64                `json:"RetryMillis,omitempty"`
+}
+
+func newStartBody(req keeper.Request, now time.Time) startBody {
+	return startBody{
+		Generation: req.Generation, Attempt: req.Attempt, Organisation: req.Organisation, Weight: req.Weight,
+		Digest: req.Digest, Class: req.Class, Model: req.Model, Version: req.Version, Adapter: req.Adapter,
+		Prompt: req.Prompt, Segments: req.Segments, MaxTokens: req.MaxTokens, LeftMillis: req.StartBy.Sub(now).Milliseconds(),
+		Servers: req.Servers, Avoid: req.Avoid, Replaces: req.Replaces,
+	}
+}
+
+func (b startBody) request(now time.Time) keeper.Request {
+	return keeper.Request{
+		Generation: b.Generation, Attempt: b.Attempt, Organisation: b.Organisation, Weight: b.Weight,
+		Digest: b.Digest, Class: b.Class, Model: b.Model, Version: b.Version, Adapter: b.Adapter,
+		Prompt: b.Prompt, Segments: b.Segments, MaxTokens: b.MaxTokens,
+		StartBy: now.Add(time.Duration(b.LeftMillis) * time.Millisecond),
+		Servers: b.Servers, Avoid: b.Avoid, Replaces: b.Replaces,
+	}
+}
+
+func newEventLine(e keeper.Event) eventLine {
+	l := eventLine{
+		Kind: e.Kind, Attempt: e.Attempt, Segments: e.Segments, Server: e.Server, Keeper: e.Keeper, Version: e.Version, Digest: e.Digest, Reason: e.Reason,
+		Better: e.Better, WaitMillis: e.Wait.Milliseconds(), RetryMillis: e.Retry.Milliseconds(),
+	}
+	if e.Kind == keeper.Token {
+		l.Attempt, l.Position, l.Text = e.Token.Attempt, e.Token.Position, e.Token.Text
+	}
+	return l
+}
+
+func (l eventLine) event(generationID string) keeper.Event {
+	e := keeper.Event{
+		Kind: l.Kind, Attempt: l.Attempt, Segments: l.Segments, Server: l.Server, Keeper: l.Keeper, Version: l.Version, Digest: l.Digest, Reason: l.Reason,
+		Better: l.Better, Wait: time.Duration(l.WaitMillis) * time.Millisecond, Retry: time.Duration(l.RetryMillis) * time.Millisecond,
+	}
+	if l.Kind == keeper.Token {
+		e.Token = generation.Token{Generation: generationID, Attempt: l.Attempt, Position: l.Position, Text: l.Text}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/standin/faults/gate.go
@@ -0,0 +1,110 @@
+// Package faults makes a stand-in fail on request: pause, go silent on the open
+// connections, answer slowly, refuse everything, or lose answers.
+package faults
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+type connKey struct{}
+
+// Gate holds the faults of one stand-in. The zero value has none.
+type Gate struct {
+	mu      sync.Mutex
+	resumed chan struct{} // closed when a pause ends; nil while there is none
+	epoch   atomic.Int64  // grows with each Silence
+	delay   atomic.Int64  // nanoseconds before each request
+	outage  atomic.Bool
+	lose    atomic.Int64 // answers to lose after their effect
+}
+
+// Pause stops all handlers until Resume, as SIGSTOP does a process.
+func (g *Gate) Pause() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.resumed == nil {
+		g.resumed = make(chan struct{})
+	}
+}
+
+// Resume ends a pause.
+func (g *Gate) Resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.resumed != nil {
+		close(g.resumed)
+		g.resumed = nil
+	}
+}
+
+// Silence makes all connections that are open now silent for good. New ones
+// work.
+func (g *Gate) Silence() { g.epoch.Add(1) }
+
+// SetDelay makes each request wait.
+func (g *Gate) SetDelay(d time.Duration) { g.delay.Store(int64(d)) }
+
+// SetOutage refuses all requests with 503.
+func (g *Gate) SetOutage(on bool) { g.outage.Store(on) }
+
+// LoseAnswers cuts the connection of the next n writes after their effect.
+func (g *Gate) LoseAnswers(n int) { g.lose.Store(int64(n)) }
+
+// TakeLoss reports whether the answer of this write is to be lost.
+func (g *Gate) TakeLoss() bool {
+	for {
+		n := g.lose.Load()
+		if n <= 0 {
+			return false
+		}
+		if g.lose.CompareAndSwap(n, n-1) {
+			return true
+		}
+	}
+}
+
+// ConnContext marks each connection with when it was opened. Give it to
+// http.Server.
+func (g *Gate) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, g.epoch.Load())
+}
+
+// Wrap puts the faults before a handler.
+func (g *Gate) Wrap(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/faults" {
+			h.ServeHTTP(w, r)
+			return
+		}
+		gw := &gatedWriter{ResponseWriter: w, gate: g, r: r}
+		if d := g.delay.Load(); d > 0 {
+			sleep(r.Context(), time.Duration(d))
+		}
+		gw.wait()
+		if g.outage.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		h.ServeHTTP(gw, r)
+	})
+}
+
+func (g *Gate) pausedUntil() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.resumed
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/trial/demo/up.go
@@ -0,0 +1,26 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+
+	"wisteriafield/internal/trial/fleet"
+)
+
+// runUp leaves the fleet running until it is interrupted.
+func runUp(ctx context.Context, f *fleet.Fleet) error {
+	if err := f.Configure(ctx, say); err != nil {
+		return err
+	}
+	say("")
+	for _, r := range f.Routers {
+		fmt.Printf("router %-18s callers %s  admin %s\n", r.Host.Name, r.Host.CallerAddress, r.Host.AdminAddress)
+	}
+	for _, e := range f.Engines {
+		fmt.Printf("engine %-18s faults  %s\n", e.Name, e.Address)
+	}
+	fmt.Printf("platform %-16s faults  %s\n", "", f.Platform)
+	fmt.Printf("\nkeys: %s, %s; admin credential: admin-loopback\ninterrupt to stop\n", fleet.KeyScordia, fleet.KeyQalamdaan)
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/trial/fleet/fleet.go
@@ -0,0 +1,341 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriafield/internal/config/document"
+	"wisteriafield/internal/platform/hosts"
+)
+
+// Credentials and keys of a fleet on loopback. They guard nothing.
+const (
+	platformCredential = "platform-loopback"
+	peerCredential     = "peer-loopback"
+	adminCredential    = "admin-loopback"
+	ordersCredential   = "orders-loopback"
+
+	// KeyScordia is the key of organisation scordia.
+	KeyScordia = "key-scordia"
+	// KeyQalamdaan is the key of organisation qalamdaan.
+	KeyQalamdaan = "key-qalamdaan"
+)
+
+var errTimeout = errors.New("not in time")
+
+// Engine says what an engine of the fleet is like.
+type Engine struct {
+	Name    string
+	Domain  string
+	Slots   int
+	Speed   float64
+	Fencing bool
+	Address string
+}
+
+// Router is a router of the fleet.
+type Router struct {
+	*Process
+	Host     hosts.Host
+	settings string
+}
+
+// Fleet is all processes.
+type Fleet struct {
+	Bin      string // folder of the programs
+	Dir      string // folder for settings and logs
+	Platform string // address
+	Routers  []*Router
+	Trial    *Router
+	Engines  []Engine
+	Services map[string]string // server to address
+	Weights  string
+
+	processes map[string]*Process
+}
+
+// Domains of a fleet.
+var domains = []string{"catania", "palermo", "messina"}
+
+// New returns a fleet of four engines of differing speeds and two services.
+func New(bin, dir string) *Fleet {
+	return &Fleet{
+		Bin: bin, Dir: dir, processes: make(map[string]*Process), Services: make(map[string]string),
+		Engines: []Engine{
+			{Name: "redattore-ct-1", Domain: "catania", Slots: 8, Speed: 120, Fencing: true},
+			{Name: "redattore-ct-2", Domain: "catania", Slots: 8, Speed: 60},
+			{Name: "redattore-pa-1", Domain: "palermo", Slots: 8, Speed: 90, Fencing: true},
+			{Name: "redattore-me-1", Domain: "messina", Slots: 8, Speed: 40},
+		},
+	}
+}
+
+// Start starts everything with n production routers and one trial router.
+func (f *Fleet) Start(n int) error {
+	if err := os.MkdirAll(f.Dir, 0o755); err != nil {
+		return fmt.Errorf("make folder: %w", err)
+	}
+	if err := f.startStandins(); err != nil {
+		return err
+	}
+	for i := range n {
+		name := fmt.Sprintf("%s-entry-%d", domains[i%len(domains)], i+1)
+		r, err := f.newRouter(name, domains[i%len(domains)], "production")
+		if err != nil {
+			return err
+		}
+		f.Routers = append(f.Routers, r)
+	}
+	trial, err := f.newRouter("trial-entry-1", domains[0], "trial")
+	if err != nil {
+		return err
+	}
+	f.Trial = trial
+	for _, r := range append([]*Router{trial}, f.Routers...) {
+		if err := f.StartRouter(r); err != nil {
+			return err
+		}
+	}
+	return f.writeOperator()
+}
+
+// Stop ends every process that the fleet started.
+func (f *Fleet) Stop() {
+	for _, p := range f.processes {
+		p.Continue()
+		p.Kill()
+	}
+	for _, p := range f.processes {
+		<-p.done
+	}
+}
+
+// Process returns a process by name.
+func (f *Fleet) Process(name string) *Process { return f.processes[name] }
+
+func (f *Fleet) startStandins() error {
+	f.Platform = f.address()
+	if err := f.standin("platform", f.Platform, "platform", "--credential", platformCredential, "--host-lag", "1s"); err != nil {
+		return err
+	}
+	f.Weights = f.address()
+	if err := f.standin("weights", f.Weights, "weights", "--loads-per-second", "2", "--load-time", "200ms"); err != nil {
+		return err
+	}
+	for i := range f.Engines {
+		f.Engines[i].Address = f.address()
+		if err := f.StartEngine(f.Engines[i]); err != nil {
+			return err
+		}
+	}
+	for _, name := range []string{"banco-1", "grant-ledger-1"} {
+		f.Services[name] = f.address()
+		if err := f.standin(name, f.Services[name], "service", "--name", name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartEngine starts an engine, also again after it died.
+func (f *Fleet) StartEngine(e Engine) error {
+	args := []string{
+		"engine", "--name", e.Name, "--slots", strconv.Itoa(e.Slots), "--speed", strconv.FormatFloat(e.Speed, 'f', -1, 64),
+		"--credential", ordersCredential, "--weights", f.Weights, "--model", "redattore=1", "--model", "costing-llm=1",
+	}
+	if e.Fencing {
+		args = append(args, "--fencing")
+	}
+	return f.standin(e.Name, e.Address, args...)
+}
+
+func (f *Fleet) standin(name, address string, args ...string) error {
+	args = append(args[:1:1], append([]string{"--listen", address}, args[1:]...)...)
+	p, err := startProcess(name, filepath.Join(f.Dir, name+".log"), filepath.Join(f.Bin, "standin"), args...)
+	if err != nil {
+		return err
+	}
+	f.processes[name] = p
+	return waitFor(5*time.Second, func() bool { return dials(address) })
+}
+
+func (f *Fleet) newRouter(name, domain, environment string) (*Router, error) {
+	h := hosts.Host{
+		Name: name, Kind: hosts.Router, State: hosts.Live, Environment: environment, Domain: domain, Region: "sicilia",
+		CallerAddress: f.address(), PeerAddress: f.address(), AdminAddress: f.address(),
+	}
+	r := &Router{Host: h, settings: filepath.Join(f.Dir, name+".ini")}
+	text := fmt.Sprintf(`[Host]
+Name = %s
+Environment = %s
+Domain = %s
+Region = %s
+CallerAddress = %s
+PeerAddress = %s
+AdminAddress = %s
+
+[Platform]
+Address = %s
+Credential = %s
+
+[Credentials]
+Peer = %s
+Admin = %s
+Orders = %s
+
+[Log]
+Level = info
+
+[Bounds]
+LameDuck = 200ms
+`, h.Name, h.Environment, h.Domain, h.Region, h.CallerAddress, h.PeerAddress, h.AdminAddress,
+		f.Platform, platformCredential, peerCredential, adminCredential, ordersCredential)
+	return r, os.WriteFile(r.settings, []byte(text), 0o600)
+}
+
+// StartRouter starts a router, also again after it died, and lists it.
+func (f *Fleet) StartRouter(r *Router) error {
+	p, err := startProcess(r.Host.Name, filepath.Join(f.Dir, r.Host.Name+".log"), filepath.Join(f.Bin, "wisteriafield"), "router", "--settings", r.settings)
+	if err != nil {
+		return err
+	}
+	r.Process = p
+	f.processes[r.Host.Name] = p
+	if err := waitFor(5*time.Second, func() bool { return dials(r.Host.AdminAddress) }); err != nil {
+		return fmt.Errorf("router %s: %w", r.Host.Name, err)
+	}
+	return f.List(r.Host)
+}
+
+// List tells the platform of a host.
+func (f *Fleet) List(h hosts.Host) error {
+	body, err := json.Marshal(h)
+	if err != nil {
+		return fmt.Errorf("encode host: %w", err)
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+f.Platform+"/v1/hosts/"+h.Name, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+platformCredential)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("list host: %w", err)
+	}
+	return res.Body.Close()
+}
+
+// Fault sends a fault order to a stand-in.
+func (f *Fleet) Fault(address, order string) error {
+	res, err := http.Post("http://"+address+"/faults", "application/json", strings.NewReader(order))
+	if err != nil {
+		return fmt.Errorf("fault: %w", err)
+	}
+	return res.Body.Close()
+}
+
+// Callers returns the callers' addresses of the routers.
+func (f *Fleet) Callers() []string {
+	var all []string
+	for _, r := range f.Routers {
+		all = append(all, r.Host.CallerAddress)
+	}
+	return all
+}
+
+func (f *Fleet) writeOperator() error {
+	text := fmt.Sprintf("[Platform]\nAddress = %s\nCredential = %s\n\n[Credentials]\nAdmin = %s\n", f.Platform, platformCredential, adminCredential)
+	return os.WriteFile(f.operator(), []byte(text), 0o600)
+}
+
+func (f *Fleet) operator() string { return filepath.Join(f.Dir, "operator.ini") }
+
+// Command runs an operators' command and returns what it printed.
+func (f *Fleet) Command(ctx context.Context, args ...string) (string, error) {
+	out, err := exec.CommandContext(ctx, filepath.Join(f.Bin, "wisteriafield"), args...).CombinedOutput()
+	return strings.TrimSpace(string(out)), err
+}
+
+// Document writes the environment document of the fleet.
+func (f *Fleet) Document() (string, error) {
+	var b strings.Builder
+	b.WriteString("[Policy]\nGrace = 5s\n\n[Model redattore]\nVersion = 1\n\n[Model costing-llm]\nVersion = 1\n\n")
+	for _, e := range f.Engines {
+		fencing := document.Ignores
+		if e.Fencing {
+			fencing = document.Refuses
+		}
+		fmt.Fprintf(&b, "[Engine %s]\nAddress = %s\nDomain = %s\nRegion = sicilia\nSlots = %d\nSpeed = %v\nModels = redattore, costing-llm\nFencing = %s\n\n",
+			e.Name, e.Address, e.Domain, e.Slots, e.Speed, fencing)
+	}
+	fmt.Fprintf(&b, "[Organisation scordia]\nKeys = %s\nWeight = 2\nTokensPerSecond = 100000\nInFlight = 1000\n\n", document.HashKey(KeyScordia))
+	fmt.Fprintf(&b, "[Organisation qalamdaan]\nKeys = %s\nTokensPerSecond = 100000\nInFlight = 1000\n\n", document.HashKey(KeyQalamdaan))
+	fmt.Fprintf(&b, "[Service banco]\nServers = banco-1=%s\nRepeatable = GET /availability\n\n", f.Services["banco-1"])
+	fmt.Fprintf(&b, "[Service grant-ledger]\nServers = grant-ledger-1=%s\nRepeatable = GET /availability, POST /rates\n", f.Services["grant-ledger-1"])
+	path := filepath.Join(f.Dir, "environment.ini")
+	return path, os.WriteFile(path, []byte(b.String()), 0o644)
+}
+
+// Configure applies the document to trial, promotes it and waits until it is in
+// force.
+func (f *Fleet) Configure(ctx context.Context, say func(string)) error {
+	path, err := f.Document()
+	if err != nil {
+		return err
+	}
+	for _, args := range [][]string{
+		{"check", path},
+		{"apply", "--settings", f.operator(), "--wait", "10s", path},
+		{"promote", "--settings", f.operator(), "--wait", "10s"},
+		{"status", "--settings", f.operator()},
+	} {
+		out, err := f.Command(ctx, args...)
+		say("$ wisteriafield " + args[0] + "\n" + out)
+		if err != nil {
+			return fmt.Errorf("%s: %w", args[0], err)
+		}
+	}
+	return nil
+}
+
+// address returns a loopback address whose port is free now.
+func (f *Fleet) address() string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "127.0.0.1:0"
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func dials(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+func waitFor(limit time.Duration, ok func() bool) error {
+	deadline := time.Now().Add(limit)
+	for !ok() {
+		if time.Now().After(deadline) {
+			return errTimeout
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil
+}
