--- /dev/null
+++ b/internal/standin/link/link.go
@@ -0,0 +1,125 @@
+// Package link is a stand-in for the network between two hosts: a TCP forwarder
+// that can be cut, or make the open connections silent for good.
+package link
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Link forwards connections to one address.
+type Link struct {
+	Address string // where it listens
+
+	to    string
+	ln    net.Listener
+	cut   atomic.Bool
+	mu    sync.Mutex
+	pairs map[*pair]bool
+}
+
+type pair struct {
+	near, far net.Conn
+	silent    atomic.Bool
+}
+
+// New returns a link from a free loopback port to an address.
+func New(to string) (*Link, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	l := &Link{Address: ln.Addr().String(), to: to, ln: ln, pairs: make(map[*pair]bool)}
+	go l.accept()
+	return l, nil
+}
+
+// Cut closes all connections and refuses new ones until Mend.
+func (l *Link) Cut() {
+	l.cut.Store(true)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		p.close()
+	}
+}
+
+// Mend ends a cut.
+func (l *Link) Mend() { l.cut.Store(false) }
+
+// Silence makes the open connections swallow everything. New ones work.
+func (l *Link) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.pairs {
+		p.silent.Store(true)
+	}
+}
+
+// Close ends the link.
+func (l *Link) Close() {
+	_ = l.ln.Close()
+	l.Cut()
+}
+
+func (l *Link) accept() {
+	for {
+		near, err := l.ln.Accept()
+		if err != nil {
+			return
+		}
+		if l.cut.Load() {
+			_ = near.Close()
+			continue
+		}
+		go l.forward(near)
+	}
+}
+
+func (l *Link) forward(near net.Conn) {
+	far, err := net.Dial("tcp", l.to)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	p := &pair{near: near, far: far}
+	l.mu.Lock()
+	l.pairs[p] = true
+	l.mu.Unlock()
+	done := make(chan struct{}, 2)
+	go p.copy(far, near, done)
+	go p.copy(near, far, done)
+	<-done
+	if !p.silent.Load() {
+		p.close()
+	}
+	<-done
+	p.close()
+	l.mu.Lock()
+	delete(l.pairs, p)
+	l.mu.Unlock()
+}
+
+// copy moves bytes until an end closes. A silent pair reads on and drops all.
+func (p *pair) copy(to, from net.Conn, done chan<- struct{}) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !p.silent.Load() {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	done <- struct{}{}
+}
+
+func (p *pair) close() {
+	_ = p.near.Close()
+	_ = p.far.Close()
+}
--- a/internal/trial/caller/stream.go
+++ b/internal/trial/caller/stream.go
@@ -81,10 +81,26 @@
 	Message string `json:"message"`
 }
 
-// Stream asks the routers in turn until the answer is whole: after a broken
+// Stream is Watch for those that only need the number of tokens so far.
+func (c *Caller) Stream(ctx context.Context, routers []string, req Request, onToken func(n int)) (*Answer, error) {
+	return c.Watch(ctx, routers, req, func(a *Answer) {
+		if onToken != nil {
+			onToken(len(a.Texts))
+		}
+	})
+}
+
+// Resume asks one router for what comes after an event.
+func (c *Caller) Resume(ctx context.Context, router string, req Request, lastID string) (*Answer, error) {
+	a := &Answer{LastID: lastID}
+	err := c.once(ctx, router, req, a, func() {})
+	return a, err
+}
+
+// Watch asks the routers in turn until the answer is whole: after a broken
 // connection it goes on at the next router from the last event. onToken may be
 // nil.
-func (c *Caller) Stream(ctx context.Context, routers []string, req Request, onToken func(n int)) (*Answer, error) {
+func (c *Caller) Watch(ctx context.Context, routers []string, req Request, onToken func(a *Answer)) (*Answer, error) {
 	a := &Answer{}
 	start := time.Now()
 	last := start
@@ -100,7 +116,7 @@
 			}
 			last = now
 			if onToken != nil {
-				onToken(len(a.Texts))
+				onToken(a)
 			}
 		})
 		if a.Finished || a.Code != "" && !retryable(a) || ctx.Err() != nil {
--- a/internal/trial/fleet/fleet.go
+++ b/internal/trial/fleet/fleet.go
@@ -18,6 +18,8 @@
 
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/platform/hosts"
+	"wisteriafield/internal/router/node"
+	"wisteriafield/internal/standin/link"
 )
 
 // Credentials and keys of a fleet on loopback. They guard nothing.
@@ -48,8 +50,10 @@
 // Router is a router of the fleet.
 type Router struct {
 	*Process
-	Host     hosts.Host
-	settings string
+	Host      hosts.Host // as the platform lists it
+	PeerLink  *link.Link // from other routers
+	StoreLink *link.Link // to the platform
+	settings  string
 }
 
 // Fleet is all processes.
@@ -64,6 +68,7 @@
 	Weights  string
 
 	processes map[string]*Process
+	links     []*link.Link
 }
 
 // Domains of a fleet.
@@ -120,6 +125,9 @@
 	for _, p := range f.processes {
 		<-p.done
 	}
+	for _, l := range f.links {
+		l.Close()
+	}
 }
 
 // Process returns a process by name.
@@ -172,11 +180,21 @@
 }
 
 func (f *Fleet) newRouter(name, domain, environment string) (*Router, error) {
+	peer := f.address()
+	peerLink, err := link.New(peer)
+	if err != nil {
+		return nil, fmt.Errorf("peer link: %w", err)
+	}
+	storeLink, err := link.New(f.Platform)
+	if err != nil {
+		return nil, fmt.Errorf("store link: %w", err)
+	}
+	f.links = append(f.links, peerLink, storeLink)
 	h := hosts.Host{
 		Name: name, Kind: hosts.Router, State: hosts.Live, Environment: environment, Domain: domain, Region: "sicilia",
-		CallerAddress: f.address(), PeerAddress: f.address(), AdminAddress: f.address(),
+		CallerAddress: f.address(), PeerAddress: peerLink.Address, AdminAddress: f.address(),
 	}
-	r := &Router{Host: h, settings: filepath.Join(f.Dir, name+".ini")}
+	r := &Router{Host: h, PeerLink: peerLink, StoreLink: storeLink, settings: filepath.Join(f.Dir, name+".ini")}
 	text := fmt.Sprintf(`[Host]
 Name = %s
 Environment = %s
@@ -200,8 +218,8 @@
 
 [Bounds]
 LameDuck = 200ms
-`, h.Name, h.Environment, h.Domain, h.Region, h.CallerAddress, h.PeerAddress, h.AdminAddress,
-		f.Platform, platformCredential, peerCredential, adminCredential, ordersCredential)
+`, h.Name, h.Environment, h.Domain, h.Region, h.CallerAddress, peer, h.AdminAddress,
+		storeLink.Address, platformCredential, peerCredential, adminCredential, ordersCredential)
 	return r, os.WriteFile(r.settings, []byte(text), 0o600)
 }
 
@@ -257,10 +275,11 @@
 
 func (f *Fleet) writeOperator() error {
 	text := fmt.Sprintf("[Platform]\nAddress = %s\nCredential = %s\n\n[Credentials]\nAdmin = %s\n", f.Platform, platformCredential, adminCredential)
-	return os.WriteFile(f.operator(), []byte(text), 0o600)
+	return os.WriteFile(f.Operator(), []byte(text), 0o600)
 }
 
-func (f *Fleet) operator() string { return filepath.Join(f.Dir, "operator.ini") }
+// Operator returns the path of the operators' settings.
+func (f *Fleet) Operator() string { return filepath.Join(f.Dir, "operator.ini") }
 
 // Command runs an operators' command and returns what it printed.
 func (f *Fleet) Command(ctx context.Context, args ...string) (string, error) {
@@ -288,6 +307,34 @@
 	return path, os.WriteFile(path, []byte(b.String()), 0o644)
 }
 
+// Revision returns the revision in force on a router, or 0.
+func (f *Fleet) Revision(r *Router) int64 {
+	var status struct{ Revision int64 }
+	_ = f.admin(r, "/status", &status)
+	return status.Revision
+}
+
+// Dump returns a router's state.
+func (f *Fleet) Dump(r *Router) (node.Dump, error) {
+	var d node.Dump
+	return d, f.admin(r, "/dump", &d)
+}
+
+func (f *Fleet) admin(r *Router, path string, into any) error {
+	req, err := http.NewRequest(http.MethodGet, "http://"+r.Host.AdminAddress+path, nil)
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+adminCredential)
+	client := http.Client{Timeout: 2 * time.Second}
+	res, err := client.Do(req)
+	if err != nil {
+		return fmt.Errorf("ask %s: %w", r.Host.Name, err)
+	}
+	defer res.Body.Close()
+	return json.NewDecoder(res.Body).Decode(into)
+}
+
 // Configure applies the document to trial, promotes it and waits until it is in
 // force.
 func (f *Fleet) Configure(ctx context.Context, say func(string)) error {
@@ -297,9 +344,9 @@
 	}
 	for _, args := range [][]string{
 		{"check", path},
-		{"apply", "--settings", f.operator(), "--wait", "10s", path},
-		{"promote", "--settings", f.operator(), "--wait", "10s"},
-		{"status", "--settings", f.operator()},
+		{"apply", "--settings", f.Operator(), "--wait", "10s", path},
+		{"promote", "--settings", f.Operator(), "--wait", "10s"},
+		{"status", "--settings", f.Operator()},
 	} {
 		out, err := f.Command(ctx, args...)
 		say("$ wisteriafield " + args[0] + "\n" + out)
