--- a/Makefile
+++ b/Makefile
@@ -22,5 +22,10 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# The model checker comes from Debian's packages; it needs gcc.
+model:
+	@command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin >/dev/null)
+	model/check.sh
+
 clean:
 	rm -rf bin out
