--- /dev/null
+++ b/internal/decision/generation/main_test.go
@@ -0,0 +1,13 @@
+package generation_test
+
+import (
+	"os"
+	"testing"
+
+	"wisteriafield/internal/trial/seed"
+)
+
+func TestMain(m *testing.M) {
+	seed.Fix()
+	os.Exit(m.Run())
+}
