The order plan, made under the platform's lease, and its rollout story

A new version rolls out one engine at a time: drain, wait until it runs nothing, order. Loads are paced to the weight store. Also: a fault of a document is told once, not again by the checks that follow.

An engine went back from version 3 to 1. Cause: the trial router's planner ordered the same engines from a plan of its own, since an engine could belong to both environments. Ruled out: a late order of the paused planner, which checks its lease before each order.

--- a/internal/backend/engine/types.go
+++ b/internal/backend/engine/types.go
@@ -44,6 +44,7 @@
 	Role     string
 	Fencing  int64
 	Leaving  bool
+	Running  int // requests, waiting ones included
 }
 
 // Order is the wanted end state of an engine.
--- a/internal/config/document/check.go
+++ b/internal/config/document/check.go
@@ -91,6 +91,9 @@
 		if e.Fencing != Refuses && e.Fencing != Ignores {
 			f.Add(section, "Fencing", "%q is wrong; expected Refuses or Ignores", e.Fencing)
 		}
+		if e.Environment != "trial" && e.Environment != "production" {
+			f.Add(section, "Environment", "%q is wrong; expected trial or production", e.Environment)
+		}
 		for _, m := range e.Models {
 			if !slices.ContainsFunc(d.Models, func(o Model) bool { return o.Name == m }) {
 				f.Add(section, "Models", "no [Model %s] in this file", m)
--- a/internal/config/document/parse.go
+++ b/internal/config/document/parse.go
@@ -40,7 +40,7 @@
 }
 
 func newEngine(name string) Engine {
-	return Engine{Name: name, Fencing: Ignores, Environments: []string{"trial", "production"}}
+	return Engine{Name: name, Fencing: Ignores, Environment: "production"}
 }
 
 func newOrganisation(name string) Organisation {
--- a/internal/config/document/types.go
+++ b/internal/config/document/types.go
@@ -68,15 +68,15 @@
 
 // Engine is a backend server that runs models.
 type Engine struct {
-	Name         string   `ini:"-"`
-	Address      string   `ini:"required"`
-	Domain       string   `ini:"required"`
-	Region       string   `ini:"required"`
-	Slots        int      `ini:"required"` // requests it runs at a time
-	Speed        float64  `ini:"required"` // tokens a second of one slot
-	Models       []string `ini:"required"` // that it may carry
-	Fencing      Fencing
-	Environments []string
+	Name        string   `ini:"-"`
+	Address     string   `ini:"required"`
+	Domain      string   `ini:"required"`
+	Region      string   `ini:"required"`
+	Slots       int      `ini:"required"` // requests it runs at a time
+	Speed       float64  `ini:"required"` // tokens a second of one slot
+	Models      []string `ini:"required"` // that it may carry
+	Fencing     Fencing
+	Environment string // whose routers use it and give it orders
 }
 
 // Organisation is a customer.
--- a/internal/config/inifile/decode.go
+++ b/internal/config/inifile/decode.go
@@ -25,17 +25,17 @@
 		known = append(known, field.Name)
 		if !s.HasKey(field.Name) {
 			if tag == "required" {
-				f.Add(s.Name(), field.Name, "is missing; expected %s", expected(field.Type))
+				f.addBroken(s.Name(), field.Name, "is missing; expected %s", expected(field.Type))
 			}
 			continue
 		}
 		key := s.Key(field.Name)
 		if len(key.ValueWithShadows()) > 1 {
-			f.Add(s.Name(), field.Name, "stands twice")
+			f.addBroken(s.Name(), field.Name, "stands twice")
 			continue
 		}
 		if !set(v.Field(i), key.Value()) {
-			f.Add(s.Name(), field.Name, "%q is wrong; expected %s", key.Value(), expected(field.Type))
+			f.addBroken(s.Name(), field.Name, "%q is wrong; expected %s", key.Value(), expected(field.Type))
 		}
 	}
 	for _, key := range s.Keys() {
--- a/internal/config/inifile/file.go
+++ b/internal/config/inifile/file.go
@@ -17,7 +17,8 @@
 	Name   string
 	Faults Faults
 
-	ini *ini.File
+	ini    *ini.File
+	broken map[string]bool // keys whose value could not be read
 }
 
 // Parse reads INI text. A syntax error is the only fault reported then.
@@ -34,7 +35,7 @@
 	if err != nil {
 		return nil, Faults{{File: name, Problem: fmt.Sprintf("not INI: %v", err)}}
 	}
-	return &File{Name: name, ini: f}, nil
+	return &File{Name: name, ini: f, broken: make(map[string]bool)}, nil
 }
 
 // Err returns the faults found so far, or nil.
@@ -48,8 +49,11 @@
 	return f.Faults
 }
 
-// Add reports a fault.
+// Add reports a fault, unless the key's value could not even be read.
 func (f *File) Add(section, key, format string, args ...any) {
+	if f.broken[section+"\x00"+key] {
+		return
+	}
 	f.Faults = append(f.Faults, Fault{File: f.Name, Section: section, Key: key, Problem: fmt.Sprintf(format, args...)})
 }
 
@@ -64,6 +68,12 @@
 	f.Faults = kept
 }
 
+// addBroken reports that a key's value could not be read.
+func (f *File) addBroken(section, key, format string, args ...any) {
+	f.Add(section, key, format, args...)
+	f.broken[section+"\x00"+key] = true
+}
+
 // Known reports every section whose kind is not listed and every section that
 // stands twice. A section is named "Kind" or "Kind name".
 func (f *File) Known(kinds ...string) {
@@ -109,7 +119,9 @@
 			f.Add(s.Name(), "", "needs a name, as in [%s NAME]", kind)
 			continue
 		}
-		names = append(names, name)
+		if !contains(names, name) {
+			names = append(names, name)
+		}
 	}
 	return names
 }
--- /dev/null
+++ b/internal/decision/plan/plan_test.go
@@ -0,0 +1,121 @@
+package plan_test
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/decision/plan"
+)
+
+var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+func engines(n int) []plan.Engine {
+	var all []plan.Engine
+	for i := range n {
+		all = append(all, plan.Engine{Name: fmt.Sprintf("e%d", i), Domain: fmt.Sprintf("d%d", i%3), Models: []string{"m"}, Up: true})
+	}
+	return all
+}
+
+func input(n int, version string, replicas int) plan.Input {
+	return plan.Input{
+		Now: start, Document: 1, MaxMoving: 1, Engines: engines(n),
+		Models: []plan.Model{{Name: "m", Version: version, Replicas: replicas, Load: 10 * time.Second}},
+	}
+}
+
+// obey makes the engines carry what the plan says.
+func obey(in *plan.Input, p plan.Plan) {
+	in.Previous = p
+	for i := range in.Engines {
+		in.Engines[i].Carries = maps.Clone(p.Engines[in.Engines[i].Name].Models)
+	}
+}
+
+func TestReplicasSpreadOverDomains(t *testing.T) {
+	g := NewWithT(t)
+	p, changed := plan.Next(input(9, "1", 3))
+	g.Expect(changed).To(BeTrue())
+	domains := make(map[string]int)
+	for _, e := range engines(9) {
+		if p.Engines[e.Name].Models["m"] == "1" {
+			domains[e.Domain]++
+		}
+	}
+	g.Expect(domains).To(Equal(map[string]int{"d0": 1, "d1": 1, "d2": 1}))
+}
+
+func TestAPlanThatIsCarriedOutStays(t *testing.T) {
+	g := NewWithT(t)
+	in := input(6, "1", 3)
+	p, _ := plan.Next(in)
+	obey(&in, p)
+	again, changed := plan.Next(in)
+	g.Expect(changed).To(BeFalse())
+	g.Expect(again.Revision).To(Equal(p.Revision))
+}
+
+func TestANewVersionRollsOutOneEngineAtATimeAndNeverCutsADraft(t *testing.T) {
+	g := NewWithT(t)
+	in := input(4, "1", 0)
+	p, _ := plan.Next(in)
+	obey(&in, p)
+	in.Document, in.Models[0].Version = 2, "2"
+	in.Engines[0].Running = 1 // a draft that never ends
+	for range 40 {
+		in.Now = in.Now.Add(5 * time.Second)
+		before := in.Previous
+		next, _ := plan.Next(in)
+		g.Expect(next.Revision).To(BeNumerically(">=", before.Revision))
+		draining := 0
+		for name, entry := range next.Engines {
+			if entry.Draining {
+				draining++
+			}
+			if before.Engines[name].Models["m"] != entry.Models["m"] {
+				g.Expect(before.Engines[name].Draining).To(BeTrue(), "an engine is drained before it changes")
+				g.Expect(name).NotTo(Equal("e0"), "an engine with a draft keeps its version")
+			}
+		}
+		g.Expect(draining).To(BeNumerically("<=", 1))
+		g.Expect(next.Versions("m")).NotTo(BeEmpty(), "the model is served all the time")
+		obey(&in, next)
+	}
+	in.Engines[0].Running = 0
+	for range 40 {
+		in.Now = in.Now.Add(5 * time.Second)
+		next, _ := plan.Next(in)
+		obey(&in, next)
+	}
+	g.Expect(in.Previous.Versions("m")).To(HaveKey("2"))
+	g.Expect(in.Previous.Versions("m")).To(HaveLen(1))
+}
+
+func TestLoadsArePacedToTheWeightStore(t *testing.T) {
+	g := NewWithT(t)
+	in := input(3, "1", 0)
+	in.MaxMoving = 3
+	p, _ := plan.Next(in)
+	obey(&in, p)
+	in.Document, in.Models[0].Version = 2, "2"
+	var orders []time.Time
+	for range 100 {
+		in.Now = in.Now.Add(time.Second)
+		before := in.Previous
+		next, _ := plan.Next(in)
+		for name := range next.Engines {
+			if next.Engines[name].Models["m"] != before.Engines[name].Models["m"] {
+				orders = append(orders, in.Now)
+			}
+		}
+		obey(&in, next)
+	}
+	g.Expect(orders).To(HaveLen(3))
+	for i := 1; i < len(orders); i++ {
+		g.Expect(orders[i].Sub(orders[i-1])).To(BeNumerically(">=", 10*time.Second))
+	}
+}
--- a/internal/router/entry/choose.go
+++ b/internal/router/entry/choose.go
@@ -57,13 +57,13 @@
 	self := e.deps.Members.Self()
 	for i := range view.Engines {
 		s := &view.Engines[i]
-		if !slices.Contains(s.Models, req.Model.Name) || !slices.Contains(s.Environments, self.Environment) {
+		if !slices.Contains(s.Models, req.Model.Name) || s.Environment != self.Environment {
 			continue
 		}
 		if version, ok := e.deps.Carries(s.Name, req.Model.Name); !ok || version != req.Version {
 			continue
 		}
-		if h, ok := e.deps.Hosts.Host(s.Name); ok && h.State == hosts.Leaving {
+		if h, ok := e.deps.Hosts.Host(s.Name); ok && h.State == hosts.Leaving || e.deps.Draining(s.Name) {
 			continue
 		}
 		name := self.Name
--- a/internal/router/entry/entry.go
+++ b/internal/router/entry/entry.go
@@ -28,6 +28,7 @@
 	Hosts     *hosts.List
 	View      func() *document.View
 	Carries   func(engine, model string) (version string, ok bool)
+	Draining  func(engine string) bool
 	Local     *keeper.Keeper
 	Remote    *stream.Client
 	Directory *directory.Directory
--- a/internal/router/keeper/attempt.go
+++ b/internal/router/keeper/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"wisteriafield/internal/backend/engine"
+	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/admission"
 	"wisteriafield/internal/decision/generation"
 	"wisteriafield/internal/router/copies"
@@ -123,7 +124,7 @@
 
 func (k *Keeper) item(req Request, now time.Time) admission.Item {
 	words := strings.Fields(req.Prompt)
-	return admission.Item{
+	it := admission.Item{
 		ID:           req.Attempt,
 		Organisation: req.Organisation,
 		Weight:       req.Weight,
@@ -135,6 +136,11 @@
 		ArrivedAt:    now,
 		StartBy:      req.StartBy,
 	}
+	if v := k.deps.View(); v != nil && v.Policy.Queueing == document.Arrival {
+		// One line for all, in the order of arrival, on every slot.
+		it.Class, it.Organisation = admission.Interactive, ""
+	}
+	return it
 }
 
 func (k *Keeper) refusal(req Request, r admission.Refusal, now time.Time) Event {
--- a/internal/router/keeper/keeper.go
+++ b/internal/router/keeper/keeper.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +36,8 @@
 	Log     *logrus.Entry
 	Carries func(engine, model string) (version string, ok bool) // by the order plan
 	Better  func(model string, without string) string
+	// Draining tells of an engine that gets no new work by the order plan.
+	Draining func(engine string) bool
 }
 
 // Keeper is the keeper role of a router.
@@ -97,7 +98,7 @@
 	keep := make(map[string]bool)
 	for i := range view.Engines {
 		e := &view.Engines[i]
-		if !slices.Contains(e.Environments, k.deps.Members.Self().Environment) {
+		if e.Environment != k.deps.Members.Self().Environment {
 			continue
 		}
 		mine := oneHop || k.deps.Members.Keeper(e.Name, e.Region, now) == k.deps.Members.Self().Name
@@ -132,8 +133,12 @@
 	return admission.Server{Name: e.Name, Slots: e.Slots, Speed: e.Speed, Carries: carries, Leaving: k.leaving(e.Name)}
 }
 
-// leaving reports whether the host list or the server itself says so.
+// leaving reports whether the order plan, the host list or the server itself
+// says so.
 func (k *Keeper) leaving(name string) bool {
+	if k.deps.Draining(name) {
+		return true
+	}
 	if h, ok := k.deps.Hosts.Host(name); ok && h.State == hosts.Leaving {
 		return true
 	}
--- a/internal/router/node/admin.go
+++ b/internal/router/node/admin.go
@@ -12,6 +12,7 @@
 
 	"wisteriafield/internal/caller/apierror"
 	"wisteriafield/internal/decision/invariant"
+	"wisteriafield/internal/decision/plan"
 	"wisteriafield/internal/router/keeper"
 )
 
@@ -32,6 +33,7 @@
 	Routers    []string
 	Suspects   []string
 	Keeper     keeper.Dump
+	Plan       *plan.Plan
 	Entry      EntryDump
 	Claims     ClaimsDump
 	Directory  int // records
@@ -63,6 +65,7 @@
 		Routers:    n.members.Names(now),
 		Suspects:   n.members.Suspects.Names(now),
 		Keeper:     n.keeper.Dump(),
+		Plan:       n.planner.Current(),
 		Entry:      EntryDump{Running: n.entry.Running()},
 		Claims:     ClaimsDump{Known: n.book.Len(), Running: n.book.Running()},
 		Directory:  n.directory.Len(),
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -27,6 +27,7 @@
 	"wisteriafield/internal/router/keeper"
 	"wisteriafield/internal/router/limits"
 	"wisteriafield/internal/router/members"
+	"wisteriafield/internal/router/planner"
 	"wisteriafield/internal/router/stream"
 )
 
@@ -47,6 +48,7 @@
 	configure *configure.Follower
 	directory *directory.Directory
 	limits    *limits.Limits
+	planner   *planner.Planner
 	keeper    *keeper.Keeper
 	entry     *entry.Entry
 	costs     *entry.Costs
@@ -97,14 +99,18 @@
 }
 
 func (n *Node) buildRoles() {
+	engines := engine.New(n.cfg.Credentials.Orders)
+	n.planner = planner.New(planner.Deps{
+		Store: n.store, Peers: n.calls, Members: n.members, View: n.configure.View, Engines: engines, Log: n.part("planner"),
+	})
+	n.planner.Register(n.control)
 	n.keeper = keeper.New(keeper.Deps{
-		Members: n.members, Hosts: n.hosts, View: n.configure.View,
-		Engines: engine.New(n.cfg.Credentials.Orders), Log: n.part("keeper"),
-		Carries: n.carries,
-		Better:  func(needs, without string) string { return n.costs.Better(needs, without, time.Now()) },
+		Members: n.members, Hosts: n.hosts, View: n.configure.View, Engines: engines, Log: n.part("keeper"),
+		Carries: n.planner.Carries, Draining: n.planner.Draining,
+		Better: func(needs, without string) string { return n.costs.Better(needs, without, time.Now()) },
 	})
 	n.entry = entry.New(entry.Deps{
-		Members: n.members, Hosts: n.hosts, View: n.configure.View, Carries: n.carries,
+		Members: n.members, Hosts: n.hosts, View: n.configure.View, Carries: n.planner.Carries, Draining: n.planner.Draining,
 		Local: n.keeper, Remote: stream.NewClient(n.cfg.Credentials.Peer),
 		Directory: n.directory, Costs: n.costs, Log: n.part("entry"),
 	})
@@ -119,7 +125,7 @@
 	b := n.cfg.Bounds
 	callers := http.NewServeMux()
 	openai.New(openai.Deps{
-		View: n.configure.View, Entry: n.entry, Limits: n.limits, Serving: n.serving,
+		View: n.configure.View, Entry: n.entry, Limits: n.limits, Serving: n.planner.Serving,
 		MaxBody: int64(b.MaxBody), BodyTimeout: b.BodyTimeout,
 	}).Register(callers)
 	service.New(service.Deps{
@@ -155,22 +161,6 @@
 	}
 }
 
-// carries returns the version of a model that an engine serves new work with.
-func (n *Node) carries(_, model string) (string, bool) { return n.serving(model) }
-
-// serving returns the version of a model for new work.
-func (n *Node) serving(model string) (string, bool) {
-	view := n.configure.View()
-	if view == nil {
-		return "", false
-	}
-	m := view.Model(model)
-	if m == nil {
-		return "", false
-	}
-	return m.Version, true
-}
-
 // Run listens and serves until ctx ends, then drains and stops.
 func (n *Node) Run(ctx context.Context) error {
 	listeners, err := n.listen()
@@ -190,7 +180,7 @@
 		})
 	}
 	for _, loop := range []func(context.Context) error{
-		n.hosts.Run, n.configure.Watch, n.configure.Gossip, n.keeper.Run, n.entry.Run, n.limits.Run, n.sweep,
+		n.hosts.Run, n.configure.Watch, n.configure.Gossip, n.keeper.Run, n.entry.Run, n.limits.Run, n.planner.Lead, n.planner.Follow, n.sweep,
 	} {
 		group.Go(func() error { return loop(work) })
 	}
--- /dev/null
+++ b/internal/router/planner/follow.go
@@ -0,0 +1,88 @@
+package planner
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriafield/internal/decision/plan"
+	"wisteriafield/internal/platform/kv"
+	"wisteriafield/internal/router/control"
+)
+
+const (
+	methodPlan  = "Planner.Plan"
+	callTimeout = 500 * time.Millisecond
+	askEvery    = 3 * time.Second
+)
+
+// planRequest asks for a plan newer than a revision.
+type planRequest struct{ Have int64 }
+
+type planReply struct{ Plan *plan.Plan }
+
+// Register adds the method that peers call.
+func (p *Planner) Register(s *control.Server) { s.Handle(methodPlan, p.onPlan) }
+
+// Follow follows the plan in the store until ctx ends, and asks peers for it
+// while the store is out of reach.
+func (p *Planner) Follow(ctx context.Context) error {
+	var after int64
+	for ctx.Err() == nil {
+		v, err := p.deps.Store.Watch(ctx, p.planKey(), after)
+		if errors.Is(err, kv.ErrNotFound) {
+			continue
+		}
+		if err == nil {
+			var next plan.Plan
+			if err = json.Unmarshal(v.Body, &next); err == nil {
+				p.take(&next)
+				after = v.Revision
+				continue
+			}
+		}
+		p.askPeer(ctx)
+		pause(ctx, askEvery)
+	}
+	return nil
+}
+
+func (p *Planner) askPeer(ctx context.Context) {
+	live := p.deps.Members.Live(time.Now())
+	if len(live) < 2 {
+		return
+	}
+	h := live[rand.IntN(len(live))]
+	if h.Name == p.deps.Members.Self().Name {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply planReply
+	if err := p.deps.Peers.Call(ctx, h.PeerAddress, methodPlan, planRequest{revisionOf(p.Current())}, &reply); err == nil && reply.Plan != nil {
+		p.take(reply.Plan)
+	}
+}
+
+func (p *Planner) onPlan(_ context.Context, params json.RawMessage) (any, error) {
+	req, err := control.Decode[planRequest](params)
+	if err != nil {
+		return nil, err
+	}
+	if current := p.Current(); current != nil && current.Revision > req.Have {
+		return planReply{current}, nil
+	}
+	return planReply{}, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/standin/engine/report.go
+++ b/internal/standin/engine/report.go
@@ -22,6 +22,7 @@
 	Role     string
 	Fencing  int64
 	Leaving  bool
+	Running  int
 	Stats    Stats
 }
 
@@ -58,7 +59,7 @@
 
 func (e *Engine) state(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	reply := stateReply{Models: e.models, Adapters: e.adapters, Role: e.role, Fencing: e.fencing, Leaving: e.leaving, Stats: e.stats}
+	reply := stateReply{Models: e.models, Adapters: e.adapters, Role: e.role, Fencing: e.fencing, Leaving: e.leaving, Running: len(e.running) + len(e.waiting), Stats: e.stats}
 	body, err := json.Marshal(reply)
 	e.mu.Unlock()
 	if err != nil {
--- a/internal/trial/fleet/fleet.go
+++ b/internal/trial/fleet/fleet.go
@@ -54,6 +54,7 @@
 	Host      hosts.Host // as the platform lists it
 	PeerLink  *link.Link // from other routers
 	StoreLink *link.Link // to the platform
+	Log       string     // path of its log
 	settings  string
 }
 
@@ -163,15 +164,22 @@
 	return f.standin(name, f.Services[name], "service", "--name", name)
 }
 
-// EngineStats returns an engine's own counters.
-func (f *Fleet) EngineStats(e Engine) (engine.Stats, error) {
-	var state struct{ Stats engine.Stats }
-	res, err := http.Get("http://" + e.Address + "/v1/state")
+// EngineState is what an engine says of itself.
+type EngineState struct {
+	Models map[string]string
+	Stats  engine.Stats
+}
+
+// EngineState asks an engine.
+func (f *Fleet) EngineState(e Engine) (EngineState, error) {
+	var state EngineState
+	client := http.Client{Timeout: 2 * time.Second}
+	res, err := client.Get("http://" + e.Address + "/v1/state")
 	if err != nil {
-		return state.Stats, fmt.Errorf("engine state: %w", err)
+		return state, fmt.Errorf("engine state: %w", err)
 	}
 	defer res.Body.Close()
-	return state.Stats, json.NewDecoder(res.Body).Decode(&state)
+	return state, json.NewDecoder(res.Body).Decode(&state)
 }
 
 // StartEngine starts an engine, also again after it died.
@@ -211,7 +219,7 @@
 		Name: name, Kind: hosts.Router, State: hosts.Live, Environment: environment, Domain: domain, Region: "sicilia",
 		CallerAddress: freeAddress(), PeerAddress: peerLink.Address, AdminAddress: freeAddress(),
 	}
-	r := &Router{Host: h, PeerLink: peerLink, StoreLink: storeLink, settings: filepath.Join(f.Dir, name+".ini")}
+	r := &Router{Host: h, PeerLink: peerLink, StoreLink: storeLink, settings: filepath.Join(f.Dir, name+".ini"), Log: filepath.Join(f.Dir, name+".log")}
 	text := fmt.Sprintf(`[Host]
 Name = %s
 Environment = %s
--- a/internal/trial/stories/configuration_test.go
+++ b/internal/trial/stories/configuration_test.go
@@ -110,9 +110,9 @@
 
 var _ = Describe("A leaving engine", func() {
 	started := func(w *world, e fleet.Engine) int {
-		stats, err := w.EngineStats(e)
+		state, err := w.EngineState(e)
 		Expect(err).NotTo(HaveOccurred())
-		return stats.Started
+		return state.Stats.Started
 	}
 	leave := func(w *world, tell func(e fleet.Engine)) {
 		e := w.Engines[0]
