--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -28,7 +28,7 @@
 
 const (
 	dialTimeout   = 300 * time.Millisecond
-	headerTimeout = 2 * time.Second
+	headerTimeout = 500 * time.Millisecond
 	callTimeout   = 300 * time.Millisecond
 	orderTimeout  = time.Minute
 )
--- a/internal/decision/admission/queue.go
+++ b/internal/decision/admission/queue.go
@@ -167,7 +167,7 @@
 
 func (q *Queue) carried(needs string) bool {
 	for _, s := range q.servers {
-		if s.Carries[needs] && !s.Leaving {
+		if s.Carries[needs] && !s.Leaving && !s.Down {
 			return true
 		}
 	}
--- a/internal/decision/limit/allowance.go
+++ b/internal/decision/limit/allowance.go
@@ -30,9 +30,9 @@
 	return true
 }
 
-// Ask returns how many tokens to lease from the home for a request of n.
-func (a *Allowance) Ask(n, rate float64) float64 {
-	return max(n-a.Left, 0) + leaseShare*rate
+// Stock returns how many tokens one entry leases beyond what a request needs.
+func Stock(rate float64, routers int) float64 {
+	return leaseShare * rate / float64(max(routers, 1))
 }
 
 // Add puts leased tokens in.
--- a/internal/decision/resume/machine.go
+++ b/internal/decision/resume/machine.go
@@ -79,9 +79,6 @@
 	m.pauses++
 	m.exclude = nil
 	until := now.Add(pause)
-	if e.RetryAt.After(until) && m.resuming {
-		until = minTime(e.RetryAt, now.Add(maxPause))
-	}
 	if !until.Before(m.startBy) || !m.resuming && e.RetryAt.After(m.startBy) {
 		return m.fail(m.code(), now)
 	}
@@ -119,10 +116,3 @@
 func (m *Machine) fail(code Code, now time.Time) Action {
 	return Action{Kind: Fail, Code: code, NotRun: !m.started, RetryAt: now.Add(retryAfter)}
 }
-
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/internal/router/keeper/reports.go
+++ b/internal/router/keeper/reports.go
@@ -4,15 +4,22 @@
 	"context"
 	"sync"
 	"time"
+
+	"wisteriafield/internal/decision/admission"
 )
 
 // ownWindow is how far back this keeper's own requests may explain a load
 // report.
 const ownWindow = 3 * time.Second
 
+// missedReports is how many reports in a row may fail before a server counts as
+// down.
+const missedReports = 2
+
 // foreign estimates what others run on a server from its lagging reports.
 type foreign struct {
 	leaving bool
+	missed  int // reports in a row that did not come
 	own     []ownLoad
 }
 
@@ -61,18 +68,19 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	s := k.queue.Server(name)
-	if s == nil || err != nil {
+	if s == nil {
+		return
+	}
+	if err != nil {
+		k.missReport(s)
 		return
 	}
 	if s.Down {
 		k.deps.Log.WithField("server", name).Info("server answers again")
 	}
 	s.Down = false
-	f := k.foreign[name]
-	if f == nil {
-		f = &foreign{}
-		k.foreign[name] = f
-	}
+	f := k.foreignOf(name)
+	f.missed = 0
 	f.leaving = load.Leaving
 	own := s.InFlight() - s.Foreign
 	s.Foreign = f.estimate(now, load.Running+load.Waiting, own)
@@ -80,6 +88,24 @@
 	k.dispatch(now)
 }
 
+// missReport counts a report that did not come. The caller holds mu.
+func (k *Keeper) missReport(s *admission.Server) {
+	f := k.foreignOf(s.Name)
+	f.missed++
+	if f.missed >= missedReports {
+		s.Down = true
+	}
+}
+
+func (k *Keeper) foreignOf(name string) *foreign {
+	f := k.foreign[name]
+	if f == nil {
+		f = &foreign{}
+		k.foreign[name] = f
+	}
+	return f
+}
+
 // markDown leaves a server out until a load report comes from it.
 func (k *Keeper) markDown(name string) {
 	k.mu.Lock()
--- a/internal/router/keeper/watchdog.go
+++ b/internal/router/keeper/watchdog.go
@@ -11,7 +11,7 @@
 const (
 	// stalledFactor is how many silences an engine that answers probes may
 	// stay without progress before the attempt moves.
-	stalledFactor = 6
+	stalledFactor = 4
 	// prefillLimit is the same bound before the first token.
 	prefillLimit = 10 * time.Second
 	// probeAgain is the pause before a second look at a probe that showed
--- a/internal/router/limits/limits.go
+++ b/internal/router/limits/limits.go
@@ -47,6 +47,7 @@
 	allowance limit.Allowance
 	inFlight  int
 	usedAt    time.Time
+	stocking  bool // a lease for more than one request is on its way
 }
 
 // home is what this router knows of an organisation that it is home of.
@@ -66,13 +67,14 @@
 type leaseRequest struct {
 	Organisation string
 	Entry        string
-	Tokens       float64
+	Tokens       float64 // for the request itself: all or nothing
+	Stock        float64 // on top, as far as there is some
 	InFlight     int
 }
 
 type leaseReply struct {
-	Tokens      float64
-	Admitted    bool // the requests in flight are within the limit
+	Tokens      float64 // granted, stock included
+	Admitted    bool    // the requests in flight are within the limit
 	RetryMillis int64
 }
 
@@ -99,8 +101,17 @@
 	h.inFlight++
 	h.usedAt = now
 	ask := leaseRequest{Organisation: o.Name, Entry: l.members.Self().Name, InFlight: h.inFlight}
-	if !h.allowance.Spend(tokens, now) {
-		ask.Tokens = h.allowance.Ask(tokens, o.TokensPerSecond)
+	spent := h.allowance.Spend(tokens, now)
+	stock := false
+	if !spent {
+		// Only one lease at a time asks for stock; together they would empty
+		// the bucket for what nobody uses.
+		stock = !h.stocking
+		h.stocking = true
+		ask.Tokens = tokens
+	}
+	if stock {
+		ask.Stock = limit.Stock(o.TokensPerSecond, len(l.members.Names(now)))
 	}
 	l.mu.Unlock()
 	if ask.Tokens == 0 && ask.InFlight <= l.share(o) {
@@ -109,6 +120,9 @@
 	reply, err := l.lease(ctx, ask)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if stock {
+		h.stocking = false
+	}
 	v := l.judge(h, o, ask, reply, err, tokens)
 	if !v.Allowed {
 		h.inFlight--
@@ -129,10 +143,10 @@
 	if ask.Tokens == 0 {
 		return Verdict{Allowed: true}
 	}
-	h.allowance.Add(reply.Tokens, now)
-	if !h.allowance.Spend(tokens, now) {
+	if reply.Tokens < ask.Tokens {
 		return Verdict{Cause: "TokensPerSecond", RetryAt: retryAt}
 	}
+	h.allowance.Add(reply.Tokens-ask.Tokens, now)
 	return Verdict{Allowed: true}
 }
 
@@ -240,7 +254,10 @@
 		return leaseReply{Admitted: true}
 	}
 	ready := h.bucket.ReadyAt(req.Tokens, now)
-	given := h.bucket.Grant(req.Tokens, now)
+	if ready.After(now) {
+		return leaseReply{Admitted: true, RetryMillis: max(ready.Sub(now).Milliseconds(), 1)}
+	}
+	given := h.bucket.Grant(req.Tokens, now) + h.bucket.Grant(req.Stock, now)
 	return leaseReply{Tokens: given, Admitted: true, RetryMillis: ready.Sub(now).Milliseconds()}
 }
 
--- a/internal/standin/faults/gate.go
+++ b/internal/standin/faults/gate.go
@@ -107,11 +107,13 @@
 			sleep(r.Context(), time.Duration(d))
 		}
 		gw.wait()
+		gw.hang()
 		if g.out(r.URL.Path) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		h.ServeHTTP(gw, r)
+		gw.hang()
 	})
 }
 
--- /dev/null
+++ b/internal/trial/bench/resume.go
@@ -0,0 +1,154 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"wisteriafield/internal/trial/caller"
+	"wisteriafield/internal/trial/fleet"
+)
+
+const (
+	resumeStreams = 24
+	resumeTokens  = 200
+	caseTimeout   = time.Minute
+)
+
+// loss is something that happens to a stream. It returns a note.
+type loss struct {
+	name string
+	hurt func(f *fleet.Fleet, keeper string)
+}
+
+var losses = []loss{
+	{"nothing", func(*fleet.Fleet, string) {}},
+	{"engine killed", func(f *fleet.Fleet, _ string) {
+		f.Process(f.Engines[0].Name).Kill()
+		f.Process(f.Engines[3].Name).Kill()
+	}},
+	{"engine connections silent", func(f *fleet.Fleet, _ string) {
+		for _, e := range f.Engines {
+			_ = f.Fault(e.Address, `{"Silence":true}`)
+		}
+	}},
+	{"engine paused", func(f *fleet.Fleet, _ string) {
+		f.Process(f.Engines[0].Name).Pause()
+		f.Process(f.Engines[3].Name).Pause()
+	}},
+	{"keeper killed", func(f *fleet.Fleet, keeper string) { f.Process(keeper).Kill() }},
+	{"keeper paused", func(f *fleet.Fleet, keeper string) { f.Process(keeper).Pause() }},
+	{"router links silent", func(f *fleet.Fleet, _ string) {
+		for _, r := range f.Routers {
+			r.PeerLink.Silence()
+		}
+	}},
+	{"entry killed", func(f *fleet.Fleet, _ string) { f.Routers[0].Kill() }},
+}
+
+// measureResume measures the gap that each loss makes in the streams it hits.
+func (b *bench) measureResume(ctx context.Context) error {
+	t := newTable()
+	for range b.Repeats {
+		for _, l := range losses {
+			if err := b.runLoss(ctx, t, l); err != nil {
+				return fmt.Errorf("%s: %w", l.name, err)
+			}
+		}
+	}
+	return b.finish(t, "resume")
+}
+
+func (b *bench) runLoss(ctx context.Context, t *table, l loss) error {
+	f, err := b.fleet(ctx, 4, engines()[:10], "")
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	answers := make([]*caller.Answer, resumeStreams)
+	ctx, cancel := context.WithTimeout(ctx, caseTimeout)
+	defer cancel()
+	reached := make(chan string, resumeStreams)
+	c := caller.New()
+	routers := f.Callers()
+	var wg sync.WaitGroup
+	for i := range answers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			req := caller.Request{Key: fleet.KeyQalamdaan, IdempotencyKey: uuid.NewString(), Model: "redattore", MaxTokens: resumeTokens, Prompt: "Draft " + uuid.NewString()}
+			order := append(append([]string{}, routers[i%len(routers):]...), routers[:i%len(routers)]...)
+			answers[i], _ = c.Watch(ctx, order, req, func(a *caller.Answer) {
+				if len(a.Texts) == resumeTokens/3 {
+					keeper, _, _ := strings.Cut(a.LastID, "/")
+					reached <- keeper
+				}
+			})
+		}()
+	}
+	keeper := ""
+	for range resumeStreams / 3 {
+		k := <-reached
+		if k != f.Routers[0].Host.Name {
+			keeper = k
+		}
+	}
+	before := prefilled(f)
+	l.hurt(f, keeper)
+	wg.Wait()
+	recordLoss(t, l.name, answers, float64(prefilled(f)-before))
+	return nil
+}
+
+func recordLoss(t *table, name string, answers []*caller.Answer, recomputed float64) {
+	var gaps []time.Duration
+	hit, broken, refused, attempts := 0.0, 0.0, 0.0, 0.0
+	for _, a := range answers {
+		if a.Code == "not_run" {
+			refused++
+			continue
+		}
+		if err := a.Check(resumeTokens); err != nil {
+			fmt.Fprintf(os.Stderr, "%s: broken: %v, code %q, status %d, %d reconnections, last event %s\n", name, err, a.Code, a.Status, a.Retries, a.LastID)
+			broken++
+			continue
+		}
+		attempts += float64(a.Attempts())
+		if a.Retries > 0 && !strings.HasPrefix(name, "entry") {
+			// Its entry was hit too, so it is no measure of this loss.
+			continue
+		}
+		if a.Attempts() > 1 || a.Retries > 0 || name == "nothing" || strings.Contains(name, "silent") {
+			hit++
+			gaps = append(gaps, a.MaxGap)
+		}
+	}
+	t.add(name, "streams hit", hit)
+	t.add(name, "streams refused", refused)
+	t.add(name, "streams broken", broken)
+	t.add(name, "attempts a stream", attempts/float64(len(answers)))
+	if hit > 0 {
+		t.addTimes(name, "longest gap", gaps, 50, 95, 100)
+	}
+	t.add(name, "tokens recomputed a stream hit", recomputed/max(hit, 1))
+}
+
+// prefilled sums the tokens that the living engines computed before their first
+// new token.
+func prefilled(f *fleet.Fleet) int {
+	n := 0
+	for _, e := range f.Engines {
+		if !f.Process(e.Name).Running() {
+			continue
+		}
+		if state, err := f.EngineState(e); err == nil {
+			n += state.Stats.Prefilled
+		}
+	}
+	return n
+}
--- a/internal/trial/caller/stream.go
+++ b/internal/trial/caller/stream.go
@@ -42,6 +42,10 @@
 	Retries int // reconnections
 }
 
+// idleTimeout is how long a caller waits for the next token before it
+// reconnects.
+const idleTimeout = 10 * time.Second
+
 // ErrMixed means that an answer's tokens are not one unbroken generation.
 var ErrMixed = errors.New("answer is not one unbroken generation")
 
@@ -136,6 +140,10 @@
 func retryable(a *Answer) bool { return a.Code == "" || a.Code == "interrupted" && a.LastID != "" }
 
 func (c *Caller) once(ctx context.Context, router string, req Request, a *Answer, onToken func()) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	idle := time.AfterFunc(idleTimeout, cancel)
+	defer idle.Stop()
 	res, err := c.post(ctx, router, req, a.LastID, true)
 	if err != nil {
 		return err
@@ -148,6 +156,7 @@
 	scanner.Buffer(nil, 1<<20)
 	id := ""
 	for scanner.Scan() {
+		idle.Reset(idleTimeout)
 		line := scanner.Text()
 		if v, ok := strings.CutPrefix(line, "id: "); ok {
 			id = v
--- a/internal/trial/demo/cli.go
+++ b/internal/trial/demo/cli.go
@@ -12,6 +12,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"wisteriafield/internal/trial/bench"
 	"wisteriafield/internal/trial/fleet"
 )
 
@@ -32,6 +33,9 @@
 			panic(err)
 		}
 	}
+	if _, err := parser.AddCommand("bench", "bench", "Measures the system.", &benchCommand{opts: &opts}); err != nil {
+		panic(err)
+	}
 	if _, err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
@@ -39,6 +43,22 @@
 	return 0
 }
 
+type benchCommand struct {
+	bench.Options
+	opts *options
+}
+
+// Execute measures.
+func (c *benchCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	bin, err := filepath.Abs(c.opts.Bin)
+	if err != nil {
+		return fmt.Errorf("find programs: %w", err)
+	}
+	return bench.Run(ctx, bin, c.Options)
+}
+
 type command struct {
 	opts *options
 	run  func(context.Context, *fleet.Fleet) error
--- a/internal/trial/fleet/fleet.go
+++ b/internal/trial/fleet/fleet.go
@@ -36,6 +36,9 @@
 	KeyQalamdaan = "key-qalamdaan"
 )
 
+// Crowding is how much slower a full batch of an engine is.
+const Crowding = 0.5
+
 var errTimeout = errors.New("not in time")
 
 // Engine says what an engine of the fleet is like.
@@ -68,6 +71,7 @@
 	Engines  []Engine
 	Services map[string]string // server to address
 	Weights  string
+	Policy   string // further lines of the document's policy
 
 	processes map[string]*Process
 	links     []*link.Link
@@ -186,7 +190,7 @@
 func (f *Fleet) StartEngine(e Engine) error {
 	args := []string{
 		"engine", "--name", e.Name, "--slots", strconv.Itoa(e.Slots), "--speed", strconv.FormatFloat(e.Speed, 'f', -1, 64),
-		"--credential", ordersCredential, "--weights", f.Weights, "--model", "redattore=1", "--model", "costing-llm=1",
+		"--crowding", strconv.FormatFloat(Crowding, 'f', -1, 64), "--credential", ordersCredential, "--weights", f.Weights, "--model", "redattore=1", "--model", "costing-llm=1",
 	}
 	if e.Fencing {
 		args = append(args, "--fencing")
@@ -321,7 +325,7 @@
 // Document writes the environment document of the fleet.
 func (f *Fleet) Document() (string, error) {
 	var b strings.Builder
-	b.WriteString("[Policy]\nGrace = 5s\n\n[Model redattore]\nVersion = 1\n\n[Model costing-llm]\nVersion = 1\n\n")
+	b.WriteString("[Policy]\nGrace = 5s\n" + f.Policy + "\n\n[Model redattore]\nVersion = 1\n\n[Model costing-llm]\nVersion = 1\n\n")
 	for _, e := range f.Engines {
 		fencing := document.Ignores
 		if e.Fencing {
--- a/internal/trial/fleet/process.go
+++ b/internal/trial/fleet/process.go
@@ -42,6 +42,9 @@
 	return p, nil
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Kill ends the process without warning.
 func (p *Process) Kill() { p.signal(syscall.SIGKILL) }
 
