--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # set-up that they need.
 GO ?= go
 
-.PHONY: build demo up test lint model bench capacity soak fuzz clean
+.PHONY: build demo up test lint model bench capacity soak mutants fuzz clean
 
 build:
 	@mkdir -p bin
@@ -27,5 +27,26 @@
 	@command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin >/dev/null)
 	model/check.sh
 
+# Long runs, not part of the CI.
+SEED ?= 1
+LAST ?= 10m
+
+soak: build
+	./bin/fleet soak --seed $(SEED) --last $(LAST)
+
+bench: build
+	./bin/fleet bench
+
+capacity: build
+	./bin/fleet capacity
+
+# Shows that the tests can fail.
+mutants:
+	internal/trial/mutants/run.sh
+
+fuzz:
+	$(GO) test ./internal/config/document -fuzz FuzzParse -fuzztime 1m
+	$(GO) test ./internal/decision/generation -fuzz FuzzParseEventID -fuzztime 1m
+
 clean:
 	rm -rf bin out
--- a/internal/decision/admission/queue.go
+++ b/internal/decision/admission/queue.go
@@ -123,40 +123,37 @@
 	}
 }
 
-// Wait estimates how long an item would wait: the tokens before it over the
-// rate of all slots that it may use.
+// Wait estimates how long an item would wait: nothing if a slot is free for it,
+// else the mean work of what runs in its slots, of which one ends first, and all
+// work before it in the queue, over the rate of these slots.
 func (q *Queue) Wait(it Item) time.Duration {
-	var slots int
-	var rate float64
+	var free, running int
+	var rate, work float64
 	for _, s := range q.servers {
 		if s.Leaving || s.Down || !s.Carries[it.Needs] {
 			continue
 		}
-		if s.admits(it) {
-			slots += s.usable() - s.InFlight()
-		}
-		rate += float64(s.usable()) * s.Rate()
+		slots := s.slotsFor(it.Class)
+		n, tokens := s.runningIn(it.Class)
+		free += max(slots-n, 0)
+		running += n
+		work += tokens
+		rate += float64(slots) * s.Rate()
 	}
 	ahead := q.ahead(it)
-	if slots > len(ahead) {
+	if free > len(ahead) {
 		return 0
 	}
 	if rate == 0 {
 		return time.Hour
 	}
-	tokens := q.runningShare(it)
+	tokens := work / float64(max(running, 1))
 	for _, a := range ahead {
 		tokens += a.Tokens
 	}
 	return time.Duration(tokens / rate * float64(time.Second))
 }
 
-// runningShare is what must finish before the first slot is free: the mean
-// remaining work of one running item, spread over all.
-func (q *Queue) runningShare(it Item) float64 {
-	return it.Tokens
-}
-
 func (q *Queue) ahead(it Item) []Item {
 	var all []Item
 	for _, c := range Classes {
--- a/internal/decision/admission/server.go
+++ b/internal/decision/admission/server.go
@@ -65,6 +65,27 @@
 	return max(1, usable-reserved)
 }
 
+// slotsFor is how many slots work of a class may use.
+func (s *Server) slotsFor(c Class) int {
+	if short(c) {
+		return s.usable()
+	}
+	return s.longSlots()
+}
+
+// runningIn returns how many of the slots for a class are in use, and the tokens
+// of what this keeper runs there.
+func (s *Server) runningIn(c Class) (n int, tokens float64) {
+	n = s.Foreign
+	for _, it := range s.running {
+		if short(c) || !short(it.Class) {
+			n++
+			tokens += it.Tokens
+		}
+	}
+	return n, tokens
+}
+
 // score orders servers for an item: the expected time for one token, with the
 // prompt's cached prefix as a bonus. Lower is better.
 func (s *Server) score(it Item) float64 {
--- a/internal/trial/bench/cost.go
+++ b/internal/trial/bench/cost.go
@@ -6,9 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -16,13 +13,13 @@
 
 	"wisteriafield/internal/trial/caller"
 	"wisteriafield/internal/trial/fleet"
+	"wisteriafield/internal/trial/procfs"
 )
 
 const (
 	costRequests = 600
 	costTokens   = 100
 	costParallel = 60
-	clockTicks   = 100 // a second, of /proc
 )
 
 // measureCost measures what a request and a token cost the routers, against the
@@ -120,14 +117,7 @@
 func cpu(f *fleet.Fleet) float64 {
 	sum := 0.0
 	for _, r := range f.Routers {
-		text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.PID()))
-		fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
-		if len(fields) < 13 {
-			continue
-		}
-		user, _ := strconv.ParseFloat(fields[11], 64)
-		system, _ := strconv.ParseFloat(fields[12], 64)
-		sum += (user + system) / clockTicks
+		sum += procfs.Of(r.PID()).CPU
 	}
 	return sum
 }
@@ -136,18 +126,7 @@
 func memory(f *fleet.Fleet) float64 {
 	sum := 0.0
 	for _, r := range f.Routers {
-		sum += residentMB(r.PID())
+		sum += procfs.Of(r.PID()).Memory
 	}
 	return sum / float64(len(f.Routers))
 }
-
-func residentMB(pid int) float64 {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	for _, line := range strings.Split(string(text), "\n") {
-		if v, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.ParseFloat(strings.Fields(v)[0], 64)
-			return kb / 1024
-		}
-	}
-	return 0
-}
--- a/internal/trial/caller/stream.go
+++ b/internal/trial/caller/stream.go
@@ -233,12 +233,17 @@
 	return errors.New(a.Code)
 }
 
-// Check reports whether the answer is whole: positions 1 to want, one
-// generation, and never back to an attempt that another one replaced.
+// Check reports whether the answer is whole.
 func (a *Answer) Check(want int) error {
 	if len(a.Texts) != want {
 		return fmt.Errorf("%d tokens, want %d: %w", len(a.Texts), want, ErrMixed)
 	}
+	return a.Unbroken()
+}
+
+// Unbroken reports whether the tokens so far have positions 1 and on, are of one
+// generation, and never go back to an attempt that another one replaced.
+func (a *Answer) Unbroken() error {
 	var generation, attempt string
 	left := make(map[string]bool)
 	for i, text := range a.Texts {
--- a/internal/trial/demo/cli.go
+++ b/internal/trial/demo/cli.go
@@ -13,7 +13,9 @@
 	"github.com/jessevdk/go-flags"
 
 	"wisteriafield/internal/trial/bench"
+	"wisteriafield/internal/trial/capacity"
 	"wisteriafield/internal/trial/fleet"
+	"wisteriafield/internal/trial/soak"
 )
 
 // options are the flags of all commands.
@@ -36,6 +38,12 @@
 	if _, err := parser.AddCommand("bench", "bench", "Measures the system.", &benchCommand{opts: &opts}); err != nil {
 		panic(err)
 	}
+	if _, err := parser.AddCommand("soak", "soak", "Breaks the system at random and checks what must hold.", &soakCommand{opts: &opts}); err != nil {
+		panic(err)
+	}
+	if _, err := parser.AddCommand("capacity", "capacity", "Measures how a router's cost grows.", &capacityCommand{opts: &opts}); err != nil {
+		panic(err)
+	}
 	if _, err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
@@ -59,6 +67,35 @@
 	return bench.Run(ctx, bin, c.Options)
 }
 
+type soakCommand struct {
+	soak.Options
+	opts *options
+}
+
+// Execute runs a long random test.
+func (c *soakCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	bin, err := filepath.Abs(c.opts.Bin)
+	if err != nil {
+		return fmt.Errorf("find programs: %w", err)
+	}
+	return soak.Run(ctx, bin, c.Options)
+}
+
+type capacityCommand struct{ opts *options }
+
+// Execute measures.
+func (c *capacityCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	bin, err := filepath.Abs(c.opts.Bin)
+	if err != nil {
+		return fmt.Errorf("find programs: %w", err)
+	}
+	return capacity.Run(ctx, bin)
+}
+
 type command struct {
 	opts *options
 	run  func(context.Context, *fleet.Fleet) error
--- a/internal/trial/fleet/fleet.go
+++ b/internal/trial/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"wisteriafield/internal/router/node"
 	"wisteriafield/internal/standin/engine"
 	"wisteriafield/internal/standin/link"
+	"wisteriafield/internal/standin/platform"
 )
 
 // Credentials and keys of a fleet on loopback. They guard nothing.
@@ -72,6 +73,7 @@
 	Services map[string]string // server to address
 	Weights  string
 	Policy   string // further lines of the document's policy
+	Extra    string // further sections of the document
 
 	processes map[string]*Process
 	links     []*link.Link
@@ -266,6 +268,23 @@
 	return f.List(r.Host)
 }
 
+// StoreCounts returns how many calls the store got.
+func (f *Fleet) StoreCounts() platform.Counts {
+	var counts platform.Counts
+	req, err := http.NewRequest(http.MethodGet, "http://"+f.Platform+"/v1/counts", nil)
+	if err != nil {
+		return counts
+	}
+	req.Header.Set("Authorization", "Bearer "+platformCredential)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return counts
+	}
+	defer res.Body.Close()
+	_ = json.NewDecoder(res.Body).Decode(&counts)
+	return counts
+}
+
 // List tells the platform of a host.
 func (f *Fleet) List(h hosts.Host) error {
 	body, err := json.Marshal(h)
@@ -338,6 +357,7 @@
 	fmt.Fprintf(&b, "[Organisation qalamdaan]\nKeys = %s\nTokensPerSecond = 100000\nInFlight = 1000\n\n", document.HashKey(KeyQalamdaan))
 	fmt.Fprintf(&b, "[Service banco]\nServers = banco-1=%s\nRepeatable = GET /availability\n\n", f.Services["banco-1"])
 	fmt.Fprintf(&b, "[Service grant-ledger]\nServers = grant-ledger-1=%s\nRepeatable = GET /availability, POST /rates\n", f.Services["grant-ledger-1"])
+	b.WriteString(f.Extra)
 	path := filepath.Join(f.Dir, "environment.ini")
 	return path, os.WriteFile(path, []byte(b.String()), 0o644)
 }
--- /dev/null
+++ b/internal/trial/mutants/run.sh
@@ -0,0 +1,81 @@
+#!/bin/bash
+# Shows that the checks can fail: each mutant breaks one rule of the program in a
+# scratch copy, and the named test must fail there.
+# usage: internal/trial/mutants/run.sh [WORD]   only mutants whose name holds WORD
+set -uo pipefail
+cd "$(dirname "$0")/../../.."
+word=${1:-}
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+cp -r go.mod go.sum main.go cmd internal examples "$scratch"
+bad=0
+
+# mutant NAME FILE OLD NEW TEST
+mutant() {
+	local name=$1 file=$2 old=$3 new=$4 test=$5
+	case "$name" in *"$word"*) ;; *) return ;; esac
+	cp "$file" "$scratch/$file"
+	if ! OLD="$old" NEW="$new" perl -0pi -e 's/\Q$ENV{OLD}\E/$ENV{NEW}/ or $bad=1; END { exit($bad ? 1 : 0) }' "$scratch/$file"; then
+		printf '%-34s STALE: the text to change is gone\n' "$name"
+		bad=1
+		return
+	fi
+	local verdict
+	if (cd "$scratch" && go vet "./$(dirname "$file")" >/dev/null 2>vet.log) ; then
+		if (cd "$scratch" && eval "timeout 300 go test -count=1 $test" >test.log 2>&1); then
+			verdict="NOT SEEN by $test"
+			bad=1
+		else
+			verdict="refuted by $test"
+		fi
+	else
+		verdict="DOES NOT BUILD: $(head -2 "$scratch/vet.log" | tr '\n' ' ')"
+		bad=1
+	fi
+	cp "$file" "$scratch/$file"
+	printf '%-34s %s\n' "$name" "$verdict"
+}
+
+d=internal/decision
+stories="./internal/trial/stories -ginkgo.focus"
+mutant accept-a-gap $d/generation/answer.go 't.Position > a.count+1' 't.Position > a.count+9' ./$d/generation
+mutant accept-a-repeat $d/generation/answer.go 't.Position <= a.count' 't.Position < a.count' ./$d/generation
+mutant accept-a-late-attempt $d/generation/answer.go '|| t.Attempt != a.open' '' ./$d/generation
+mutant reopen-an-attempt $d/generation/answer.go 'attempt == "" || a.used[attempt]' 'attempt == ""' ./$d/generation
+mutant skip-the-lineage $d/generation/answer.go 'if s.Attempt == attempt {' 'if s.holds(position) {' ./$d/generation
+mutant dispatch-twice $d/claim/book.go 'if e == nil || e.phase != registered {' 'if e == nil || e.phase == abandoned {' ./$d/claim
+mutant consent-after-dispatch $d/claim/book.go 'case registered, abandoned:' 'case registered, abandoned, dispatched:' ./$d/claim
+mutant send-on-anothers-claim $d/claim/step.go 'case found.Attempt == attempt:' 'case found.State == Held:' ./$d/claim
+mutant old-keys $d/claim/key.go 'now.Sub(at) > Retention' 'now.Sub(at) > 3*Retention' ./$d/claim
+mutant give-a-slot-twice $d/admission/server.go 's.InFlight() >= s.usable()' 's.InFlight() > s.usable()' ./$d/admission
+mutant no-slots-for-short-work $d/admission/server.go 'reservedShare = 0.15' 'reservedShare = 0.0' ./$d/admission
+mutant unfair-line $d/admission/line.go 'max(it.Tokens, 1)/max(it.Weight, 0.001)' '0' ./$d/admission
+mutant work-for-the-leaving $d/admission/server.go 's.Leaving || s.Down ||' 's.Down ||' ./$d/admission
+mutant refuse-too-late $d/admission/queue.go 'now.Add(wait).After(it.StartBy)' 'false' ./$d/admission
+mutant resumes-for-ever $d/admission/queue.go 'maxResumesInRow = 4' 'maxResumesInRow = 4000' ./$d/admission
+mutant bucket-without-bound $d/limit/bucket.go 'math.Max(0, math.Min(want, b.Level))' 'want' ./$d/limit
+mutant hoard-the-limit internal/router/limits/limits.go 'stock = !h.stocking' 'stock = true' ./internal/router/limits
+mutant not-run-after-a-start $d/resume/machine.go 'm.started = true }' '}' ./$d/resume
+mutant resume-on-the-lost $d/resume/machine.go 'm.avoid = e.Server' 'm.avoid = ""' ./$d/resume
+mutant change-without-draining $d/plan/plan.go 'if e.Running > 0 ||' 'if' ./$d/plan
+mutant load-without-pace $d/plan/plan.go '|| in.Now.Before(next.NextLoadAt)' '' ./$d/plan
+mutant part-without-digest internal/config/manifest/manifest.go 'if digestOf(body) != p.Digest {' 'if false {' ./internal/config/document
+# Rules that hold between processes are broken under the stories.
+mutant story-no-resume $d/resume/machine.go 'if m.losses > maxLosses {' 'if true {' "$stories 'death.of.engines'"
+mutant story-no-probe internal/router/keeper/watchdog.go 'w.giveUp("connection went silent")' 'return' "$stories 'engine.connections.that.go.silent'"
+mutant story-no-heartbeat internal/router/stream/client.go 'time.AfterFunc(silentAfter, stop)' 'time.AfterFunc(time.Hour, stop)' "$stories 'keeper.that.pauses'"
+mutant story-no-reattach internal/router/entry/entry.go 'sources := []string{last.Keeper}' 'sources := []string{}' "$stories 'death.of.its.entry,'"
+mutant story-no-claim internal/caller/service/once.go 'switch claim.Next(r.found, r.attempt, req.Digest) {' 'o.deps.Book.Dispatch(r.attempt); return r.dispatch(ctx); switch claim.Next(r.found, r.attempt, req.Digest) {' "$stories 'many.routers.get.it'"
+mutant story-blind-after-lost-answer internal/caller/service/once.go 'return r.settle(ctx)
+}
+
+// settle' 'return false
+}
+
+// settle' "$stories 'loses.its.answers'"
+mutant story-take-over-by-time internal/caller/service/once.go 'if !r.ask(ctx) {' 'if r.ask(ctx); time.Now().After(r.deadline) { r.found.State = claim.Released } else if false {' "$stories 'dies.or.pauses'"
+mutant story-no-gossip internal/router/configure/gossip.go 'v == nil && other.Revision > 0 || v != nil && other.Revision > v.Revision' 'false && v == nil' "$stories 'cut.off.from.the.store'"
+mutant story-blind-put internal/platform/publish/publish.go 'case revision != at:' 'case false:' "$stories 'operators.race'"
+mutant story-cut-on-stop internal/router/node/node.go 'if err := n.caller.Shutdown(ctx); err != nil {' 'if err := n.caller.Close(); err != nil {' "$stories 'graceful.stop'"
+mutant story-ignore-leaving internal/router/keeper/keeper.go 'return f != nil && f.leaving' 'return false' "$stories 'says.so.itself'"
+exit $bad
--- a/internal/trial/stories/orders_test.go
+++ b/internal/trial/stories/orders_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/trial/caller"
+	"wisteriafield/internal/trial/fleet"
 )
 
 // newVersion puts another version of costing-llm in force.
@@ -36,12 +37,17 @@
 	return count
 }
 
+func (w *world) logOf(r *fleet.Router) string {
+	text, err := os.ReadFile(r.Log)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
 // leader returns the number of the router that made the newest plan.
 func (w *world) leader() int {
 	best, newest := -1, int64(0)
 	for i, r := range w.Routers {
-		text, _ := os.ReadFile(r.Log)
-		if strings.Contains(string(text), "leads the order plan") {
+		if strings.Contains(w.logOf(r), "leads the order plan") {
 			if d, err := w.Dump(r); err == nil && d.Plan != nil && d.Plan.Revision >= newest {
 				best, newest = i, d.Plan.Revision
 			}
