Old claims are deleted; one package for the waits

Claims are found by the minute after which they may go, and deleted by the router that leads the order plan.

--- /dev/null
+++ b/internal/base/loop/loop.go
@@ -0,0 +1,36 @@
+// Package loop holds the waits that all long-running parts share.
+package loop
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for d and reports whether it did: false if ctx ended first.
+func Pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// Until waits until a time, as Pause does.
+func Until(ctx context.Context, at time.Time) bool { return Pause(ctx, time.Until(at)) }
+
+// Every calls f at each tick until ctx ends.
+func Every(ctx context.Context, d time.Duration, f func(now time.Time)) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			f(now)
+		}
+	}
+}
--- a/internal/caller/service/handler.go
+++ b/internal/caller/service/handler.go
@@ -109,7 +109,7 @@
 	}
 	sum := sha256.Sum256([]byte(s.Name + "\n" + call.Method + "\n" + call.Target + "\n" + string(call.Body)))
 	result := h.deps.Once.Do(ctx, onceRequest{
-		Key:       claimKey(o.Name, key, expires),
+		Key:       claim.StoreKey(o.Name, key, expires),
 		Digest:    hex.EncodeToString(sum[:]),
 		ExpiresAt: expires,
 		Service:   s,
@@ -118,12 +118,6 @@
 	result.write(w)
 }
 
-// claimKey names a claim in the store. The hour at which it may be deleted comes
-// first, so that old claims are found by prefix.
-func claimKey(organisation, key string, expires time.Time) string {
-	return "claim/" + expires.UTC().Format("2006010215") + "/" + organisation + "/" + strings.ToLower(key)
-}
-
 // sendOnce sends a claimed call. A server that can't be connected to did not
 // get a byte of it, so another one may be tried.
 func (h *Handler) sendOnce(ctx context.Context, s *document.Service, call backend.Call) (*backend.Answer, error) {
--- a/internal/caller/service/once.go
+++ b/internal/caller/service/once.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	backend "wisteriafield/internal/backend/service"
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/caller/apierror"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/claim"
@@ -184,7 +185,7 @@
 // write that is still on its way can't harm: it expects the same revision.
 func (r *run) settle(ctx context.Context) bool {
 	for try := 0; try < settleTries; try++ {
-		if try > 0 && !sleep(ctx, settlePause) {
+		if try > 0 && !loop.Pause(ctx, settlePause) {
 			return false
 		}
 		found, revision, err := r.o.get(ctx, r.req.Key)
@@ -282,7 +283,7 @@
 		r.found = &final
 		return true
 	}
-	if !sleep(ctx, pollEvery) {
+	if !loop.Pause(ctx, pollEvery) {
 		return false
 	}
 	found, revision, err := r.o.get(ctx, r.req.Key)
@@ -347,14 +348,3 @@
 	}
 	return &r, v.Revision, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/decision/claim/key.go
+++ b/internal/decision/claim/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -38,3 +39,14 @@
 	}
 	return at.Add(Retention + deletionMargin), nil
 }
+
+// StoreKey names a claim in the store. The minute after which it may be deleted
+// comes first, so that old claims are found by prefix.
+func StoreKey(organisation, key string, expires time.Time) string {
+	return MinutePrefix(expires) + organisation + "/" + strings.ToLower(key)
+}
+
+// MinutePrefix is the prefix of all claims that may be deleted after a minute.
+func MinutePrefix(minute time.Time) string {
+	return "claim/" + minute.UTC().Format("200601021504") + "/"
+}
--- a/internal/platform/hosts/list.go
+++ b/internal/platform/hosts/list.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"wisteriafield/internal/base/loop"
 )
 
 // State is what the platform says of a host.
@@ -117,7 +119,7 @@
 func (l *List) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if err := l.Fetch(ctx, waitFor); err != nil {
-			pause(ctx, retryAfter)
+			loop.Pause(ctx, retryAfter)
 		}
 	}
 	return nil
@@ -169,12 +171,3 @@
 		l.onChange()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/platform/publish/publish.go
+++ b/internal/platform/publish/publish.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/config/manifest"
 	"wisteriafield/internal/platform/kv"
@@ -89,7 +90,7 @@
 		if err == nil || errors.Is(err, kv.ErrConflict) {
 			return nil
 		}
-		pause(ctx)
+		loop.Pause(ctx, settlePause)
 	}
 	return fmt.Errorf("write part %s: %w", p.Name, err)
 }
@@ -116,7 +117,7 @@
 		found, revision, err := Read(ctx, s, next.Environment)
 		switch {
 		case err != nil:
-			pause(ctx)
+			loop.Pause(ctx, settlePause)
 		case found.Follows(next.Attempt):
 			return next, nil
 		case revision != at:
@@ -129,12 +130,3 @@
 	}
 	return next, ErrUnsettled
 }
-
-func pause(ctx context.Context) {
-	t := time.NewTimer(settlePause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/router/configure/follower.go
+++ b/internal/router/configure/follower.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/config/manifest"
 	"wisteriafield/internal/decision/invariant"
@@ -97,7 +98,7 @@
 		}
 		if err != nil {
 			f.deps.Log.Debugf("store: %v", err)
-			pause(ctx, retryStore)
+			loop.Pause(ctx, retryStore)
 			continue
 		}
 		after = v.Revision
@@ -181,7 +182,7 @@
 		if f.View() == nil {
 			every = startEvery
 		}
-		pause(ctx, every)
+		loop.Pause(ctx, every)
 		for _, h := range f.peers(1) {
 			f.greet(ctx, h)
 		}
@@ -200,12 +201,3 @@
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	return others[:min(n, len(others))]
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/router/entry/entry.go
+++ b/internal/router/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/generation"
 	"wisteriafield/internal/platform/hosts"
@@ -198,16 +199,8 @@
 
 // Run cancels generations whose caller is gone and forgets old ones.
 func (e *Entry) Run(ctx context.Context) error {
-	t := time.NewTicker(sweepEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			e.sweep(now)
-		}
-	}
+	loop.Every(ctx, sweepEvery, e.sweep)
+	return nil
 }
 
 func (e *Entry) sweep(now time.Time) {
--- a/internal/router/entry/generation.go
+++ b/internal/router/entry/generation.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/generation"
 	"wisteriafield/internal/decision/resume"
 	"wisteriafield/internal/router/copies"
@@ -151,7 +152,7 @@
 			g.fail(act)
 			return
 		case resume.Wait:
-			g.sleepUntil(act.Until)
+			loop.Until(g.ctx, act.Until)
 			event = resume.Event{Kind: resume.Tick}
 		default:
 			event = g.attempt(act)
@@ -193,13 +194,4 @@
 	}
 }
 
-func (g *Generation) sleepUntil(at time.Time) {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-g.ctx.Done():
-	}
-}
-
 func newAttemptID() string { return uuid.NewString() }
--- /dev/null
+++ b/internal/router/janitor/janitor_test.go
@@ -0,0 +1,65 @@
+package janitor_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"wisteriafield/internal/decision/claim"
+	"wisteriafield/internal/platform/kv"
+	"wisteriafield/internal/router/janitor"
+)
+
+type store map[string]kv.Value
+
+func (s store) List(_ context.Context, prefix string) ([]kv.Value, error) {
+	var all []kv.Value
+	for key, v := range s {
+		if strings.HasPrefix(key, prefix) {
+			all = append(all, v)
+		}
+	}
+	return all, nil
+}
+
+func (s store) Delete(_ context.Context, key string, revision int64) error {
+	if s[key].Revision != revision {
+		return kv.ErrConflict
+	}
+	delete(s, key)
+	return nil
+}
+
+func (s store) claim(expires time.Time, key string) string {
+	name := claim.StoreKey("org", key, expires)
+	s[name] = kv.Value{Key: name, Revision: int64(len(s) + 1)}
+	return name
+}
+
+func TestOnlyClaimsThatMayGoAreDeletedAndOnlyByTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := make(store)
+		now := time.Now()
+		s.claim(now.Add(-time.Hour), "old")
+		s.claim(now.Add(-5*time.Minute), "due")
+		fresh := s.claim(now.Add(time.Hour), "fresh")
+		just := s.claim(now.Add(-time.Second), "just")
+		s["manifest/production"] = kv.Value{Key: "manifest/production", Revision: 99}
+		leads := false
+		j := janitor.New(janitor.Deps{Store: s, Leads: func() bool { return leads }, Now: time.Now, Log: logrus.NewEntry(logrus.New())})
+		g.Expect(j.Step(context.Background())).To(Succeed())
+		g.Expect(s).To(HaveLen(5))
+		leads = true
+		for range 48*60 + 10 {
+			g.Expect(j.Step(context.Background())).To(Succeed())
+		}
+		g.Expect(s).To(HaveLen(3))
+		g.Expect(s).To(And(HaveKey(fresh), HaveKey(just), HaveKey("manifest/production")))
+	})
+}
--- a/internal/router/limits/limits.go
+++ b/internal/router/limits/limits.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/limit"
 	"wisteriafield/internal/router/control"
@@ -263,18 +264,12 @@
 
 // Run tells the homes of the requests that are still in flight until ctx ends.
 func (l *Limits) Run(ctx context.Context) error {
-	t := time.NewTicker(renewEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			for _, req := range l.renewals(now) {
-				_, _ = l.lease(ctx, req)
-			}
+	loop.Every(ctx, renewEvery, func(now time.Time) {
+		for _, req := range l.renewals(now) {
+			_, _ = l.lease(ctx, req)
 		}
-	}
+	})
+	return nil
 }
 
 func (l *Limits) renewals(now time.Time) []leaseRequest {
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"wisteriafield/internal/backend/engine"
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/caller/openai"
 	"wisteriafield/internal/caller/service"
 	"wisteriafield/internal/config/document"
@@ -24,6 +25,7 @@
 	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/directory"
 	"wisteriafield/internal/router/entry"
+	"wisteriafield/internal/router/janitor"
 	"wisteriafield/internal/router/keeper"
 	"wisteriafield/internal/router/limits"
 	"wisteriafield/internal/router/members"
@@ -49,6 +51,7 @@
 	directory *directory.Directory
 	limits    *limits.Limits
 	planner   *planner.Planner
+	janitor   *janitor.Janitor
 	keeper    *keeper.Keeper
 	entry     *entry.Entry
 	costs     *entry.Costs
@@ -104,6 +107,7 @@
 		Store: n.store, Peers: n.calls, Members: n.members, View: n.configure.View, Engines: engines, Log: n.part("planner"),
 	})
 	n.planner.Register(n.control)
+	n.janitor = janitor.New(janitor.Deps{Store: n.store, Leads: n.planner.Leads, Now: time.Now, Log: n.part("janitor")})
 	n.keeper = keeper.New(keeper.Deps{
 		Members: n.members, Hosts: n.hosts, View: n.configure.View, Engines: engines, Log: n.part("keeper"),
 		Carries: n.planner.Carries, Draining: n.planner.Draining,
@@ -180,7 +184,7 @@
 		})
 	}
 	for _, loop := range []func(context.Context) error{
-		n.hosts.Run, n.configure.Watch, n.configure.Gossip, n.keeper.Run, n.entry.Run, n.limits.Run, n.planner.Lead, n.planner.Follow, n.sweep,
+		n.hosts.Run, n.configure.Watch, n.configure.Gossip, n.keeper.Run, n.entry.Run, n.limits.Run, n.planner.Lead, n.planner.Follow, n.janitor.Run, n.sweep,
 	} {
 		group.Go(func() error { return loop(work) })
 	}
@@ -232,18 +236,12 @@
 }
 
 func (n *Node) sweep(ctx context.Context) error {
-	t := time.NewTicker(sweepEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			n.calls.Sweep(now)
-			n.directory.Sweep(now)
-			n.book.Sweep(now)
-		}
-	}
+	loop.Every(ctx, sweepEvery, func(now time.Time) {
+		n.calls.Sweep(now)
+		n.directory.Sweep(now)
+		n.book.Sweep(now)
+	})
+	return nil
 }
 
 // View returns the configuration in force, or nil.
--- a/internal/router/planner/follow.go
+++ b/internal/router/planner/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/plan"
 	"wisteriafield/internal/platform/kv"
 	"wisteriafield/internal/router/control"
@@ -45,7 +46,7 @@
 			}
 		}
 		p.askPeer(ctx)
-		pause(ctx, askEvery)
+		loop.Pause(ctx, askEvery)
 	}
 	return nil
 }
@@ -77,12 +78,3 @@
 	}
 	return planReply{}, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/router/planner/planner.go
+++ b/internal/router/planner/planner.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"wisteriafield/internal/backend/engine"
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/invariant"
 	"wisteriafield/internal/decision/placement"
@@ -74,6 +75,7 @@
 	lease      string
 	leaseUntil time.Time
 	lookAt     time.Time
+	leadsUntil atomic.Int64 // leaseUntil less its margin, for Leads
 	states     map[string]plan.Engine
 
 	mu       sync.Mutex
@@ -107,22 +109,18 @@
 
 // Lead makes the plan while this router holds the lease, until ctx ends.
 func (p *Planner) Lead(ctx context.Context) error {
-	t := time.NewTicker(stepEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	loop.Every(ctx, stepEvery, func(time.Time) {
 		view := p.deps.View()
 		if view == nil || p.deps.Members.Stopping() || !p.contends() || !p.hold(ctx) {
-			continue
+			p.leadsUntil.Store(0)
+			return
 		}
+		p.leadsUntil.Store(p.leaseUntil.Add(-leaseMargin).UnixNano())
 		if err := p.step(ctx, view); err != nil {
 			p.deps.Log.Debugf("step: %v", err)
 		}
-	}
+	})
+	return nil
 }
 
 // contends reports whether this router is one of the few that try.
@@ -132,6 +130,10 @@
 	return slices.Contains(order[:min(contenders, len(order))], self.Name)
 }
 
+// Leads reports whether this router holds the lease. It is safe to call from
+// other goroutines.
+func (p *Planner) Leads() bool { return time.Now().UnixNano() < p.leadsUntil.Load() }
+
 // leads reports whether the lease is surely held for a while yet.
 func (p *Planner) leads(now time.Time) bool {
 	return p.lease != "" && now.Add(leaseMargin).Before(p.leaseUntil)
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"wisteriafield/internal/base/loop"
 )
 
 // request is the body of POST /v1/generate.
@@ -60,7 +62,7 @@
 	case <-ctx.Done():
 		return
 	}
-	if !pause(ctx, e.prefill(req)) {
+	if !loop.Pause(ctx, e.prefill(req)) {
 		return
 	}
 	e.stream(ctx, w, req, one)
@@ -71,7 +73,7 @@
 	next := time.Now()
 	for position := len(req.Accepted) + 1; position <= req.MaxTokens; position++ {
 		next = next.Add(e.step())
-		if !pause(ctx, time.Until(next)) {
+		if !loop.Pause(ctx, time.Until(next)) {
 			return
 		}
 		if err := out.Encode(line{Position: position, Text: text(req.Generation, req.Attempt, position)}); err != nil {
@@ -174,17 +176,3 @@
 		f.Flush()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/standin/faults/gate.go
+++ b/internal/standin/faults/gate.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"wisteriafield/internal/base/loop"
 )
 
 type connKey struct{}
@@ -104,7 +106,7 @@
 		}
 		gw := &gatedWriter{ResponseWriter: w, gate: g, r: r}
 		if d := g.delay.Load(); d > 0 {
-			sleep(r.Context(), time.Duration(d))
+			loop.Pause(r.Context(), time.Duration(d))
 		}
 		gw.wait()
 		gw.hang()
@@ -122,12 +124,3 @@
 	defer g.mu.Unlock()
 	return g.resumed
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/trial/bench/load.go
+++ b/internal/trial/bench/load.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/trial/caller"
 	"wisteriafield/internal/trial/fleet"
 )
@@ -86,7 +87,7 @@
 		}
 		router := routers[r.IntN(len(routers))]
 		samples[i] = sample{Long: long, Organisation: org, At: at}
-		sleepUntil(ctx, start.Add(at))
+		loop.Until(ctx, start.Add(at))
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -112,12 +113,3 @@
 		s.Code = "broken"
 	}
 }
-
-func sleepUntil(ctx context.Context, at time.Time) {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/trial/soak/faults.go
+++ b/internal/trial/soak/faults.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/trial/fleet"
 )
 
@@ -104,11 +105,11 @@
 		s.count("fault: " + f.name)
 		heals = append(heals, f.do(s, r))
 	}
-	wait(ctx, time.Duration(300+r.IntN(3500))*time.Millisecond)
+	loop.Pause(ctx, time.Duration(300+r.IntN(3500))*time.Millisecond)
 	for _, heal := range heals {
 		heal()
 	}
-	wait(ctx, time.Duration(r.IntN(1500))*time.Millisecond)
+	loop.Pause(ctx, time.Duration(r.IntN(1500))*time.Millisecond)
 }
 
 func (s *soak) restart(start func() error) {
@@ -116,12 +117,3 @@
 		s.count("restart failed: " + err.Error())
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
