--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	./bin/fleet up
 
 test:
-	$(GO) test ./...
+	$(GO) test $(if $(SKIP),-skip '$(SKIP)') ./...
 
 lint:
 	@test -z "$$(gofmt -l .)" || (echo "gofmt needed:"; gofmt -l .; exit 1)
--- a/internal/trial/stories/generations_test.go
+++ b/internal/trial/stories/generations_test.go
@@ -50,12 +50,24 @@
 		w.streams(12, tokens, func(first *caller.Answer) { w.keeperOf(first).Kill() })
 	})
 
-	It("survives a keeper that pauses and comes back", func() {
+	It("survives a keeper that pauses until it is over, and its late tokens", func() {
+		w := given(4)
+		var k *fleet.Router
+		answers := w.streams(12, tokens, func(first *caller.Answer) {
+			k = w.keeperOf(first)
+			k.Pause()
+		})
+		Expect(answers[0].Attempts()).To(BeNumerically(">", 1))
+		k.Continue()
+		w.streams(4, 30, func(*caller.Answer) {})
+	})
+
+	It("survives a keeper that pauses and comes back meanwhile", func() {
 		w := given(4)
 		w.streams(12, tokens, func(first *caller.Answer) {
 			k := w.keeperOf(first)
 			k.Pause()
-			time.Sleep(3 * time.Second)
+			time.Sleep(1500 * time.Millisecond)
 			k.Continue()
 		})
 	})
