--- a/internal/caller/service/once.go
+++ b/internal/caller/service/once.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -256,14 +254,6 @@
 	_, _ = r.o.put(ctx, r.req.Key, r.record(claim.Released), r.revision)
 }
 
-func outcomeOf(a *backend.Answer) *claim.Outcome {
-	o := &claim.Outcome{Status: a.Status, ContentType: a.Header.Get("Content-Type"), Body: a.Body}
-	if len(o.Body) > maxRecordBody {
-		o.Body, o.Truncated = o.Body[:maxRecordBody], true
-	}
-	return o
-}
-
 // ask asks the claim's holder and leaves the newest record in found. It reports
 // false if the outcome stays unknown.
 func (r *run) ask(ctx context.Context) bool {
@@ -292,59 +282,3 @@
 	}
 	return true
 }
-
-// save records an outcome. If the store does not answer in time it goes on in
-// the background; meanwhile this router answers for the claim.
-func (o *Once) save(key string, final *claim.Record, revision int64) {
-	saved := make(chan struct{})
-	o.saving.Add(1)
-	go func() {
-		defer o.saving.Done()
-		defer close(saved)
-		for time.Now().Before(final.ExpiresAt) {
-			_, err := o.put(context.Background(), key, final, revision)
-			if err == nil {
-				return
-			}
-			found, rev, err := o.get(context.Background(), key)
-			if err == nil {
-				if found != nil && found.Attempt != final.Attempt || found != nil && found.State == final.State {
-					invariant.Check(found.Attempt == final.Attempt, "claim of dispatched attempt %s was taken over", final.Attempt)
-					return
-				}
-				revision = rev
-				continue
-			}
-			time.Sleep(recordRetry)
-		}
-	}()
-	timer := time.NewTimer(recordWithin)
-	defer timer.Stop()
-	select {
-	case <-saved:
-	case <-timer.C:
-	}
-}
-
-func (o *Once) put(ctx context.Context, key string, r *claim.Record, revision int64) (int64, error) {
-	body, err := json.Marshal(r)
-	if err != nil {
-		return 0, fmt.Errorf("encode claim: %w", err)
-	}
-	return o.deps.Store.Put(ctx, key, body, revision, "")
-}
-
-func (o *Once) get(ctx context.Context, key string) (*claim.Record, int64, error) {
-	v, err := o.deps.Store.Get(ctx, key)
-	if errors.Is(err, kv.ErrNotFound) {
-		return nil, 0, nil
-	}
-	if err != nil {
-		return nil, 0, err
-	}
-	var r claim.Record
-	if err := json.Unmarshal(v.Body, &r); err != nil {
-		return nil, 0, fmt.Errorf("decode claim: %w", err)
-	}
-	return &r, v.Revision, nil
-}
--- a/internal/router/keeper/attempt.go
+++ b/internal/router/keeper/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -11,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 
 	"wisteriafield/internal/backend/engine"
-	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/admission"
 	"wisteriafield/internal/decision/generation"
 	"wisteriafield/internal/router/copies"
@@ -127,27 +125,6 @@
 	return nil
 }
 
-func (k *Keeper) item(req Request, now time.Time) admission.Item {
-	words := strings.Fields(req.Prompt)
-	it := admission.Item{
-		ID:           req.Attempt,
-		Organisation: req.Organisation,
-		Weight:       req.Weight,
-		Class:        req.Class,
-		Tokens:       float64(req.MaxTokens - req.Accepted()),
-		Needs:        Needs(req.Model, req.Version, req.Adapter),
-		Prefix:       strings.Join(words[:min(len(words), prefixWords)], " "),
-		Avoid:        req.Avoid,
-		ArrivedAt:    now,
-		StartBy:      req.StartBy,
-	}
-	if v := k.deps.View(); v != nil && v.Policy.Queueing == document.Arrival {
-		// One line for all, in the order of arrival, on every slot.
-		it.Class, it.Organisation = admission.Interactive, ""
-	}
-	return it
-}
-
 func (k *Keeper) refusal(req Request, r admission.Refusal, now time.Time) Event {
 	refusedTotal(r.Cause).Inc()
 	needs := Needs(req.Model, req.Version, req.Adapter)
@@ -285,41 +262,3 @@
 		_ = k.deps.Engines.Cancel(context.Background(), address, req.Generation, req.Replaces.Attempt)
 	}()
 }
-
-func (k *Keeper) address(server string) string {
-	view := k.deps.View()
-	if view == nil {
-		return ""
-	}
-	if e := view.Engine(server); e != nil {
-		return e.Address
-	}
-	return ""
-}
-
-func engineRequest(req Request) engine.Request {
-	var accepted []string
-	for _, s := range req.Segments {
-		accepted = append(accepted, s.Tokens...)
-	}
-	return engine.Request{
-		Generation: req.Generation,
-		Attempt:    req.Attempt,
-		Model:      req.Model,
-		Version:    req.Version,
-		Adapter:    req.Adapter,
-		Prompt:     req.Prompt,
-		Accepted:   accepted,
-		MaxTokens:  req.MaxTokens,
-		Priority:   priorityOf(req.Class),
-	}
-}
-
-func priorityOf(c admission.Class) int {
-	for i, other := range admission.Classes {
-		if other == c {
-			return len(admission.Classes) - i
-		}
-	}
-	return 0
-}
--- a/internal/router/planner/planner.go
+++ b/internal/router/planner/planner.go
@@ -6,8 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,7 +18,6 @@
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/invariant"
-	"wisteriafield/internal/decision/placement"
 	"wisteriafield/internal/decision/plan"
 	"wisteriafield/internal/platform/kv"
 	"wisteriafield/internal/router/members"
@@ -123,54 +120,6 @@
 	return nil
 }
 
-// contends reports whether this router is one of the few that try.
-func (p *Planner) contends() bool {
-	self := p.deps.Members.Self()
-	order := placement.Rendezvous("planner", p.deps.Members.Names(time.Now()))
-	return slices.Contains(order[:min(contenders, len(order))], self.Name)
-}
-
-// Leads reports whether this router holds the lease. It is safe to call from
-// other goroutines.
-func (p *Planner) Leads() bool { return time.Now().UnixNano() < p.leadsUntil.Load() }
-
-// leads reports whether the lease is surely held for a while yet.
-func (p *Planner) leads(now time.Time) bool {
-	return p.lease != "" && now.Add(leaseMargin).Before(p.leaseUntil)
-}
-
-// hold keeps or gets the lease.
-func (p *Planner) hold(ctx context.Context) bool {
-	asked := time.Now()
-	if p.lease != "" {
-		if asked.Add(leaseTTL / 2).Before(p.leaseUntil) {
-			return true
-		}
-		err := p.deps.Store.KeepAlive(ctx, p.lease)
-		if err == nil {
-			p.leaseUntil = asked.Add(leaseTTL)
-			return true
-		}
-		if errors.Is(err, kv.ErrNotFound) || asked.After(p.leaseUntil) {
-			p.lease = ""
-		}
-		return p.leads(time.Now())
-	}
-	if _, err := p.deps.Store.Get(ctx, p.leaderKey()); !errors.Is(err, kv.ErrNotFound) {
-		return false
-	}
-	lease, err := p.deps.Store.Grant(ctx, leaseTTL)
-	if err != nil {
-		return false
-	}
-	if _, err := p.deps.Store.Put(ctx, p.leaderKey(), []byte(p.deps.Members.Self().Name), 0, lease); err != nil {
-		return false
-	}
-	p.lease, p.leaseUntil = lease, asked.Add(leaseTTL)
-	p.deps.Log.Info("leads the order plan")
-	return true
-}
-
 // step looks at the engines, writes the next plan if there is one, and orders
 // what the engines lack.
 func (p *Planner) step(ctx context.Context, view *document.View) error {
@@ -281,60 +230,3 @@
 	wg.Wait()
 	p.states = states
 }
-
-// order tells engines that differ from the plan what they are to carry. It
-// reports whether any did.
-func (p *Planner) order(ctx context.Context, view *document.View, next *plan.Plan) bool {
-	busy := false
-	for _, e := range p.engines(view) {
-		entry, state := next.Engines[e.Name], p.states[e.Name]
-		busy = busy || entry.Draining
-		if entry.Draining || !state.Up || maps.Equal(entry.Models, state.Carries) {
-			continue
-		}
-		busy = true
-		if !p.leads(time.Now()) || !p.beginOrder(e.Name) {
-			continue
-		}
-		go p.send(ctx, e, engine.Order{Fencing: next.Revision, Models: entry.Models, Adapters: adaptersOf(view, entry.Models), Role: "generate"})
-	}
-	return busy
-}
-
-func (p *Planner) send(ctx context.Context, e document.Engine, o engine.Order) {
-	defer p.endOrder(e.Name)
-	ordersTotal.Inc()
-	err := p.deps.Engines.Order(ctx, e.Address, o)
-	if errors.Is(err, engine.ErrFenced) {
-		fencedTotal.Inc()
-	}
-	if err != nil {
-		p.deps.Log.WithField("server", e.Name).Infof("order failed: %v", err)
-	}
-}
-
-func (p *Planner) beginOrder(name string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.ordering[name] {
-		return false
-	}
-	p.ordering[name] = true
-	return true
-}
-
-func (p *Planner) endOrder(name string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.ordering, name)
-}
-
-func adaptersOf(view *document.View, models map[string]string) map[string][]string {
-	adapters := make(map[string][]string)
-	for name := range models {
-		if m := view.Model(name); m != nil && len(m.Adapters) > 0 {
-			adapters[name] = m.Adapters
-		}
-	}
-	return adapters
-}
--- /dev/null
+++ b/internal/trial/fleet/configure.go
@@ -0,0 +1,61 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"wisteriafield/internal/config/document"
+)
+
+// Document writes the environment document of the fleet.
+func (f *Fleet) Document() (string, error) {
+	var b strings.Builder
+	b.WriteString("[Policy]\nGrace = 5s\n" + f.Policy + "\n\n[Model redattore]\nVersion = 1\n\n[Model costing-llm]\nVersion = 1\n\n")
+	for _, e := range f.Engines {
+		fencing := document.Ignores
+		if e.Fencing {
+			fencing = document.Refuses
+		}
+		fmt.Fprintf(&b, "[Engine %s]\nAddress = %s\nDomain = %s\nRegion = sicilia\nSlots = %d\nSpeed = %v\nModels = redattore, costing-llm\nFencing = %s\n\n",
+			e.Name, e.Address, e.Domain, e.Slots, e.Speed, fencing)
+	}
+	fmt.Fprintf(&b, "[Organisation scordia]\nKeys = %s\nWeight = 2\nTokensPerSecond = 100000\nInFlight = 1000\n\n", document.HashKey(KeyScordia))
+	fmt.Fprintf(&b, "[Organisation qalamdaan]\nKeys = %s\nTokensPerSecond = 100000\nInFlight = 1000\n\n", document.HashKey(KeyQalamdaan))
+	fmt.Fprintf(&b, "[Service banco]\nServers = banco-1=%s\nRepeatable = GET /availability\n\n", f.Services["banco-1"])
+	fmt.Fprintf(&b, "[Service grant-ledger]\nServers = grant-ledger-1=%s\nRepeatable = GET /availability, POST /rates\n", f.Services["grant-ledger-1"])
+	b.WriteString(f.Extra)
+	path := filepath.Join(f.Dir, "environment.ini")
+	return path, os.WriteFile(path, []byte(b.String()), 0o644)
+}
+
+// Configure applies the document to trial, promotes it and waits until it is in
+// force.
+func (f *Fleet) Configure(ctx context.Context, say func(string)) error {
+	path, err := f.Document()
+	if err != nil {
+		return err
+	}
+	for _, args := range [][]string{
+		{"check", path},
+		{"apply", "--settings", f.Operator(), "--wait", "10s", path},
+		{"promote", "--settings", f.Operator(), "--wait", "10s"},
+		{"status", "--settings", f.Operator()},
+	} {
+		out, err := f.Command(ctx, args...)
+		say("$ wisteriafield " + args[0] + "\n" + out)
+		if err != nil {
+			return fmt.Errorf("%s: %w", args[0], err)
+		}
+	}
+	return nil
+}
+
+// Command runs an operators' command and returns what it printed.
+func (f *Fleet) Command(ctx context.Context, args ...string) (string, error) {
+	out, err := exec.CommandContext(ctx, filepath.Join(f.Bin, "wisteriafield"), args...).CombinedOutput()
+	return strings.TrimSpace(string(out)), err
+}
--- a/internal/trial/fleet/fleet.go
+++ b/internal/trial/fleet/fleet.go
@@ -2,13 +2,11 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -16,12 +14,9 @@
 
 	"github.com/pkg/errors"
 
-	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/platform/hosts"
-	"wisteriafield/internal/router/node"
 	"wisteriafield/internal/standin/engine"
 	"wisteriafield/internal/standin/link"
-	"wisteriafield/internal/standin/platform"
 )
 
 // Credentials and keys of a fleet on loopback. They guard nothing.
@@ -176,18 +171,6 @@
 	Stats  engine.Stats
 }
 
-// EngineState asks an engine.
-func (f *Fleet) EngineState(e Engine) (EngineState, error) {
-	var state EngineState
-	client := http.Client{Timeout: 2 * time.Second}
-	res, err := client.Get("http://" + e.Address + "/v1/state")
-	if err != nil {
-		return state, fmt.Errorf("engine state: %w", err)
-	}
-	defer res.Body.Close()
-	return state, json.NewDecoder(res.Body).Decode(&state)
-}
-
 // StartEngine starts an engine, also again after it died.
 func (f *Fleet) StartEngine(e Engine) error {
 	args := []string{
@@ -268,23 +251,6 @@
 	return f.List(r.Host)
 }
 
-// StoreCounts returns how many calls the store got.
-func (f *Fleet) StoreCounts() platform.Counts {
-	var counts platform.Counts
-	req, err := http.NewRequest(http.MethodGet, "http://"+f.Platform+"/v1/counts", nil)
-	if err != nil {
-		return counts
-	}
-	req.Header.Set("Authorization", "Bearer "+platformCredential)
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return counts
-	}
-	defer res.Body.Close()
-	_ = json.NewDecoder(res.Body).Decode(&counts)
-	return counts
-}
-
 // List tells the platform of a host.
 func (f *Fleet) List(h hosts.Host) error {
 	body, err := json.Marshal(h)
@@ -312,12 +278,6 @@
 	return res.Body.Close()
 }
 
-// logEnd returns the last bytes of a process's log.
-func (f *Fleet) logEnd(name string) string {
-	text, _ := os.ReadFile(filepath.Join(f.Dir, name+".log"))
-	return string(text[max(0, len(text)-400):])
-}
-
 // Callers returns the callers' addresses of the routers.
 func (f *Fleet) Callers() []string {
 	var all []string
@@ -335,83 +295,6 @@
 // Operator returns the path of the operators' settings.
 func (f *Fleet) Operator() string { return filepath.Join(f.Dir, "operator.ini") }
 
-// Command runs an operators' command and returns what it printed.
-func (f *Fleet) Command(ctx context.Context, args ...string) (string, error) {
-	out, err := exec.CommandContext(ctx, filepath.Join(f.Bin, "wisteriafield"), args...).CombinedOutput()
-	return strings.TrimSpace(string(out)), err
-}
-
-// Document writes the environment document of the fleet.
-func (f *Fleet) Document() (string, error) {
-	var b strings.Builder
-	b.WriteString("[Policy]\nGrace = 5s\n" + f.Policy + "\n\n[Model redattore]\nVersion = 1\n\n[Model costing-llm]\nVersion = 1\n\n")
-	for _, e := range f.Engines {
-		fencing := document.Ignores
-		if e.Fencing {
-			fencing = document.Refuses
-		}
-		fmt.Fprintf(&b, "[Engine %s]\nAddress = %s\nDomain = %s\nRegion = sicilia\nSlots = %d\nSpeed = %v\nModels = redattore, costing-llm\nFencing = %s\n\n",
-			e.Name, e.Address, e.Domain, e.Slots, e.Speed, fencing)
-	}
-	fmt.Fprintf(&b, "[Organisation scordia]\nKeys = %s\nWeight = 2\nTokensPerSecond = 100000\nInFlight = 1000\n\n", document.HashKey(KeyScordia))
-	fmt.Fprintf(&b, "[Organisation qalamdaan]\nKeys = %s\nTokensPerSecond = 100000\nInFlight = 1000\n\n", document.HashKey(KeyQalamdaan))
-	fmt.Fprintf(&b, "[Service banco]\nServers = banco-1=%s\nRepeatable = GET /availability\n\n", f.Services["banco-1"])
-	fmt.Fprintf(&b, "[Service grant-ledger]\nServers = grant-ledger-1=%s\nRepeatable = GET /availability, POST /rates\n", f.Services["grant-ledger-1"])
-	b.WriteString(f.Extra)
-	path := filepath.Join(f.Dir, "environment.ini")
-	return path, os.WriteFile(path, []byte(b.String()), 0o644)
-}
-
-// Revision returns the revision in force on a router, or 0.
-func (f *Fleet) Revision(r *Router) int64 {
-	var status struct{ Revision int64 }
-	_ = f.admin(r, "/status", &status)
-	return status.Revision
-}
-
-// Dump returns a router's state.
-func (f *Fleet) Dump(r *Router) (node.Dump, error) {
-	var d node.Dump
-	return d, f.admin(r, "/dump", &d)
-}
-
-func (f *Fleet) admin(r *Router, path string, into any) error {
-	req, err := http.NewRequest(http.MethodGet, "http://"+r.Host.AdminAddress+path, nil)
-	if err != nil {
-		return fmt.Errorf("build request: %w", err)
-	}
-	req.Header.Set("Authorization", "Bearer "+adminCredential)
-	client := http.Client{Timeout: 2 * time.Second}
-	res, err := client.Do(req)
-	if err != nil {
-		return fmt.Errorf("ask %s: %w", r.Host.Name, err)
-	}
-	defer res.Body.Close()
-	return json.NewDecoder(res.Body).Decode(into)
-}
-
-// Configure applies the document to trial, promotes it and waits until it is in
-// force.
-func (f *Fleet) Configure(ctx context.Context, say func(string)) error {
-	path, err := f.Document()
-	if err != nil {
-		return err
-	}
-	for _, args := range [][]string{
-		{"check", path},
-		{"apply", "--settings", f.Operator(), "--wait", "10s", path},
-		{"promote", "--settings", f.Operator(), "--wait", "10s"},
-		{"status", "--settings", f.Operator()},
-	} {
-		out, err := f.Command(ctx, args...)
-		say("$ wisteriafield " + args[0] + "\n" + out)
-		if err != nil {
-			return fmt.Errorf("%s: %w", args[0], err)
-		}
-	}
-	return nil
-}
-
 func dials(address string) bool {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
