--- a/Makefile
+++ b/Makefile
@@ -29,10 +29,10 @@
 
 # Long runs, not part of the CI.
 SEED ?= 1
-LAST ?= 10m
+MINUTES ?= 10
 
 soak: build
-	./bin/fleet soak --seed $(SEED) --last $(LAST)
+	./bin/fleet soak --seed $(SEED) --last $(MINUTES)m
 
 bench: build
 	./bin/fleet bench
--- a/internal/trial/soak/soak.go
+++ b/internal/trial/soak/soak.go
@@ -122,6 +122,6 @@
 	for _, p := range s.problems {
 		fmt.Println("BROKEN: " + p)
 	}
-	fmt.Printf("logs are in %s; again with: make soak SEED=%d LAST=%s\n", dir, s.Seed, s.Last)
+	fmt.Printf("logs are in %s; again with: make soak SEED=%d MINUTES=%.0f\n", dir, s.Seed, s.Last.Minutes())
 	return errBroken
 }
