--- a/internal/decision/claim/claim_test.go
+++ b/internal/decision/claim/claim_test.go
@@ -105,7 +105,8 @@
 }
 
 // race drives the steps of model/claim.pml against the store's rules: two
-// routers, lost and late writes, a router that dies.
+// routers, lost and late writes, a router that dies. A step whose precondition
+// does not hold skips, which makes rapid draw another one; no test is skipped.
 type race struct {
 	found    *claim.Record
 	revision int
--- a/internal/decision/generation/answer_test.go
+++ b/internal/decision/generation/answer_test.go
@@ -83,7 +83,8 @@
 }
 
 // forks drives the steps of model/generation.pml: two entries and a keeper hold
-// copies, attempts fork, and a caller moves between the entries.
+// copies, attempts fork, and a caller moves between the entries. A step whose
+// precondition does not hold skips, which makes rapid draw another one.
 type forks struct {
 	copies  map[string]*generation.Answer
 	lines   map[string][]string // what each attempt generates, prefix included
