Store client and stand-in speak the platform's published protocol

Cause: the users' platform has settled how its store is spoken to; the product's client spoke a protocol of its own and would have been doubled. Change: the client moves to platform/kv and speaks kv-key, kv-range, kv-watch, kv-txn and leases; the stand-in speaks the same, with history and 410. Ruled out: a second client beside the old one (two copies of the same decisions about lost answers).

--- a/internal/caller/service/once.go
+++ b/internal/caller/service/once.go
@@ -17,7 +17,7 @@
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/claim"
 	"wisteriafield/internal/decision/invariant"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 )
 
 var (
--- a/internal/caller/service/record.go
+++ b/internal/caller/service/record.go
@@ -11,7 +11,7 @@
 	backend "wisteriafield/internal/backend/service"
 	"wisteriafield/internal/decision/claim"
 	"wisteriafield/internal/decision/invariant"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 )
 
 // save records an outcome. If the store does not answer in time it goes on in
--- a/internal/operator/cli/apply.go
+++ b/internal/operator/cli/apply.go
@@ -10,7 +10,7 @@
 
 	"wisteriafield/internal/config/manifest"
 	"wisteriafield/internal/config/settings"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 	"wisteriafield/internal/platform/publish"
 )
 
--- a/internal/operator/cli/cli.go
+++ b/internal/operator/cli/cli.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"wisteriafield/internal/config/inifile"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 	"wisteriafield/internal/platform/publish"
 )
 
--- a/internal/platform/publish/publish.go
+++ b/internal/platform/publish/publish.go
@@ -14,7 +14,7 @@
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/config/manifest"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 	"wisteriafield/internal/router/configure"
 )
 
--- a/internal/router/configure/follower.go
+++ b/internal/router/configure/follower.go
@@ -21,7 +21,7 @@
 	"wisteriafield/internal/config/manifest"
 	"wisteriafield/internal/decision/invariant"
 	"wisteriafield/internal/platform/hosts"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 	"wisteriafield/internal/router/members"
 )
 
--- a/internal/router/janitor/janitor.go
+++ b/internal/router/janitor/janitor.go
@@ -12,7 +12,7 @@
 
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/claim"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 )
 
 const (
--- a/internal/router/janitor/janitor_test.go
+++ b/internal/router/janitor/janitor_test.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"wisteriafield/internal/decision/claim"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 	"wisteriafield/internal/router/janitor"
 )
 
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -20,7 +20,7 @@
 	"wisteriafield/internal/config/settings"
 	"wisteriafield/internal/decision/claim"
 	"wisteriafield/internal/platform/hosts"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 	"wisteriafield/internal/router/configure"
 	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/directory"
--- a/internal/router/node/node_test.go
+++ b/internal/router/node/node_test.go
@@ -18,7 +18,7 @@
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/config/settings"
 	"wisteriafield/internal/platform/hosts"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 	"wisteriafield/internal/platform/publish"
 	"wisteriafield/internal/router/node"
 	"wisteriafield/internal/standin/engine"
--- a/internal/router/planner/follow.go
+++ b/internal/router/planner/follow.go
@@ -10,7 +10,7 @@
 
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/plan"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 	"wisteriafield/internal/router/control"
 )
 
--- a/internal/router/planner/lease.go
+++ b/internal/router/planner/lease.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"wisteriafield/internal/decision/placement"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 )
 
 // contends reports whether this router is one of the few that try.
--- a/internal/router/planner/planner.go
+++ b/internal/router/planner/planner.go
@@ -19,7 +19,7 @@
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/invariant"
 	"wisteriafield/internal/decision/plan"
-	"wisteriafield/internal/platform/kv"
+	"wisteriafield/platform/kv"
 	"wisteriafield/internal/router/members"
 )
 
--- a/internal/standin/platform/hosts.go
+++ b/internal/standin/platform/hosts.go
@@ -71,3 +71,11 @@
 }
 
 func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) { reply(w, s.Counts()) }
+
+func waitOf(r *http.Request) time.Duration {
+	d, err := time.ParseDuration(r.URL.Query().Get("wait"))
+	if err != nil {
+		return 0
+	}
+	return min(d, maxWait)
+}
--- a/internal/trial/stories/configuration_test.go
+++ b/internal/trial/stories/configuration_test.go
@@ -59,7 +59,7 @@
 		w.promoted("a1")
 		Eventually(func() int64 { return w.Revision(w.Routers[2]) }, inForceWithin).Should(BeEquivalentTo(2))
 		w.Routers[2].Kill()
-		Expect(w.Fault(w.Platform, `{"OutageOf":"/v1/kv,/v1/watch"}`)).To(Succeed())
+		Expect(w.Fault(w.Platform, `{"OutageOf":"/-/kv-"}`)).To(Succeed())
 		Expect(w.StartRouter(w.Routers[2])).To(Succeed())
 		Eventually(func() int64 { return w.Revision(w.Routers[2]) }, inForceWithin).Should(BeEquivalentTo(2))
 	})
