A thin whole path on the users' platform: edge routers, platform adapter

Streams keep a copy of their run's memory at a second engine and go on from it; a quiet stream's engine is asked before it is given up.

--- /dev/null
+++ b/internal/backend/registry/load.go
@@ -0,0 +1,191 @@
+package registry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	latencyWeight = 0.1  // share of the newest answer time
+	errorWeight   = 0.1  // share of the newest outcome
+	paceFall      = 0.3  // share of a shorter gap in the pace
+	paceRise      = 0.02 // share of a longer gap: prompts being read stretch it
+)
+
+// Load is what this router knows of one server's work and condition.
+type Load struct {
+	mu        sync.Mutex
+	inFlight  int
+	latency   time.Duration // of a plain answer
+	errors    float64       // share of failed answers, lately
+	pace      time.Duration // between events, while nothing disturbs
+	prompts   int           // tokens of own prompts not yet read
+	memory    int           // tokens of own runs
+	copies    int           // tokens of copies that own runs keep there
+	runs      int
+	downUntil time.Time
+	fullUntil time.Time
+	peers     Share // what other routers have there
+}
+
+// Share is one router's work at a server.
+type Share struct {
+	InFlight int           `json:",omitempty"`
+	Runs     int           `json:",omitempty"`
+	Prompts  int           `json:",omitempty"` // tokens
+	Memory   int           `json:",omitempty"` // tokens
+	Pace     time.Duration `json:",omitempty"`
+}
+
+// State is a Load at one moment.
+type State struct {
+	InFlight int // of all routers
+	Runs     int
+	Prompts  int // tokens not yet read
+	Memory   int // tokens of runs and copies
+	Latency  time.Duration
+	Errors   float64
+	Pace     time.Duration
+	Down     bool
+	Full     bool
+}
+
+// State returns the load at a moment.
+func (l *Load) State(now time.Time) State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	pace := l.pace
+	if pace == 0 {
+		pace = l.peers.Pace
+	}
+	return State{
+		InFlight: l.inFlight + l.peers.InFlight,
+		Runs:     l.runs + l.peers.Runs,
+		Prompts:  l.prompts + l.peers.Prompts,
+		Memory:   l.memory + l.copies + l.peers.Memory,
+		Latency:  l.latency,
+		Errors:   l.errors,
+		Pace:     pace,
+		Down:     now.Before(l.downUntil),
+		Full:     now.Before(l.fullUntil),
+	}
+}
+
+// Own returns this router's part, to tell peers.
+func (l *Load) Own() Share {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Share{InFlight: l.inFlight, Runs: l.runs, Prompts: l.prompts, Memory: l.memory + l.copies, Pace: l.pace}
+}
+
+// SetPeers replaces what the other routers have there.
+func (l *Load) SetPeers(s Share) {
+	l.mu.Lock()
+	l.peers = s
+	l.mu.Unlock()
+}
+
+// Begin counts a plain request in.
+func (l *Load) Begin() {
+	l.mu.Lock()
+	l.inFlight++
+	l.mu.Unlock()
+}
+
+// End counts a plain request out. A latency of 0 is not an answer.
+func (l *Load) End(latency time.Duration, failed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inFlight--
+	if latency > 0 {
+		l.latency = blend(l.latency, latency, latencyWeight)
+	}
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	l.errors = (1-errorWeight)*l.errors + errorWeight*outcome
+}
+
+// MarkDown takes the server out until a time.
+func (l *Load) MarkDown(until time.Time) {
+	l.mu.Lock()
+	l.downUntil = until
+	l.mu.Unlock()
+}
+
+// MarkFull notes that the server refused for want of room.
+func (l *Load) MarkFull(until time.Time) {
+	l.mu.Lock()
+	l.fullUntil = until
+	l.mu.Unlock()
+}
+
+// Run is one generation's share of a load. It is not safe for concurrent use.
+type Run struct {
+	load    *Load
+	prompt  int
+	held    int
+	started bool
+	lastAt  time.Time
+}
+
+// BeginRun counts a generation in, with the tokens it has to read first.
+func (l *Load) BeginRun(unread, memory int) *Run {
+	l.mu.Lock()
+	l.runs++
+	l.prompts += unread
+	l.memory += memory
+	l.mu.Unlock()
+	return &Run{load: l, prompt: unread, held: memory}
+}
+
+// Event notes an event of the generation.
+func (r *Run) Event(now time.Time, tokens int) {
+	r.load.mu.Lock()
+	defer r.load.mu.Unlock()
+	if !r.started {
+		r.started = true
+		r.load.prompts -= r.prompt
+	} else if gap := now.Sub(r.lastAt); gap > 0 {
+		weight := paceRise
+		if gap < r.load.pace {
+			weight = paceFall
+		}
+		r.load.pace = blend(r.load.pace, gap, weight)
+	}
+	r.lastAt = now
+	r.held += tokens
+	r.load.memory += tokens
+}
+
+// End counts the generation out.
+func (r *Run) End() {
+	r.load.mu.Lock()
+	defer r.load.mu.Unlock()
+	r.load.runs--
+	r.load.memory -= r.held
+	if !r.started {
+		r.load.prompts -= r.prompt
+	}
+}
+
+// HoldCopy counts a copy's memory in, and returns the function that counts it
+// out.
+func (l *Load) HoldCopy(tokens int) func() {
+	l.mu.Lock()
+	l.copies += tokens
+	l.mu.Unlock()
+	return func() {
+		l.mu.Lock()
+		l.copies -= tokens
+		l.mu.Unlock()
+	}
+}
+
+func blend(old, seen time.Duration, weight float64) time.Duration {
+	if old == 0 {
+		return seen
+	}
+	return time.Duration((1-weight)*float64(old) + weight*float64(seen))
+}
--- /dev/null
+++ b/internal/base/jsonlog/jsonlog.go
@@ -0,0 +1,67 @@
+// Package jsonlog writes structured logs as lines of JSON without ever making
+// the writer wait: what the reader does not take in time is dropped and counted.
+package jsonlog
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// queued lines are kept for a slow reader; some 200 bytes each.
+	queued = 2048
+	// maxLine bounds one line, in bytes.
+	maxLine = 4 << 10
+)
+
+var droppedTotal = metrics.NewCounter("wisteriafield_log_lines_dropped_total")
+
+// Sink is a writer that never blocks.
+type Sink struct {
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewSink returns a sink that writes to w from a goroutine of its own.
+func NewSink(w io.Writer) *Sink {
+	s := &Sink{lines: make(chan []byte, queued)}
+	go s.run(w)
+	return s
+}
+
+var _ io.Writer = (*Sink)(nil)
+
+// Write queues a line, or drops it.
+func (s *Sink) Write(p []byte) (int, error) {
+	line := append([]byte(nil), p[:min(len(p), maxLine)]...)
+	select {
+	case s.lines <- line:
+	default:
+		s.dropped.Add(1)
+		droppedTotal.Inc()
+	}
+	return len(p), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (s *Sink) Dropped() int64 { return s.dropped.Load() }
+
+func (s *Sink) run(w io.Writer) {
+	for line := range s.lines {
+		if _, err := w.Write(line); err != nil {
+			s.dropped.Add(1)
+			droppedTotal.Inc()
+		}
+	}
+}
+
+// New returns a logger that writes to w through a sink.
+func New(w io.Writer) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(NewSink(w))
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "15:04:05.000"})
+	return log
+}
--- /dev/null
+++ b/internal/caller/front/handler.go
@@ -0,0 +1,171 @@
+// Package front answers the callers: it finds a request's route, checks its key
+// and hands it to the part that serves its kind.
+package front
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/config/routes"
+)
+
+const (
+	// defaultMaxBody bounds a body while no configuration does, in bytes.
+	defaultMaxBody = 16 << 20
+	// noConfigurationRetry is for routers that just started, in seconds.
+	noConfigurationRetry = "0.3"
+	// stoppingRetry sends a caller to another router at once, in seconds.
+	stoppingRetry = "0.01"
+)
+
+// Protocol reads what requests say of themselves.
+type Protocol interface {
+	Key(r *http.Request) (string, bool)
+	Decode(r *http.Request, now time.Time) *server.Request
+}
+
+// Server serves requests of one kind.
+type Server interface {
+	Serve(w http.ResponseWriter, ctx context.Context, req *server.Request, service *routes.Service)
+}
+
+// Config is what a handler needs.
+type Config struct {
+	Protocol Protocol
+	Table    func() *routes.Table // nil without a configuration
+	Streams  Server
+	Plain    Server
+	Repeats  interface {
+		First(service string, now time.Time)
+	}
+	// TakesStream reports whether a generation may still begin here.
+	TakesStream func(req *server.Request, now time.Time) bool
+	// Stopping reports whether connections should end with their answers.
+	Stopping func() bool
+	Log      *logrus.Entry
+}
+
+// Handler answers callers.
+type Handler struct{ cfg Config }
+
+// New returns a handler.
+func New(cfg Config) *Handler { return &Handler{cfg: cfg} }
+
+var _ http.Handler = (*Handler)(nil)
+
+// ServeHTTP answers one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	w.Header()["Date"] = nil
+	if h.cfg.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	table := h.cfg.Table()
+	if table == nil {
+		w.Header().Set("Retry-After", noConfigurationRetry)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	req, status := h.admit(table, r, now)
+	if status != 0 {
+		h.cfg.Log.WithField("status", status).WithField("host", r.Host).WithField("path", r.URL.Path).
+			WithField("version", table.Version).Info("rejected")
+		w.WriteHeader(status)
+		return
+	}
+	if status := h.readBody(w, r, table, req); status != 0 {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(status)
+		return
+	}
+	service := table.Service(req.Service)
+	if service == nil {
+		service = &routes.Service{Name: req.Service}
+	}
+	if req.Route.Kind == routes.Streaming && !h.cfg.TakesStream(req, now) {
+		h.cfg.Log.WithField("id", req.ID).Info("refused: stopping")
+		w.Header().Set("Retry-After", stoppingRetry)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	h.cfg.Repeats.First(req.Service, now)
+	if req.Route.Kind == routes.Streaming && service.Engine != nil {
+		h.cfg.Streams.Serve(w, r.Context(), req, service)
+		return
+	}
+	h.cfg.Plain.Serve(w, r.Context(), req, service)
+}
+
+// admit finds the route and checks the key. It returns 0, or the status that
+// rejects the request.
+func (h *Handler) admit(table *routes.Table, r *http.Request, now time.Time) (*server.Request, int) {
+	route := table.Match(r.Host, r.URL.Path)
+	if route == nil {
+		return nil, http.StatusNotFound
+	}
+	req := h.cfg.Protocol.Decode(r, now)
+	if req.ID == "" {
+		return nil, http.StatusBadRequest
+	}
+	req.Route = route
+	req.Priority = route.Priority
+	if table.Keyed() && !route.Public {
+		key, ok := h.cfg.Protocol.Key(r)
+		organisation := table.Organisation(key)
+		if !ok || organisation == nil {
+			return nil, http.StatusUnauthorized
+		}
+		req.Organisation = organisation.Name
+		if organisation.Priority != nil {
+			req.Priority = *organisation.Priority
+		}
+	}
+	if table.Limits.MaxBody > 0 && r.ContentLength > table.Limits.MaxBody {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	if table.Limits.MaxHeader > 0 && headerSize(r) > table.Limits.MaxHeader {
+		return nil, http.StatusRequestHeaderFieldsTooLarge
+	}
+	if end := now.Add(route.Timeout); route.Timeout > 0 && (req.Deadline.IsZero() || end.Before(req.Deadline)) {
+		req.Deadline = end
+	}
+	if req.Deadline.IsZero() {
+		req.Deadline = now.Add(time.Minute)
+	}
+	req.Service = route.Pick(req.ID)
+	return req, 0
+}
+
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + 4
+		}
+	}
+	return size
+}
+
+// readBody reads the whole body, since a request may be sent more than once.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, table *routes.Table, req *server.Request) int {
+	limit := table.Limits.MaxBody
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	if err != nil {
+		return http.StatusBadRequest
+	}
+	req.Body = body
+	return 0
+}
--- /dev/null
+++ b/internal/decision/balance/engine.go
@@ -0,0 +1,68 @@
+package balance
+
+import "time"
+
+const (
+	// readRate is how many prompt tokens an engine of common speed reads in a
+	// millisecond, and commonPace the time between its events.
+	readRate   = 5.0
+	commonPace = 33 * time.Millisecond
+	// memoryShare of an engine is planned with; beyond it runs are preempted.
+	memoryShare = 0.9
+	// runCost is what one more running generation costs a new one, in ms.
+	runCost = 60.0
+	// crowded is the cost in ms of an engine whose memory would not suffice.
+	crowded = 20_000.0
+	// spread is how far equal candidates are told apart by chance, in ms.
+	spread = 40.0
+)
+
+// Engine is a model engine, as a candidate.
+type Engine struct {
+	Domain   string
+	Runs     int
+	Slots    int
+	Prompts  int // tokens that wait to be read
+	Memory   int // tokens in use and planned
+	Capacity int // tokens
+	Pace     time.Duration
+	Down     bool
+	Full     bool
+}
+
+// PickEngine returns the index of the engine for a generation, or -1. It
+// answers long prompts that delay each other and memory that runs out: the
+// engine that has read the prompt first, and has room for the whole run, wins.
+// Engines of the failure domain to avoid are used only if no other can be.
+func PickEngine(candidates []Engine, prompt, output int, avoidDomain string, random float64) int {
+	best, least := -1, 0.0
+	for i, c := range candidates {
+		if c.Down {
+			continue
+		}
+		cost := engineCost(c, prompt, output) + spread*fraction(random, i)
+		if avoidDomain != "" && c.Domain == avoidDomain {
+			cost += crowded / 2
+		}
+		if best < 0 || cost < least {
+			best, least = i, cost
+		}
+	}
+	return best
+}
+
+func engineCost(c Engine, prompt, output int) float64 {
+	slowness := 1.0
+	if c.Pace > 0 {
+		slowness = float64(c.Pace) / float64(commonPace)
+	}
+	cost := slowness * (float64(c.Prompts+prompt)/readRate + float64(c.Runs)*runCost)
+	cost += slowness * float64(output) // tokens at some 5 ms each weigh a fifth
+	if c.Capacity > 0 && float64(c.Memory+prompt+output) > memoryShare*float64(c.Capacity) {
+		cost += crowded
+	}
+	if c.Full || c.Slots > 0 && c.Runs >= c.Slots {
+		cost += 2 * crowded
+	}
+	return cost
+}
--- a/internal/operator/cli/apply.go
+++ b/internal/operator/cli/apply.go
@@ -10,8 +10,8 @@
 
 	"wisteriafield/internal/config/manifest"
 	"wisteriafield/internal/config/settings"
-	"wisteriafield/platform/kv"
 	"wisteriafield/internal/platform/publish"
+	"wisteriafield/platform/kv"
 )
 
 // Environments that operators move documents through.
--- a/internal/operator/cli/cli.go
+++ b/internal/operator/cli/cli.go
@@ -10,8 +10,8 @@
 	"github.com/pkg/errors"
 
 	"wisteriafield/internal/config/inifile"
-	"wisteriafield/platform/kv"
 	"wisteriafield/internal/platform/publish"
+	"wisteriafield/platform/kv"
 )
 
 // Exit codes.
@@ -69,6 +69,7 @@
 func commands(o output) []command {
 	return []command{
 		{"router", "Run a router", "Runs a router on this host until SIGTERM, then drains it.\n\nExample: wisteriafield router --settings host.ini", &routerCommand{}},
+		{"edge", "Run a router on the users' platform", "Runs a router with the platform's settings file until SIGTERM, then drains it.\n\nExample: wisteriafield edge --settings local.toml", &edgeCommand{}},
 		{"check", "Check files", "Checks environment documents, or host settings with --host.\n\nExample: wisteriafield check production.ini", &checkCommand{output: o}},
 		{"apply", "Apply a document to trial", "Writes a document as the next revision of trial.\n\nExample: wisteriafield apply --settings operator.ini --wait 8s env.ini", &applyCommand{change: change{output: o}}},
 		{"promote", "Promote trial to production", "Writes exactly what is in force in trial as the next revision of production.\n\nExample: wisteriafield promote --settings operator.ini --wait 8s", &promoteCommand{change: change{output: o}}},
--- a/internal/platform/publish/publish.go
+++ b/internal/platform/publish/publish.go
@@ -14,8 +14,8 @@
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/config/manifest"
-	"wisteriafield/platform/kv"
 	"wisteriafield/internal/router/configure"
+	"wisteriafield/platform/kv"
 )
 
 const (
--- a/internal/router/configure/follower.go
+++ b/internal/router/configure/follower.go
@@ -21,8 +21,8 @@
 	"wisteriafield/internal/config/manifest"
 	"wisteriafield/internal/decision/invariant"
 	"wisteriafield/internal/platform/hosts"
-	"wisteriafield/platform/kv"
 	"wisteriafield/internal/router/members"
+	"wisteriafield/platform/kv"
 )
 
 const (
--- a/internal/router/janitor/janitor_test.go
+++ b/internal/router/janitor/janitor_test.go
@@ -11,8 +11,8 @@
 	"github.com/sirupsen/logrus"
 
 	"wisteriafield/internal/decision/claim"
-	"wisteriafield/platform/kv"
 	"wisteriafield/internal/router/janitor"
+	"wisteriafield/platform/kv"
 )
 
 type store map[string]kv.Value
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -20,7 +20,6 @@
 	"wisteriafield/internal/config/settings"
 	"wisteriafield/internal/decision/claim"
 	"wisteriafield/internal/platform/hosts"
-	"wisteriafield/platform/kv"
 	"wisteriafield/internal/router/configure"
 	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/directory"
@@ -31,6 +30,7 @@
 	"wisteriafield/internal/router/members"
 	"wisteriafield/internal/router/planner"
 	"wisteriafield/internal/router/stream"
+	"wisteriafield/platform/kv"
 )
 
 const sweepEvery = 5 * time.Second
--- a/internal/router/node/node_test.go
+++ b/internal/router/node/node_test.go
@@ -18,13 +18,13 @@
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/config/settings"
 	"wisteriafield/internal/platform/hosts"
-	"wisteriafield/platform/kv"
 	"wisteriafield/internal/platform/publish"
 	"wisteriafield/internal/router/node"
 	"wisteriafield/internal/standin/engine"
 	"wisteriafield/internal/standin/faults"
 	"wisteriafield/internal/standin/platform"
 	"wisteriafield/internal/trial/caller"
+	"wisteriafield/platform/kv"
 )
 
 var update = flag.Bool("update", false, "write golden files")
--- a/internal/router/planner/follow.go
+++ b/internal/router/planner/follow.go
@@ -10,8 +10,8 @@
 
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/plan"
-	"wisteriafield/platform/kv"
 	"wisteriafield/internal/router/control"
+	"wisteriafield/platform/kv"
 )
 
 const (
--- a/internal/router/planner/planner.go
+++ b/internal/router/planner/planner.go
@@ -19,8 +19,8 @@
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/invariant"
 	"wisteriafield/internal/decision/plan"
-	"wisteriafield/platform/kv"
 	"wisteriafield/internal/router/members"
+	"wisteriafield/platform/kv"
 )
 
 const (
--- /dev/null
+++ b/internal/router/relay/attempt.go
@@ -0,0 +1,253 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/backend/sse"
+	"wisteriafield/internal/decision/suspicion"
+)
+
+// kind is how an attempt ended.
+type kind string
+
+const (
+	finished kind = "Finished" // the caller has the whole stream
+	answered kind = "Answered" // the server gave a failure that the caller gets
+	refused  kind = "Refused"  // the server did not run it
+	notSent  kind = "NotSent"
+	lost     kind = "Lost"
+)
+
+// result is the end of one attempt.
+type result struct {
+	kind     kind
+	reason   string
+	answer   *whole
+	backup   *registry.Entry // has a copy of the lost run's memory
+	dark     bool            // the server did not answer at all
+	replaced bool            // another incarnation has the address
+}
+
+// whole is a buffered answer.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+const (
+	maxFailure  = 1 << 20 // bytes of a buffered failure
+	eventBuffer = 16      // events read ahead of the caller
+)
+
+// incoming is what the reading goroutine found.
+type incoming struct {
+	answer *server.Answer
+	event  sse.Event
+	err    error
+}
+
+// attempt sends the request to an engine and forwards its events.
+func (s *stream) attempt(ctx context.Context, target *registry.Entry, from *server.Copy) result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d := server.Dispatch{Request: s.req, Server: &target.Server, After: s.after, From: from}
+	backup := s.chooseBackup(target)
+	if backup != nil {
+		d.Backup = &backup.Server
+	}
+	unread := s.req.PromptTokens
+	if from != nil {
+		unread = 0
+	}
+	run := target.Load.BeginRun(unread, s.req.PromptTokens)
+	defer run.End()
+	in := make(chan incoming, eventBuffer)
+	go s.read(ctx, d, in)
+
+	hurry := make(chan time.Time, 1)
+	defer s.relay.nearby.join(target.Domain, hurry)()
+	watch := suspicion.NewWatch(s.relay.limits, time.Now())
+	signs := make(chan bool, 4)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var header *server.Answer
+	for {
+		select {
+		case got := <-in:
+			if got.answer != nil {
+				if got.answer.Status != http.StatusOK || !got.answer.Signed || got.answer.Foreign {
+					return s.failure(got.answer, backup)
+				}
+				header = got.answer
+				continue
+			}
+			if got.err != nil {
+				return s.ended(got.err, header, backup)
+			}
+			now := time.Now()
+			watch.Event(now)
+			run.Event(now, s.service.Engine.EventTokens)
+			if r, ok := s.forward(got.event, header, len(in) == 0); !ok {
+				r.backup = backup
+				return r
+			}
+		case alive := <-signs:
+			if alive {
+				watch.Answered(time.Now())
+			}
+		case now := <-hurry:
+			watch.Hurry(now)
+		case <-timer.C:
+		case <-ctx.Done():
+			return result{kind: lost, reason: "caller left or time is up", backup: backup}
+		}
+		verdict, at := watch.Next(time.Now())
+		switch verdict {
+		case suspicion.Ask:
+			go s.ask(ctx, target, signs)
+		case suspicion.Lost:
+			return result{kind: lost, reason: "silent", backup: backup, dark: true}
+		}
+		timer.Reset(time.Until(at))
+	}
+}
+
+// read sends the request and reads the answer until it ends.
+func (s *stream) read(ctx context.Context, d server.Dispatch, in chan<- incoming) {
+	put := func(i incoming) bool {
+		select {
+		case in <- i:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	answer, err := s.relay.cfg.Client.Send(ctx, d)
+	if err != nil {
+		put(incoming{err: err})
+		return
+	}
+	if !put(incoming{answer: answer}) || answer.Status != http.StatusOK {
+		if ctx.Err() != nil {
+			answer.Body.Close()
+		}
+		return
+	}
+	defer answer.Body.Close()
+	events := sse.NewReader(answer.Body)
+	for {
+		event, err := events.Next()
+		if !put(incoming{event: event, err: err}) || err != nil {
+			return
+		}
+	}
+}
+
+// ask tells whether the engine answers.
+func (s *stream) ask(ctx context.Context, target *registry.Entry, signs chan<- bool) {
+	ctx, cancel := context.WithTimeout(ctx, s.relay.limits.AnswerTime)
+	defer cancel()
+	report, err := s.relay.cfg.Client.Report(ctx, target.Address)
+	alive := err == nil && (target.Started == 0 || report.Started == 0 || report.Started == target.Started)
+	select {
+	case signs <- alive:
+	default:
+	}
+}
+
+// forward passes one event to the caller.
+func (s *stream) forward(e sse.Event, header *server.Answer, flush bool) (result, bool) {
+	if e.ID > 0 {
+		if e.ID <= s.after {
+			return result{}, true // the caller has it
+		}
+		if e.ID != s.after+1 {
+			return result{kind: lost, reason: "event missing"}, false
+		}
+	}
+	if !s.begun {
+		for name, values := range header.Header {
+			s.w.Header()[name] = values
+		}
+		s.w.WriteHeader(http.StatusOK)
+		s.begun = true
+	}
+	if _, err := s.w.Write(e.Raw); err != nil {
+		return result{kind: lost, reason: "caller left"}, false
+	}
+	if e.ID > 0 {
+		s.after = e.ID
+	}
+	if flush {
+		if err := http.NewResponseController(s.w).Flush(); err != nil {
+			return result{kind: lost, reason: "caller left"}, false
+		}
+	}
+	return result{}, true
+}
+
+// ended judges the end of a stream.
+func (s *stream) ended(err error, header *server.Answer, backup *registry.Entry) result {
+	switch {
+	case errors.Is(err, server.ErrNotSent):
+		return result{kind: notSent, reason: err.Error()}
+	case err == io.EOF && header != nil && !header.Unframed && s.begun:
+		return result{kind: finished}
+	default:
+		return result{kind: lost, reason: err.Error(), backup: backup}
+	}
+}
+
+// failure judges an answer that is no stream.
+func (s *stream) failure(a *server.Answer, backup *registry.Entry) result {
+	defer a.Body.Close()
+	if a.NotRun {
+		return result{kind: refused, reason: http.StatusText(a.Status), replaced: a.OtherID != "" || a.Status == http.StatusMisdirectedRequest}
+	}
+	if a.Status == http.StatusOK || a.Foreign || a.Status >= http.StatusInternalServerError && s.ran+1 < s.req.Route.Attempts {
+		return result{kind: lost, reason: "no valid answer: " + http.StatusText(a.Status)}
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxFailure))
+	if err != nil {
+		return result{kind: lost, reason: err.Error(), backup: backup}
+	}
+	return result{kind: answered, answer: &whole{a.Status, a.Header, body}}
+}
+
+// pass gives the caller a server's own failure.
+func (s *stream) pass(a *whole) {
+	if s.begun {
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range a.header {
+		s.w.Header()[name] = values
+	}
+	s.w.WriteHeader(a.status)
+	_, _ = s.w.Write(a.body)
+}
+
+// chooseBackup picks the engine that keeps a copy of the run's memory, in
+// another failure domain than the run if there is one.
+func (s *stream) chooseBackup(target *registry.Entry) *registry.Entry {
+	s.releaseCopy()
+	if s.service.Engine == nil || !s.service.Engine.Backups || !s.req.Route.Resumable {
+		return nil
+	}
+	excluded := map[server.Key]bool{target.Key(): true}
+	for k := range s.excluded {
+		excluded[k] = true
+	}
+	e := s.relay.choose(s.service, s.req, excluded, target.Domain)
+	if e != nil {
+		s.dropCopy = e.Load.HoldCopy(s.req.PromptTokens)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/router/relay/relay.go
@@ -0,0 +1,95 @@
+// Package relay carries generations from engines to callers. If an engine is
+// lost in the middle, the stream goes on at another one, from the copy of the
+// run's memory if there is one, within the same answer.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/config/routes"
+	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/suspicion"
+)
+
+const (
+	// downFor is how long an engine that did not answer gets no work; a crashed
+	// one is back after a second or more, as another incarnation.
+	downFor = 2 * time.Second
+	// fullFor is how long an engine that refused for want of room is avoided.
+	fullFor = 300 * time.Millisecond
+	// midstreamPause is when to look again for an engine to go on at.
+	midstreamPause = 50 * time.Millisecond
+	// retryAfter is what a refused caller is told to wait, in seconds. A prompt
+	// is read in about a second, so room is there about then.
+	retryAfter = "0.5"
+)
+
+// Client speaks to backend servers.
+type Client interface {
+	Send(ctx context.Context, d server.Dispatch) (*server.Answer, error)
+	Report(ctx context.Context, address string) (server.Report, error)
+}
+
+// Config is what a relay needs.
+type Config struct {
+	Servers *registry.Registry
+	Client  Client
+	Repeats interface {
+		Allow(service string, now time.Time) bool
+	}
+	Log *logrus.Entry
+}
+
+// Relay runs the generations of this router's callers.
+type Relay struct {
+	cfg    Config
+	limits suspicion.Limits
+	nearby nearby
+}
+
+// New returns a relay.
+func New(cfg Config) *Relay {
+	return &Relay{cfg: cfg, limits: suspicion.DefaultLimits()}
+}
+
+// Serve answers a streaming request.
+func (r *Relay) Serve(w http.ResponseWriter, ctx context.Context, req *server.Request, service *routes.Service) {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	s := &stream{relay: r, w: w, req: req, service: service, after: req.After, excluded: make(map[server.Key]bool)}
+	s.serve(ctx)
+}
+
+// choose picks an engine, or nil.
+func (r *Relay) choose(service *routes.Service, req *server.Request, excluded map[server.Key]bool, avoid string) *registry.Entry {
+	now := time.Now()
+	var entries []*registry.Entry
+	var candidates []balance.Engine
+	for _, e := range r.cfg.Servers.Service(service.Name) {
+		if e.Leaving || excluded[e.Key()] {
+			continue
+		}
+		st := e.Load.State(now)
+		c := balance.Engine{
+			Domain: e.Domain, Runs: st.Runs, Slots: e.Slots, Prompts: st.Prompts, Memory: st.Memory,
+			Pace: st.Pace, Down: st.Down, Full: st.Full,
+		}
+		if service.Engine != nil {
+			c.Capacity = service.Engine.Memory
+		}
+		entries = append(entries, e)
+		candidates = append(candidates, c)
+	}
+	i := balance.PickEngine(candidates, req.PromptTokens, req.OutputTokens, avoid, rand.Float64())
+	if i < 0 {
+		return nil
+	}
+	return entries[i]
+}
--- /dev/null
+++ b/internal/router/relay/stream.go
@@ -0,0 +1,180 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/config/routes"
+)
+
+// stream is one caller's stream, over all its attempts.
+type stream struct {
+	relay   *Relay
+	w       http.ResponseWriter
+	req     *server.Request
+	service *routes.Service
+
+	after    int  // last event that the caller has
+	begun    bool // the caller has the headers
+	ran      int  // servers that may have begun to work on it
+	refusals int  // servers that refused it in a row
+	excluded map[server.Key]bool
+	copyAt   *registry.Entry // where the lost run's memory is kept
+	lostIn   string          // failure domain of the last loss
+	dropCopy func()
+}
+
+// maxRefusals bounds how many engines are tried in a row that have no room.
+const maxRefusals = 3
+
+// serve runs attempts until one ends the stream.
+func (s *stream) serve(ctx context.Context) {
+	defer s.releaseCopy()
+	for {
+		target, from := s.next()
+		if target == nil {
+			if !s.begun {
+				s.refuse("no engine")
+				return
+			}
+			if !pause(ctx, midstreamPause) {
+				s.giveUp(ctx)
+				return
+			}
+			s.excluded = make(map[server.Key]bool)
+			continue
+		}
+		result := s.attempt(ctx, target, from)
+		s.note(target, from, result)
+		switch {
+		case result.kind == finished:
+			return
+		case ctx.Err() != nil:
+			s.giveUp(ctx)
+			return
+		case result.kind == answered:
+			s.pass(result.answer)
+			return
+		}
+		if !s.mayGoOn(result) {
+			s.giveUp(ctx)
+			return
+		}
+	}
+}
+
+// next chooses the engine of the next attempt, and the copy to go on from.
+func (s *stream) next() (*registry.Entry, *server.Copy) {
+	if at := s.copyAt; at != nil {
+		s.copyAt = nil
+		if !at.Load.State(time.Now()).Down && !s.excluded[at.Key()] {
+			return at, &server.Copy{Address: at.Address, Run: s.req.ID}
+		}
+	}
+	if e := s.relay.choose(s.service, s.req, s.excluded, s.lostIn); e != nil {
+		return e, nil
+	}
+	return nil, nil
+}
+
+// note updates what is believed of the engine, and keeps what the next attempt
+// needs.
+func (s *stream) note(target *registry.Entry, from *server.Copy, r result) {
+	now := time.Now()
+	log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).
+		WithField("outcome", string(r.kind)).WithField("event", s.after).WithField("reason", r.reason)
+	if from != nil {
+		log = log.WithField("copy", from.Address)
+	}
+	log.Info("attempt ended")
+	switch r.kind {
+	case refused:
+		s.refusals++
+		s.excluded[target.Key()] = true
+		if r.replaced {
+			target.Load.MarkDown(now.Add(downFor))
+		} else if from == nil {
+			target.Load.MarkFull(now.Add(fullFor))
+		} else {
+			delete(s.excluded, target.Key()) // only the copy was missing
+		}
+	case notSent:
+		s.excluded[target.Key()] = true
+		target.Load.MarkDown(now.Add(downFor))
+	case lost:
+		s.ran++
+		s.refusals = 0
+		s.excluded[target.Key()] = true
+		s.copyAt = r.backup
+		s.lostIn = target.Domain
+		if r.dark {
+			target.Load.MarkDown(now.Add(downFor))
+			s.relay.nearby.tell(target.Domain, now)
+		}
+	}
+}
+
+func (s *stream) mayGoOn(r result) bool {
+	if r.kind == refused {
+		return s.begun || s.refusals < maxRefusals
+	}
+	if r.kind != lost {
+		return true
+	}
+	return s.req.Route.Repeatable() && s.ran < s.req.Route.Attempts && s.relay.cfg.Repeats.Allow(s.service.Name, time.Now())
+}
+
+// refuse tells the caller that nothing ran.
+func (s *stream) refuse(reason string) {
+	if s.ran > 0 {
+		s.fail(http.StatusBadGateway)
+		return
+	}
+	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("reason", reason).Info("refused")
+	s.w.Header().Set("Retry-After", retryAfter)
+	s.w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// giveUp ends a stream that could not be finished.
+func (s *stream) giveUp(ctx context.Context) {
+	if s.begun {
+		panic(http.ErrAbortHandler) // cuts the answer, so that it does not look whole
+	}
+	if s.ran == 0 && ctx.Err() == nil {
+		s.refuse("engines refused")
+		return
+	}
+	if ctx.Err() != nil {
+		s.fail(http.StatusGatewayTimeout)
+		return
+	}
+	s.fail(http.StatusBadGateway)
+}
+
+func (s *stream) fail(status int) {
+	if s.begun {
+		panic(http.ErrAbortHandler)
+	}
+	s.w.WriteHeader(status)
+}
+
+func (s *stream) releaseCopy() {
+	if s.dropCopy != nil {
+		s.dropCopy()
+		s.dropCopy = nil
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
