Routers tell each other configuration, servers and loads; two read the store

Ruled out: a shorter watch on every router (calls grow with the fleet). Change: gossip over JSON-RPC between routers; two routers (rendezvous among those that reach the store) watch for a second at a time; a copy is looked up in the current list.

--- a/internal/backend/registry/load.go
+++ b/internal/backend/registry/load.go
@@ -10,6 +10,10 @@
 	errorWeight   = 0.1  // share of the newest outcome
 	paceFall      = 0.3  // share of a shorter gap in the pace
 	paceRise      = 0.02 // share of a longer gap: prompts being read stretch it
+
+	// downStep rounds what peers are told of a time, so that it is not news at
+	// each exchange.
+	downStep = 500 * time.Millisecond
 )
 
 // Load is what this router knows of one server's work and condition.
@@ -24,19 +28,11 @@
 	copies    int           // tokens of copies that own runs keep there
 	runs      int
 	downUntil time.Time
+	found     bool // this router found it down
 	fullUntil time.Time
 	peers     Share // what other routers have there
 }
 
-// Share is one router's work at a server.
-type Share struct {
-	InFlight int           `json:",omitempty"`
-	Runs     int           `json:",omitempty"`
-	Prompts  int           `json:",omitempty"` // tokens
-	Memory   int           `json:",omitempty"` // tokens
-	Pace     time.Duration `json:",omitempty"`
-}
-
 // State is a Load at one moment.
 type State struct {
 	InFlight int // of all routers
@@ -56,7 +52,7 @@
 	defer l.mu.Unlock()
 	pace := l.pace
 	if pace == 0 {
-		pace = l.peers.Pace
+		pace = time.Duration(l.peers.PaceMs) * time.Millisecond
 	}
 	return State{
 		InFlight: l.inFlight + l.peers.InFlight,
@@ -72,10 +68,17 @@
 }
 
 // Own returns this router's part, to tell peers.
-func (l *Load) Own() Share {
+func (l *Load) Own(now time.Time) Share {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Share{InFlight: l.inFlight, Runs: l.runs, Prompts: l.prompts, Memory: l.memory + l.copies, Pace: l.pace}
+	s := Share{
+		InFlight: l.inFlight, Runs: l.runs, Prompts: l.prompts, Memory: l.memory + l.copies,
+		PaceMs: int(l.pace / time.Millisecond),
+	}
+	if l.found && now.Before(l.downUntil) {
+		s.DownMs = l.downUntil.Sub(now).Round(downStep).Milliseconds()
+	}
+	return s
 }
 
 // SetPeers replaces what the other routers have there.
@@ -107,10 +110,18 @@
 	l.errors = (1-errorWeight)*l.errors + errorWeight*outcome
 }
 
-// MarkDown takes the server out until a time.
+// MarkDown takes the server out until a time, as a peer found.
 func (l *Load) MarkDown(until time.Time) {
 	l.mu.Lock()
-	l.downUntil = until
+	l.downUntil, l.found = until, false
+	l.mu.Unlock()
+}
+
+// FindDown takes the server out until a time, as this router found; peers are
+// told.
+func (l *Load) FindDown(until time.Time) {
+	l.mu.Lock()
+	l.downUntil, l.found = until, true
 	l.mu.Unlock()
 }
 
--- /dev/null
+++ b/internal/decision/reader/reader.go
@@ -0,0 +1,59 @@
+// Package reader decides which routers read the platform's store for all. Each
+// call is priced and its rates grow more slowly than the fleet, so a few read
+// and the others hear it from them.
+package reader
+
+import (
+	"time"
+
+	"wisteriafield/internal/decision/placement"
+)
+
+const (
+	// readers is how many routers read at once, so that news goes on while one
+	// of them is lost.
+	readers = 2
+	// reachFor is how old a router's last answer of the store may be for it to
+	// count as one that reaches the store. A reader hears every second or so.
+	reachFor = 2500 * time.Millisecond
+	// staleAfter is how old the newest answer of all routers may be before this
+	// one reads for itself.
+	staleAfter = 1800 * time.Millisecond
+)
+
+// Router is a router as a candidate.
+type Router struct {
+	Name    string
+	Reads   bool      // it says that it reads the store
+	Reached time.Time // when the store answered it last; zero if never
+}
+
+// Should reports whether the router self reads the store now. The peers are those
+// that live. lost says that the last call of self failed.
+func Should(self Router, peers []Router, lost bool, now time.Time) bool {
+	fresh := now.Sub(self.Reached) < staleAfter
+	var names []string
+	for _, p := range peers {
+		if now.Sub(p.Reached) < staleAfter {
+			fresh = true
+		}
+		// A peer that does not read yet is a candidate too; one that reads and
+		// is not answered is not.
+		if !p.Reads || now.Sub(p.Reached) < reachFor {
+			names = append(names, p.Name)
+		}
+	}
+	if !fresh || lost {
+		return true
+	}
+	names = append(names, self.Name)
+	for i, name := range placement.Rendezvous("store reader", names) {
+		if i >= readers {
+			return false
+		}
+		if name == self.Name {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,9 +18,14 @@
 )
 
 const (
-	// watchWait is how long a watch waits for changes; a longer one finds a
-	// silent connection later.
-	watchWait = 8 * time.Second
+	// watchWait is how long a watch waits for changes. A watch may miss changes
+	// around a compaction until it is armed again, and a change has to be in
+	// force within two seconds.
+	watchWait = time.Second
+	// rolePeriod is how often a router that does not read looks whether it should.
+	rolePeriod = 200 * time.Millisecond
+	// logged changes are kept for peers that are a little behind.
+	logged = 512
 	// gather is the pause before a watch is armed again, so that one call brings
 	// several changes. It is a small part of the seconds that a change may take.
 	gather = 150 * time.Millisecond
@@ -44,38 +50,53 @@
 	DecodeServer  func(key string, value []byte) (server.Server, error)
 	SetConfig     func(value []byte, source string)
 	SetServers    func(servers []server.Server)
+	HostsPrefix   string // of the routers' own entries
+	SetHost       func(value []byte)
+	Changed       func()               // the list or the configuration changed
+	HasConfig     func() bool          // a configuration is in force
+	Reads         func(lost bool) bool // it is this router's turn to read
 	Log           *logrus.Entry
 }
 
 // Follower keeps the configuration and the servers up to date.
 type Follower struct {
-	cfg      Config
-	entries  map[string]server.Server // by key
-	vanished map[string]time.Time     // entries kept until a time
-	lostAt   time.Time                // when the store was lost; zero while it answers
-	seenAt   atomic.Int64             // Unix nanoseconds of the store's last answer
-	back     time.Time                // when it answered again
+	cfg Config
+
+	mu       sync.Mutex
+	revision int64               // of the store, up to which entries are known
+	raw      map[string]kv.Value // as the store holds them, by key
+	log      []kv.Value          // the newest changes
+	logFrom  int64               // the log has all changes after this revision
+	entries  map[string]server.Server
+	vanished map[string]time.Time // entries kept until a time
+	lostAt   time.Time            // when the store was lost; zero while it answers
+	seenAt   atomic.Int64         // Unix nanoseconds of the store's last answer
+	reading  atomic.Bool
+	back     time.Time // when it answered again
 }
 
 // New returns a follower.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, entries: make(map[string]server.Server), vanished: make(map[string]time.Time)}
+	return &Follower{cfg: cfg, raw: make(map[string]kv.Value), entries: make(map[string]server.Server), vanished: make(map[string]time.Time)}
 }
 
 // SeenAt returns when the store answered last.
 func (f *Follower) SeenAt() time.Time { return time.Unix(0, f.seenAt.Load()) }
 
-// Run follows until ctx ends.
+// Run follows until ctx ends, while it is this router's turn to read.
 func (f *Follower) Run(ctx context.Context) error {
+	revision := int64(0)
 	for ctx.Err() == nil {
-		revision, err := f.load(ctx)
-		for err == nil && ctx.Err() == nil {
-			revision, err = f.follow(ctx, revision)
-		}
-		if ctx.Err() != nil {
-			return nil
+		if f.known() && !f.cfg.Reads(f.isLost()) {
+			f.reading.Store(false)
+			loop.Pause(ctx, rolePeriod)
+			continue
 		}
-		if !errors.Is(err, kv.ErrCompacted) {
+		f.reading.Store(true)
+		err := f.step(ctx, &revision)
+		if errors.Is(err, kv.ErrCompacted) {
+			revision = 0
+		} else if err != nil && ctx.Err() == nil {
 			f.lost(err)
 			loop.Pause(ctx, retryPause)
 		}
@@ -83,24 +104,59 @@
 	return nil
 }
 
-// load reads everything anew.
-func (f *Follower) load(ctx context.Context) (int64, error) {
-	config, revision, err := f.cfg.Store.Range(ctx, f.cfg.ConfigKey, false)
-	if err != nil {
-		return 0, err
+// step reads everything, or waits for the next changes.
+func (f *Follower) step(ctx context.Context, revision *int64) error {
+	own := f.Revision()
+	var err error
+	if *revision == 0 || own == 0 {
+		*revision, err = f.load(ctx)
+		return err
 	}
-	servers, _, err := f.cfg.Store.Range(ctx, f.cfg.ServersPrefix, false)
+	// Peers may have brought this router further than its own last call.
+	*revision, err = f.follow(ctx, max(*revision, own))
+	return err
+}
+
+// known reports whether there is a configuration and a server list.
+func (f *Follower) known() bool { return f.Revision() > 0 && f.cfg.HasConfig() }
+
+// Reading reports whether this router reads the store.
+func (f *Follower) Reading() bool { return f.reading.Load() }
+
+func (f *Follower) isLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lostAt.IsZero()
+}
+
+// load reads everything anew, in one call.
+func (f *Follower) load(ctx context.Context) (int64, error) {
+	values, revision, err := f.cfg.Store.Range(ctx, "", false)
 	if err != nil {
 		return 0, err
 	}
 	f.regained()
-	for _, v := range config {
+	var servers []kv.Value
+	for _, v := range values {
+		if strings.HasPrefix(v.Key, f.cfg.ServersPrefix) {
+			servers = append(servers, v)
+		}
 		f.apply(v)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision >= f.revision {
+		f.replace(revision, servers)
+	}
+	return revision, nil
+}
+
+// replace takes a whole server list. The caller holds mu.
+func (f *Follower) replace(revision int64, servers []kv.Value) {
 	listed := make(map[string]bool, len(servers))
 	for _, v := range servers {
 		listed[v.Key] = true
-		f.apply(v)
+		f.applyServer(v)
 	}
 	now := time.Now()
 	for key := range f.entries {
@@ -108,38 +164,103 @@
 			f.drop(key, now)
 		}
 	}
+	f.revision, f.logFrom, f.log = revision, revision, nil
 	f.publish(now)
-	return revision, nil
+}
+
+// ServerList returns the changes after a revision, or the whole list if it
+// does not go back that far, and the store's revision that they lead to.
+func (f *Follower) ServerList(after int64) (revision int64, values []kv.Value, whole bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if after >= f.logFrom {
+		for _, v := range f.log {
+			if v.Revision > after {
+				values = append(values, v)
+			}
+		}
+		return f.revision, values, false
+	}
+	for _, v := range f.raw {
+		values = append(values, v)
+	}
+	return f.revision, values, true
+}
+
+// Revision returns the store's revision that the entries hold for.
+func (f *Follower) Revision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+// TakeServerList takes a peer's changes after a revision, or its whole list, if
+// that leads further than this router is.
+func (f *Follower) TakeServerList(after, revision int64, values []kv.Value, whole bool, source string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision <= f.revision || !whole && after > f.revision {
+		return
+	}
+	f.cfg.Log.WithField("peer", source).WithField("revision", revision).WithField("had", f.revision).
+		WithField("changes", len(values)).Info("server list from peer")
+	if whole {
+		f.replace(revision, values)
+	} else {
+		f.change(revision, values)
+	}
+	f.cfg.Changed()
+}
+
+// change applies the servers' part of changes. The caller holds mu.
+func (f *Follower) change(revision int64, values []kv.Value) {
+	for _, v := range values {
+		if v.Revision > f.revision && strings.HasPrefix(v.Key, f.cfg.ServersPrefix) {
+			f.applyServer(v)
+			f.log = append(f.log, v)
+		}
+	}
+	if over := len(f.log) - logged; over > 0 {
+		f.logFrom = f.log[over-1].Revision
+		f.log = append([]kv.Value(nil), f.log[over:]...)
+	}
+	f.revision = max(f.revision, revision)
+	f.publish(time.Now())
 }
 
 // follow waits for changes and applies them.
 func (f *Follower) follow(ctx context.Context, revision int64) (int64, error) {
 	wait := watchWait
+	f.mu.Lock()
 	if len(f.vanished) > 0 {
-		wait = 500 * time.Millisecond
+		wait = returnGrace / 4
 	}
+	f.mu.Unlock()
 	values, next, err := f.cfg.Store.WatchPrefix(ctx, "", revision, wait)
 	if err != nil {
 		return revision, err
 	}
 	f.regained()
-	now := time.Now()
 	for _, v := range values {
 		f.apply(v)
 	}
-	f.publish(now)
+	f.mu.Lock()
+	f.change(next, values)
+	f.mu.Unlock()
 	if len(values) > 0 {
+		f.cfg.Changed()
 		loop.Pause(ctx, gather)
 	}
 	return next, nil
 }
 
+// apply takes in what is not a server.
 func (f *Follower) apply(v kv.Value) {
 	switch {
 	case v.Key == f.cfg.ConfigKey && !v.Deleted:
 		f.cfg.SetConfig(v.Body, "store")
-	case strings.HasPrefix(v.Key, f.cfg.ServersPrefix):
-		f.applyServer(v)
+	case strings.HasPrefix(v.Key, f.cfg.HostsPrefix):
+		f.cfg.SetHost(v.Body)
 	}
 }
 
@@ -148,6 +269,7 @@
 		f.drop(v.Key, time.Now())
 		return
 	}
+	f.raw[v.Key] = v
 	delete(f.vanished, v.Key)
 	s, err := f.cfg.DecodeServer(v.Key, v.Body)
 	if err != nil {
@@ -161,6 +283,7 @@
 // drop takes an entry out, or keeps it a while if it may have lapsed only
 // because the store was away.
 func (f *Follower) drop(key string, now time.Time) {
+	delete(f.raw, key)
 	if _, ok := f.entries[key]; !ok {
 		return
 	}
@@ -189,6 +312,8 @@
 }
 
 func (f *Follower) lost(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.lostAt.IsZero() {
 		f.lostAt = time.Now()
 		f.cfg.Log.WithError(err).Warn("store lost")
@@ -196,6 +321,8 @@
 }
 
 func (f *Follower) regained() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	now := time.Now()
 	f.seenAt.Store(now.UnixNano())
 	if f.lostAt.IsZero() {
--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -24,10 +24,8 @@
 	streamBase = 300 * time.Millisecond
 )
 
-func (e *Edge) stopping() bool { return e.stopAt.Load() != 0 }
-
 func (e *Edge) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if e.stopping() || e.table.Load() == nil || !e.listed.Load() {
+	if e.Stopping() || e.table.Load() == nil || !e.listed.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,8 +20,10 @@
 	"wisteriafield/internal/caller/front"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/repeats"
+	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/discovery"
 	"wisteriafield/internal/router/forward"
+	"wisteriafield/internal/router/gossip"
 	"wisteriafield/internal/router/relay"
 )
 
@@ -36,16 +40,27 @@
 	forward.Client
 }
 
+// Store is the platform's store.
+type Store interface {
+	discovery.Store
+	discovery.Leases
+}
+
+// hostsPrefix begins the keys of the routers' own entries in the store.
+const hostsPrefix = "wisteriafield/hosts/"
+
 // Config is what a router needs.
 type Config struct {
 	Host          string
 	Domain        string
 	CallerAddress string
 	ReadyAddress  string
+	PeerAddress   string
+	Seeds         []string
 	Grace         time.Duration // from the stop signal to the kill
 	Repeats       repeats.Config
 
-	Store         discovery.Store
+	Store         Store
 	ConfigKey     string
 	ServersPrefix string
 	DecodeConfig  func(value []byte) (routes.Config, error)
@@ -61,37 +76,58 @@
 	cfg      Config
 	log      *logrus.Logger
 	servers  *registry.Registry
+	configMu sync.Mutex // of writers of table and config
 	table    atomic.Pointer[routes.Table]
 	listed   atomic.Bool // the server list was read once
 	stopAt   atomic.Int64
-	active   atomic.Int64 // requests that are being answered
+	active   atomic.Int64           // requests that are being answered
+	config   atomic.Pointer[[]byte] // as the operator wrote it
+	self     gossip.Host
 	follower *discovery.Follower
+	gossip   *gossip.Gossip
 	callers  *http.Server
 	ready    *http.Server
+	peers    *http.Server
 }
 
 // New returns a router that does not run yet.
 func New(cfg Config) *Edge {
 	e := &Edge{cfg: cfg, log: cfg.Log, servers: registry.New()}
+	e.self = gossip.Host{Name: cfg.Host, Domain: cfg.Domain, Address: cfg.PeerAddress, Started: time.Now().UnixNano()}
 	e.follower = discovery.New(discovery.Config{
 		Store: cfg.Store, ConfigKey: cfg.ConfigKey, ServersPrefix: cfg.ServersPrefix,
-		DecodeServer: cfg.DecodeServer, SetConfig: e.setConfig, SetServers: e.setServers, Log: e.part("store"),
+		DecodeServer: cfg.DecodeServer, SetConfig: e.SetConfig, SetServers: e.setServers,
+		HostsPrefix: hostsPrefix, SetHost: e.setHost, Changed: func() { e.gossip.Kick() },
+		HasConfig: func() bool { return e.table.Load() != nil }, Reads: e.reads, Log: e.part("store"),
 	})
 	budget := repeats.New(cfg.Repeats)
+	streams := relay.New(relay.Config{
+		Servers: e.servers, Client: cfg.Client, Repeats: budget,
+		Found: func() { e.gossip.Kick() }, Log: e.part("stream"),
+	})
+	e.gossip = gossip.New(gossip.Config{
+		Self: e.self, Seeds: cfg.Seeds, Caller: control.NewClient(""), State: e, Servers: e.servers,
+		NearbyDown: streams.NearbyDown, Log: e.part("gossip"),
+	})
 	handler := front.New(front.Config{
 		Protocol:    cfg.Protocol,
 		Table:       e.table.Load,
-		Streams:     relay.New(relay.Config{Servers: e.servers, Client: cfg.Client, Repeats: budget, Log: e.part("stream")}),
+		Streams:     streams,
 		Plain:       forward.New(forward.Config{Servers: e.servers, Client: cfg.Client, Repeats: budget, Log: e.part("plain")}),
 		Repeats:     budget,
 		TakesStream: e.takesStream,
-		Stopping:    e.stopping,
+		Stopping:    e.Stopping,
 		Log:         e.part("front"),
 	})
 	e.callers = e.server(e.counted(handler))
 	mux := http.NewServeMux()
 	mux.HandleFunc(cfg.ReadyPath, e.answerReady)
 	e.ready = e.server(mux)
+	calls := control.NewServer()
+	e.gossip.Register(calls)
+	peers := http.NewServeMux()
+	calls.Register(peers)
+	e.peers = e.server(peers)
 	return e
 }
 
@@ -113,48 +149,28 @@
 	})
 }
 
-// setConfig takes a configuration if it is newer than the one in force.
-func (e *Edge) setConfig(value []byte, source string) {
-	cfg, err := e.cfg.DecodeConfig(value)
-	if err != nil {
-		e.part("config").WithField("source", source).WithError(err).Warn("configuration passed over")
-		return
-	}
-	next := routes.NewTable(cfg)
-	for {
-		old := e.table.Load()
-		if old != nil && old.Version >= cfg.Version {
-			return
-		}
-		if e.table.CompareAndSwap(old, next) {
-			break
-		}
-	}
-	e.part("config").WithField("source", source).WithField("version", cfg.Version).
-		WithField("routes", len(cfg.Routes)).Info("configuration in force")
-}
-
-func (e *Edge) setServers(servers []server.Server) {
-	e.servers.Set(servers)
-	e.listed.Store(true)
-}
-
 // Run serves until ctx ends, then drains and stops.
 func (e *Edge) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", e.cfg.CallerAddress)
-	if err != nil {
-		return fmt.Errorf("listen for callers: %w", err)
-	}
-	ready, err := net.Listen("tcp", e.cfg.ReadyAddress)
-	if err != nil {
-		return fmt.Errorf("listen for readiness: %w", err)
-	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, work := errgroup.WithContext(work)
-	group.Go(func() error { return serve(e.callers, callers) })
-	group.Go(func() error { return serve(e.ready, ready) })
-	group.Go(func() error { return e.follower.Run(work) })
+	servers := []struct {
+		address string
+		server  *http.Server
+	}{{e.cfg.CallerAddress, e.callers}, {e.cfg.ReadyAddress, e.ready}, {e.cfg.PeerAddress, e.peers}}
+	for _, s := range servers {
+		if s.address == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		group.Go(func() error { return serve(s.server, ln) })
+	}
+	for _, run := range e.loops() {
+		group.Go(func() error { return run(work) })
+	}
 	e.part("node").WithField("host", e.cfg.Host).Info("started")
 	select {
 	case <-ctx.Done():
@@ -162,13 +178,29 @@
 	case <-work.Done():
 	}
 	stop()
-	_ = e.callers.Close()
-	_ = e.ready.Close()
-	err = group.Wait()
+	for _, s := range servers {
+		_ = s.server.Close()
+	}
+	err := group.Wait()
 	e.part("node").WithError(err).Info("stopped")
 	return err
 }
 
+// loops returns what runs beside the servers.
+func (e *Edge) loops() []func(context.Context) error {
+	loops := []func(context.Context) error{e.follower.Run}
+	if e.cfg.PeerAddress == "" {
+		return loops
+	}
+	value, err := json.Marshal(e.self)
+	if err != nil {
+		e.part("node").WithError(err).Error("host entry not encoded")
+		return loops
+	}
+	registrar := &discovery.Registrar{Store: e.cfg.Store, Key: hostsPrefix + e.cfg.Host, Value: value, Log: e.part("store")}
+	return append(loops, e.gossip.Run, registrar.Run)
+}
+
 func serve(s *http.Server, ln net.Listener) error {
 	if err := s.Serve(ln); err != http.ErrServerClosed {
 		return fmt.Errorf("serve %s: %w", ln.Addr(), err)
--- /dev/null
+++ b/internal/router/edge/state.go
@@ -0,0 +1,94 @@
+package edge
+
+import (
+	"encoding/json"
+	"time"
+
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/config/routes"
+	"wisteriafield/internal/decision/reader"
+	"wisteriafield/internal/router/gossip"
+	"wisteriafield/platform/kv"
+)
+
+var _ gossip.State = (*Edge)(nil)
+
+// SetConfig takes a configuration if it is newer than the one in force.
+func (e *Edge) SetConfig(value []byte, source string) {
+	log := e.part("config").WithField("source", source)
+	cfg, err := e.cfg.DecodeConfig(value)
+	if err != nil {
+		log.WithError(err).Warn("configuration passed over")
+		return
+	}
+	next := routes.NewTable(cfg)
+	e.configMu.Lock()
+	defer e.configMu.Unlock()
+	if old := e.table.Load(); old != nil && old.Version >= cfg.Version {
+		return
+	}
+	e.config.Store(&value)
+	e.table.Store(next)
+	log.WithField("version", cfg.Version).WithField("routes", len(cfg.Routes)).Info("configuration in force")
+	e.gossip.Kick()
+}
+
+// ConfigVersion returns the version in force, 0 without one.
+func (e *Edge) ConfigVersion() int64 {
+	if t := e.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// ConfigValue returns the configuration in force as the operator wrote it.
+func (e *Edge) ConfigValue() []byte {
+	if v := e.config.Load(); v != nil {
+		return *v
+	}
+	return nil
+}
+
+// ServerList returns the changes of the server list after a revision.
+func (e *Edge) ServerList(after int64) (int64, []kv.Value, bool) {
+	return e.follower.ServerList(after)
+}
+
+// ServerRevision returns the store's revision of the server list.
+func (e *Edge) ServerRevision() int64 { return e.follower.Revision() }
+
+// TakeServerList takes a peer's server list if it is newer.
+func (e *Edge) TakeServerList(after, revision int64, values []kv.Value, whole bool, source string) {
+	e.follower.TakeServerList(after, revision, values, whole, source)
+}
+
+// StoreReached returns when the store answered this router last.
+func (e *Edge) StoreReached() time.Time { return e.follower.SeenAt() }
+
+// Reading reports whether this router reads the store.
+func (e *Edge) Reading() bool { return e.follower.Reading() }
+
+// reads reports whether it is this router's turn to read the store.
+func (e *Edge) reads(lost bool) bool {
+	now := time.Now()
+	self := reader.Router{Name: e.cfg.Host, Reads: e.Reading(), Reached: e.StoreReached()}
+	return e.cfg.PeerAddress == "" || reader.Should(self, e.gossip.Readers(now), lost, now)
+}
+
+// Stopping reports whether this router was told to stop.
+func (e *Edge) Stopping() bool { return e.stopAt.Load() != 0 }
+
+func (e *Edge) setServers(servers []server.Server) {
+	e.servers.Set(servers)
+	e.listed.Store(true)
+}
+
+// setHost makes a router known that is listed in the store.
+func (e *Edge) setHost(value []byte) {
+	var h gossip.Host
+	if err := json.Unmarshal(value, &h); err != nil {
+		e.part("store").WithError(err).Info("host entry passed over")
+		return
+	}
+	e.gossip.Add(h)
+}
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -115,11 +115,11 @@
 	o := f.exchange(ctx, req, e)
 	took := time.Since(began)
 	if o.err != nil && ctx.Err() == nil && errors.Is(o.err, server.ErrNotSent) {
-		e.Load.MarkDown(time.Now().Add(downFor))
+		e.Load.FindDown(time.Now().Add(downFor))
 	}
 	if o.notRun {
 		if o.status == http.StatusMisdirectedRequest {
-			e.Load.MarkDown(time.Now().Add(downFor))
+			e.Load.FindDown(time.Now().Add(downFor))
 		} else {
 			e.Load.MarkFull(time.Now().Add(fullFor))
 		}
--- /dev/null
+++ b/internal/router/gossip/gossip.go
@@ -0,0 +1,258 @@
+package gossip
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/base/loop"
+	"wisteriafield/internal/decision/reader"
+	"wisteriafield/internal/router/control"
+)
+
+// Config is what a gossip needs.
+type Config struct {
+	Self    Host
+	Seeds   []string // peers' addresses to begin with
+	Caller  Caller
+	State   State
+	Servers *registry.Registry
+	// NearbyDown is told that a peer found an engine silent.
+	NearbyDown func(entry *registry.Entry)
+	Log        *logrus.Entry
+}
+
+// Gossip exchanges with peers.
+type Gossip struct {
+	cfg  Config
+	kick chan struct{}
+
+	mu    sync.Mutex
+	peers map[string]*peer // by address
+
+	pulling bool // a server list is on its way
+}
+
+// peer is a router that this one knows of.
+type peer struct {
+	host     Host // Name is empty until it answered once
+	address  string
+	seenAt   time.Time
+	triedAt  time.Time
+	addedAt  time.Time
+	stopping bool
+	loads    map[string]registry.Share
+	calling  bool
+	reads    bool
+	reached  time.Time // when the store answered it last
+}
+
+// New returns a gossip that knows the seeds only.
+func New(cfg Config) *Gossip {
+	g := &Gossip{cfg: cfg, kick: make(chan struct{}, 1), peers: make(map[string]*peer)}
+	for _, address := range cfg.Seeds {
+		g.Add(Host{Address: address})
+	}
+	return g
+}
+
+// Register adds the methods for peers.
+func (g *Gossip) Register(s *control.Server) {
+	s.Handle(methodExchange, func(_ context.Context, params json.RawMessage) (any, error) {
+		m, err := control.Decode[message](params)
+		if err != nil {
+			return nil, err
+		}
+		go g.take(m)
+		return g.message(), nil
+	})
+	s.Handle(methodConfig, func(context.Context, json.RawMessage) (any, error) {
+		return configReply{g.cfg.State.ConfigValue()}, nil
+	})
+	s.Handle(methodServers, func(_ context.Context, params json.RawMessage) (any, error) {
+		req, err := control.Decode[serversRequest](params)
+		if err != nil {
+			return nil, err
+		}
+		revision, values, whole := g.cfg.State.ServerList(req.Revision)
+		return serversReply{Revision: revision, Values: values, Whole: whole}, nil
+	})
+}
+
+// Add makes a peer known.
+func (g *Gossip) Add(h Host) {
+	if h.Address == "" || h.Address == g.cfg.Self.Address {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.peers[h.Address] == nil {
+		g.peers[h.Address] = &peer{address: h.Address, addedAt: time.Now()}
+	}
+}
+
+// Kick makes the next exchange due at once.
+func (g *Gossip) Kick() {
+	select {
+	case g.kick <- struct{}{}:
+	default: // one is due already
+	}
+}
+
+// Live returns the peers that were heard of lately and do not stop.
+func (g *Gossip) Live(now time.Time) []Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var hosts []Host
+	for _, p := range g.peers {
+		if p.host.Name != "" && !p.stopping && now.Sub(p.seenAt) < freshFor {
+			hosts = append(hosts, p.host)
+		}
+	}
+	return hosts
+}
+
+// Readers returns the live peers as candidates for reading the store.
+func (g *Gossip) Readers(now time.Time) []reader.Router {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var routers []reader.Router
+	for _, p := range g.peers {
+		if p.host.Name != "" && !p.stopping && now.Sub(p.seenAt) < freshFor {
+			routers = append(routers, reader.Router{Name: p.host.Name, Reads: p.reads, Reached: p.reached})
+		}
+	}
+	return routers
+}
+
+// Run exchanges until ctx ends.
+func (g *Gossip) Run(ctx context.Context) error {
+	t := time.NewTicker(dirtyPeriod)
+	defer t.Stop()
+	var last time.Time
+	var told string
+	for {
+		kicked := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.kick:
+			kicked = true
+		case <-t.C:
+		}
+		now := time.Now()
+		state := g.fingerprint()
+		if !kicked && state == told && now.Sub(last) < idlePeriod {
+			continue
+		}
+		last, told = now, state
+		g.exchange(ctx, now)
+		if kicked {
+			loop.Pause(ctx, dirtyPeriod/4)
+		}
+	}
+}
+
+// fingerprint tells whether anything worth an early exchange changed.
+func (g *Gossip) fingerprint() string {
+	m := g.message()
+	m.Peers, m.AgeMs = nil, 0
+	encoded, err := json.Marshal(m)
+	if err != nil {
+		return ""
+	}
+	return string(encoded)
+}
+
+// exchange calls some of the peers.
+func (g *Gossip) exchange(ctx context.Context, now time.Time) {
+	for _, address := range g.due(now) {
+		go g.call(ctx, address)
+	}
+	g.mergeLoads(now)
+}
+
+// due picks the peers to call now, silent ones less often, and forgets those
+// that stay silent.
+func (g *Gossip) due(now time.Time) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []*peer
+	for address, p := range g.peers {
+		silent := now.Sub(p.seenAt) > freshFor
+		if silent && now.Sub(p.seenAt) > forgetAfter && now.Sub(p.addedAt) > forgetAfter && !g.seed(address) {
+			delete(g.peers, address)
+			continue
+		}
+		if p.calling || silent && now.Sub(p.triedAt) < retryPeriod {
+			continue
+		}
+		all = append(all, p)
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	var addresses []string
+	for _, p := range all[:min(len(all), fanOut)] {
+		p.triedAt, p.calling = now, true
+		addresses = append(addresses, p.address)
+	}
+	return addresses
+}
+
+func (g *Gossip) seed(address string) bool {
+	for _, s := range g.cfg.Seeds {
+		if s == address {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gossip) call(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply message
+	err := g.cfg.Caller.Call(ctx, address, methodExchange, g.message(), &reply)
+	g.mu.Lock()
+	if p := g.peers[address]; p != nil {
+		p.calling = false
+	}
+	g.mu.Unlock()
+	if err == nil {
+		g.take(reply)
+	}
+}
+
+// message returns what this router tells.
+func (g *Gossip) message() message {
+	m := message{
+		Host:     g.cfg.Self,
+		Version:  g.cfg.State.ConfigVersion(),
+		Revision: g.cfg.State.ServerRevision(),
+		Stopping: g.cfg.State.Stopping(),
+		Reads:    g.cfg.State.Reading(),
+		AgeMs:    -1,
+		Loads:    make(map[string]registry.Share),
+	}
+	now := time.Now()
+	if at := g.cfg.State.StoreReached(); !at.IsZero() {
+		m.AgeMs = now.Sub(at).Milliseconds()
+	}
+	for id, e := range g.cfg.Servers.All() {
+		if share := e.Load.Own(now); share.Notable() {
+			m.Loads[id] = share
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.peers {
+		if p.host.Name != "" && now.Sub(p.seenAt) < freshFor && len(m.Peers) < listed {
+			m.Peers = append(m.Peers, p.host)
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/router/gossip/types.go
@@ -0,0 +1,95 @@
+// Package gossip lets routers tell each other which configuration and servers
+// they know, what they run where, and who else is there. It agrees on nothing:
+// the newest version and revision of the platform's store win.
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/platform/kv"
+)
+
+// Host is a router as its peers see it.
+type Host struct {
+	Name    string
+	Domain  string // failure domain
+	Address string // IP:PORT for peers
+	Started int64  // Unix nanoseconds
+}
+
+// message is both directions of an exchange.
+type message struct {
+	Host     Host
+	Peers    []Host                    `json:",omitempty"`
+	Version  int64                     // of the configuration
+	Revision int64                     // of the server list
+	Loads    map[string]registry.Share `json:",omitempty"` // by server
+	Stopping bool                      `json:",omitempty"`
+	Reads    bool                      `json:",omitempty"` // it reads the store
+	AgeMs    int64                     // since the store answered it last; -1 if never
+}
+
+type configReply struct {
+	Value []byte
+}
+
+type serversRequest struct {
+	Revision int64
+}
+
+type serversReply struct {
+	Revision int64
+	Values   []kv.Value
+	Whole    bool // the whole list, not changes
+}
+
+// Methods of the calls.
+const (
+	methodExchange = "Gossip.Exchange"
+	methodConfig   = "Gossip.Config"
+	methodServers  = "Gossip.Servers"
+)
+
+// Times of the exchange.
+const (
+	// dirtyPeriod is between exchanges while this router's loads change, idlePeriod
+	// otherwise. A second of age is what placement and configuration bear.
+	dirtyPeriod = 100 * time.Millisecond
+	idlePeriod  = 500 * time.Millisecond
+	// callTimeout is far above a round trip of 2 ms and below a period's idle time.
+	callTimeout = 400 * time.Millisecond
+	// freshFor is how long a peer counts as live after its last message.
+	freshFor = 2 * time.Second
+	// forgetAfter drops a peer that stays silent.
+	forgetAfter = 30 * time.Second
+	// retryPeriod is between calls to a silent peer.
+	retryPeriod = time.Second
+	// behindFor is how old a reader's last answer of the store is before it takes
+	// a peer's list; it hears from the store every second.
+	behindFor = 1300 * time.Millisecond
+	// fanOut bounds the peers of one exchange, so that its cost does not grow with
+	// the fleet.
+	fanOut = 8
+	// listed bounds the peers named in one message.
+	listed = 16
+)
+
+// Caller calls other routers.
+type Caller interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+}
+
+// State is what this router tells and takes in.
+type State interface {
+	ConfigVersion() int64
+	ConfigValue() []byte
+	SetConfig(value []byte, source string)
+	ServerList(after int64) (revision int64, values []kv.Value, whole bool)
+	ServerRevision() int64
+	TakeServerList(after, revision int64, values []kv.Value, whole bool, source string)
+	StoreReached() time.Time // when the store answered last
+	Reading() bool           // this router reads the store
+	Stopping() bool
+}
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -44,7 +44,9 @@
 	Repeats interface {
 		Allow(service string, now time.Time) bool
 	}
-	Log *logrus.Entry
+	// Found is called when an engine was found silent, so that peers are told.
+	Found func()
+	Log   *logrus.Entry
 }
 
 // Relay runs the generations of this router's callers.
@@ -67,6 +69,9 @@
 	s.serve(ctx)
 }
 
+// NearbyDown tells the streams of an engine's failure domain that it fell silent.
+func (r *Relay) NearbyDown(e *registry.Entry) { r.nearby.tell(e.Domain, time.Now()) }
+
 // choose picks an engine, or nil.
 func (r *Relay) choose(service *routes.Service, req *server.Request, excluded map[server.Key]bool, avoid string) *registry.Entry {
 	now := time.Now()
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -68,9 +68,11 @@
 
 // next chooses the engine of the next attempt, and the copy to go on from.
 func (s *stream) next() (*registry.Entry, *server.Copy) {
-	if at := s.copyAt; at != nil {
+	if held := s.copyAt; held != nil {
 		s.copyAt = nil
-		if !at.Load.State(time.Now()).Down && !s.excluded[at.Key()] {
+		// The entry as it is now: the server may be leaving or gone.
+		at := s.relay.cfg.Servers.Get(held.ID)
+		if at != nil && at.Key() == held.Key() && !at.Leaving && !at.Load.State(time.Now()).Down && !s.excluded[at.Key()] {
 			return at, &server.Copy{Address: at.Address, Run: s.req.ID}
 		}
 	}
@@ -95,7 +97,7 @@
 		s.refusals++
 		s.excluded[target.Key()] = true
 		if r.replaced {
-			target.Load.MarkDown(now.Add(downFor))
+			target.Load.FindDown(now.Add(downFor))
 		} else if from == nil {
 			target.Load.MarkFull(now.Add(fullFor))
 		} else {
@@ -103,7 +105,7 @@
 		}
 	case notSent:
 		s.excluded[target.Key()] = true
-		target.Load.MarkDown(now.Add(downFor))
+		target.Load.FindDown(now.Add(downFor))
 	case lost:
 		s.ran++
 		s.refusals = 0
@@ -111,8 +113,9 @@
 		s.copyAt = r.backup
 		s.lostIn = target.Domain
 		if r.dark {
-			target.Load.MarkDown(now.Add(downFor))
+			target.Load.FindDown(now.Add(downFor))
 			s.relay.nearby.tell(target.Domain, now)
+			s.relay.cfg.Found()
 		}
 	}
 }
