Datagrams between routers, a survey of a lost engine's failure domain, copies by address

Ruled out: suspicion by silence alone (false ones waste a prompt each). Change: one datagram a peer, calls only to be found and to fetch; after a loss the other engines of the domain are asked once; a copy is looked up by address; a server that starts again keeps its known pace.

--- a/internal/backend/registry/load.go
+++ b/internal/backend/registry/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,8 @@
 
 // Load is what this router knows of one server's work and condition.
 type Load struct {
+	changes atomic.Uint64 // of what peers are told
+
 	mu        sync.Mutex
 	inFlight  int
 	latency   time.Duration // of a plain answer
@@ -73,7 +76,9 @@
 	defer l.mu.Unlock()
 	s := Share{
 		InFlight: l.inFlight, Runs: l.runs, Prompts: l.prompts, Memory: l.memory + l.copies,
-		PaceMs: int(l.pace / time.Millisecond),
+	}
+	if l.runs > 0 {
+		s.PaceMs = int(l.pace / time.Millisecond)
 	}
 	if l.found && now.Before(l.downUntil) {
 		s.DownMs = l.downUntil.Sub(now).Round(downStep).Milliseconds()
@@ -81,13 +86,25 @@
 	return s
 }
 
-// SetPeers replaces what the other routers have there.
+// SetPeers replaces what the other routers have there. A known pace stays, since
+// peers tell it only while they have runs there.
 func (l *Load) SetPeers(s Share) {
 	l.mu.Lock()
+	if s.PaceMs == 0 {
+		s.PaceMs = l.peers.PaceMs
+	}
 	l.peers = s
 	l.mu.Unlock()
 }
 
+// inherit takes over what stays true of a server that started again.
+func (l *Load) inherit(before *Load) {
+	before.mu.Lock()
+	defer before.mu.Unlock()
+	l.pace, l.latency = before.pace, before.latency
+	l.peers.PaceMs = before.peers.PaceMs
+}
+
 // Begin counts a plain request in.
 func (l *Load) Begin() {
 	l.mu.Lock()
@@ -120,6 +137,7 @@
 // FindDown takes the server out until a time, as this router found; peers are
 // told.
 func (l *Load) FindDown(until time.Time) {
+	l.changes.Add(1)
 	l.mu.Lock()
 	l.downUntil, l.found = until, true
 	l.mu.Unlock()
@@ -143,6 +161,7 @@
 
 // BeginRun counts a generation in, with the tokens it has to read first.
 func (l *Load) BeginRun(unread, memory int) *Run {
+	l.changes.Add(1)
 	l.mu.Lock()
 	l.runs++
 	l.prompts += unread
@@ -157,6 +176,7 @@
 	defer r.load.mu.Unlock()
 	if !r.started {
 		r.started = true
+		r.load.changes.Add(1)
 		r.load.prompts -= r.prompt
 	} else if gap := now.Sub(r.lastAt); gap > 0 {
 		weight := paceRise
@@ -172,6 +192,7 @@
 
 // End counts the generation out.
 func (r *Run) End() {
+	r.load.changes.Add(1)
 	r.load.mu.Lock()
 	defer r.load.mu.Unlock()
 	r.load.runs--
--- a/internal/backend/registry/registry.go
+++ b/internal/backend/registry/registry.go
@@ -23,8 +23,9 @@
 }
 
 type view struct {
-	services map[string][]*Entry
-	ids      map[string]*Entry
+	services  map[string][]*Entry
+	ids       map[string]*Entry
+	addresses map[string]*Entry
 }
 
 // New returns an empty registry.
@@ -39,13 +40,23 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.view.Load()
-	next := &view{services: make(map[string][]*Entry), ids: make(map[string]*Entry, len(servers))}
+	next := &view{
+		services:  make(map[string][]*Entry),
+		ids:       make(map[string]*Entry, len(servers)),
+		addresses: make(map[string]*Entry, len(servers)),
+	}
 	for _, s := range servers {
 		e := &Entry{Server: s}
 		if known := old.ids[s.ID]; known != nil && known.Key() == s.Key() {
 			e.Load = known.Load
 		} else {
 			e.Load = &Load{}
+			if before := old.addresses[s.Address]; before != nil && before.Service == s.Service {
+				e.Load.inherit(before.Load)
+			}
+		}
+		if other := next.addresses[s.Address]; other == nil || s.Started > other.Started {
+			next.addresses[s.Address] = e
 		}
 		next.ids[s.ID] = e
 		next.services[s.Service] = append(next.services[s.Service], e)
@@ -62,5 +73,18 @@
 // Get returns a server, or nil.
 func (r *Registry) Get(id string) *Entry { return r.view.Load().ids[id] }
 
+// Changes returns a number that differs when this router's own work anywhere
+// does.
+func (r *Registry) Changes() uint64 {
+	sum := uint64(0)
+	for _, e := range r.view.Load().ids {
+		sum += e.Load.changes.Load()
+	}
+	return sum
+}
+
+// At returns the server at an address, or nil.
+func (r *Registry) At(address string) *Entry { return r.view.Load().addresses[address] }
+
 // All returns all known servers. The result is not changed.
 func (r *Registry) All() map[string]*Entry { return r.view.Load().ids }
--- a/internal/operator/cli/edge.go
+++ b/internal/operator/cli/edge.go
@@ -45,7 +45,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	e := edge.New(edge.Config{
 		Host: s.Host, Domain: s.Domain, CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress,
-		PeerAddress: s.PeerAddress, Seeds: s.Seeds, Grace: s.Grace,
+		PeerAddress: s.PeerAddress, NoticeAddress: s.NoticeAddress, Seeds: s.Seeds, Grace: s.Grace,
 		Repeats:   repeats.Config{Ratio: repeatShare * s.RetryRatio, Slack: repeatSlack * s.RetrySlack, Window: s.RetryWindow},
 		Store:     kv.New(kv.Config{Address: s.StoreAddress, Timeout: storeTimeout}),
 		ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -31,6 +31,9 @@
 	gather = 150 * time.Millisecond
 	// retryPause is between calls that failed.
 	retryPause = 250 * time.Millisecond
+	// maxRetryPause bounds the pause, which doubles. Lapsed servers have to be
+	// known again within two seconds of the store's return.
+	maxRetryPause = time.Second
 	// returnGrace is how long entries that vanished during an outage are kept
 	// after it; servers that live are back within two seconds.
 	returnGrace = 2200 * time.Millisecond
@@ -80,12 +83,19 @@
 	return &Follower{cfg: cfg, raw: make(map[string]kv.Value), entries: make(map[string]server.Server), vanished: make(map[string]time.Time)}
 }
 
-// SeenAt returns when the store answered last.
-func (f *Follower) SeenAt() time.Time { return time.Unix(0, f.seenAt.Load()) }
+// SeenAt returns when the store answered last,
+// or zero if it never did.
+func (f *Follower) SeenAt() time.Time {
+	if at := f.seenAt.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
 
 // Run follows until ctx ends, while it is this router's turn to read.
 func (f *Follower) Run(ctx context.Context) error {
 	revision := int64(0)
+	pause := retryPause
 	for ctx.Err() == nil {
 		if f.known() && !f.cfg.Reads(f.isLost()) {
 			f.reading.Store(false)
@@ -94,11 +104,15 @@
 		}
 		f.reading.Store(true)
 		err := f.step(ctx, &revision)
-		if errors.Is(err, kv.ErrCompacted) {
+		switch {
+		case err == nil:
+			pause = retryPause
+		case errors.Is(err, kv.ErrCompacted):
 			revision = 0
-		} else if err != nil && ctx.Err() == nil {
+		case ctx.Err() == nil:
 			f.lost(err)
-			loop.Pause(ctx, retryPause)
+			loop.Pause(ctx, pause)
+			pause = min(2*pause, maxRetryPause)
 		}
 	}
 	return nil
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -56,6 +56,7 @@
 	CallerAddress string
 	ReadyAddress  string
 	PeerAddress   string
+	NoticeAddress string // for datagrams of peers
 	Seeds         []string
 	Grace         time.Duration // from the stop signal to the kill
 	Repeats       repeats.Config
@@ -85,6 +86,7 @@
 	self     gossip.Host
 	follower *discovery.Follower
 	gossip   *gossip.Gossip
+	notices  atomic.Pointer[gossip.Notices]
 	callers  *http.Server
 	ready    *http.Server
 	peers    *http.Server
@@ -93,7 +95,7 @@
 // New returns a router that does not run yet.
 func New(cfg Config) *Edge {
 	e := &Edge{cfg: cfg, log: cfg.Log, servers: registry.New()}
-	e.self = gossip.Host{Name: cfg.Host, Domain: cfg.Domain, Address: cfg.PeerAddress, Started: time.Now().UnixNano()}
+	e.self = gossip.Host{Name: cfg.Host, Domain: cfg.Domain, Address: cfg.PeerAddress, Notices: cfg.NoticeAddress, Started: time.Now().UnixNano()}
 	e.follower = discovery.New(discovery.Config{
 		Store: cfg.Store, ConfigKey: cfg.ConfigKey, ServersPrefix: cfg.ServersPrefix,
 		DecodeServer: cfg.DecodeServer, SetConfig: e.SetConfig, SetServers: e.setServers,
@@ -106,7 +108,7 @@
 		Found: func() { e.gossip.Kick() }, Log: e.part("stream"),
 	})
 	e.gossip = gossip.New(gossip.Config{
-		Self: e.self, Seeds: cfg.Seeds, Caller: control.NewClient(""), State: e, Servers: e.servers,
+		Self: e.self, Seeds: cfg.Seeds, Caller: control.NewClient(""), Notices: e, State: e, Servers: e.servers,
 		NearbyDown: streams.NearbyDown, Log: e.part("gossip"),
 	})
 	handler := front.New(front.Config{
@@ -168,7 +170,11 @@
 		}
 		group.Go(func() error { return serve(s.server, ln) })
 	}
-	for _, run := range e.loops() {
+	loops, err := e.loops()
+	if err != nil {
+		return err
+	}
+	for _, run := range loops {
 		group.Go(func() error { return run(work) })
 	}
 	e.part("node").WithField("host", e.cfg.Host).Info("started")
@@ -181,24 +187,38 @@
 	for _, s := range servers {
 		_ = s.server.Close()
 	}
-	err := group.Wait()
+	err = group.Wait()
 	e.part("node").WithError(err).Info("stopped")
 	return err
 }
 
 // loops returns what runs beside the servers.
-func (e *Edge) loops() []func(context.Context) error {
+func (e *Edge) loops() ([]func(context.Context) error, error) {
 	loops := []func(context.Context) error{e.follower.Run}
 	if e.cfg.PeerAddress == "" {
-		return loops
+		return loops, nil
+	}
+	notices, err := gossip.ListenNotices(e.cfg.NoticeAddress)
+	if err != nil {
+		return nil, err
 	}
+	e.notices.Store(notices)
 	value, err := json.Marshal(e.self)
 	if err != nil {
-		e.part("node").WithError(err).Error("host entry not encoded")
-		return loops
+		return nil, fmt.Errorf("encode host entry: %w", err)
 	}
 	registrar := &discovery.Registrar{Store: e.cfg.Store, Key: hostsPrefix + e.cfg.Host, Value: value, Log: e.part("store")}
-	return append(loops, e.gossip.Run, registrar.Run)
+	receive := func(ctx context.Context) error { return notices.Run(ctx, e.gossip.Receive) }
+	return append(loops, e.gossip.Run, registrar.Run, receive), nil
+}
+
+// Send sends a peer a datagram.
+func (e *Edge) Send(address string, datagram []byte) error {
+	n := e.notices.Load()
+	if n == nil {
+		return nil // not running yet
+	}
+	return n.Send(address, datagram)
 }
 
 func serve(s *http.Server, ln net.Listener) error {
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,6 +21,9 @@
 	Self    Host
 	Seeds   []string // peers' addresses to begin with
 	Caller  Caller
+	Notices interface {
+		Send(address string, datagram []byte) error
+	}
 	State   State
 	Servers *registry.Registry
 	// NearbyDown is told that a peer found an engine silent.
@@ -36,6 +40,8 @@
 	peers map[string]*peer // by address
 
 	pulling bool // a server list is on its way
+
+	messages atomic.Int64
 }
 
 // peer is a router that this one knows of.
@@ -130,12 +136,12 @@
 	return routers
 }
 
-// Run exchanges until ctx ends.
+// Run sends and receives until ctx ends.
 func (g *Gossip) Run(ctx context.Context) error {
 	t := time.NewTicker(dirtyPeriod)
 	defer t.Stop()
 	var last time.Time
-	var told string
+	var told uint64
 	for {
 		kicked := false
 		select {
@@ -146,59 +152,89 @@
 		case <-t.C:
 		}
 		now := time.Now()
-		state := g.fingerprint()
+		state := g.cfg.Servers.Changes()
 		if !kicked && state == told && now.Sub(last) < idlePeriod {
 			continue
 		}
 		last, told = now, state
-		g.exchange(ctx, now)
+		g.send(now)
+		g.greet(ctx, now)
+		g.mergeLoads(now)
 		if kicked {
-			loop.Pause(ctx, dirtyPeriod/4)
+			loop.Pause(ctx, dirtyPeriod/8)
 		}
 	}
 }
 
-// fingerprint tells whether anything worth an early exchange changed.
-func (g *Gossip) fingerprint() string {
+// send tells some of the peers by datagram.
+func (g *Gossip) send(now time.Time) {
 	m := g.message()
-	m.Peers, m.AgeMs = nil, 0
 	encoded, err := json.Marshal(m)
+	if err == nil && len(encoded) > maxDatagram {
+		m.Loads = nil
+		encoded, err = json.Marshal(m)
+	}
 	if err != nil {
-		return ""
+		g.cfg.Log.WithError(err).Error("message not encoded")
+		return
+	}
+	for _, address := range g.targets(now) {
+		if err := g.cfg.Notices.Send(address, encoded); err != nil {
+			g.cfg.Log.WithField("address", address).WithError(err).Debug("datagram not sent")
+		}
+	}
+}
+
+// targets picks the peers to tell now.
+func (g *Gossip) targets(now time.Time) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var addresses []string
+	for _, p := range g.peers {
+		if p.host.Notices != "" && now.Sub(p.seenAt) < forgetAfter {
+			addresses = append(addresses, p.host.Notices)
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), fanOut)]
+}
+
+// Receive takes a peer's datagram.
+func (g *Gossip) Receive(datagram []byte) {
+	var m message
+	if err := json.Unmarshal(datagram, &m); err != nil {
+		g.cfg.Log.WithError(err).Info("datagram passed over")
+		return
 	}
-	return string(encoded)
+	g.take(m)
 }
 
-// exchange calls some of the peers.
-func (g *Gossip) exchange(ctx context.Context, now time.Time) {
-	for _, address := range g.due(now) {
+// greet calls peers that were not heard of lately, since datagrams reach only
+// those whose address for them is known.
+func (g *Gossip) greet(ctx context.Context, now time.Time) {
+	for _, address := range g.silent(now) {
 		go g.call(ctx, address)
 	}
-	g.mergeLoads(now)
 }
 
-// due picks the peers to call now, silent ones less often, and forgets those
-// that stay silent.
-func (g *Gossip) due(now time.Time) []string {
+// silent picks the peers to call now, and forgets those that stay silent.
+func (g *Gossip) silent(now time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var all []*peer
+	var addresses []string
 	for address, p := range g.peers {
-		silent := now.Sub(p.seenAt) > freshFor
-		if silent && now.Sub(p.seenAt) > forgetAfter && now.Sub(p.addedAt) > forgetAfter && !g.seed(address) {
+		if now.Sub(p.seenAt) < freshFor {
+			continue
+		}
+		if now.Sub(p.seenAt) > forgetAfter && now.Sub(p.addedAt) > forgetAfter && !g.seed(address) {
 			delete(g.peers, address)
 			continue
 		}
-		if p.calling || silent && now.Sub(p.triedAt) < retryPeriod {
+		if p.calling || now.Sub(p.triedAt) < retryPeriod || len(addresses) >= fanOut {
 			continue
 		}
-		all = append(all, p)
-	}
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	var addresses []string
-	for _, p := range all[:min(len(all), fanOut)] {
 		p.triedAt, p.calling = now, true
-		addresses = append(addresses, p.address)
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
@@ -247,6 +283,9 @@
 			m.Loads[id] = share
 		}
 	}
+	if g.messages.Add(1)%listEvery != 1 {
+		return m
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range g.peers {
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -15,7 +15,8 @@
 type Host struct {
 	Name    string
 	Domain  string // failure domain
-	Address string // IP:PORT for peers
+	Address string // IP:PORT for calls of peers
+	Notices string // IP:PORT for datagrams of peers
 	Started int64  // Unix nanoseconds
 }
 
@@ -56,8 +57,8 @@
 const (
 	// dirtyPeriod is between exchanges while this router's loads change, idlePeriod
 	// otherwise. A second of age is what placement and configuration bear.
-	dirtyPeriod = 100 * time.Millisecond
-	idlePeriod  = 500 * time.Millisecond
+	dirtyPeriod = 200 * time.Millisecond
+	idlePeriod  = 600 * time.Millisecond
 	// callTimeout is far above a round trip of 2 ms and below a period's idle time.
 	callTimeout = 400 * time.Millisecond
 	// freshFor is how long a peer counts as live after its last message.
@@ -72,8 +73,12 @@
 	// fanOut bounds the peers of one exchange, so that its cost does not grow with
 	// the fleet.
 	fanOut = 8
-	// listed bounds the peers named in one message.
-	listed = 16
+	// listed bounds the peers named in one message, and listEvery is how many
+	// messages pass between two that name any.
+	listed    = 16
+	listEvery = 8
+	// maxDatagram bounds a datagram, in bytes. Loads that do not fit are left out.
+	maxDatagram = 8 << 10
 )
 
 // Caller calls other routers.
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -33,6 +33,8 @@
 	backup   *registry.Entry // has a copy of the lost run's memory
 	dark     bool            // the server did not answer at all
 	replaced bool            // another incarnation has the address
+
+	callerLeft bool
 }
 
 // whole is a buffered answer.
@@ -99,6 +101,7 @@
 				r.backup = backup
 				return r
 			}
+			s.noteEvent(now, target)
 		case alive := <-signs:
 			if alive {
 				watch.Answered(time.Now())
@@ -107,7 +110,7 @@
 			watch.Hurry(now)
 		case <-timer.C:
 		case <-ctx.Done():
-			return result{kind: lost, reason: "caller left or time is up", backup: backup}
+			return result{kind: lost, reason: "caller left or time is up", backup: backup, callerLeft: true}
 		}
 		verdict, at := watch.Next(time.Now())
 		switch verdict {
@@ -153,12 +156,8 @@
 
 // ask tells whether the engine answers.
 func (s *stream) ask(ctx context.Context, target *registry.Entry, signs chan<- bool) {
-	ctx, cancel := context.WithTimeout(ctx, s.relay.limits.AnswerTime)
-	defer cancel()
-	report, err := s.relay.cfg.Client.Report(ctx, target.Address)
-	alive := err == nil && (target.Started == 0 || report.Started == 0 || report.Started == target.Started)
 	select {
-	case signs <- alive:
+	case signs <- s.relay.alive(ctx, target):
 	default:
 	}
 }
@@ -181,14 +180,14 @@
 		s.begun = true
 	}
 	if _, err := s.w.Write(e.Raw); err != nil {
-		return result{kind: lost, reason: "caller left"}, false
+		return result{kind: lost, reason: "caller left", callerLeft: true}, false
 	}
 	if e.ID > 0 {
 		s.after = e.ID
 	}
 	if flush {
 		if err := http.NewResponseController(s.w).Flush(); err != nil {
-			return result{kind: lost, reason: "caller left"}, false
+			return result{kind: lost, reason: "caller left", callerLeft: true}, false
 		}
 	}
 	return result{}, true
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -51,9 +51,10 @@
 
 // Relay runs the generations of this router's callers.
 type Relay struct {
-	cfg    Config
-	limits suspicion.Limits
-	nearby nearby
+	cfg     Config
+	limits  suspicion.Limits
+	nearby  nearby
+	surveys surveys
 }
 
 // New returns a relay.
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -25,6 +25,11 @@
 	copyAt   *registry.Entry // where the lost run's memory is kept
 	lostIn   string          // failure domain of the last loss
 	dropCopy func()
+
+	eventAt time.Time     // when the caller got the last event
+	first   time.Duration // from the request to the first event
+	longest time.Duration // pause between events
+	broken  bool          // an attempt was lost since the last event
 }
 
 // maxRefusals bounds how many engines are tried in a row that have no room.
@@ -51,6 +56,8 @@
 		s.note(target, from, result)
 		switch {
 		case result.kind == finished:
+			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("events", s.after).WithField("attempts", s.ran+1).
+				WithField("firstMs", s.first.Milliseconds()).WithField("longestMs", s.longest.Milliseconds()).Info("stream served")
 			return
 		case ctx.Err() != nil:
 			s.giveUp(ctx)
@@ -70,9 +77,10 @@
 func (s *stream) next() (*registry.Entry, *server.Copy) {
 	if held := s.copyAt; held != nil {
 		s.copyAt = nil
-		// The entry as it is now: the server may be leaving or gone.
-		at := s.relay.cfg.Servers.Get(held.ID)
-		if at != nil && at.Key() == held.Key() && !at.Leaving && !at.Load.State(time.Now()).Down && !s.excluded[at.Key()] {
+		// The server at the address as it is now: it may be leaving, gone or have
+		// started again before the copy was sent.
+		at := s.relay.cfg.Servers.At(held.Address)
+		if at != nil && at.Service == s.service.Name && !at.Leaving && !at.Load.State(time.Now()).Down {
 			return at, &server.Copy{Address: at.Address, Run: s.req.ID}
 		}
 	}
@@ -106,8 +114,10 @@
 	case notSent:
 		s.excluded[target.Key()] = true
 		target.Load.FindDown(now.Add(downFor))
+		s.relay.survey(target, now)
 	case lost:
 		s.ran++
+		s.broken = true
 		s.refusals = 0
 		s.excluded[target.Key()] = true
 		s.copyAt = r.backup
@@ -117,7 +127,29 @@
 			s.relay.nearby.tell(target.Domain, now)
 			s.relay.cfg.Found()
 		}
+		if !r.callerLeft {
+			s.relay.survey(target, now)
+		}
+	}
+}
+
+// noteEvent keeps the times that decide whether the caller was served in time.
+func (s *stream) noteEvent(now time.Time, target *registry.Entry) {
+	if s.eventAt.IsZero() {
+		s.first = now.Sub(s.req.Arrived)
+	} else if pause := now.Sub(s.eventAt); pause > s.longest {
+		s.longest = pause
+	}
+	if s.broken {
+		s.broken = false
+		since := s.req.Arrived
+		if !s.eventAt.IsZero() {
+			since = s.eventAt
+		}
+		s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).WithField("event", s.after).
+			WithField("pauseMs", now.Sub(since).Milliseconds()).Info("went on elsewhere")
 	}
+	s.eventAt = now
 }
 
 func (s *stream) mayGoOn(r result) bool {
