An engine's report decides whether it still has a run

Now: lost if two reports in a row have neither the run nor an unlisted active request. Also: a 421 does not count among the refusals that end a request; the log is flushed at the end of the process.

--- a/internal/base/jsonlog/jsonlog.go
+++ b/internal/base/jsonlog/jsonlog.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
@@ -46,6 +47,13 @@
 	return len(p), nil
 }
 
+// Flush waits until what is queued was written, or until a time.
+func (s *Sink) Flush(deadline time.Time) {
+	for len(s.lines) > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Dropped returns how many lines were dropped.
 func (s *Sink) Dropped() int64 { return s.dropped.Load() }
 
@@ -58,10 +66,10 @@
 	}
 }
 
-// New returns a logger that writes to w through a sink.
-func New(w io.Writer) *logrus.Logger {
+// New returns a logger that writes to a sink.
+func New(sink *Sink) *logrus.Logger {
 	log := logrus.New()
-	log.SetOutput(NewSink(w))
+	log.SetOutput(sink)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "15:04:05.000"})
 	return log
 }
--- a/internal/decision/suspicion/stream.go
+++ b/internal/decision/suspicion/stream.go
@@ -12,6 +12,7 @@
 	AnswerTime  time.Duration // for the engine to answer when asked
 	MostSilence time.Duration // after which a stream is lost whatever the engine says
 	MostStart   time.Duration // the same before the first event
+	ReportLag   time.Duration // what an engine reports is up to this old
 }
 
 // DefaultLimits fit pauses of 700 ms: a dark engine is found after some 300 ms,
@@ -23,6 +24,7 @@
 		AnswerTime:  150 * time.Millisecond,
 		MostSilence: 1500 * time.Millisecond,
 		MostStart:   8 * time.Second,
+		ReportLag:   400 * time.Millisecond,
 	}
 }
 
@@ -44,8 +46,12 @@
 	signAt  time.Time // last sign of life
 	askedAt time.Time // first question that has no answer yet
 	asks    int
+	doubts  int // answers in a row that speak against the run
 }
 
+// mostDoubts in a row lose a stream.
+const mostDoubts = 2
+
 // NewWatch starts a watch.
 func NewWatch(limits Limits, now time.Time) *Watch {
 	return &Watch{limits: limits, eventAt: now, signAt: now}
@@ -56,14 +62,34 @@
 	w.started = true
 	w.eventAt, w.signAt = now, now
 	w.askedAt, w.asks = time.Time{}, 0
+	w.doubts = 0
 }
 
-// Answered notes that the engine answered and still has the run.
-func (w *Watch) Answered(now time.Time) {
+// Reply is what an engine's answer says of the run.
+type Reply string
+
+// The replies.
+const (
+	Working Reply = "Working" // it has the run, or may have it
+	Missing Reply = "Missing" // it does not have the run
+	Ahead   Reply = "Ahead"   // it made events that did not arrive
+)
+
+// Answered notes the engine's answer. Its reports lag, so one that misses the
+// run, or is ahead, counts only when the next one says so too.
+func (w *Watch) Answered(now time.Time, reply Reply) {
 	w.signAt = now
 	w.askedAt, w.asks = time.Time{}, 0
+	if reply == Working || now.Sub(w.eventAt) < w.limits.ReportLag {
+		w.doubts = 0
+		return
+	}
+	w.doubts++
 }
 
+// Unanswered reports whether the engine was asked and has not answered.
+func (w *Watch) Unanswered() bool { return !w.askedAt.IsZero() }
+
 // Hurry makes the next question due at once, since another engine nearby fell
 // silent.
 func (w *Watch) Hurry(now time.Time) {
@@ -79,7 +105,7 @@
 		quiet, most = w.limits.QuietStart, w.limits.MostStart
 	}
 	end := w.eventAt.Add(most)
-	if !now.Before(end) {
+	if !now.Before(end) || w.doubts >= mostDoubts {
 		return Lost, now
 	}
 	if w.askedAt.IsZero() {
--- a/internal/operator/cli/edge.go
+++ b/internal/operator/cli/edge.go
@@ -20,6 +20,8 @@
 	// storeTimeout ends a call of the store, which answers in 4 ms; a slow one
 	// takes some 60 times as long.
 	storeTimeout = 900 * time.Millisecond
+	// logFlush bounds the wait for a slow reader of the logs at the end.
+	logFlush = 100 * time.Millisecond
 	// memoryShare of the host's memory is the runtime's soft limit.
 	memoryShare = 0.7
 	// repeatShare is how much of the shared bound on repeats this router uses.
@@ -42,6 +44,8 @@
 	if err != nil {
 		return err
 	}
+	sink := jsonlog.NewSink(os.Stdout)
+	defer func() { sink.Flush(time.Now().Add(logFlush)) }()
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	e := edge.New(edge.Config{
 		Host: s.Host, Domain: s.Domain, CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress,
@@ -51,7 +55,7 @@
 		ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
 		Protocol: platform.Caller{}, Client: platform.NewBackend(), ReadyPath: platform.ReadyPath,
-		Log: jsonlog.New(os.Stdout),
+		Log: jsonlog.New(sink),
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -77,7 +77,7 @@
 	hurry := make(chan time.Time, 1)
 	defer s.relay.nearby.join(target.Domain, hurry)()
 	watch := suspicion.NewWatch(s.relay.limits, time.Now())
-	signs := make(chan bool, 4)
+	signs := make(chan server.Report, 4)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var header *server.Answer
@@ -102,10 +102,8 @@
 				return r
 			}
 			s.noteEvent(now, target)
-		case alive := <-signs:
-			if alive {
-				watch.Answered(time.Now())
-			}
+		case report := <-signs:
+			watch.Answered(time.Now(), s.judge(report))
 		case now := <-hurry:
 			watch.Hurry(now)
 		case <-timer.C:
@@ -117,7 +115,7 @@
 		case suspicion.Ask:
 			go s.ask(ctx, target, signs)
 		case suspicion.Lost:
-			return result{kind: lost, reason: "silent", backup: backup, dark: true}
+			return result{kind: lost, reason: "silent", backup: backup, dark: watch.Unanswered()}
 		}
 		timer.Reset(time.Until(at))
 	}
@@ -154,12 +152,38 @@
 	}
 }
 
-// ask tells whether the engine answers.
-func (s *stream) ask(ctx context.Context, target *registry.Entry, signs chan<- bool) {
+// ask passes the engine's report on, if it answers.
+func (s *stream) ask(ctx context.Context, target *registry.Entry, signs chan<- server.Report) {
+	report, ok := s.relay.ask(ctx, target)
+	if !ok {
+		return
+	}
 	select {
-	case signs <- s.relay.alive(ctx, target):
-	default:
+	case signs <- report:
+	case <-ctx.Done():
+	}
+}
+
+// aheadBy is how many events an engine must have made beyond those that arrived
+// for the connection to be in doubt; fewer may be on their way.
+const aheadBy = 4
+
+// judge tells what a report says of this run. Requests that wait or are read are
+// active, but not among an engine's runs.
+func (s *stream) judge(report server.Report) suspicion.Reply {
+	for _, run := range report.Runs {
+		if run.ID != s.req.ID {
+			continue
+		}
+		if run.Events >= s.after+aheadBy {
+			return suspicion.Ahead
+		}
+		return suspicion.Working
+	}
+	if report.Queued > 0 || report.Active > len(report.Runs) {
+		return suspicion.Working
 	}
+	return suspicion.Missing
 }
 
 // forward passes one event to the caller.
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -22,6 +22,9 @@
 	// downFor is how long an engine that did not answer gets no work; a crashed
 	// one is back after a second or more, as another incarnation.
 	downFor = 2 * time.Second
+	// goneFor covers the time that the entry of a dead incarnation stays listed:
+	// three heartbeats of some 1.2 s, and the way of the news.
+	goneFor = 6 * time.Second
 	// fullFor is how long an engine that refused for want of room is avoided.
 	fullFor = 300 * time.Millisecond
 	// midstreamPause is when to look again for an engine to go on at.
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -20,7 +20,7 @@
 	after    int  // last event that the caller has
 	begun    bool // the caller has the headers
 	ran      int  // servers that may have begun to work on it
-	refusals int  // servers that refused it in a row
+	refusals int  // servers in a row that had no room
 	excluded map[server.Key]bool
 	copyAt   *registry.Entry // where the lost run's memory is kept
 	lostIn   string          // failure domain of the last loss
@@ -102,14 +102,16 @@
 	log.Info("attempt ended")
 	switch r.kind {
 	case refused:
-		s.refusals++
-		s.excluded[target.Key()] = true
-		if r.replaced {
-			target.Load.FindDown(now.Add(downFor))
-		} else if from == nil {
+		switch {
+		case r.replaced:
+			// That incarnation never comes back, but its entry stays for a while.
+			s.excluded[target.Key()] = true
+			target.Load.FindDown(now.Add(goneFor))
+		case from != nil: // only the copy was missing
+		default:
+			s.refusals++
+			s.excluded[target.Key()] = true
 			target.Load.MarkFull(now.Add(fullFor))
-		} else {
-			delete(s.excluded, target.Key()) // only the copy was missing
 		}
 	case notSent:
 		s.excluded[target.Key()] = true
@@ -154,7 +156,7 @@
 
 func (s *stream) mayGoOn(r result) bool {
 	if r.kind == refused {
-		return s.begun || s.refusals < maxRefusals
+		return s.begun || s.refusals < maxRefusals // each engine is excluded once
 	}
 	if r.kind != lost {
 		return true
--- a/internal/router/relay/survey.go
+++ b/internal/router/relay/survey.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/backend/server"
 )
 
 const (
@@ -72,8 +73,18 @@
 
 // alive reports whether an engine answers and is still the same incarnation.
 func (r *Relay) alive(ctx context.Context, e *registry.Entry) bool {
+	_, ok := r.ask(ctx, e)
+	return ok
+}
+
+// ask returns an engine's report, if it answers in time and is still the same
+// incarnation.
+func (r *Relay) ask(ctx context.Context, e *registry.Entry) (server.Report, bool) {
 	ctx, cancel := context.WithTimeout(ctx, r.limits.AnswerTime)
 	defer cancel()
 	report, err := r.cfg.Client.Report(ctx, e.Address)
-	return err == nil && (e.Started == 0 || report.Started == 0 || report.Started == e.Started)
+	if err != nil || e.Started != 0 && report.Started != 0 && report.Started != e.Started {
+		return server.Report{}, false
+	}
+	return report, true
 }
