Retry-After from the caller's own deadline while there is no configuration

A third of the time that a caller has, at most 2.5 s, is what it heeds. Ruled out: holding requests until the store is back. A stopping router also expects generations to take what fast engines take.

--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,8 +19,13 @@
 const (
 	// defaultMaxBody bounds a body while no configuration does, in bytes.
 	defaultMaxBody = 16 << 20
-	// noConfigurationRetry is for routers that just started, in seconds.
-	noConfigurationRetry = "0.3"
+	// While there is no configuration, callers are told to come back after this
+	// share of the time that they have, which is the most that they heed; within
+	// these bounds. An outage of the store lasts seconds, and a caller that comes
+	// back too early spends its retry.
+	noConfigurationShare = 3
+	noConfigurationLeast = 100 * time.Millisecond
+	noConfigurationMost  = 2500 * time.Millisecond
 	// stoppingRetry sends a caller to another router at once, in seconds.
 	stoppingRetry = "0.01"
 )
@@ -68,8 +74,7 @@
 	}
 	table := h.cfg.Table()
 	if table == nil {
-		w.Header().Set("Retry-After", noConfigurationRetry)
-		w.WriteHeader(http.StatusServiceUnavailable)
+		h.refuseUnknown(w, r, now)
 		return
 	}
 	req, status := h.admit(table, r, now)
@@ -102,6 +107,18 @@
 	h.cfg.Plain.Serve(w, r.Context(), req, service)
 }
 
+// refuseUnknown answers while there is no configuration.
+func (h *Handler) refuseUnknown(w http.ResponseWriter, r *http.Request, now time.Time) {
+	req := h.cfg.Protocol.Decode(r, now)
+	wait := noConfigurationLeast
+	if !req.Deadline.IsZero() {
+		wait = min(max(req.Deadline.Sub(now)/noConfigurationShare, noConfigurationLeast), noConfigurationMost)
+	}
+	h.cfg.Log.WithField("id", req.ID).WithField("retryAfter", wait.Seconds()).Info("refused: no configuration")
+	w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // admit finds the route and checks the key. It returns 0, or the status that
 // rejects the request.
 func (h *Handler) admit(table *routes.Table, r *http.Request, now time.Time) (*server.Request, int) {
--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -19,8 +19,8 @@
 
 	// What a generation takes, for those that begin while this router stops:
 	// prompt tokens read in a ms, time for an output token and beyond both.
-	readRate   = 4.0
-	tokenTime  = 6500 * time.Microsecond
+	readRate   = 4.5
+	tokenTime  = 4600 * time.Microsecond
 	streamBase = 300 * time.Millisecond
 )
 
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -65,6 +65,7 @@
 	if backup != nil {
 		d.Backup = &backup.Server
 	}
+	s.logDispatch(target, backup, from)
 	unread := s.req.PromptTokens
 	if from != nil {
 		unread = 0
@@ -121,6 +122,21 @@
 	}
 }
 
+// logDispatch writes what the choice of an engine was based on.
+func (s *stream) logDispatch(target, backup *registry.Entry, from *server.Copy) {
+	st := target.Load.State(time.Now())
+	log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).WithField("address", target.Address).
+		WithField("prompt", s.req.PromptTokens).WithField("waiting", st.Prompts).WithField("runs", st.Runs).
+		WithField("memory", st.Memory).WithField("paceMs", st.Pace.Milliseconds()).WithField("after", s.after)
+	if backup != nil {
+		log = log.WithField("backup", backup.Address).WithField("backupID", backup.ID)
+	}
+	if from != nil {
+		log = log.WithField("copy", from.Address)
+	}
+	log.Info("dispatched")
+}
+
 // read sends the request and reads the answer until it ends.
 func (s *stream) read(ctx context.Context, d server.Dispatch, in chan<- incoming) {
 	put := func(i incoming) bool {
