Records of runs let returning callers go on where they were

Cause: a caller whose router or connection was lost came back with the id of its last event and a new attempt id; its prompt was read again elsewhere, which takes a second. Change: each dispatch is told to two home peers of the session; a returning caller goes on from the copy at the backup engine, else at the engine that has the prompt cached. A stream whose copy is refused goes back to its engine too, if that one lives. Ruled out: telling all routers (grows with the fleet); the store (priced calls).

--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -25,6 +25,7 @@
 	"wisteriafield/internal/router/forward"
 	"wisteriafield/internal/router/gossip"
 	"wisteriafield/internal/router/relay"
+	"wisteriafield/internal/router/runs"
 )
 
 const (
@@ -105,11 +106,11 @@
 	budget := repeats.New(cfg.Repeats)
 	streams := relay.New(relay.Config{
 		Servers: e.servers, Client: cfg.Client, Repeats: budget,
-		Found: func() { e.gossip.Kick() }, Log: e.part("stream"),
+		Runs: e, Found: func() { e.gossip.Kick() }, Log: e.part("stream"),
 	})
 	e.gossip = gossip.New(gossip.Config{
 		Self: e.self, Seeds: cfg.Seeds, Caller: control.NewClient(""), Notices: e, State: e, Servers: e.servers,
-		NearbyDown: streams.NearbyDown, Log: e.part("gossip"),
+		Runs: runs.NewTable(), NearbyDown: streams.NearbyDown, Log: e.part("gossip"),
 	})
 	handler := front.New(front.Config{
 		Protocol:    cfg.Protocol,
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"encoding/json"
 	"time"
 
@@ -8,6 +9,7 @@
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/reader"
 	"wisteriafield/internal/router/gossip"
+	"wisteriafield/internal/router/runs"
 	"wisteriafield/platform/kv"
 )
 
@@ -75,6 +77,14 @@
 	return e.cfg.PeerAddress == "" || reader.Should(self, e.gossip.Readers(now), lost, now)
 }
 
+// NoteRun tells where a generation runs.
+func (e *Edge) NoteRun(r runs.Record) { e.gossip.NoteRun(r) }
+
+// FindRun looks up where a generation ran.
+func (e *Edge) FindRun(ctx context.Context, session string) (runs.Record, bool) {
+	return e.gossip.FindRun(ctx, session)
+}
+
 // Stopping reports whether this router was told to stop.
 func (e *Edge) Stopping() bool { return e.stopAt.Load() != 0 }
 
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/reader"
 	"wisteriafield/internal/router/control"
+	"wisteriafield/internal/router/runs"
 )
 
 // Config is what a gossip needs.
@@ -26,6 +27,7 @@
 	}
 	State   State
 	Servers *registry.Registry
+	Runs    *runs.Table
 	// NearbyDown is told that a peer found an engine silent.
 	NearbyDown func(entry *registry.Entry)
 	Log        *logrus.Entry
@@ -69,6 +71,7 @@
 
 // Register adds the methods for peers.
 func (g *Gossip) Register(s *control.Server) {
+	g.registerRuns(s)
 	s.Handle(methodExchange, func(_ context.Context, params json.RawMessage) (any, error) {
 		m, err := control.Decode[message](params)
 		if err != nil {
@@ -206,6 +209,10 @@
 		g.cfg.Log.WithError(err).Info("datagram passed over")
 		return
 	}
+	if m.Run != nil {
+		g.cfg.Runs.Put(*m.Run, time.Now())
+		return
+	}
 	g.take(m)
 }
 
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/router/runs"
 	"wisteriafield/platform/kv"
 )
 
@@ -30,6 +31,9 @@
 	Stopping bool                      `json:",omitempty"`
 	Reads    bool                      `json:",omitempty"` // it reads the store
 	AgeMs    int64                     // since the store answered it last; -1 if never
+
+	// Run is a record for a home; a message with one says nothing else.
+	Run *runs.Record `json:",omitempty"`
 }
 
 type configReply struct {
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -12,6 +12,7 @@
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/backend/sse"
 	"wisteriafield/internal/decision/suspicion"
+	"wisteriafield/internal/router/runs"
 )
 
 // kind is how an attempt ended.
@@ -66,6 +67,7 @@
 		d.Backup = &backup.Server
 	}
 	s.logDispatch(target, backup, from)
+	s.tellRun(target, backup)
 	unread := s.req.PromptTokens
 	if from != nil {
 		unread = 0
@@ -122,6 +124,18 @@
 	}
 }
 
+// tellRun lets other routers find the run, should this one be lost.
+func (s *stream) tellRun(target, backup *registry.Entry) {
+	if s.req.Session() == "" || !s.req.Route.Resumable {
+		return
+	}
+	record := runs.Record{Session: s.req.Session(), Run: s.req.ID, Server: target.Address}
+	if backup != nil {
+		record.Backup = backup.Address
+	}
+	s.relay.cfg.Runs.NoteRun(record)
+}
+
 // logDispatch writes what the choice of an engine was based on.
 func (s *stream) logDispatch(target, backup *registry.Entry, from *server.Copy) {
 	st := target.Load.State(time.Now())
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -16,6 +16,7 @@
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/balance"
 	"wisteriafield/internal/decision/suspicion"
+	"wisteriafield/internal/router/runs"
 )
 
 const (
@@ -40,6 +41,12 @@
 	Report(ctx context.Context, address string) (server.Report, error)
 }
 
+// Runs remembers where generations run.
+type Runs interface {
+	NoteRun(r runs.Record)
+	FindRun(ctx context.Context, session string) (runs.Record, bool)
+}
+
 // Config is what a relay needs.
 type Config struct {
 	Servers *registry.Registry
@@ -47,6 +54,7 @@
 	Repeats interface {
 		Allow(service string, now time.Time) bool
 	}
+	Runs Runs
 	// Found is called when an engine was found silent, so that peers are told.
 	Found func()
 	Log   *logrus.Entry
@@ -70,6 +78,9 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	s := &stream{relay: r, w: w, req: req, service: service, after: req.After, excluded: make(map[server.Key]bool)}
+	if req.After > 0 && req.Session() != "" {
+		s.recall(ctx)
+	}
 	s.serve(ctx)
 }
 
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -22,7 +22,9 @@
 	ran      int  // servers that may have begun to work on it
 	refusals int  // servers in a row that had no room
 	excluded map[server.Key]bool
-	copyAt   *registry.Entry // where the lost run's memory is kept
+	copyAt   string          // address where the lost run's memory is kept; may be empty
+	copyOf   string          // id of the lost run
+	promptAt *registry.Entry // engine that has read the prompt, if it lives
 	lostIn   string          // failure domain of the last loss
 	dropCopy func()
 
@@ -39,7 +41,7 @@
 func (s *stream) serve(ctx context.Context) {
 	defer s.releaseCopy()
 	for {
-		target, from := s.next()
+		target, from := s.next(ctx)
 		if target == nil {
 			if !s.begun {
 				s.refuse("no engine")
@@ -74,14 +76,19 @@
 }
 
 // next chooses the engine of the next attempt, and the copy to go on from.
-func (s *stream) next() (*registry.Entry, *server.Copy) {
-	if held := s.copyAt; held != nil {
-		s.copyAt = nil
+func (s *stream) next(ctx context.Context) (*registry.Entry, *server.Copy) {
+	if address := s.copyAt; address != "" {
+		s.copyAt = ""
 		// The server at the address as it is now: it may be leaving, gone or have
 		// started again before the copy was sent.
-		at := s.relay.cfg.Servers.At(held.Address)
-		if at != nil && at.Service == s.service.Name && !at.Leaving && !at.Load.State(time.Now()).Down {
-			return at, &server.Copy{Address: at.Address, Run: s.req.ID}
+		if at := s.usable(address); at != nil {
+			return at, &server.Copy{Address: address, Run: s.copyOf}
+		}
+	}
+	if e := s.promptAt; e != nil {
+		s.promptAt = nil
+		if at := s.usable(e.Address); at != nil && at.Key() == e.Key() && s.relay.alive(ctx, at) {
+			return at, nil
 		}
 	}
 	if e := s.relay.choose(s.service, s.req, s.excluded, s.lostIn); e != nil {
@@ -90,6 +97,28 @@
 	return nil, nil
 }
 
+// usable returns the engine at an address if it may get work.
+func (s *stream) usable(address string) *registry.Entry {
+	at := s.relay.cfg.Servers.At(address)
+	if at == nil || at.Service != s.service.Name || at.Leaving || at.Load.State(time.Now()).Down {
+		return nil
+	}
+	return at
+}
+
+// recall finds where the caller's stream ran before its router was lost.
+func (s *stream) recall(ctx context.Context) {
+	record, ok := s.relay.cfg.Runs.FindRun(ctx, s.req.Session())
+	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("event", s.after).WithField("found", ok).
+		WithField("run", record.Run).WithField("backup", record.Backup).Info("caller came back")
+	if !ok {
+		return
+	}
+	s.copyAt, s.copyOf = record.Backup, record.Run
+	s.promptAt = s.relay.cfg.Servers.At(record.Server)
+	s.broken = true
+}
+
 // note updates what is believed of the engine, and keeps what the next attempt
 // needs.
 func (s *stream) note(target *registry.Entry, from *server.Copy, r result) {
@@ -122,7 +151,13 @@
 		s.broken = true
 		s.refusals = 0
 		s.excluded[target.Key()] = true
-		s.copyAt = r.backup
+		s.copyAt, s.copyOf = "", s.req.ID
+		if r.backup != nil {
+			s.copyAt = r.backup.Address
+		}
+		if !r.dark && s.after > s.req.After {
+			s.promptAt = target
+		}
 		s.lostIn = target.Domain
 		if r.dark {
 			target.Load.FindDown(now.Add(downFor))
