--- a/internal/backend/registry/load.go
+++ b/internal/backend/registry/load.go
@@ -7,10 +7,12 @@
 )
 
 const (
-	latencyWeight = 0.1  // share of the newest answer time
-	errorWeight   = 0.1  // share of the newest outcome
-	paceFall      = 0.3  // share of a shorter gap in the pace
-	paceRise      = 0.02 // share of a longer gap: prompts being read stretch it
+	latencyWeight = 0.1 // share of the newest answer time
+	errorWeight   = 0.1 // share of the newest outcome
+	// runErrorWeight is the share of the newest generation: an engine has few.
+	runErrorWeight = 0.3
+	paceFall       = 0.3  // share of a shorter gap in the pace
+	paceRise       = 0.02 // share of a longer gap: prompts being read stretch it
 
 	// downStep rounds what peers are told of a time, so that it is not news at
 	// each exchange.
@@ -202,6 +204,17 @@
 	}
 }
 
+// NoteRunEnd notes whether a generation ended well or its answer was lost.
+func (l *Load) NoteRunEnd(failed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	l.errors = (1-runErrorWeight)*l.errors + runErrorWeight*outcome
+}
+
 // HoldCopy counts a copy's memory in, and returns the function that counts it
 // out.
 func (l *Load) HoldCopy(tokens int) func() {
--- a/internal/decision/balance/engine.go
+++ b/internal/decision/balance/engine.go
@@ -13,6 +13,8 @@
 	runCost = 60.0
 	// crowded is the cost in ms of an engine whose memory would not suffice.
 	crowded = 20_000.0
+	// errorCost is the cost in ms of an engine that loses every answer.
+	errorCost = 6_000.0
 	// spread is how far equal candidates are told apart by chance, in ms.
 	spread = 40.0
 )
@@ -26,6 +28,7 @@
 	Memory   int // tokens in use and planned
 	Capacity int // tokens
 	Pace     time.Duration
+	Errors   float64 // share of generations whose answers were lost, lately
 	Down     bool
 	Full     bool
 }
@@ -58,6 +61,7 @@
 	}
 	cost := slowness * (float64(c.Prompts+prompt)/readRate + float64(c.Runs)*runCost)
 	cost += slowness * float64(output) // tokens at some 5 ms each weigh a fifth
+	cost += errorCost * c.Errors
 	if c.Capacity > 0 && float64(c.Memory+prompt+output) > memoryShare*float64(c.Capacity) {
 		cost += crowded
 	}
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -39,6 +39,7 @@
 type Client interface {
 	Send(ctx context.Context, d server.Dispatch) (*server.Answer, error)
 	Report(ctx context.Context, address string) (server.Report, error)
+	Cached(ctx context.Context, address string) ([]server.Part, error)
 }
 
 // Runs remembers where generations run.
@@ -99,7 +100,7 @@
 		st := e.Load.State(now)
 		c := balance.Engine{
 			Domain: e.Domain, Runs: st.Runs, Slots: e.Slots, Prompts: st.Prompts, Memory: st.Memory,
-			Pace: st.Pace, Down: st.Down, Full: st.Full,
+			Pace: st.Pace, Errors: st.Errors, Down: st.Down, Full: st.Full,
 		}
 		if service.Engine != nil {
 			c.Capacity = service.Engine.Memory
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -112,6 +112,8 @@
 	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("event", s.after).WithField("found", ok).
 		WithField("run", record.Run).WithField("backup", record.Backup).Info("caller came back")
 	if !ok {
+		s.promptAt = s.relay.holder(ctx, s.service.Name, s.req.Session())
+		s.broken = s.promptAt != nil
 		return
 	}
 	s.copyAt, s.copyOf = record.Backup, record.Run
@@ -130,6 +132,8 @@
 	}
 	log.Info("attempt ended")
 	switch r.kind {
+	case finished:
+		target.Load.NoteRunEnd(false)
 	case refused:
 		switch {
 		case r.replaced:
@@ -149,6 +153,9 @@
 	case lost:
 		s.ran++
 		s.broken = true
+		if !r.callerLeft {
+			target.Load.NoteRunEnd(true)
+		}
 		s.refusals = 0
 		s.excluded[target.Key()] = true
 		s.copyAt, s.copyOf = "", s.req.ID
