--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -120,8 +120,15 @@
 		w.Header().Set("Retry-After", retryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case ctx.Err() != nil:
-		w.WriteHeader(http.StatusGatewayTimeout)
+		c.fail(w, http.StatusGatewayTimeout)
 	default:
-		w.WriteHeader(http.StatusBadGateway)
+		c.fail(w, http.StatusBadGateway)
 	}
 }
+
+// fail tells the caller that the request may have run.
+func (c *call) fail(w http.ResponseWriter, status int) {
+	c.f.cfg.Log.WithField("id", c.req.ID).WithField("status", status).WithField("sends", c.ran).
+		WithError(c.last.err).WithField("ageMs", time.Since(c.req.Arrived).Milliseconds()).Info("answer lost")
+	w.WriteHeader(status)
+}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -219,6 +219,9 @@
 
 // giveUp ends a stream that could not be finished.
 func (s *stream) giveUp(ctx context.Context) {
+	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("event", s.after).WithField("begun", s.begun).
+		WithField("ran", s.ran).WithField("refusals", s.refusals).WithField("callerLeft", ctx.Err() != nil).
+		WithField("ageMs", time.Since(s.req.Arrived).Milliseconds()).Info("stream given up")
 	if s.begun {
 		panic(http.ErrAbortHandler) // cuts the answer, so that it does not look whole
 	}
