--- a/internal/decision/balance/engine.go
+++ b/internal/decision/balance/engine.go
@@ -9,8 +9,9 @@
 	commonPace = 33 * time.Millisecond
 	// memoryShare of an engine is planned with; beyond it runs are preempted.
 	memoryShare = 0.9
-	// runCost is what one more running generation costs a new one, in ms.
-	runCost = 60.0
+	// runCost is what a running generation adds to the cost of a new one, in ms:
+	// reading a prompt of 5,000 tokens holds it up by some 600.
+	runCost = 600.0
 	// crowded is the cost in ms of an engine whose memory would not suffice.
 	crowded = 20_000.0
 	// errorCost is the cost in ms of an engine that loses every answer.
