--- /dev/null
+++ b/internal/decision/balance/balance_test.go
@@ -0,0 +1,151 @@
+package balance_test
+
+import (
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/decision/balance"
+)
+
+func TestPlainRequestsGoWhereTheyWaitLeast(t *testing.T) {
+	g := NewWithT(t)
+	ms := time.Millisecond
+	for _, c := range []struct {
+		name       string
+		candidates []balance.Plain
+		want       int
+	}{
+		{"none", nil, -1},
+		{"idle before busy", []balance.Plain{{Slots: 6, InFlight: 5, Latency: 15 * ms}, {Slots: 6, Latency: 15 * ms}}, 1},
+		{"fast before slow", []balance.Plain{{Slots: 6, Latency: 75 * ms}, {Slots: 6, InFlight: 2, Latency: 15 * ms}}, 1},
+		{"sound before failing", []balance.Plain{{Slots: 6, Latency: 10 * ms, Errors: 0.5}, {Slots: 6, InFlight: 3, Latency: 15 * ms}}, 1},
+		{"full before down", []balance.Plain{{Slots: 6, Latency: 15 * ms, Down: true}, {Slots: 6, InFlight: 6, Latency: 15 * ms, Full: true}}, 1},
+		{"down if all are", []balance.Plain{{Slots: 6, Down: true}}, 0},
+	} {
+		g.Expect(balance.PickPlain(c.candidates, 0.5)).To(Equal(c.want), c.name)
+	}
+}
+
+func TestGenerationsAvoidCrowdedSlowAndFailingEngines(t *testing.T) {
+	g := NewWithT(t)
+	ms := time.Millisecond
+	for _, c := range []struct {
+		name       string
+		candidates []balance.Engine
+		avoid      string
+		want       int
+	}{
+		{"all down", []balance.Engine{{Down: true}}, "", -1},
+		{"no prompt waits", []balance.Engine{{Prompts: 5000, Capacity: 55000}, {Capacity: 55000}}, "", 1},
+		{"memory for the whole run", []balance.Engine{{Memory: 46000, Capacity: 55000}, {Prompts: 5000, Memory: 5000, Capacity: 55000}}, "", 1},
+		{"slow engines last", []balance.Engine{{Pace: 160 * ms, Capacity: 55000}, {Pace: 33 * ms, Runs: 2, Capacity: 55000}}, "", 1},
+		{"engines that lose answers last", []balance.Engine{{Errors: 0.5, Capacity: 55000}, {Runs: 2, Capacity: 55000}}, "", 1},
+		{"another failure domain", []balance.Engine{{Domain: "a", Capacity: 55000}, {Domain: "b", Runs: 4, Capacity: 55000}}, "a", 1},
+		{"the same domain rather than none", []balance.Engine{{Domain: "a", Capacity: 55000}}, "a", 0},
+	} {
+		g.Expect(balance.PickEngine(c.candidates, 5000, 800, c.avoid, 0.5)).To(Equal(c.want), c.name)
+	}
+}
+
+// engine is a model of an engine: it reads prompts one after the other, a tenth of
+// a second at a time, and its generations pause meanwhile.
+type engine struct {
+	speed   float64
+	waiting []*generation
+	running []*generation
+}
+
+type generation struct {
+	begun    float64 // s
+	unread   float64 // s of reading at common speed
+	left     float64 // s of output at common speed
+	first    float64
+	finished float64
+}
+
+func (e *engine) step(now, dt float64) {
+	if len(e.waiting) > 0 {
+		r := e.waiting[0]
+		if r.unread -= dt / e.speed; r.unread <= 0 {
+			r.first = now
+			e.waiting, e.running = e.waiting[1:], append(e.running, r)
+		}
+		dt *= 0.15 // what reading leaves to the others
+	}
+	var still []*generation
+	for _, r := range e.running {
+		if r.left -= dt / e.speed; r.left > 0 {
+			still = append(still, r)
+		} else {
+			r.finished = now
+		}
+	}
+	e.running = still
+}
+
+// play sends generations at a rate to engines and returns how long they took,
+// shortest first.
+func play(pick func([]balance.Engine, float64) int, perSecond float64) []float64 {
+	random := rand.New(rand.NewPCG(1, 2))
+	var engines []*engine
+	for i := range 12 {
+		engines = append(engines, &engine{speed: []float64{0.6, 1, 1.6}[i%3]})
+	}
+	var all []*generation
+	const dt = 0.02
+	for now := 0.0; now < 200; now += dt {
+		if random.Float64() < perSecond*dt {
+			candidates := make([]balance.Engine, len(engines))
+			for i, e := range engines {
+				candidates[i] = balance.Engine{
+					Runs: len(e.running) + len(e.waiting), Prompts: 5000 * len(e.waiting), Capacity: 55000,
+					Memory: 5500 * (len(e.running) + len(e.waiting)), Pace: time.Duration(e.speed * float64(33*time.Millisecond)),
+				}
+			}
+			r := &generation{begun: now, unread: 1, left: 4 * (0.5 + random.Float64())}
+			e := engines[pick(candidates, random.Float64())]
+			e.waiting = append(e.waiting, r)
+			all = append(all, r)
+		}
+		for _, e := range engines {
+			e.step(now, dt)
+		}
+	}
+	var took []float64
+	for _, r := range all {
+		if r.finished > 0 {
+			took = append(took, r.finished-r.begun)
+		}
+	}
+	sort.Float64s(took)
+	return took
+}
+
+func leastPrompt(candidates []balance.Engine, _ float64) int {
+	best := 0
+	for i, c := range candidates {
+		if c.Prompts < candidates[best].Prompts {
+			best = i
+		}
+	}
+	return best
+}
+
+// Long generations meet more losses, so what counts for callers is how long the
+// slow ones take while others' prompts are read beside them.
+func TestGenerationsFinishSoonerThanByWaitingPromptsAlone(t *testing.T) {
+	g := NewWithT(t)
+	ours := play(func(c []balance.Engine, random float64) int {
+		return balance.PickEngine(c, 5000, 800, "", random)
+	}, 4)
+	baseline := play(leastPrompt, 4)
+	at := func(took []float64, share float64) float64 { return took[int(share*float64(len(took)-1))] }
+	t.Logf("p50 %.1f s against %.1f s, p95 %.1f s against %.1f s", at(ours, 0.5), at(baseline, 0.5), at(ours, 0.95), at(baseline, 0.95))
+	g.Expect(at(ours, 0.5)).To(BeNumerically("<", 0.8*at(baseline, 0.5)))
+	g.Expect(at(ours, 0.95)).To(BeNumerically("<", 0.8*at(baseline, 0.95)))
+	g.Expect(len(ours)).To(BeNumerically(">=", len(baseline)))
+}
--- /dev/null
+++ b/internal/decision/reader/reader_test.go
@@ -0,0 +1,66 @@
+package reader_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/decision/reader"
+)
+
+var now = time.Unix(1_000, 0)
+
+func fleet(n int, age time.Duration) []reader.Router {
+	var all []reader.Router
+	for i := range n {
+		all = append(all, reader.Router{Name: fmt.Sprintf("router-%d", i), Reached: now.Add(-age)})
+	}
+	return all
+}
+
+// reading returns who reads, each router seeing all others.
+func reading(all []reader.Router, lost map[string]bool) []string {
+	var names []string
+	for i, self := range all {
+		peers := append(append([]reader.Router{}, all[:i]...), all[i+1:]...)
+		if reader.Should(self, peers, lost[self.Name], now) {
+			names = append(names, self.Name)
+		}
+	}
+	return names
+}
+
+func TestTwoReadForAllHoweverManyThereAre(t *testing.T) {
+	g := NewWithT(t)
+	for _, n := range []int{2, 6, 76, 345} {
+		g.Expect(reading(fleet(n, 500*time.Millisecond), nil)).To(HaveLen(2))
+	}
+	g.Expect(reading(fleet(1, 500*time.Millisecond), nil)).To(HaveLen(1))
+}
+
+func TestARouterThatHearsNothingNewReadsForItself(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(reading(fleet(6, 3*time.Second), nil)).To(HaveLen(6))
+	self := reader.Router{Name: "alone", Reached: now.Add(-3 * time.Second)}
+	g.Expect(reader.Should(self, nil, false, now)).To(BeTrue())
+}
+
+func TestOthersTakeOverFromReadersThatTheStoreTurnsAway(t *testing.T) {
+	g := NewWithT(t)
+	all := fleet(6, 500*time.Millisecond)
+	first := reading(all, nil)
+	for i := range all {
+		if all[i].Name == first[0] || all[i].Name == first[1] {
+			all[i].Reads, all[i].Reached = true, now.Add(-3*time.Second)
+		}
+	}
+	var others []string
+	for _, name := range reading(all, map[string]bool{first[0]: true, first[1]: true}) {
+		if name != first[0] && name != first[1] {
+			others = append(others, name)
+		}
+	}
+	g.Expect(others).To(HaveLen(2))
+}
--- a/internal/operator/cli/check.go
+++ b/internal/operator/cli/check.go
@@ -7,12 +7,14 @@
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/config/manifest"
 	"wisteriafield/internal/config/settings"
+	"wisteriafield/platform"
 )
 
 type checkCommand struct {
 	output
-	Host bool `long:"host" description:"the files are host settings"`
-	Args struct {
+	Host     bool `long:"host" description:"the files are host settings"`
+	Platform bool `long:"platform" description:"the files are settings of the users' platform"`
+	Args     struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"true"`
 }
@@ -27,6 +29,13 @@
 			fmt.Fprintf(c.out, "%s: settings are in order\n", file)
 			continue
 		}
+		if c.Platform {
+			if _, err := platform.LoadSettings(file); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.out, "%s: settings are in order\n", file)
+			continue
+		}
 		d, err := loadDocument(file)
 		if err != nil {
 			return err
--- a/internal/operator/cli/edge.go
+++ b/internal/operator/cli/edge.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"wisteriafield/internal/base/jsonlog"
 	"wisteriafield/internal/decision/repeats"
 	"wisteriafield/internal/router/edge"
@@ -47,21 +51,44 @@
 	sink := jsonlog.NewSink(os.Stdout)
 	defer func() { sink.Flush(time.Now().Add(logFlush)) }()
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	log := jsonlog.New(sink)
 	e := edge.New(edge.Config{
 		Host: s.Host, Domain: s.Domain, CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress,
-		PeerAddress: s.PeerAddress, NoticeAddress: s.NoticeAddress, Seeds: s.Seeds, Grace: s.Grace,
+		AdminAddress: s.AdminAddress, PeerAddress: s.PeerAddress, NoticeAddress: s.NoticeAddress, Seeds: s.Seeds, Grace: s.Grace,
 		Repeats:   repeats.Config{Ratio: repeatShare * s.RetryRatio, Slack: repeatSlack * s.RetrySlack, Window: s.RetryWindow},
 		Store:     kv.New(kv.Config{Address: s.StoreAddress, Timeout: storeTimeout}),
 		ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
 		Protocol: platform.Caller{}, Client: platform.NewBackend(), ReadyPath: platform.ReadyPath,
-		Log: jsonlog.New(sink),
+		Log: log,
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP)
+	go follow(e, path, sink, log)
 	if err := e.Run(ctx); err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
 	return nil
 }
+
+// follow handles the signals that do not end the process: at SIGHUP the settings
+// are read again and checked, at SIGUSR1 the state is printed.
+func follow(e *edge.Edge, path string, out io.Writer, log *logrus.Logger) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1)
+	for s := range signals {
+		if s == syscall.SIGUSR1 {
+			if err := json.NewEncoder(out).Encode(e.Dump()); err != nil {
+				log.WithError(err).Error("dump not printed")
+			}
+			continue
+		}
+		next, err := platform.LoadSettings(path)
+		if err != nil {
+			log.WithError(err).Error("new settings have faults; the old ones stay")
+			continue
+		}
+		e.Reload(next.Seeds)
+		log.WithField("seeds", next.Seeds).Info("settings read again; addresses apply from the next start")
+	}
+}
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -56,6 +56,7 @@
 	Domain        string
 	CallerAddress string
 	ReadyAddress  string
+	AdminAddress  string // metrics and state; empty for none
 	PeerAddress   string
 	NoticeAddress string // for datagrams of peers
 	Seeds         []string
@@ -84,6 +85,7 @@
 	stopAt   atomic.Int64
 	active   atomic.Int64           // requests that are being answered
 	config   atomic.Pointer[[]byte] // as the operator wrote it
+	configAt atomic.Int64           // Unix nanoseconds since when it is in force
 	self     gossip.Host
 	follower *discovery.Follower
 	gossip   *gossip.Gossip
@@ -91,6 +93,7 @@
 	callers  *http.Server
 	ready    *http.Server
 	peers    *http.Server
+	operator *http.Server
 }
 
 // New returns a router that does not run yet.
@@ -131,6 +134,7 @@
 	peers := http.NewServeMux()
 	calls.Register(peers)
 	e.peers = e.server(peers)
+	e.operator = e.server(e.admin())
 	return e
 }
 
@@ -160,7 +164,7 @@
 	servers := []struct {
 		address string
 		server  *http.Server
-	}{{e.cfg.CallerAddress, e.callers}, {e.cfg.ReadyAddress, e.ready}, {e.cfg.PeerAddress, e.peers}}
+	}{{e.cfg.CallerAddress, e.callers}, {e.cfg.ReadyAddress, e.ready}, {e.cfg.PeerAddress, e.peers}, {e.cfg.AdminAddress, e.operator}}
 	for _, s := range servers {
 		if s.address == "" {
 			continue
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -30,6 +30,7 @@
 		return
 	}
 	e.config.Store(&value)
+	e.configAt.Store(time.Now().UnixNano())
 	e.table.Store(next)
 	log.WithField("version", cfg.Version).WithField("routes", len(cfg.Routes)).Info("configuration in force")
 	e.gossip.Kick()
@@ -102,3 +103,10 @@
 	}
 	e.gossip.Add(h)
 }
+
+// Reload takes new addresses of peers to begin with.
+func (e *Edge) Reload(seeds []string) {
+	for _, address := range seeds {
+		e.gossip.Add(gossip.Host{Address: address})
+	}
+}
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -68,6 +68,9 @@
 		if repeat && !c.f.cfg.Repeats.Allow(c.service.Name, time.Now()) {
 			return false
 		}
+		if repeat {
+			repeatsTotal.Inc()
+		}
 		e := c.f.choose(c.service.Name, c.excluded)
 		if e == nil {
 			return false
@@ -108,6 +111,7 @@
 func (c *call) answer(w http.ResponseWriter, ctx context.Context) {
 	switch {
 	case c.last.server != nil && c.last.good():
+		answerSeconds.Update(time.Since(c.req.Arrived).Seconds())
 		for name, values := range c.last.header {
 			w.Header()[name] = values
 		}
@@ -116,6 +120,7 @@
 		_, _ = w.Write(c.last.body)
 		return
 	case c.ran == 0:
+		refusedTotal.Inc()
 		c.f.cfg.Log.WithField("id", c.req.ID).WithField("refusals", c.refusals).Info("refused")
 		w.Header().Set("Retry-After", retryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -128,6 +133,7 @@
 
 // fail tells the caller that the request may have run.
 func (c *call) fail(w http.ResponseWriter, status int) {
+	lostTotal.Inc()
 	c.f.cfg.Log.WithField("id", c.req.ID).WithField("status", status).WithField("sends", c.ran).
 		WithError(c.last.err).WithField("ageMs", time.Since(c.req.Arrived).Milliseconds()).Info("answer lost")
 	w.WriteHeader(status)
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -126,6 +126,7 @@
 		took = 0
 	}
 	e.Load.End(took, o.failed() && ctx.Err() == nil)
+	sendsTotal(&o).Inc()
 	f.cfg.Log.WithField("id", req.ID).WithField("server", e.ID).WithField("status", o.status).
 		WithField("notRun", o.notRun).WithField("ms", took.Milliseconds()).WithError(o.err).Info("sent")
 	return o
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -12,7 +12,6 @@
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/backend/sse"
 	"wisteriafield/internal/decision/suspicion"
-	"wisteriafield/internal/router/runs"
 )
 
 // kind is how an attempt ended.
@@ -124,33 +123,6 @@
 	}
 }
 
-// tellRun lets other routers find the run, should this one be lost.
-func (s *stream) tellRun(target, backup *registry.Entry) {
-	if s.req.Session() == "" || !s.req.Route.Resumable {
-		return
-	}
-	record := runs.Record{Session: s.req.Session(), Run: s.req.ID, Server: target.Address}
-	if backup != nil {
-		record.Backup = backup.Address
-	}
-	s.relay.cfg.Runs.NoteRun(record)
-}
-
-// logDispatch writes what the choice of an engine was based on.
-func (s *stream) logDispatch(target, backup *registry.Entry, from *server.Copy) {
-	st := target.Load.State(time.Now())
-	log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).WithField("address", target.Address).
-		WithField("prompt", s.req.PromptTokens).WithField("waiting", st.Prompts).WithField("runs", st.Runs).
-		WithField("memory", st.Memory).WithField("paceMs", st.Pace.Milliseconds()).WithField("after", s.after)
-	if backup != nil {
-		log = log.WithField("backup", backup.Address).WithField("backupID", backup.ID)
-	}
-	if from != nil {
-		log = log.WithField("copy", from.Address)
-	}
-	log.Info("dispatched")
-}
-
 // read sends the request and reads the answer until it ends.
 func (s *stream) read(ctx context.Context, d server.Dispatch, in chan<- incoming) {
 	put := func(i incoming) bool {
@@ -182,40 +154,6 @@
 	}
 }
 
-// ask passes the engine's report on, if it answers.
-func (s *stream) ask(ctx context.Context, target *registry.Entry, signs chan<- server.Report) {
-	report, ok := s.relay.ask(ctx, target)
-	if !ok {
-		return
-	}
-	select {
-	case signs <- report:
-	case <-ctx.Done():
-	}
-}
-
-// aheadBy is how many events an engine must have made beyond those that arrived
-// for the connection to be in doubt; fewer may be on their way.
-const aheadBy = 4
-
-// judge tells what a report says of this run. Requests that wait or are read are
-// active, but not among an engine's runs.
-func (s *stream) judge(report server.Report) suspicion.Reply {
-	for _, run := range report.Runs {
-		if run.ID != s.req.ID {
-			continue
-		}
-		if run.Events >= s.after+aheadBy {
-			return suspicion.Ahead
-		}
-		return suspicion.Working
-	}
-	if report.Queued > 0 || report.Active > len(report.Runs) {
-		return suspicion.Working
-	}
-	return suspicion.Missing
-}
-
 // forward passes one event to the caller.
 func (s *stream) forward(e sse.Event, header *server.Answer, flush bool) (result, bool) {
 	if e.ID > 0 {
@@ -286,21 +224,3 @@
 	s.w.WriteHeader(a.status)
 	_, _ = s.w.Write(a.body)
 }
-
-// chooseBackup picks the engine that keeps a copy of the run's memory, in
-// another failure domain than the run if there is one.
-func (s *stream) chooseBackup(target *registry.Entry) *registry.Entry {
-	s.releaseCopy()
-	if s.service.Engine == nil || !s.service.Engine.Backups || !s.req.Route.Resumable {
-		return nil
-	}
-	excluded := map[server.Key]bool{target.Key(): true}
-	for k := range s.excluded {
-		excluded[k] = true
-	}
-	e := s.relay.choose(s.service, s.req, excluded, target.Domain)
-	if e != nil {
-		s.dropCopy = e.Load.HoldCopy(s.req.PromptTokens)
-	}
-	return e
-}
--- /dev/null
+++ b/internal/router/relay/backup.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"time"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/router/runs"
+)
+
+// tellRun lets other routers find the run, should this one be lost.
+func (s *stream) tellRun(target, backup *registry.Entry) {
+	if s.req.Session() == "" || !s.req.Route.Resumable {
+		return
+	}
+	record := runs.Record{Session: s.req.Session(), Run: s.req.ID, Server: target.Address}
+	if backup != nil {
+		record.Backup = backup.Address
+	}
+	s.relay.cfg.Runs.NoteRun(record)
+}
+
+// logDispatch writes what the choice of an engine was based on.
+func (s *stream) logDispatch(target, backup *registry.Entry, from *server.Copy) {
+	st := target.Load.State(time.Now())
+	log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).WithField("address", target.Address).
+		WithField("prompt", s.req.PromptTokens).WithField("waiting", st.Prompts).WithField("runs", st.Runs).
+		WithField("memory", st.Memory).WithField("paceMs", st.Pace.Milliseconds()).WithField("after", s.after)
+	if backup != nil {
+		log = log.WithField("backup", backup.Address).WithField("backupID", backup.ID)
+	}
+	if from != nil {
+		log = log.WithField("copy", from.Address)
+	}
+	log.Info("dispatched")
+}
+
+// chooseBackup picks the engine that keeps a copy of the run's memory, in
+// another failure domain than the run if there is one.
+func (s *stream) chooseBackup(target *registry.Entry) *registry.Entry {
+	s.releaseCopy()
+	if s.service.Engine == nil || !s.service.Engine.Backups || !s.req.Route.Resumable {
+		return nil
+	}
+	excluded := map[server.Key]bool{target.Key(): true}
+	for k := range s.excluded {
+		excluded[k] = true
+	}
+	e := s.relay.choose(s.service, s.req, excluded, target.Domain)
+	if e != nil {
+		s.dropCopy = e.Load.HoldCopy(s.req.PromptTokens)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/router/relay/fake_test.go
@@ -0,0 +1,199 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/config/routes"
+	"wisteriafield/internal/router/relay"
+	"wisteriafield/internal/router/runs"
+)
+
+// engines is a set of engines that make events 1 to length for every request, one
+// each gap. Runs are copied to their backups as they grow.
+type engines struct {
+	mu     sync.Mutex
+	length int
+	gap    time.Duration
+	fate   map[string]fate // by server id
+	copies map[string]bool // address/run
+	cached map[string]string
+	sends  []server.Dispatch
+}
+
+// fate is what goes wrong at an engine.
+type fate struct {
+	breakAfter int  // events of a run, then the connection breaks
+	dark       bool // nothing is answered from then on
+	loses      bool // the connection breaks at once
+	refuses    bool
+	replaced   bool
+	silent     bool // it has no run and sends nothing, but answers questions
+}
+
+func (e *engines) Send(ctx context.Context, d server.Dispatch) (*server.Answer, error) {
+	e.mu.Lock()
+	e.sends = append(e.sends, d)
+	f := e.fate[d.Server.ID]
+	known := d.From == nil || e.copies[d.From.Address+"/"+d.From.Run]
+	if d.Backup != nil {
+		e.copies[d.Backup.Address+"/"+d.Request.ID] = true
+	}
+	e.mu.Unlock()
+	switch {
+	case f.refuses || !known:
+		return &server.Answer{Status: http.StatusServiceUnavailable, NotRun: true, Body: http.NoBody}, nil
+	case f.replaced:
+		return &server.Answer{Status: http.StatusMisdirectedRequest, NotRun: true, OtherID: "i-other", Body: http.NoBody}, nil
+	case f.loses:
+		return nil, fmt.Errorf("reset: %w", server.ErrLost)
+	case f.silent:
+		<-ctx.Done()
+		return nil, fmt.Errorf("closed: %w", server.ErrLost)
+	}
+	r, w := io.Pipe()
+	go e.generate(ctx, w, d, f)
+	return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: r}, nil
+}
+
+func (e *engines) generate(ctx context.Context, w *io.PipeWriter, d server.Dispatch, f fate) {
+	for i := d.After + 1; i <= e.length; i++ {
+		if f.breakAfter > 0 && i > d.After+f.breakAfter {
+			if f.dark {
+				<-ctx.Done()
+			}
+			_ = w.CloseWithError(io.ErrUnexpectedEOF)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			_ = w.CloseWithError(ctx.Err())
+			return
+		case <-time.After(e.gap):
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i); err != nil {
+			return
+		}
+	}
+	_ = w.Close()
+}
+
+func (e *engines) Report(ctx context.Context, address string) (server.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fate[idAt(address)].dark {
+		return server.Report{}, context.DeadlineExceeded
+	}
+	if e.fate[idAt(address)].silent {
+		return server.Report{}, nil
+	}
+	return server.Report{Active: 1}, nil
+}
+
+func (e *engines) Cached(_ context.Context, address string) ([]server.Part, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return []server.Part{{ID: e.cached[address], Tokens: 5000}}, nil
+}
+
+func (e *engines) sentTo() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var ids []string
+	for _, d := range e.sends {
+		ids = append(ids, d.Server.ID)
+	}
+	return ids
+}
+
+// Engines i-0, i-1 and i-2 are in failure domains a, b and c.
+func idAt(address string) string { return "i-" + address[len("10.0.0."):len("10.0.0.")+1] }
+
+func addressOf(i int) string { return fmt.Sprintf("10.0.0.%d:80", i) }
+
+// table is a memory of runs.
+type table struct{ *runs.Table }
+
+func (t table) NoteRun(r runs.Record) { t.Put(r, time.Now()) }
+
+func (t table) FindRun(_ context.Context, session string) (runs.Record, bool) {
+	return t.Get(session, time.Now())
+}
+
+type always struct{}
+
+func (always) Allow(string, time.Time) bool { return true }
+
+// world is a relay before three engines.
+type world struct {
+	*WithT
+	engines *engines
+	servers *registry.Registry
+	relay   *relay.Relay
+	runs    table
+	service routes.Service
+	route   routes.Route
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{
+		WithT:   NewWithT(t),
+		engines: &engines{length: 20, gap: 20 * time.Millisecond, fate: map[string]fate{}, copies: map[string]bool{}, cached: map[string]string{}},
+		servers: registry.New(),
+		runs:    table{runs.NewTable()},
+		service: routes.Service{Name: "engines", Engine: &routes.Engine{Memory: 55000, Backups: true, EventTokens: 6}},
+		route:   routes.Route{Kind: routes.Streaming, Resumable: true, Attempts: 3},
+	}
+	w.list(nil)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w.relay = relay.New(relay.Config{
+		Servers: w.servers, Client: w.engines, Repeats: always{}, Runs: w.runs, Found: func() {}, Log: log.WithField("part", "stream"),
+	})
+	return w
+}
+
+// list makes the engines known, some of them leaving.
+func (w *world) list(leaving map[string]bool) {
+	var all []server.Server
+	for i := range 3 {
+		id := fmt.Sprintf("i-%d", i)
+		all = append(all, server.Server{ID: id, Service: "engines", Address: addressOf(i), Domain: string(rune('a' + i)), Slots: 64, Leaving: leaving[id]})
+	}
+	w.servers.Set(all)
+}
+
+func (w *world) request(after int) *server.Request {
+	return &server.Request{
+		ID: "r-1", Route: &w.route, Service: "engines", Arrived: time.Now(), Deadline: time.Now().Add(20 * time.Second),
+		PromptTokens: 5000, OutputTokens: 120, Prompt: []server.Part{{ID: "shared", Tokens: 200}, {ID: "own", Tokens: 4800}}, After: after,
+	}
+}
+
+// serve answers a request and reports whether the answer was cut.
+func (w *world) serve(req *server.Request) (res *httptest.ResponseRecorder, cut bool) {
+	res = httptest.NewRecorder()
+	defer func() { cut = recover() != nil }()
+	w.relay.Serve(res, context.Background(), req, &w.service)
+	return res, false
+}
+
+// events is the text of events from..to.
+func events(from, to int) string {
+	text := ""
+	for i := from; i <= to; i++ {
+		text += fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
+	}
+	return text
+}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -58,6 +58,7 @@
 		s.note(target, from, result)
 		switch {
 		case result.kind == finished:
+			servedTotal.Inc()
 			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("events", s.after).WithField("attempts", s.ran+1).
 				WithField("firstMs", s.first.Milliseconds()).WithField("longestMs", s.longest.Milliseconds()).Info("stream served")
 			return
@@ -108,6 +109,7 @@
 
 // recall finds where the caller's stream ran before its router was lost.
 func (s *stream) recall(ctx context.Context) {
+	cameBackTotal.Inc()
 	record, ok := s.relay.cfg.Runs.FindRun(ctx, s.req.Session())
 	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("event", s.after).WithField("found", ok).
 		WithField("run", record.Run).WithField("backup", record.Backup).Info("caller came back")
@@ -131,6 +133,7 @@
 		log = log.WithField("copy", from.Address)
 	}
 	log.Info("attempt ended")
+	attemptsTotal(r.kind, from != nil).Inc()
 	switch r.kind {
 	case finished:
 		target.Load.NoteRunEnd(false)
@@ -181,6 +184,7 @@
 func (s *stream) noteEvent(now time.Time, target *registry.Entry) {
 	if s.eventAt.IsZero() {
 		s.first = now.Sub(s.req.Arrived)
+		firstSeconds.Update(s.first.Seconds())
 	} else if pause := now.Sub(s.eventAt); pause > s.longest {
 		s.longest = pause
 	}
@@ -190,6 +194,7 @@
 		if !s.eventAt.IsZero() {
 			since = s.eventAt
 		}
+		pauseSeconds.Update(now.Sub(since).Seconds())
 		s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).WithField("event", s.after).
 			WithField("pauseMs", now.Sub(since).Milliseconds()).Info("went on elsewhere")
 	}
@@ -212,6 +217,7 @@
 		s.fail(http.StatusBadGateway)
 		return
 	}
+	refusedTotal.Inc()
 	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("reason", reason).Info("refused")
 	s.w.Header().Set("Retry-After", retryAfter)
 	s.w.WriteHeader(http.StatusServiceUnavailable)
@@ -219,6 +225,7 @@
 
 // giveUp ends a stream that could not be finished.
 func (s *stream) giveUp(ctx context.Context) {
+	givenUpTotal.Inc()
 	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("event", s.after).WithField("begun", s.begun).
 		WithField("ran", s.ran).WithField("refusals", s.refusals).WithField("callerLeft", ctx.Err() != nil).
 		WithField("ageMs", time.Since(s.req.Arrived).Milliseconds()).Info("stream given up")
--- a/internal/router/relay/survey.go
+++ b/internal/router/relay/survey.go
@@ -16,6 +16,8 @@
 	// surveyed bounds how many are asked at once, so that the cost does not grow
 	// with the fleet.
 	surveyed = 12
+	// checks in a row take an engine out, since a packet may be lost.
+	checks = 2
 )
 
 // surveys notes when each failure domain was asked last.
@@ -44,6 +46,7 @@
 	if !r.surveys.due(lost.Service+" "+lost.Domain, now) {
 		return
 	}
+	surveysTotal.Inc()
 	var near []*registry.Entry
 	for _, e := range r.cfg.Servers.Service(lost.Service) {
 		if e.Domain == lost.Domain && !e.Load.State(now).Down {
@@ -56,10 +59,12 @@
 	}
 }
 
-// check takes an engine out if it does not answer twice in a row.
+// check takes an engine out that does not answer.
 func (r *Relay) check(e *registry.Entry) {
-	if r.alive(context.Background(), e) || r.alive(context.Background(), e) {
-		return
+	for range checks {
+		if r.alive(context.Background(), e) {
+			return
+		}
 	}
 	now := time.Now()
 	if e.Load.State(now).Down {
@@ -80,6 +85,7 @@
 // ask returns an engine's report, if it answers in time and is still the same
 // incarnation.
 func (r *Relay) ask(ctx context.Context, e *registry.Entry) (server.Report, bool) {
+	questionsTotal.Inc()
 	ctx, cancel := context.WithTimeout(ctx, r.limits.AnswerTime)
 	defer cancel()
 	report, err := r.cfg.Client.Report(ctx, e.Address)
