--- /dev/null
+++ b/internal/router/gossip/gossip_test.go
@@ -0,0 +1,182 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/router/control"
+	"wisteriafield/internal/router/gossip"
+	"wisteriafield/internal/router/runs"
+	"wisteriafield/platform/kv"
+)
+
+// network carries calls and datagrams between routers.
+type network struct {
+	mu      sync.Mutex
+	servers map[string]*control.Server
+	receive map[string]func([]byte)
+	cut     map[string]bool
+}
+
+func (n *network) Call(ctx context.Context, address, method string, params, result any) error {
+	n.mu.Lock()
+	s, cut := n.servers[address], n.cut[address]
+	n.mu.Unlock()
+	if s == nil || cut {
+		return errors.New("unreachable")
+	}
+	return s.Call(ctx, method, params, result)
+}
+
+func (n *network) Send(address string, datagram []byte) error {
+	n.mu.Lock()
+	receive, cut := n.receive[address], n.cut[address]
+	n.mu.Unlock()
+	if receive != nil && !cut {
+		go receive(append([]byte(nil), datagram...))
+	}
+	return nil
+}
+
+// router is one router's state.
+type router struct {
+	mu       sync.Mutex
+	version  int64
+	revision int64
+	gossip   *gossip.Gossip
+	servers  *registry.Registry
+	down     []string // engines that it was told of
+}
+
+func (r *router) ConfigVersion() int64 { r.mu.Lock(); defer r.mu.Unlock(); return r.version }
+func (r *router) ConfigValue() []byte  { return fmt.Append(nil, r.ConfigVersion()) }
+func (r *router) SetConfig(value []byte, _ string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var version int64
+	if _, err := fmt.Sscan(string(value), &version); err == nil && version > r.version {
+		r.version = version
+	}
+}
+func (r *router) ServerList(int64) (int64, []kv.Value, bool) { return r.ServerRevision(), nil, true }
+func (r *router) ServerRevision() int64                      { r.mu.Lock(); defer r.mu.Unlock(); return r.revision }
+func (r *router) TakeServerList(_, revision int64, _ []kv.Value, _ bool, _ string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision = max(r.revision, revision)
+}
+func (r *router) Stopping() bool          { return false }
+func (r *router) StoreReached() time.Time { return time.Time{} }
+func (r *router) Reading() bool           { return false }
+
+// play starts n routers that know only the first one.
+func play(t *testing.T, n int, story func(g *WithT, net *network, all []*router)) {
+	synctest.Test(t, func(t *testing.T) {
+		net := &network{servers: map[string]*control.Server{}, receive: map[string]func([]byte){}, cut: map[string]bool{}}
+		ctx, stop := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		var all []*router
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		for i := range n {
+			r := &router{servers: registry.New()}
+			r.servers.Set([]server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
+			self := gossip.Host{Name: fmt.Sprintf("router-%d", i), Address: fmt.Sprintf("call-%d", i), Notices: fmt.Sprintf("notice-%d", i)}
+			r.gossip = gossip.New(gossip.Config{
+				Self: self, Seeds: []string{"call-0"}, Caller: net, Notices: net, State: r, Servers: r.servers, Runs: runs.NewTable(),
+				NearbyDown: func(e *registry.Entry) { r.mu.Lock(); r.down = append(r.down, e.ID); r.mu.Unlock() },
+				Log:        log.WithField("part", "gossip"),
+			})
+			s := control.NewServer()
+			r.gossip.Register(s)
+			net.servers[self.Address], net.receive[self.Notices] = s, r.gossip.Receive
+			all = append(all, r)
+			wg.Go(func() { _ = r.gossip.Run(ctx) })
+		}
+		time.Sleep(5 * time.Second)
+		story(NewWithT(t), net, all)
+		stop()
+		wg.Wait()
+		synctest.Wait()
+	})
+}
+
+func TestRoutersFindEachOtherThroughOneSeed(t *testing.T) {
+	play(t, 7, func(g *WithT, _ *network, all []*router) {
+		for _, r := range all {
+			g.Expect(r.gossip.Live(time.Now())).To(HaveLen(6))
+		}
+	})
+}
+
+// Found on scale-2: a router that the store turns away kept its old version.
+func TestAConfigurationReachesAllRoutersWithinASecond(t *testing.T) {
+	play(t, 7, func(g *WithT, _ *network, all []*router) {
+		all[3].SetConfig([]byte("12"), "store")
+		all[3].TakeServerList(0, 40, nil, true, "store")
+		all[3].gossip.Kick()
+		time.Sleep(time.Second)
+		for _, r := range all {
+			g.Expect(r.ConfigVersion()).To(Equal(int64(12)))
+			g.Expect(r.ServerRevision()).To(Equal(int64(40)))
+		}
+		all[5].SetConfig([]byte("11"), "late")
+		time.Sleep(time.Second)
+		g.Expect(all[5].ConfigVersion()).To(Equal(int64(12)))
+	})
+}
+
+func TestPeersHearOfASilentEngineAndOfEachOthersRuns(t *testing.T) {
+	play(t, 4, func(g *WithT, _ *network, all []*router) {
+		run := all[0].servers.Get("e").Load.BeginRun(5000, 5000)
+		time.Sleep(time.Second)
+		g.Expect(all[1].servers.Get("e").Load.State(time.Now()).Prompts).To(Equal(5000))
+		run.End()
+		all[0].servers.Get("e").Load.FindDown(time.Now().Add(2 * time.Second))
+		all[0].gossip.Kick()
+		time.Sleep(300 * time.Millisecond)
+		g.Expect(all[2].servers.Get("e").Load.State(time.Now()).Down).To(BeTrue())
+		g.Expect(all[2].down).To(Equal([]string{"e"}))
+		time.Sleep(4 * time.Second)
+		g.Expect(all[2].servers.Get("e").Load.State(time.Now()).Down).To(BeFalse())
+		g.Expect(all[1].servers.Get("e").Load.State(time.Now()).Prompts).To(BeZero())
+	})
+}
+
+func TestARunIsFoundAfterItsRouterDied(t *testing.T) {
+	play(t, 5, func(g *WithT, net *network, all []*router) {
+		record := runs.Record{Session: "s", Run: "r", Server: "10.9.0.1:1", Backup: "10.9.0.2:1"}
+		all[2].gossip.NoteRun(record)
+		time.Sleep(100 * time.Millisecond)
+		net.mu.Lock()
+		net.cut["call-2"], net.cut["notice-2"] = true, true
+		net.mu.Unlock()
+		for _, i := range []int{0, 1, 3, 4} {
+			found, ok := all[i].gossip.FindRun(context.Background(), "s")
+			g.Expect(ok).To(BeTrue())
+			g.Expect(found).To(Equal(record))
+		}
+		_, ok := all[0].gossip.FindRun(context.Background(), "other")
+		g.Expect(ok).To(BeFalse())
+	})
+}
+
+func TestGarbageFromTheNetworkIsPassedOver(t *testing.T) {
+	play(t, 2, func(g *WithT, net *network, all []*router) {
+		for _, text := range []string{"", "{", "[1]", `{"Loads":3}`, `{"Host":{}}`} {
+			all[0].gossip.Receive([]byte(text))
+		}
+		g.Expect(all[0].gossip.Live(time.Now())).To(HaveLen(1))
+	})
+}
