--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -15,6 +15,9 @@
 var (
 	// ErrNotSent means that no byte of the request left and none will.
 	ErrNotSent = errors.New("request was not sent")
+	// ErrUnanswered means that nothing answered the connection in time; a lost
+	// packet does the same as a dead server.
+	ErrUnanswered = errors.New("connection was not answered")
 	// ErrLost means that the request may have run and its answer is lost.
 	ErrLost = errors.New("answer was lost")
 )
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -100,7 +100,7 @@
 		return
 	}
 	h.cfg.Repeats.First(req.Service, now)
-	if req.Route.Kind == routes.Streaming && service.Engine != nil {
+	if req.Route.Kind == routes.Streaming {
 		h.cfg.Streams.Serve(w, r.Context(), req, service)
 		return
 	}
--- a/internal/decision/suspicion/stream.go
+++ b/internal/decision/suspicion/stream.go
@@ -28,6 +28,13 @@
 	}
 }
 
+// PlainLimits are for streams of services that can't be asked: only their
+// connection and the caller's deadline end them.
+func PlainLimits() Limits {
+	const never = time.Hour
+	return Limits{Quiet: never, QuietStart: never, AnswerTime: never, MostSilence: never, MostStart: never}
+}
+
 // Verdict is what to do with a stream now.
 type Verdict string
 
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -115,6 +115,9 @@
 		for name, values := range c.last.header {
 			w.Header()[name] = values
 		}
+		if _, ok := c.last.header["Content-Type"]; !ok {
+			w.Header()["Content-Type"] = nil // keeps the library from guessing one
+		}
 		w.Header().Set("Content-Length", strconv.Itoa(len(c.last.body)))
 		w.WriteHeader(c.last.status)
 		_, _ = w.Write(c.last.body)
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -23,6 +23,8 @@
 	maxAnswer = 4 << 20 // bytes of a buffered answer
 	// downFor is how long a server that took no connection is avoided.
 	downFor = time.Second
+	// unansweredFor is the same for one whose connection was not answered.
+	unansweredFor = 400 * time.Millisecond
 	// fullFor is how long a server that refused for want of room is avoided:
 	// about the work of one request.
 	fullFor = 30 * time.Millisecond
@@ -115,7 +117,7 @@
 	o := f.exchange(ctx, req, e)
 	took := time.Since(began)
 	if o.err != nil && ctx.Err() == nil && errors.Is(o.err, server.ErrNotSent) {
-		e.Load.FindDown(time.Now().Add(downFor))
+		f.noteUnreached(e, errors.Is(o.err, server.ErrUnanswered))
 	}
 	if o.notRun {
 		if o.status == http.StatusMisdirectedRequest {
@@ -132,6 +134,17 @@
 	return o
 }
 
+// noteUnreached avoids a server that took no connection. One that did not answer
+// is avoided by this router only, and not for long: a packet may be lost.
+func (f *Forwarder) noteUnreached(e *registry.Entry, unanswered bool) {
+	now := time.Now()
+	if unanswered {
+		e.Load.MarkDown(now.Add(unansweredFor))
+		return
+	}
+	e.Load.FindDown(now.Add(downFor))
+}
+
 func (f *Forwarder) exchange(ctx context.Context, req *server.Request, e *registry.Entry) outcome {
 	answer, err := f.cfg.Client.Send(ctx, server.Dispatch{Request: req, Server: &e.Server, After: req.After})
 	if err != nil {
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -35,6 +35,7 @@
 	replaced bool            // another incarnation has the address
 
 	callerLeft bool
+	unanswered bool // the connection was not refused; a packet may be lost
 }
 
 // whole is a buffered answer.
@@ -78,7 +79,7 @@
 
 	hurry := make(chan time.Time, 1)
 	defer s.relay.nearby.join(target.Domain, hurry)()
-	watch := suspicion.NewWatch(s.relay.limits, time.Now())
+	watch := suspicion.NewWatch(s.limits(), time.Now())
 	signs := make(chan server.Report, 4)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -98,7 +99,7 @@
 			}
 			now := time.Now()
 			watch.Event(now)
-			run.Event(now, s.service.Engine.EventTokens)
+			run.Event(now, s.eventTokens())
 			if r, ok := s.forward(got.event, header, len(in) == 0); !ok {
 				r.backup = backup
 				return r
@@ -123,6 +124,22 @@
 	}
 }
 
+// limits returns the times after which the stream's server is asked or given up.
+func (s *stream) limits() suspicion.Limits {
+	if s.service.Engine == nil {
+		return suspicion.PlainLimits()
+	}
+	return s.relay.limits
+}
+
+// eventTokens returns the tokens of one event.
+func (s *stream) eventTokens() int {
+	if s.service.Engine == nil {
+		return 0
+	}
+	return s.service.Engine.EventTokens
+}
+
 // read sends the request and reads the answer until it ends.
 func (s *stream) read(ctx context.Context, d server.Dispatch, in chan<- incoming) {
 	put := func(i incoming) bool {
@@ -189,7 +206,7 @@
 func (s *stream) ended(err error, header *server.Answer, backup *registry.Entry) result {
 	switch {
 	case errors.Is(err, server.ErrNotSent):
-		return result{kind: notSent, reason: err.Error()}
+		return result{kind: notSent, reason: err.Error(), unanswered: errors.Is(err, server.ErrUnanswered)}
 	case err == io.EOF && header != nil && !header.Unframed && s.begun:
 		return result{kind: finished}
 	default:
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -88,7 +88,7 @@
 	}
 	if e := s.promptAt; e != nil {
 		s.promptAt = nil
-		if at := s.usable(e.Address); at != nil && at.Key() == e.Key() && s.relay.alive(ctx, at) {
+		if at := s.usable(e.Address); at != nil && at.Key() == e.Key() && s.service.Engine != nil && s.relay.alive(ctx, at) {
 			return at, nil
 		}
 	}
@@ -114,7 +114,9 @@
 	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("event", s.after).WithField("found", ok).
 		WithField("run", record.Run).WithField("backup", record.Backup).Info("caller came back")
 	if !ok {
-		s.promptAt = s.relay.holder(ctx, s.service.Name, s.req.Session())
+		if s.service.Engine != nil {
+			s.promptAt = s.relay.holder(ctx, s.service.Name, s.req.Session())
+		}
 		s.broken = s.promptAt != nil
 		return
 	}
@@ -151,8 +153,10 @@
 		}
 	case notSent:
 		s.excluded[target.Key()] = true
-		target.Load.FindDown(now.Add(downFor))
-		s.relay.survey(target, now)
+		if !r.unanswered {
+			target.Load.FindDown(now.Add(downFor))
+		}
+		s.survey(target, now)
 	case lost:
 		s.ran++
 		s.broken = true
@@ -175,7 +179,7 @@
 			s.relay.cfg.Found()
 		}
 		if !r.callerLeft {
-			s.relay.survey(target, now)
+			s.survey(target, now)
 		}
 	}
 }
--- a/internal/router/relay/survey.go
+++ b/internal/router/relay/survey.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// survey asks the engines near a lost one; plain services can't be asked.
+func (s *stream) survey(lost *registry.Entry, now time.Time) {
+	if s.service.Engine != nil {
+		s.relay.survey(lost, now)
+	}
+}
+
 // check takes an engine out that does not answer.
 func (r *Relay) check(e *registry.Entry) {
 	for range checks {
