Links that hold events up are avoided, near engines come first

And the pace of engines was measured on the bursts behind lost packets (1 ms in place of 30), which drew work to just those links. Ruled out: false suspicion (19 prompts lost, the lesser part). Change: events that arrive together after a pause count against the link to that failure domain; engines and servers of the router's own domain cost less; the pace is taken over eight events.

--- a/internal/backend/registry/load.go
+++ b/internal/backend/registry/load.go
@@ -11,8 +11,11 @@
 	errorWeight   = 0.1 // share of the newest outcome
 	// runErrorWeight is the share of the newest generation: an engine has few.
 	runErrorWeight = 0.3
-	paceFall       = 0.3  // share of a shorter gap in the pace
-	paceRise       = 0.02 // share of a longer gap: prompts being read stretch it
+	paceFall       = 0.3 // share of a shorter gap in the pace
+	paceRise       = 0.1 // share of a longer gap: prompts being read stretch it
+	// paceStretch is how many events one measure of the pace takes: single gaps
+	// are short where a link held events up.
+	paceStretch = 8
 
 	// downStep rounds what peers are told of a time, so that it is not news at
 	// each exchange.
@@ -158,7 +161,8 @@
 	prompt  int
 	held    int
 	started bool
-	lastAt  time.Time
+	paceAt  time.Time // when the stretch of events began that is measured
+	events  int       // of the stretch
 }
 
 // BeginRun counts a generation in, with the tokens it has to read first.
@@ -180,14 +184,16 @@
 		r.started = true
 		r.load.changes.Add(1)
 		r.load.prompts -= r.prompt
-	} else if gap := now.Sub(r.lastAt); gap > 0 {
+		r.paceAt, r.events = now, 0
+	} else if r.events++; r.events == paceStretch {
+		gap := now.Sub(r.paceAt) / paceStretch
 		weight := paceRise
 		if gap < r.load.pace {
 			weight = paceFall
 		}
 		r.load.pace = blend(r.load.pace, gap, weight)
+		r.paceAt, r.events = now, 0
 	}
-	r.lastAt = now
 	r.held += tokens
 	r.load.memory += tokens
 }
--- a/internal/decision/balance/engine.go
+++ b/internal/decision/balance/engine.go
@@ -16,6 +16,13 @@
 	crowded = 20_000.0
 	// errorCost is the cost in ms of an engine that loses every answer.
 	errorCost = 6_000.0
+	// stallCost is the cost in ms of an engine whose events arrive late for sure;
+	// a generation has some 130 events, and one late event makes it late.
+	stallCost   = 8_000.0
+	stallWeight = 60.0
+	// farCost is the cost in ms of another failure domain: bytes between domains
+	// are priced, and their links may lose packets before that is known.
+	farCost = 200.0
 	// spread is how far equal candidates are told apart by chance, in ms.
 	spread = 40.0
 )
@@ -29,6 +36,8 @@
 	Memory   int // tokens in use and planned
 	Capacity int // tokens
 	Pace     time.Duration
+	Far      bool    // in another failure domain than this router
+	Stalls   float64 // share of events that the link to it holds up
 	Errors   float64 // share of generations whose answers were lost, lately
 	Down     bool
 	Full     bool
@@ -63,6 +72,10 @@
 	cost := slowness * (float64(c.Prompts+prompt)/readRate + float64(c.Runs)*runCost)
 	cost += slowness * float64(output) // tokens at some 5 ms each weigh a fifth
 	cost += errorCost * c.Errors
+	cost += stallCost * min(1, stallWeight*c.Stalls)
+	if c.Far {
+		cost += farCost
+	}
 	if c.Capacity > 0 && float64(c.Memory+prompt+output) > memoryShare*float64(c.Capacity) {
 		cost += crowded
 	}
--- a/internal/decision/balance/plain.go
+++ b/internal/decision/balance/plain.go
@@ -11,6 +11,11 @@
 	// errorFactor makes a server that fails half of its requests as costly as
 	// one with five times the work.
 	errorFactor = 8.0
+	// farFactor makes a server of another failure domain dearer by about the way
+	// there, and stallFactor by what its links hold up: one packet in fifty makes
+	// it as dear as twice the work.
+	farFactor   = 1.3
+	stallFactor = 50.0
 )
 
 // Plain is a server of a plain service, as a candidate.
@@ -19,6 +24,8 @@
 	Slots    int
 	Latency  time.Duration
 	Errors   float64 // share of failed answers, 0 to 1
+	Far      bool    // in another failure domain than this router
+	Stalls   float64 // share of events that the link to it holds up
 	Down     bool    // did not take the last connection
 	Full     bool    // refused for want of room
 }
@@ -47,6 +54,9 @@
 		waves = float64(c.InFlight+1) / float64(c.Slots)
 	}
 	cost := float64(latency) * (waves + 0.2*float64(c.InFlight)) * (1 + errorFactor*c.Errors)
+	if c.Far {
+		cost *= farFactor + stallFactor*c.Stalls
+	}
 	if c.Full {
 		cost *= 20
 	}
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -19,6 +19,7 @@
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/caller/front"
 	"wisteriafield/internal/config/routes"
+	"wisteriafield/internal/decision/link"
 	"wisteriafield/internal/decision/repeats"
 	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/discovery"
@@ -107,9 +108,10 @@
 		HasConfig: func() bool { return e.table.Load() != nil }, Reads: e.reads, Log: e.part("store"),
 	})
 	budget := repeats.New(cfg.Repeats)
+	links := link.New()
 	streams := relay.New(relay.Config{
 		Servers: e.servers, Client: cfg.Client, Repeats: budget,
-		Runs: e, Found: func() { e.gossip.Kick() }, Log: e.part("stream"),
+		Links: links, Domain: cfg.Domain, Runs: e, Found: func() { e.gossip.Kick() }, Log: e.part("stream"),
 	})
 	e.gossip = gossip.New(gossip.Config{
 		Self: e.self, Seeds: cfg.Seeds, Caller: control.NewClient(""), Notices: e, State: e, Servers: e.servers,
@@ -119,7 +121,7 @@
 		Protocol:    cfg.Protocol,
 		Table:       e.table.Load,
 		Streams:     streams,
-		Plain:       forward.New(forward.Config{Servers: e.servers, Client: cfg.Client, Repeats: budget, Log: e.part("plain")}),
+		Plain:       forward.New(forward.Config{Servers: e.servers, Client: cfg.Client, Repeats: budget, Links: links, Domain: cfg.Domain, Log: e.part("plain")}),
 		Repeats:     budget,
 		TakesStream: e.takesStream,
 		Stopping:    e.Stopping,
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -17,6 +17,7 @@
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/link"
 )
 
 const (
@@ -49,7 +50,9 @@
 	Repeats interface {
 		Allow(service string, now time.Time) bool
 	}
-	Log *logrus.Entry
+	Links  *link.Health
+	Domain string // of this router
+	Log    *logrus.Entry
 }
 
 // Forwarder forwards plain requests.
@@ -101,6 +104,7 @@
 		entries = append(entries, e)
 		candidates = append(candidates, balance.Plain{
 			InFlight: st.InFlight, Slots: e.Slots, Latency: st.Latency, Errors: st.Errors, Down: st.Down, Full: st.Full,
+			Far: e.Domain != f.cfg.Domain, Stalls: f.cfg.Links.Rate(e.Domain, now),
 		})
 	}
 	i := balance.PickPlain(candidates, rand.Float64())
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -80,6 +80,7 @@
 	hurry := make(chan time.Time, 1)
 	defer s.relay.nearby.join(target.Domain, hurry)()
 	watch := suspicion.NewWatch(s.limits(), time.Now())
+	arrivals := s.relay.cfg.Links.Watch(target.Domain)
 	signs := make(chan server.Report, 4)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -99,6 +100,7 @@
 			}
 			now := time.Now()
 			watch.Event(now)
+			arrivals.Event(now)
 			run.Event(now, s.eventTokens())
 			if r, ok := s.forward(got.event, header, len(in) == 0); !ok {
 				r.backup = backup
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -16,6 +16,7 @@
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/config/routes"
+	"wisteriafield/internal/decision/link"
 	"wisteriafield/internal/router/relay"
 	"wisteriafield/internal/router/runs"
 )
@@ -159,7 +160,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	w.relay = relay.New(relay.Config{
-		Servers: w.servers, Client: w.engines, Repeats: always{}, Runs: w.runs, Found: func() {}, Log: log.WithField("part", "stream"),
+		Servers: w.servers, Client: w.engines, Repeats: always{}, Links: link.New(), Domain: "a", Runs: w.runs, Found: func() {}, Log: log.WithField("part", "stream"),
 	})
 	return w
 }
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -15,6 +15,7 @@
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/link"
 	"wisteriafield/internal/decision/suspicion"
 	"wisteriafield/internal/router/runs"
 )
@@ -57,8 +58,10 @@
 	}
 	Runs Runs
 	// Found is called when an engine was found silent, so that peers are told.
-	Found func()
-	Log   *logrus.Entry
+	Found  func()
+	Links  *link.Health
+	Domain string // of this router
+	Log    *logrus.Entry
 }
 
 // Relay runs the generations of this router's callers.
@@ -100,7 +103,7 @@
 		st := e.Load.State(now)
 		c := balance.Engine{
 			Domain: e.Domain, Runs: st.Runs, Slots: e.Slots, Prompts: st.Prompts, Memory: st.Memory,
-			Pace: st.Pace, Errors: st.Errors, Down: st.Down, Full: st.Full,
+			Far: e.Domain != r.cfg.Domain, Stalls: r.cfg.Links.Rate(e.Domain, now), Pace: st.Pace, Errors: st.Errors, Down: st.Down, Full: st.Full,
 		}
 		if service.Engine != nil {
 			c.Capacity = service.Engine.Memory
