--- a/internal/decision/balance/balance_test.go
+++ b/internal/decision/balance/balance_test.go
@@ -23,6 +23,8 @@
 		{"idle before busy", []balance.Plain{{Slots: 6, InFlight: 5, Latency: 15 * ms}, {Slots: 6, Latency: 15 * ms}}, 1},
 		{"fast before slow", []balance.Plain{{Slots: 6, Latency: 75 * ms}, {Slots: 6, InFlight: 2, Latency: 15 * ms}}, 1},
 		{"sound before failing", []balance.Plain{{Slots: 6, Latency: 10 * ms, Errors: 0.5}, {Slots: 6, InFlight: 3, Latency: 15 * ms}}, 1},
+		{"near before far", []balance.Plain{{Slots: 6, Latency: 15 * ms, Far: true}, {Slots: 6, Latency: 16 * ms}}, 1},
+		{"far before links that hold answers up", []balance.Plain{{Slots: 6, Latency: 15 * ms, Far: true, Stalls: 0.04}, {Slots: 6, InFlight: 3, Latency: 15 * ms, Far: true}}, 1},
 		{"full before down", []balance.Plain{{Slots: 6, Latency: 15 * ms, Down: true}, {Slots: 6, InFlight: 6, Latency: 15 * ms, Full: true}}, 1},
 		{"down if all are", []balance.Plain{{Slots: 6, Down: true}}, 0},
 	} {
@@ -44,6 +46,8 @@
 		{"memory for the whole run", []balance.Engine{{Memory: 46000, Capacity: 55000}, {Prompts: 5000, Memory: 5000, Capacity: 55000}}, "", 1},
 		{"slow engines last", []balance.Engine{{Pace: 160 * ms, Capacity: 55000}, {Pace: 33 * ms, Runs: 2, Capacity: 55000}}, "", 1},
 		{"engines that lose answers last", []balance.Engine{{Errors: 0.5, Capacity: 55000}, {Runs: 2, Capacity: 55000}}, "", 1},
+		{"near before far", []balance.Engine{{Far: true, Capacity: 55000}, {Prompts: 1000, Capacity: 55000}}, "", 1},
+		{"crowded before links that hold events up", []balance.Engine{{Far: true, Stalls: 0.02, Capacity: 55000}, {Runs: 6, Prompts: 10000, Capacity: 55000}}, "", 1},
 		{"another failure domain", []balance.Engine{{Domain: "a", Capacity: 55000}, {Domain: "b", Runs: 4, Capacity: 55000}}, "a", 1},
 		{"the same domain rather than none", []balance.Engine{{Domain: "a", Capacity: 55000}}, "a", 0},
 	} {
--- a/internal/decision/balance/engine.go
+++ b/internal/decision/balance/engine.go
@@ -22,7 +22,7 @@
 	stallWeight = 60.0
 	// farCost is the cost in ms of another failure domain: bytes between domains
 	// are priced, and their links may lose packets before that is known.
-	farCost = 200.0
+	farCost = 500.0
 	// spread is how far equal candidates are told apart by chance, in ms.
 	spread = 40.0
 )
