--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -61,8 +61,9 @@
 	Arrived  time.Time
 	Deadline time.Time // when the caller leaves
 
-	Organisation string
-	Priority     int
+	Organisation  string
+	Priority      int
+	ConfigVersion int64 // of the configuration that let it in
 
 	PromptTokens int
 	OutputTokens int // at most
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -131,6 +131,7 @@
 		return nil, http.StatusBadRequest
 	}
 	req.Route = route
+	req.ConfigVersion = table.Version
 	req.Priority = route.Priority
 	if table.Keyed() && !route.Public {
 		key, ok := h.cfg.Protocol.Key(r)
--- a/internal/decision/balance/balance_test.go
+++ b/internal/decision/balance/balance_test.go
@@ -38,18 +38,18 @@
 	for _, c := range []struct {
 		name       string
 		candidates []balance.Engine
-		avoid      string
+		avoid      []string
 		want       int
 	}{
-		{"all down", []balance.Engine{{Down: true}}, "", -1},
-		{"no prompt waits", []balance.Engine{{Prompts: 5000, Capacity: 55000}, {Capacity: 55000}}, "", 1},
-		{"memory for the whole run", []balance.Engine{{Memory: 46000, Capacity: 55000}, {Prompts: 5000, Memory: 5000, Capacity: 55000}}, "", 1},
-		{"slow engines last", []balance.Engine{{Pace: 160 * ms, Capacity: 55000}, {Pace: 33 * ms, Runs: 2, Capacity: 55000}}, "", 1},
-		{"engines that lose answers last", []balance.Engine{{Errors: 0.5, Capacity: 55000}, {Runs: 2, Capacity: 55000}}, "", 1},
-		{"near before far", []balance.Engine{{Far: true, Capacity: 55000}, {Prompts: 1000, Capacity: 55000}}, "", 1},
-		{"crowded before links that hold events up", []balance.Engine{{Far: true, Stalls: 0.02, Capacity: 55000}, {Runs: 6, Prompts: 10000, Capacity: 55000}}, "", 1},
-		{"another failure domain", []balance.Engine{{Domain: "a", Capacity: 55000}, {Domain: "b", Runs: 4, Capacity: 55000}}, "a", 1},
-		{"the same domain rather than none", []balance.Engine{{Domain: "a", Capacity: 55000}}, "a", 0},
+		{"all down", []balance.Engine{{Down: true}}, nil, -1},
+		{"no prompt waits", []balance.Engine{{Prompts: 5000, Capacity: 55000}, {Capacity: 55000}}, nil, 1},
+		{"memory for the whole run", []balance.Engine{{Memory: 46000, Capacity: 55000}, {Prompts: 5000, Memory: 5000, Capacity: 55000}}, nil, 1},
+		{"slow engines last", []balance.Engine{{Pace: 160 * ms, Capacity: 55000}, {Pace: 33 * ms, Runs: 2, Capacity: 55000}}, nil, 1},
+		{"engines that lose answers last", []balance.Engine{{Errors: 0.5, Capacity: 55000}, {Runs: 2, Capacity: 55000}}, nil, 1},
+		{"near before far", []balance.Engine{{Far: true, Capacity: 55000}, {Prompts: 1000, Capacity: 55000}}, nil, 1},
+		{"crowded before links that hold events up", []balance.Engine{{Far: true, Stalls: 0.02, Capacity: 55000}, {Runs: 6, Prompts: 10000, Capacity: 55000}}, nil, 1},
+		{"another failure domain", []balance.Engine{{Domain: "a", Capacity: 55000}, {Domain: "b", Runs: 4, Capacity: 55000}}, []string{"a"}, 1},
+		{"the same domain rather than none", []balance.Engine{{Domain: "a", Capacity: 55000}}, []string{"a"}, 0},
 	} {
 		g.Expect(balance.PickEngine(c.candidates, 5000, 800, c.avoid, 0.5)).To(Equal(c.want), c.name)
 	}
@@ -144,7 +144,7 @@
 func TestGenerationsFinishSoonerThanByWaitingPromptsAlone(t *testing.T) {
 	g := NewWithT(t)
 	ours := play(func(c []balance.Engine, random float64) int {
-		return balance.PickEngine(c, 5000, 800, "", random)
+		return balance.PickEngine(c, 5000, 800, nil, random)
 	}, 4)
 	baseline := play(leastPrompt, 4)
 	at := func(took []float64, share float64) float64 { return took[int(share*float64(len(took)-1))] }
--- a/internal/decision/balance/engine.go
+++ b/internal/decision/balance/engine.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// readRate is how many prompt tokens an engine of common speed reads in a
@@ -46,15 +49,15 @@
 // PickEngine returns the index of the engine for a generation, or -1. It
 // answers long prompts that delay each other and memory that runs out: the
 // engine that has read the prompt first, and has room for the whole run, wins.
-// Engines of the failure domain to avoid are used only if no other can be.
-func PickEngine(candidates []Engine, prompt, output int, avoidDomain string, random float64) int {
+// Engines of the failure domains to avoid are used only if no other can be.
+func PickEngine(candidates []Engine, prompt, output int, avoid []string, random float64) int {
 	best, least := -1, 0.0
 	for i, c := range candidates {
 		if c.Down {
 			continue
 		}
 		cost := engineCost(c, prompt, output) + spread*fraction(random, i)
-		if avoidDomain != "" && c.Domain == avoidDomain {
+		if slices.Contains(avoid, c.Domain) {
 			cost += crowded / 2
 		}
 		if best < 0 || cost < least {
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -111,6 +111,10 @@
 func (c *call) answer(w http.ResponseWriter, ctx context.Context) {
 	switch {
 	case c.last.server != nil && c.last.good():
+		if c.last.failed() {
+			c.f.cfg.Log.WithField("id", c.req.ID).WithField("status", c.last.status).WithField("server", c.last.server.ID).
+				WithField("sends", c.ran).WithField("allowed", c.req.Route.Attempts).Info("server's failure passed on")
+		}
 		answerSeconds.Update(time.Since(c.req.Arrived).Seconds())
 		for name, values := range c.last.header {
 			w.Header()[name] = values
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -116,8 +116,9 @@
 
 // send sends the request once and reads the whole answer.
 func (f *Forwarder) send(ctx context.Context, req *server.Request, e *registry.Entry) outcome {
-	e.Load.Begin()
 	began := time.Now()
+	before := e.Load.State(began)
+	e.Load.Begin()
 	o := f.exchange(ctx, req, e)
 	took := time.Since(began)
 	if o.err != nil && ctx.Err() == nil && errors.Is(o.err, server.ErrNotSent) {
@@ -134,7 +135,8 @@
 	e.Load.End(took, o.failed() && ctx.Err() == nil)
 	sendsTotal(&o).Inc()
 	f.cfg.Log.WithField("id", req.ID).WithField("server", e.ID).WithField("status", o.status).
-		WithField("notRun", o.notRun).WithField("ms", took.Milliseconds()).WithError(o.err).Info("sent")
+		WithField("notRun", o.notRun).WithField("ms", time.Since(began).Milliseconds()).WithField("config", req.ConfigVersion).
+		WithField("inFlight", before.InFlight).WithField("errors", before.Errors).WithError(o.err).Info("sent")
 	return o
 }
 
--- a/internal/router/relay/backup.go
+++ b/internal/router/relay/backup.go
@@ -24,7 +24,7 @@
 func (s *stream) logDispatch(target, backup *registry.Entry, from *server.Copy) {
 	st := target.Load.State(time.Now())
 	log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).WithField("address", target.Address).
-		WithField("prompt", s.req.PromptTokens).WithField("waiting", st.Prompts).WithField("runs", st.Runs).
+		WithField("config", s.req.ConfigVersion).WithField("prompt", s.req.PromptTokens).WithField("waiting", st.Prompts).WithField("runs", st.Runs).
 		WithField("memory", st.Memory).WithField("paceMs", st.Pace.Milliseconds()).WithField("after", s.after)
 	if backup != nil {
 		log = log.WithField("backup", backup.Address).WithField("backupID", backup.ID)
@@ -36,7 +36,8 @@
 }
 
 // chooseBackup picks the engine that keeps a copy of the run's memory, in
-// another failure domain than the run if there is one.
+// another failure domain than the run if there is one, and not where an engine was
+// just lost: its neighbours may be dead too and not known to be yet.
 func (s *stream) chooseBackup(target *registry.Entry) *registry.Entry {
 	s.releaseCopy()
 	if s.service.Engine == nil || !s.service.Engine.Backups || !s.req.Route.Resumable {
@@ -46,7 +47,7 @@
 	for k := range s.excluded {
 		excluded[k] = true
 	}
-	e := s.relay.choose(s.service, s.req, excluded, target.Domain)
+	e := s.relay.choose(s.service, s.req, excluded, target.Domain, s.lostIn)
 	if e != nil {
 		s.dropCopy = e.Load.HoldCopy(s.req.PromptTokens)
 	}
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -92,7 +92,7 @@
 func (r *Relay) NearbyDown(e *registry.Entry) { r.nearby.tell(e.Domain, time.Now()) }
 
 // choose picks an engine, or nil.
-func (r *Relay) choose(service *routes.Service, req *server.Request, excluded map[server.Key]bool, avoid string) *registry.Entry {
+func (r *Relay) choose(service *routes.Service, req *server.Request, excluded map[server.Key]bool, avoid ...string) *registry.Entry {
 	now := time.Now()
 	var entries []*registry.Entry
 	var candidates []balance.Engine
--- a/internal/router/relay/relay_test.go
+++ b/internal/router/relay/relay_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/router/runs"
 )
 
@@ -66,6 +67,27 @@
 	})
 }
 
+// Found on Qalamdaan quiet-1, seed 3: after a loss the new copy was placed beside
+// the lost engine, in the failure domain that had just crashed.
+func TestTheNextCopyIsNotPlacedWhereAnEngineWasJustLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.servers.Set([]server.Server{
+			{ID: "i-0", Service: "engines", Address: addressOf(0), Domain: "a", Slots: 64},
+			{ID: "i-1", Service: "engines", Address: addressOf(1), Domain: "b", Slots: 64},
+			{ID: "i-2", Service: "engines", Address: addressOf(2), Domain: "c", Slots: 64},
+			{ID: "i-3", Service: "engines", Address: addressOf(3), Domain: "a", Slots: 64},
+		})
+		w.firstEngine(fate{breakAfter: 7})
+		w.servers.Get("i-3").Load.BeginRun(0, 0)
+		w.servers.Get("i-3").Load.BeginRun(0, 0)
+		_, cut := w.serve(w.request(0))
+		w.Expect(cut).To(BeFalse())
+		w.Expect(w.engines.sends[0].Server.ID).To(Equal("i-0"))
+		w.Expect(w.engines.sends[1].Backup.Domain).NotTo(Equal("a"))
+	})
+}
+
 // Found on Qalamdaan trouble-2, seed 4: the copy was at a server that had begun to
 // leave since the stream began.
 func TestACopyAtALeavingServerIsNotUsed(t *testing.T) {
