What cannot be finished in time is refused at once

A generation whose likely length does not fit into the time that its caller has is refused as not run. Kept for the callers' sake.

--- a/internal/decision/balance/balance_test.go
+++ b/internal/decision/balance/balance_test.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// Found on the recorded day of Qalamdaan: callers came back 18 s after a power cut
+// with a second left, and their prompts were read in vain.
+func TestWhatCannotBeFinishedInTimeIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		name                 string
+		left                 time.Duration
+		prompt, output, done int
+		want                 bool
+	}{
+		{"all the time", 25 * time.Second, 5000, 1020, 0, true},
+		{"a second for a whole draft", time.Second, 5000, 1020, 0, false},
+		{"a second for the end of one", time.Second, 5000, 1020, 600, true},
+		{"no time", 0, 5000, 1020, 0, false},
+		{"sizes unknown", time.Millisecond, 0, 0, 0, true},
+	} {
+		g.Expect(balance.Feasible(c.left, c.prompt, c.output, c.done)).To(Equal(c.want), c.name)
+	}
+}
+
 // engine is a model of an engine: it reads prompts one after the other, a tenth of
 // a second at a time, and its generations pause meanwhile.
 type engine struct {
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -82,6 +82,10 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	s := &stream{relay: r, w: w, req: req, service: service, after: req.After, excluded: make(map[server.Key]bool)}
+	if !balance.Feasible(time.Until(req.Deadline), req.PromptTokens, req.OutputTokens, req.After*s.eventTokens()) {
+		s.refuse("too late to finish")
+		return
+	}
 	if req.After > 0 && req.Session() != "" {
 		s.recall(ctx)
 	}
