--- a/internal/backend/registry/load.go
+++ b/internal/backend/registry/load.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"wisteriafield/internal/base/ewma"
 )
 
 const (
@@ -123,7 +125,7 @@
 	defer l.mu.Unlock()
 	l.inFlight--
 	if latency > 0 {
-		l.latency = blend(l.latency, latency, latencyWeight)
+		l.latency = ewma.Blend(l.latency, latency, latencyWeight)
 	}
 	outcome := 0.0
 	if failed {
@@ -191,7 +193,7 @@
 		if gap < r.load.pace {
 			weight = paceFall
 		}
-		r.load.pace = blend(r.load.pace, gap, weight)
+		r.load.pace = ewma.Blend(r.load.pace, gap, weight)
 		r.paceAt, r.events = now, 0
 	}
 	r.held += tokens
@@ -233,10 +235,3 @@
 		l.mu.Unlock()
 	}
 }
-
-func blend(old, seen time.Duration, weight float64) time.Duration {
-	if old == 0 {
-		return seen
-	}
-	return time.Duration((1-weight)*float64(old) + weight*float64(seen))
-}
--- a/internal/decision/pace/tracker.go
+++ b/internal/decision/pace/tracker.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"wisteriafield/internal/base/ewma"
 )
 
 const (
@@ -37,15 +39,15 @@
 func (t *Tracker) Observe(gap time.Duration, load float64) {
 	b := min(max(int(load*loadBuckets), 0), loadBuckets-1)
 	t.bucket = b
-	t.Recent = blend(t.Recent, gap, recentWeight)
+	t.Recent = ewma.Blend(t.Recent, gap, recentWeight)
 	t.observed[b]++
 	weight := math.Max(referenceWeight, 1/float64(t.observed[b]))
-	t.Reference[b] = blend(t.Reference[b], gap, weight)
+	t.Reference[b] = ewma.Blend(t.Reference[b], gap, weight)
 }
 
 // ObserveStart records the time from dispatch to the first token.
 func (t *Tracker) ObserveStart(d time.Duration) {
-	t.Start = blend(t.Start, d, recentWeight)
+	t.Start = ewma.Blend(t.Start, d, recentWeight)
 }
 
 // Slowdown returns how many times slower than its own past the server is, at
@@ -71,10 +73,3 @@
 func (t *Tracker) StartSilence() time.Duration {
 	return min(max(startFactor*t.Start, startFloor), startCeiling)
 }
-
-func blend(old, seen time.Duration, weight float64) time.Duration {
-	if old == 0 {
-		return seen
-	}
-	return time.Duration((1-weight)*float64(old) + weight*float64(seen))
-}
--- a/internal/router/discovery/follower_test.go
+++ b/internal/router/discovery/follower_test.go
@@ -117,11 +117,11 @@
 		w := &world{WithT: NewWithT(t), store: &store{values: map[string]kv.Value{}}, reads: true}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		w.store.put("op/config", "one")
+		w.store.put("config", "one")
 		w.store.put("servers/a", "ready")
 		w.store.put("servers/b", "ready")
 		w.follower = discovery.New(discovery.Config{
-			Store: w.store, ConfigKey: "op/config", ServersPrefix: "servers/", HostsPrefix: "hosts/",
+			Store: w.store, ConfigKey: "config", ServersPrefix: "servers/", HostsPrefix: "hosts/",
 			DecodeServer: decode, Changed: func() {}, SetHost: func([]byte) {},
 			SetConfig:  func(value []byte, _ string) { w.mu.Lock(); w.config = string(value); w.mu.Unlock() },
 			SetServers: func(s []server.Server) { w.mu.Lock(); w.servers = s; w.mu.Unlock() },
@@ -159,7 +159,7 @@
 func TestChangesAreInForceWithinASecond(t *testing.T) {
 	play(t, func(w *world) {
 		w.Expect(w.known()).To(ConsistOf("a", "b"))
-		w.store.put("op/config", "two")
+		w.store.put("config", "two")
 		w.store.put("servers/a", "leaving")
 		w.store.remove("servers/b")
 		w.store.put("servers/c", "ready")
@@ -174,7 +174,7 @@
 func TestAChangeAroundACompactionIsInForceWithinTwoSeconds(t *testing.T) {
 	play(t, func(w *world) {
 		w.store.set(func() { w.store.deaf = true })
-		w.store.put("op/config", "two")
+		w.store.put("config", "two")
 		w.store.set(func() { w.store.oldest = w.store.revision })
 		time.Sleep(2 * time.Second)
 		w.Expect(w.version()).To(Equal("two"))
@@ -197,7 +197,7 @@
 		w.Expect(w.known()).To(ConsistOf("a", "b"), "an outage takes nothing away")
 		w.store.set(func() {
 			w.store.down = false
-			w.store.values = map[string]kv.Value{"op/config": w.store.values["op/config"]}
+			w.store.values = map[string]kv.Value{"config": w.store.values["config"]}
 			w.store.revision += 10
 			w.store.oldest = w.store.revision
 		})
--- a/internal/router/edge/admin.go
+++ b/internal/router/edge/admin.go
@@ -18,10 +18,10 @@
 	Stopping       bool
 	Active         int64 // requests that are being answered
 	ConfigVersion  int64
-	ConfigAge      time.Duration // since it came into force
+	ConfigSince    time.Time // when it came into force
 	ServerRevision int64
-	Reading        bool          // this router reads the store
-	StoreAge       time.Duration // since the store answered this router
+	Reading        bool      // this router reads the store
+	StoreReached   time.Time // when the store answered this router last
 	Peers          []gossip.Host
 	Servers        []ServerDump
 }
@@ -42,13 +42,10 @@
 	d := Dump{
 		Host: e.cfg.Host, Stopping: e.Stopping(), Active: e.active.Load(),
 		ConfigVersion: e.ConfigVersion(), ServerRevision: e.ServerRevision(),
-		Reading: e.Reading(), Peers: e.gossip.Live(now),
+		Reading: e.Reading(), StoreReached: e.StoreReached(), Peers: e.gossip.Live(now),
 	}
 	if at := e.configAt.Load(); at != 0 {
-		d.ConfigAge = now.Sub(time.Unix(0, at))
-	}
-	if at := e.StoreReached(); !at.IsZero() {
-		d.StoreAge = now.Sub(at)
+		d.ConfigSince = time.Unix(0, at)
 	}
 	for _, s := range e.servers.All() {
 		d.Servers = append(d.Servers, ServerDump{
@@ -64,8 +61,8 @@
 func (e *Edge) admin() http.Handler {
 	set := metrics.NewSet()
 	set.NewGauge("wisteriafield_config_version", func() float64 { return float64(e.ConfigVersion()) })
-	set.NewGauge("wisteriafield_config_age_seconds", func() float64 { return e.Dump().ConfigAge.Seconds() })
-	set.NewGauge("wisteriafield_store_age_seconds", func() float64 { return e.Dump().StoreAge.Seconds() })
+	set.NewGauge("wisteriafield_config_age_seconds", func() float64 { return secondsSince(time.Unix(0, e.configAt.Load())) })
+	set.NewGauge("wisteriafield_store_age_seconds", func() float64 { return secondsSince(e.StoreReached()) })
 	set.NewGauge("wisteriafield_store_reading", func() float64 { return oneIf(e.Reading()) })
 	set.NewGauge("wisteriafield_servers_known", func() float64 { return float64(len(e.servers.All())) })
 	set.NewGauge("wisteriafield_peers_live", func() float64 { return float64(len(e.gossip.Live(time.Now()))) })
@@ -84,6 +81,14 @@
 	return mux
 }
 
+// secondsSince returns the age of a moment, or -1 if there was none.
+func secondsSince(at time.Time) float64 {
+	if at.IsZero() || at.Unix() == 0 {
+		return -1
+	}
+	return time.Since(at).Seconds()
+}
+
 func oneIf(b bool) float64 {
 	if b {
 		return 1
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -7,6 +7,7 @@
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/routes"
 )
 
@@ -47,7 +48,7 @@
 				s.refuse("no engine")
 				return
 			}
-			if !pause(ctx, midstreamPause) {
+			if !loop.Pause(ctx, midstreamPause) {
 				s.giveUp(ctx)
 				return
 			}
@@ -260,14 +261,3 @@
 		s.dropCopy = nil
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
