A router about to end takes nothing that it would cut

Only generations were refused for want of time. Ruled out: a longer grace (the platform's kill bounds it).

--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -50,8 +50,8 @@
 	Repeats  interface {
 		First(service string, now time.Time)
 	}
-	// TakesStream reports whether a generation may still begin here.
-	TakesStream func(req *server.Request, now time.Time) bool
+	// Takes reports whether a request may still begin here.
+	Takes func(req *server.Request, now time.Time) bool
 	// Stopping reports whether connections should end with their answers.
 	Stopping func() bool
 	Log      *logrus.Entry
@@ -93,7 +93,7 @@
 	if service == nil {
 		service = &routes.Service{Name: req.Service}
 	}
-	if req.Route.Kind == routes.Streaming && !h.cfg.TakesStream(req, now) {
+	if !h.cfg.Takes(req, now) {
 		h.cfg.Log.WithField("id", req.ID).Info("refused: stopping")
 		w.Header().Set("Retry-After", stoppingRetry)
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/caller/front/handler_test.go
+++ b/internal/caller/front/handler_test.go
@@ -56,7 +56,7 @@
 	served   []string
 	plain    *taken
 	stopping bool
-	draining bool
+	draining routes.Kind // requests that are no longer taken
 }
 
 func newDesk() *desk {
@@ -78,8 +78,8 @@
 	d.handler = front.New(front.Config{
 		Protocol: protocol{}, Table: func() *routes.Table { return d.table },
 		Streams: &taken{name: "stream", all: &d.served}, Plain: d.plain, Repeats: first{},
-		TakesStream: func(*server.Request, time.Time) bool { return !d.draining },
-		Stopping:    func() bool { return d.stopping }, Log: log.WithField("part", "front"),
+		Takes:    func(req *server.Request, _ time.Time) bool { return d.draining == "" || req.Route.Kind != d.draining },
+		Stopping: func() bool { return d.stopping }, Log: log.WithField("part", "front"),
 	})
 	return d
 }
@@ -150,9 +150,21 @@
 func TestARouterThatStopsClosesConnectionsAndSendsLongDraftsElsewhere(t *testing.T) {
 	g := NewWithT(t)
 	d := newDesk()
-	d.stopping, d.draining = true, true
+	d.stopping, d.draining = true, routes.Streaming
 	w := d.ask("/draft/1", "k", "")
 	g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
 	g.Expect(w.Header().Get("Connection")).To(Equal("close"))
 	g.Expect(d.ask("/book/1", "k", "").Code).To(Equal(200), "short requests are still answered")
 }
+
+// Found on Qalamdaan trouble-2, seed 3: a booking was taken 30 ms before the end of
+// a router that stopped, and cut.
+func TestARouterAboutToEndTakesNoBookingEither(t *testing.T) {
+	g := NewWithT(t)
+	d := newDesk()
+	d.stopping, d.draining = true, routes.NonIdempotent
+	w := d.ask("/book/1", "k", "")
+	g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(d.served).To(BeEmpty())
+}
--- a/internal/decision/suspicion/stream.go
+++ b/internal/decision/suspicion/stream.go
@@ -20,7 +20,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		Quiet:       160 * time.Millisecond,
-		QuietStart:  300 * time.Millisecond,
+		QuietStart:  450 * time.Millisecond,
 		AnswerTime:  150 * time.Millisecond,
 		MostSilence: 1500 * time.Millisecond,
 		MostStart:   8 * time.Second,
--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/config/routes"
+	"wisteriafield/internal/decision/drain"
 )
 
 const (
@@ -16,12 +18,6 @@
 	// killMargin is kept before the platform's kill.
 	killMargin = 300 * time.Millisecond
 	drainTick  = 20 * time.Millisecond
-
-	// What a generation takes, for those that begin while this router stops:
-	// prompt tokens read in a ms, time for an output token and beyond both.
-	readRate   = 4.5
-	tokenTime  = 4600 * time.Microsecond
-	streamBase = 300 * time.Millisecond
 )
 
 func (e *Edge) answerReady(w http.ResponseWriter, _ *http.Request) {
@@ -32,15 +28,17 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// takesStream refuses generations that would be cut by the end of this process.
-func (e *Edge) takesStream(req *server.Request, now time.Time) bool {
+// takes refuses what would be cut by the end of this process.
+func (e *Edge) takes(req *server.Request, now time.Time) bool {
 	at := e.stopAt.Load()
 	if at == 0 {
 		return true
 	}
-	end := time.Unix(0, at).Add(e.cfg.Grace - killMargin)
-	needed := streamBase + time.Duration(float64(req.PromptTokens)/readRate)*time.Millisecond + time.Duration(req.OutputTokens)*tokenTime
-	return now.Add(needed).Before(end)
+	left := time.Unix(0, at).Add(e.cfg.Grace - killMargin).Sub(now)
+	if req.Route.Kind == routes.Streaming {
+		return drain.FitsGeneration(left, req.PromptTokens, req.OutputTokens)
+	}
+	return drain.FitsCall(left, req.Deadline.Sub(now))
 }
 
 // drain lets the requests end that are being answered. Callers are told to
@@ -49,10 +47,15 @@
 	e.stopAt.Store(now.UnixNano())
 	e.part("node").WithField("active", e.active.Load()).Info("stopping")
 	end := now.Add(e.cfg.Grace - killMargin)
+	idleEnd := now.Add(lameDuck)
 	t := time.NewTicker(drainTick)
 	defer t.Stop()
 	for now := range t.C {
-		if !now.Before(end) || now.After(time.Unix(0, e.stopAt.Load()).Add(lameDuck)) && e.active.Load() == 0 {
+		if now.After(idleEnd) {
+			// Closes connections between requests, so that no caller is held here.
+			e.callers.SetKeepAlivesEnabled(false)
+		}
+		if !now.Before(end) || now.After(idleEnd) && e.active.Load() == 0 {
 			break
 		}
 	}
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -118,14 +118,14 @@
 		Runs: runs.NewTable(), NearbyDown: streams.NearbyDown, Log: e.part("gossip"),
 	})
 	handler := front.New(front.Config{
-		Protocol:    cfg.Protocol,
-		Table:       e.table.Load,
-		Streams:     streams,
-		Plain:       forward.New(forward.Config{Servers: e.servers, Client: cfg.Client, Repeats: budget, Links: links, Domain: cfg.Domain, Log: e.part("plain")}),
-		Repeats:     budget,
-		TakesStream: e.takesStream,
-		Stopping:    e.Stopping,
-		Log:         e.part("front"),
+		Protocol: cfg.Protocol,
+		Table:    e.table.Load,
+		Streams:  streams,
+		Plain:    forward.New(forward.Config{Servers: e.servers, Client: cfg.Client, Repeats: budget, Links: links, Domain: cfg.Domain, Log: e.part("plain")}),
+		Repeats:  budget,
+		Takes:    e.takes,
+		Stopping: e.Stopping,
+		Log:      e.part("front"),
 	})
 	e.callers = e.server(e.counted(handler))
 	mux := http.NewServeMux()
