--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -75,7 +75,7 @@
 func (e *Edge) reads(lost bool) bool {
 	now := time.Now()
 	self := reader.Router{Name: e.cfg.Host, Reads: e.Reading(), Reached: e.StoreReached()}
-	return e.cfg.PeerAddress == "" || reader.Should(self, e.gossip.Readers(now), lost, now)
+	return e.cfg.PeerAddress == "" || e.gossip.Behind(now) || reader.Should(self, e.gossip.Readers(now), lost, now)
 }
 
 // NoteRun tells where a generation runs.
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -41,7 +41,10 @@
 	mu    sync.Mutex
 	peers map[string]*peer // by address
 
-	pulling bool // a server list is on its way
+	knownRevision int64     // of this router's server list
+	behindAt      time.Time // since when a peer has a newer one
+
+	pullingConfig, pullingServers atomic.Bool // one is on its way
 
 	messages atomic.Int64
 }
@@ -155,6 +158,7 @@
 		case <-t.C:
 		}
 		now := time.Now()
+		g.dropStale(now)
 		state := g.cfg.Servers.Changes()
 		if !kicked && state == told && now.Sub(last) < idlePeriod {
 			continue
@@ -162,7 +166,6 @@
 		last, told = now, state
 		g.send(now)
 		g.greet(ctx, now)
-		g.mergeLoads(now)
 		if kicked {
 			loop.Pause(ctx, dirtyPeriod/8)
 		}
--- a/internal/router/gossip/take.go
+++ b/internal/router/gossip/take.go
@@ -15,16 +15,45 @@
 		g.Add(h)
 	}
 	g.note(m, now)
-	g.mergeLoads(now)
-	if m.Version > g.cfg.State.ConfigVersion() {
-		g.pullConfig(m.Host)
+	if m.Version > g.cfg.State.ConfigVersion() && g.pullingConfig.CompareAndSwap(false, true) {
+		go func() {
+			defer g.pullingConfig.Store(false)
+			g.pullConfig(m.Host)
+		}()
 	}
+	ahead := m.Revision > g.cfg.State.ServerRevision()
+	g.noteAhead(ahead, now)
 	// A reader hears it from the store itself.
-	if own := g.cfg.State.ServerRevision(); m.Revision > own && (!g.cfg.State.Reading() || now.Sub(g.cfg.State.StoreReached()) > behindFor) {
-		g.pullServers(m.Host)
+	reads := g.cfg.State.Reading() && now.Sub(g.cfg.State.StoreReached()) <= behindFor
+	if ahead && !reads && g.pullingServers.CompareAndSwap(false, true) {
+		go func() {
+			defer g.pullingServers.Store(false)
+			g.pullServers(m.Host)
+		}()
 	}
 }
 
+// noteAhead keeps since when some peer has a newer server list.
+func (g *Gossip) noteAhead(ahead bool, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	revision := g.cfg.State.ServerRevision()
+	if revision != g.knownRevision {
+		g.knownRevision, g.behindAt = revision, time.Time{}
+	}
+	if ahead && g.behindAt.IsZero() {
+		g.behindAt = now
+	}
+}
+
+// Behind reports whether peers have had a newer server list for so long that this
+// router should read the store itself.
+func (g *Gossip) Behind(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.behindAt.IsZero() && now.Sub(g.behindAt) > behindFor && g.cfg.State.ServerRevision() == g.knownRevision
+}
+
 func (g *Gossip) note(m message, now time.Time) {
 	g.mu.Lock()
 	p := g.peers[m.Host.Address]
@@ -40,6 +69,7 @@
 		p.reached = now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
 	}
 	g.mu.Unlock()
+	g.mergeLoads(now, m.Loads, old)
 	if appeared {
 		g.cfg.Log.WithField("peer", m.Host.Name).WithField("address", m.Host.Address).Info("peer found")
 	}
@@ -54,26 +84,46 @@
 	}
 }
 
-// mergeLoads adds up what the live peers have at each server.
-func (g *Gossip) mergeLoads(now time.Time) {
-	sums := make(map[string]registry.Share)
+// mergeLoads adds up what the live peers have at the servers named in some loads.
+func (g *Gossip) mergeLoads(now time.Time, named ...map[string]registry.Share) {
+	for _, loads := range named {
+		for id := range loads {
+			if e := g.cfg.Servers.Get(id); e != nil {
+				e.Load.SetPeers(g.sum(id, now))
+			}
+		}
+	}
+}
+
+// sum returns what the live peers have at a server.
+func (g *Gossip) sum(id string, now time.Time) registry.Share {
 	g.mu.Lock()
+	defer g.mu.Unlock()
+	var sum registry.Share
 	for _, p := range g.peers {
-		if now.Sub(p.seenAt) >= freshFor {
-			continue
+		if now.Sub(p.seenAt) < freshFor {
+			sum = sum.Plus(p.loads[id])
 		}
-		for id, share := range p.loads {
-			sums[id] = sums[id].Plus(share)
+	}
+	return sum
+}
+
+// dropStale takes out the loads of peers that fell silent.
+func (g *Gossip) dropStale(now time.Time) {
+	g.mu.Lock()
+	var stale []map[string]registry.Share
+	for _, p := range g.peers {
+		if len(p.loads) > 0 && now.Sub(p.seenAt) >= freshFor {
+			stale = append(stale, p.loads)
+			p.loads = nil
 		}
 	}
 	g.mu.Unlock()
-	for id, e := range g.cfg.Servers.All() {
-		e.Load.SetPeers(sums[id])
-	}
+	g.mergeLoads(now, stale...)
 }
 
 func (g *Gossip) pullConfig(from Host) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
 	var reply configReply
 	if err := g.cfg.Caller.Call(ctx, from.Address, methodConfig, struct{}{}, &reply); err != nil {
@@ -86,19 +136,7 @@
 }
 
 func (g *Gossip) pullServers(from Host) {
-	g.mu.Lock()
-	busy := g.pulling
-	g.pulling = true
-	g.mu.Unlock()
-	if busy {
-		return
-	}
-	defer func() {
-		g.mu.Lock()
-		g.pulling = false
-		g.mu.Unlock()
-	}()
-	ctx, cancel := context.WithTimeout(context.Background(), 2*callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
 	var reply serversReply
 	req := serversRequest{g.cfg.State.ServerRevision()}
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -65,6 +65,9 @@
 	idlePeriod  = 600 * time.Millisecond
 	// callTimeout is far above a round trip of 2 ms and below a period's idle time.
 	callTimeout = 400 * time.Millisecond
+	// pullTimeout bounds the fetching of a configuration or a list: some hundred KB
+	// on links of 10 Mbit/s that others use too.
+	pullTimeout = 2 * time.Second
 	// freshFor is how long a peer counts as live after its last message.
 	freshFor = 2 * time.Second
 	// forgetAfter drops a peer that stays silent.
