Large fleets: engines are asked for their work, news goes from peer to peer, repeats are shared

The exchange between routers told 8 random peers every 0.2 s and took a peer as lost after 2 s: with 76 routers a third of the live ones counted as lost at any time, the work of others at an engine was not known, and each called 8 "lost" peers a round. All fetched a new configuration from whoever told first, over links of 10 Mbit/s. The slack of the repeat budget was taken by every router as if there were 12, and what a server rejected was not counted.

Change. decision/spread: fan-out, period and the time after which a peer is lost follow from the number of peers; signs of life are passed on. decision/balance: where the work of others is not known, four engines drawn by chance are asked and the best of them is taken. decision/repeats: all arrivals count, the slack is split, and a router that needs more may use what the others leave, as they tell. decision/uplink and pull: a configuration is packed and given only while the link is free; others that have it are asked. Routers on wide links read the store. An engine that has a copy is asked before the copy is used.

--- a/internal/decision/balance/engine.go
+++ b/internal/decision/balance/engine.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -28,6 +29,10 @@
 	farCost = 500.0
 	// spread is how far equal candidates are told apart by chance, in ms.
 	spread = 40.0
+	// sampleSpread and sampleFar are the same for a sample. With 30 engines nearby
+	// about one of a sample of four is from another failure domain.
+	sampleSpread = 600.0
+	sampleFar    = 60.0
 )
 
 // Engine is a model engine, as a candidate.
@@ -51,22 +56,72 @@
 // engine that has read the prompt first, and has room for the whole run, wins.
 // Engines of the failure domains to avoid are used only if no other can be.
 func PickEngine(candidates []Engine, prompt, output int, avoid []string, random float64) int {
-	best, least := -1, 0.0
-	for i, c := range candidates {
-		if c.Down {
-			continue
+	best := cheapest(candidates, random, 1, func(c Engine) float64 {
+		cost := engineCost(c, prompt, output)
+		if slices.Contains(avoid, c.Domain) {
+			cost += crowded / 2
+		}
+		return cost
+	}, spread)
+	if len(best) == 0 {
+		return -1
+	}
+	return best[0]
+}
+
+// SampleEngines returns the indices of up to n engines by chance, for where the work
+// of other routers is not known and the engines are asked. What all routers may know,
+// such as the pace, has no say: they would all ask the same few. Engines that can't
+// serve well are left out while there are others.
+func SampleEngines(candidates []Engine, prompt, output int, avoid []string, random float64, n int) []int {
+	return cheapest(candidates, random, n, func(c Engine) float64 {
+		cost := errorCost*c.Errors + stallCost*min(1, stallWeight*c.Stalls) + room(c, prompt, output)
+		if c.Far {
+			cost += sampleFar
 		}
-		cost := engineCost(c, prompt, output) + spread*fraction(random, i)
 		if slices.Contains(avoid, c.Domain) {
 			cost += crowded / 2
 		}
-		if best < 0 || cost < least {
-			best, least = i, cost
+		return cost
+	}, sampleSpread)
+}
+
+// cheapest returns the indices of up to n engines that are not down, by cost and
+// chance, the cheapest one first.
+func cheapest(candidates []Engine, random float64, n int, cost func(Engine) float64, spread float64) []int {
+	costs := make([]float64, len(candidates))
+	var best []int
+	for i, c := range candidates {
+		if c.Down {
+			continue
+		}
+		costs[i] = cost(c) + spread*fraction(random, i)
+		at, _ := slices.BinarySearchFunc(best, costs[i], func(j int, cost float64) int { return cmp.Compare(costs[j], cost) })
+		if at < n {
+			best = slices.Insert(best, at, i)
+			best = best[:min(len(best), n)]
 		}
 	}
 	return best
 }
 
+// Reported is what an engine says of its work.
+type Reported struct {
+	Waiting int // requests that wait or whose prompts are being read
+	Runs    int // requests, all of them
+	Memory  int // tokens in use
+}
+
+// WithReport returns the candidate with what its engine says of the work that
+// others gave it. A report lags, so the larger figure of the two counts. Prompts
+// that wait are taken to be as long as the one to place.
+func (e Engine) WithReport(r Reported, prompt int) Engine {
+	e.Prompts = max(e.Prompts, r.Waiting*prompt)
+	e.Runs = max(e.Runs, r.Runs)
+	e.Memory = max(e.Memory, r.Memory+r.Waiting*prompt)
+	return e
+}
+
 func engineCost(c Engine, prompt, output int) float64 {
 	slowness := 1.0
 	if c.Pace > 0 {
@@ -79,6 +134,13 @@
 	if c.Far {
 		cost += farCost
 	}
+	cost += room(c, prompt, output)
+	return cost
+}
+
+// room is the cost of an engine that has no memory or no slot for a run.
+func room(c Engine, prompt, output int) float64 {
+	cost := 0.0
 	if c.Capacity > 0 && float64(c.Memory+prompt+output) > memoryShare*float64(c.Capacity) {
 		cost += crowded
 	}
--- a/internal/decision/reader/reader.go
+++ b/internal/decision/reader/reader.go
@@ -19,6 +19,8 @@
 	// staleAfter is how old the newest answer of all routers may be before this
 	// one reads for itself.
 	staleAfter = 1800 * time.Millisecond
+	// wideShare of the widest link makes a link a wide one.
+	wideShare = 0.5
 )
 
 // Router is a router as a candidate.
@@ -26,13 +28,14 @@
 	Name    string
 	Reads   bool      // it says that it reads the store
 	Reached time.Time // when the store answered it last; zero if never
+	Link    float64   // rate of its network link, in any unit
 }
 
 // Should reports whether the router self reads the store now. The peers are those
 // that live. lost says that the last call of self failed.
 func Should(self Router, peers []Router, lost bool, now time.Time) bool {
 	fresh := now.Sub(self.Reached) < staleAfter
-	var names []string
+	candidates := []Router{self}
 	for _, p := range peers {
 		if now.Sub(p.Reached) < staleAfter {
 			fresh = true
@@ -40,14 +43,13 @@
 		// A peer that does not read yet is a candidate too; one that reads and
 		// is not answered is not.
 		if !p.Reads || now.Sub(p.Reached) < reachFor {
-			names = append(names, p.Name)
+			candidates = append(candidates, p)
 		}
 	}
 	if !fresh || lost {
 		return true
 	}
-	names = append(names, self.Name)
-	for i, name := range placement.Rendezvous("store reader", names) {
+	for i, name := range ranked(candidates) {
 		if i >= readers {
 			return false
 		}
@@ -57,3 +59,21 @@
 	}
 	return false
 }
+
+// ranked orders the candidates: those on wide links first, since they pass the news
+// on to all others.
+func ranked(candidates []Router) []string {
+	widest := 0.0
+	for _, c := range candidates {
+		widest = max(widest, c.Link)
+	}
+	var wide, narrow []string
+	for _, c := range candidates {
+		if c.Link >= widest*wideShare {
+			wide = append(wide, c.Name)
+		} else {
+			narrow = append(narrow, c.Name)
+		}
+	}
+	return append(placement.Rendezvous("store reader", wide), placement.Rendezvous("store reader", narrow)...)
+}
--- a/internal/decision/repeats/budget_test.go
+++ b/internal/decision/repeats/budget_test.go
@@ -10,11 +10,11 @@
 	"wisteriafield/internal/decision/repeats"
 )
 
-var config = repeats.Config{Ratio: 0.5, Slack: 4, Window: 10 * time.Second}
+var config = repeats.Config{Ratio: 0.5, Slack: 4, Window: 10 * time.Second, Routers: func() int { return 1 }}
 
 func TestRepeatsAreBoundedByFirstSends(t *testing.T) {
 	g := NewWithT(t)
-	b := repeats.New(config)
+	b := repeats.New(config, time.Unix(0, 0))
 	now := time.Unix(100, 0)
 	for range 10 {
 		b.First("desk", now)
@@ -32,7 +32,7 @@
 
 func TestNoWindowHoldsMoreThanItsBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := repeats.New(config)
+		b := repeats.New(config, time.Unix(0, 0))
 		now := time.Unix(100, 0)
 		var firsts, repeated []time.Time
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
@@ -63,3 +63,70 @@
 	}
 	return n
 }
+
+// Found on grown Scordia quiet-1: with 3 requests in a window, a router that lost two
+// streams had no repeats left while the fleet used a quarter of its budget.
+func TestARouterMayUseWhatTheOthersLeave(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(100, 0)
+	for _, c := range []struct {
+		name string
+		mean repeats.Counts
+		want int
+	}{
+		{"nothing heard", repeats.Counts{}, 6},
+		{"the others need little", repeats.Counts{Firsts: 4, Repeats: 1}, 15},
+		{"the others need all", repeats.Counts{Firsts: 4, Repeats: 6}, 6},
+	} {
+		b := repeats.New(config, time.Unix(0, 0))
+		for range 4 {
+			b.First("writers", now)
+		}
+		for range 200 {
+			b.Heard(map[string]repeats.Counts{"writers": c.mean}, now)
+		}
+		allowed := 0
+		for range 100 {
+			if b.Allow("writers", now) {
+				allowed++
+			}
+		}
+		g.Expect(allowed).To(BeNumerically("~", c.want, 1), c.name)
+	}
+}
+
+// All routers lose their streams at once, again and again, and each wants more
+// repeats than there are.
+func TestAFleetInTroubleStaysWithinItsBudget(t *testing.T) {
+	g := NewWithT(t)
+	const n = 76
+	cfg := repeats.Config{Ratio: 0.56, Slack: 105, Window: 10 * time.Second, Routers: func() int { return n }}
+	now := time.Unix(100, 0)
+	var fleet []*repeats.Budget
+	for range n {
+		fleet = append(fleet, repeats.New(cfg, time.Unix(0, 0)))
+	}
+	const bound = 0.8 // of the requests, and 150: the users' figures
+	var firsts, repeated []time.Time
+	for step := range 600 {
+		now = now.Add(50 * time.Millisecond)
+		for i, b := range fleet {
+			if (step+i)%54 == 0 { // 0.37 requests a second
+				b.First("writers", now)
+				firsts = append(firsts, now)
+			}
+			if step > 200 && (step*7+i)%4 == 0 && b.Allow("writers", now) {
+				repeated = append(repeated, now)
+			}
+			if (step+i)%12 == 0 {
+				for k := 1; k <= 4; k++ {
+					fleet[(i+k*(step+7))%n].Heard(b.Own(now), now)
+				}
+			}
+		}
+	}
+	for _, end := range repeated {
+		g.Expect(float64(within(repeated, end))).To(BeNumerically("<=", bound*float64(within(firsts, end))+150))
+	}
+	g.Expect(len(repeated)).To(BeNumerically(">", 300), "repeats there were")
+}
--- a/internal/operator/cli/edge.go
+++ b/internal/operator/cli/edge.go
@@ -28,10 +28,10 @@
 	logFlush = 100 * time.Millisecond
 	// memoryShare of the host's memory is the runtime's soft limit.
 	memoryShare = 0.7
-	// repeatShare is how much of the shared bound on repeats this router uses.
-	repeatShare = 0.6
-	// repeatSlack is this router's part of the slack that all share.
-	repeatSlack = 0.08
+	// repeatShare is how much of the shared bound on repeats the routers use: a burst
+	// is over before peers have told of it, they
+	// count by their own clocks, and those that died took counted requests along.
+	repeatShare = 0.7
 )
 
 type edgeCommand struct {
@@ -54,8 +54,8 @@
 	log := jsonlog.New(sink)
 	e := edge.New(edge.Config{
 		Host: s.Host, Domain: s.Domain, CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress,
-		AdminAddress: s.AdminAddress, PeerAddress: s.PeerAddress, NoticeAddress: s.NoticeAddress, Seeds: s.Seeds, Grace: s.Grace,
-		Repeats:   repeats.Config{Ratio: repeatShare * s.RetryRatio, Slack: repeatSlack * s.RetrySlack, Window: s.RetryWindow},
+		AdminAddress: s.AdminAddress, PeerAddress: s.PeerAddress, NoticeAddress: s.NoticeAddress, Seeds: s.Seeds, LinkMbps: s.LinkMbps, Grace: s.Grace,
+		Repeats:   repeats.Config{Ratio: repeatShare * s.RetryRatio, Slack: repeatShare * s.RetrySlack, Window: s.RetryWindow},
 		Store:     kv.New(kv.Config{Address: s.StoreAddress, Timeout: storeTimeout}),
 		ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -61,6 +61,7 @@
 	PeerAddress   string
 	NoticeAddress string // for datagrams of peers
 	Seeds         []string
+	LinkMbps      float64       // of this host, 0 if not known
 	Grace         time.Duration // from the stop signal to the kill
 	Repeats       repeats.Config
 
@@ -100,22 +101,24 @@
 // New returns a router that does not run yet.
 func New(cfg Config) *Edge {
 	e := &Edge{cfg: cfg, log: cfg.Log, servers: registry.New()}
-	e.self = gossip.Host{Name: cfg.Host, Domain: cfg.Domain, Address: cfg.PeerAddress, Notices: cfg.NoticeAddress, Started: time.Now().UnixNano()}
+	e.self = gossip.Host{Name: cfg.Host, Domain: cfg.Domain, Address: cfg.PeerAddress, Notices: cfg.NoticeAddress, Started: time.Now().UnixNano(), LinkMbps: cfg.LinkMbps}
 	e.follower = discovery.New(discovery.Config{
 		Store: cfg.Store, ConfigKey: cfg.ConfigKey, ServersPrefix: cfg.ServersPrefix,
 		DecodeServer: cfg.DecodeServer, SetConfig: e.SetConfig, SetServers: e.setServers,
 		HostsPrefix: hostsPrefix, SetHost: e.setHost, Changed: func() { e.gossip.Kick() },
 		HasConfig: func() bool { return e.table.Load() != nil }, Reads: e.reads, Log: e.part("store"),
 	})
-	budget := repeats.New(cfg.Repeats)
+	cfg.Repeats.Routers = func() int { return 1 + len(e.gossip.Live(time.Now())) }
+	budget := repeats.New(cfg.Repeats, time.Now())
 	links := link.New()
 	streams := relay.New(relay.Config{
 		Servers: e.servers, Client: cfg.Client, Repeats: budget,
-		Links: links, Domain: cfg.Domain, Runs: e, Found: func() { e.gossip.Kick() }, Log: e.part("stream"),
+		Links: links, Domain: cfg.Domain, Runs: e, Found: func() { e.gossip.Kick() },
+		KnowsLoads: func() bool { return e.gossip.KnowsLoads() }, Log: e.part("stream"),
 	})
 	e.gossip = gossip.New(gossip.Config{
 		Self: e.self, Seeds: cfg.Seeds, Caller: control.NewClient(""), Notices: e, State: e, Servers: e.servers,
-		Runs: runs.NewTable(), NearbyDown: streams.NearbyDown, Log: e.part("gossip"),
+		Runs: runs.NewTable(), Repeats: budget, NearbyDown: streams.NearbyDown, Log: e.part("gossip"),
 	})
 	handler := front.New(front.Config{
 		Protocol: cfg.Protocol,
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -74,7 +74,7 @@
 // reads reports whether it is this router's turn to read the store.
 func (e *Edge) reads(lost bool) bool {
 	now := time.Now()
-	self := reader.Router{Name: e.cfg.Host, Reads: e.Reading(), Reached: e.StoreReached()}
+	self := reader.Router{Name: e.cfg.Host, Reads: e.Reading(), Reached: e.StoreReached(), Link: e.cfg.LinkMbps}
 	return e.cfg.PeerAddress == "" || e.gossip.Behind(now) || reader.Should(self, e.gossip.Readers(now), lost, now)
 }
 
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -20,6 +20,7 @@
 	service  *routes.Service
 	excluded map[server.Key]bool
 	ran      int // sends that may have run
+	arrived  int // sends that may have reached a server
 	refusals int
 	last     outcome // the best answer so far
 	sent     bool
@@ -29,6 +30,9 @@
 // server may have run it.
 func (c *call) once(ctx context.Context) {
 	for ctx.Err() == nil && c.refusals < maxRefusals {
+		if c.arrived > 0 && !c.mayRepeat() {
+			return
+		}
 		e := c.f.choose(c.service.Name, c.excluded)
 		if e == nil {
 			return
@@ -44,6 +48,9 @@
 // take notes what came of a send.
 func (c *call) take(o outcome) {
 	c.sent = true
+	if !errors.Is(o.err, server.ErrNotSent) {
+		c.arrived++
+	}
 	if o.notRun || errors.Is(o.err, server.ErrNotSent) {
 		c.refusals++
 		if c.ran == 0 {
@@ -65,12 +72,9 @@
 	results := make(chan outcome, c.req.Route.Attempts+maxRefusals)
 	running := 0
 	start := func(repeat bool) bool {
-		if repeat && !c.f.cfg.Repeats.Allow(c.service.Name, time.Now()) {
+		if repeat && !c.mayRepeat() {
 			return false
 		}
-		if repeat {
-			repeatsTotal.Inc()
-		}
 		e := c.f.choose(c.service.Name, c.excluded)
 		if e == nil {
 			return false
@@ -94,7 +98,7 @@
 				return
 			}
 			if c.refusals < maxRefusals && c.ran+running < c.req.Route.Attempts {
-				start(c.ran > 0)
+				start(c.arrived+running > 0)
 			}
 		case <-hedge.C:
 			if c.ran+running < c.req.Route.Attempts {
@@ -107,6 +111,15 @@
 	}
 }
 
+// mayRepeat takes a send to another server from the budget of repeats.
+func (c *call) mayRepeat() bool {
+	if !c.f.cfg.Repeats.Allow(c.service.Name, time.Now()) {
+		return false
+	}
+	repeatsTotal.Inc()
+	return true
+}
+
 // answer tells the caller.
 func (c *call) answer(w http.ResponseWriter, ctx context.Context) {
 	switch {
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -13,6 +13,8 @@
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/reader"
+	"wisteriafield/internal/decision/spread"
+	"wisteriafield/internal/decision/uplink"
 	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/runs"
 )
@@ -28,6 +30,7 @@
 	State   State
 	Servers *registry.Registry
 	Runs    *runs.Table
+	Repeats Budget
 	// NearbyDown is told that a peer found an engine silent.
 	NearbyDown func(entry *registry.Entry)
 	Log        *logrus.Entry
@@ -47,25 +50,33 @@
 	pullingConfig, pullingServers atomic.Bool // one is on its way
 
 	messages atomic.Int64
+	uplink   *uplink.Uplink
+	packed   packed
 }
 
 // peer is a router that this one knows of.
 type peer struct {
 	host     Host // Name is empty until it answered once
 	address  string
-	seenAt   time.Time
+	seenAt   time.Time // last sign of life, also through others
+	toldAt   time.Time // its own last message
 	triedAt  time.Time
 	addedAt  time.Time
 	stopping bool
 	loads    map[string]registry.Share
 	calling  bool
 	reads    bool
+	version  int64     // of its configuration
+	revision int64     // of its server list
 	reached  time.Time // when the store answered it last
 }
 
 // New returns a gossip that knows the seeds only.
 func New(cfg Config) *Gossip {
-	g := &Gossip{cfg: cfg, kick: make(chan struct{}, 1), peers: make(map[string]*peer)}
+	g := &Gossip{
+		cfg: cfg, kick: make(chan struct{}, 1), peers: make(map[string]*peer),
+		uplink: uplink.New(cfg.Self.LinkMbps * 1e6 / 8),
+	}
 	for _, address := range cfg.Seeds {
 		g.Add(Host{Address: address})
 	}
@@ -83,16 +94,13 @@
 		go g.take(m)
 		return g.message(), nil
 	})
-	s.Handle(methodConfig, func(context.Context, json.RawMessage) (any, error) {
-		return configReply{g.cfg.State.ConfigValue()}, nil
-	})
+	s.Handle(methodConfig, func(context.Context, json.RawMessage) (any, error) { return g.giveConfig() })
 	s.Handle(methodServers, func(_ context.Context, params json.RawMessage) (any, error) {
 		req, err := control.Decode[serversRequest](params)
 		if err != nil {
 			return nil, err
 		}
-		revision, values, whole := g.cfg.State.ServerList(req.Revision)
-		return serversReply{Revision: revision, Values: values, Whole: whole}, nil
+		return g.giveServers(req), nil
 	})
 }
 
@@ -120,9 +128,10 @@
 func (g *Gossip) Live(now time.Time) []Host {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	fresh := g.plan().Fresh
 	var hosts []Host
 	for _, p := range g.peers {
-		if p.host.Name != "" && !p.stopping && now.Sub(p.seenAt) < freshFor {
+		if p.host.Name != "" && !p.stopping && now.Sub(p.seenAt) < fresh {
 			hosts = append(hosts, p.host)
 		}
 	}
@@ -133,18 +142,41 @@
 func (g *Gossip) Readers(now time.Time) []reader.Router {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	fresh := g.plan().Fresh
 	var routers []reader.Router
 	for _, p := range g.peers {
-		if p.host.Name != "" && !p.stopping && now.Sub(p.seenAt) < freshFor {
-			routers = append(routers, reader.Router{Name: p.host.Name, Reads: p.reads, Reached: p.reached})
+		if p.host.Name != "" && !p.stopping && now.Sub(p.seenAt) < fresh {
+			routers = append(routers, reader.Router{Name: p.host.Name, Reads: p.reads, Reached: p.reached, Link: p.host.LinkMbps})
 		}
 	}
 	return routers
 }
 
+// plan returns how this router exchanges in a fleet of this size. The caller holds
+// mu.
+func (g *Gossip) plan() spread.Plan { return spread.For(len(g.peers)) }
+
+// period returns the time between exchanges, less what the clock's grain takes.
+func (g *Gossip) period(changed bool) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if changed {
+		return g.plan().Busy - tick/2
+	}
+	return g.plan().Idle - tick/2
+}
+
+// KnowsLoads reports whether the loads of all peers are known here, as of an
+// exchange ago. In a large fleet they are not.
+func (g *Gossip) KnowsLoads() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.plan().Whole
+}
+
 // Run sends and receives until ctx ends.
 func (g *Gossip) Run(ctx context.Context) error {
-	t := time.NewTicker(dirtyPeriod)
+	t := time.NewTicker(tick)
 	defer t.Stop()
 	var last time.Time
 	var told uint64
@@ -160,14 +192,14 @@
 		now := time.Now()
 		g.dropStale(now)
 		state := g.cfg.Servers.Changes()
-		if !kicked && state == told && now.Sub(last) < idlePeriod {
+		if !kicked && now.Sub(last) < g.period(state != told) {
 			continue
 		}
 		last, told = now, state
 		g.send(now)
 		g.greet(ctx, now)
 		if kicked {
-			loop.Pause(ctx, dirtyPeriod/8)
+			loop.Pause(ctx, kickPause)
 		}
 	}
 }
@@ -191,7 +223,8 @@
 	}
 }
 
-// targets picks the peers to tell now.
+// targets picks the peers to tell now. A router that reads the store tells all, so
+// that news of the store, and that it still reads, take no detour.
 func (g *Gossip) targets(now time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -201,8 +234,11 @@
 			addresses = append(addresses, p.host.Notices)
 		}
 	}
+	if g.cfg.State.Reading() {
+		return addresses
+	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(len(addresses), fanOut)]
+	return addresses[:min(len(addresses), g.plan().FanOut)]
 }
 
 // Receive takes a peer's datagram.
@@ -231,16 +267,17 @@
 func (g *Gossip) silent(now time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	fresh := g.plan().Fresh
 	var addresses []string
 	for address, p := range g.peers {
-		if now.Sub(p.seenAt) < freshFor {
+		if now.Sub(p.seenAt) < fresh {
 			continue
 		}
 		if now.Sub(p.seenAt) > forgetAfter && now.Sub(p.addedAt) > forgetAfter && !g.seed(address) {
 			delete(g.peers, address)
 			continue
 		}
-		if p.calling || now.Sub(p.triedAt) < retryPeriod || len(addresses) >= fanOut {
+		if p.calling || now.Sub(p.triedAt) < retryPeriod || len(addresses) >= called {
 			continue
 		}
 		p.triedAt, p.calling = now, true
--- a/internal/router/gossip/message.go
+++ b/internal/router/gossip/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/decision/spread"
 )
 
 // message returns what this router tells.
@@ -15,26 +16,62 @@
 		Stopping: g.cfg.State.Stopping(),
 		Reads:    g.cfg.State.Reading(),
 		AgeMs:    -1,
-		Loads:    make(map[string]registry.Share),
 	}
 	now := time.Now()
 	if at := g.cfg.State.StoreReached(); !at.IsZero() {
 		m.AgeMs = now.Sub(at).Milliseconds()
 	}
-	for id, e := range g.cfg.Servers.All() {
-		if share := e.Load.Own(now); share.Notable() {
-			m.Loads[id] = share
-		}
-	}
+	m.Sends = g.cfg.Repeats.Own(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	plan := g.plan()
+	m.Loads = g.loads(plan.Whole, now)
+	g.vouch(&m, plan, now)
 	if g.messages.Add(1)%listEvery != 1 {
 		return m
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	for _, p := range g.peers {
-		if p.host.Name != "" && now.Sub(p.seenAt) < freshFor && len(m.Peers) < listed {
+		if p.host.Name != "" && now.Sub(p.seenAt) < plan.Fresh && len(m.Peers) < listed {
 			m.Peers = append(m.Peers, p.host)
 		}
 	}
 	return m
 }
+
+// loads returns what to tell of engines: this router's whole work, or, in a fleet
+// where that would be old when it is heard, which ones are silent and the paces of
+// some.
+func (g *Gossip) loads(whole bool, now time.Time) map[string]registry.Share {
+	loads := make(map[string]registry.Share)
+	told := 0
+	for id, e := range g.cfg.Servers.All() {
+		share := e.Load.Own(now)
+		if !whole {
+			share = registry.Share{DownMs: share.DownMs}
+			if pace := e.Load.State(now).Pace; pace > 0 && told < paces {
+				share.PaceMs = int(pace / time.Millisecond)
+				told++
+			}
+		}
+		if share.Notable() {
+			loads[id] = share
+		}
+	}
+	return loads
+}
+
+// vouch passes signs of life of peers on. The caller holds mu.
+func (g *Gossip) vouch(m *message, plan spread.Plan, now time.Time) {
+	if plan.Vouched == 0 || m.Reads {
+		return // a reader's messages are many and stay short
+	}
+	m.Signs = make(map[string]int64, plan.Vouched)
+	for _, p := range g.peers {
+		if len(m.Signs) == plan.Vouched {
+			return
+		}
+		if p.host.Name != "" && !p.stopping && now.Sub(p.seenAt) < plan.Fresh {
+			m.Signs[p.host.Name] = now.Sub(p.seenAt).Milliseconds()
+		}
+	}
+}
--- a/internal/router/gossip/take.go
+++ b/internal/router/gossip/take.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"context"
 	"time"
 
 	"wisteriafield/internal/backend/registry"
@@ -15,10 +14,11 @@
 		g.Add(h)
 	}
 	g.note(m, now)
+	g.cfg.Repeats.Heard(m.Sends, now)
 	if m.Version > g.cfg.State.ConfigVersion() && g.pullingConfig.CompareAndSwap(false, true) {
 		go func() {
 			defer g.pullingConfig.Store(false)
-			g.pullConfig(m.Host)
+			g.pull(m, g.pullConfig)
 		}()
 	}
 	ahead := m.Revision > g.cfg.State.ServerRevision()
@@ -28,7 +28,7 @@
 	if ahead && !reads && g.pullingServers.CompareAndSwap(false, true) {
 		go func() {
 			defer g.pullingServers.Store(false)
-			g.pullServers(m.Host)
+			g.pull(m, g.pullServers)
 		}()
 	}
 }
@@ -61,13 +61,15 @@
 		g.mu.Unlock()
 		return
 	}
-	appeared := now.Sub(p.seenAt) > freshFor
+	appeared := now.Sub(p.seenAt) > g.plan().Fresh
 	old := p.loads
-	p.host, p.seenAt, p.loads, p.stopping, p.reads = m.Host, now, m.Loads, m.Stopping, m.Reads
+	p.host, p.seenAt, p.toldAt, p.loads, p.stopping, p.reads = m.Host, now, now, m.Loads, m.Stopping, m.Reads
+	p.version, p.revision = m.Version, m.Revision
 	p.reached = time.Time{}
 	if m.AgeMs >= 0 {
 		p.reached = now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
 	}
+	g.hearsay(m, now)
 	g.mu.Unlock()
 	g.mergeLoads(now, m.Loads, old)
 	if appeared {
@@ -84,6 +86,26 @@
 	}
 }
 
+// hearsay takes the signs of life of other peers that a message passes on. The
+// caller holds mu.
+func (g *Gossip) hearsay(m message, now time.Time) {
+	if len(m.Signs) == 0 {
+		return
+	}
+	for _, p := range g.peers {
+		if ms, ok := m.Signs[p.host.Name]; ok {
+			p.seenAt = later(p.seenAt, now.Add(-time.Duration(ms)*time.Millisecond))
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // mergeLoads adds up what the live peers have at the servers named in some loads.
 func (g *Gossip) mergeLoads(now time.Time, named ...map[string]registry.Share) {
 	for _, loads := range named {
@@ -101,7 +123,7 @@
 	defer g.mu.Unlock()
 	var sum registry.Share
 	for _, p := range g.peers {
-		if now.Sub(p.seenAt) < freshFor {
+		if now.Sub(p.toldAt) < loadsFor {
 			sum = sum.Plus(p.loads[id])
 		}
 	}
@@ -113,7 +135,7 @@
 	g.mu.Lock()
 	var stale []map[string]registry.Share
 	for _, p := range g.peers {
-		if len(p.loads) > 0 && now.Sub(p.seenAt) >= freshFor {
+		if len(p.loads) > 0 && now.Sub(p.toldAt) >= loadsFor {
 			stale = append(stale, p.loads)
 			p.loads = nil
 		}
@@ -121,28 +143,3 @@
 	g.mu.Unlock()
 	g.mergeLoads(now, stale...)
 }
-
-func (g *Gossip) pullConfig(from Host) {
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
-	var reply configReply
-	if err := g.cfg.Caller.Call(ctx, from.Address, methodConfig, struct{}{}, &reply); err != nil {
-		g.cfg.Log.WithField("peer", from.Name).WithError(err).Info("configuration not had from peer")
-		return
-	}
-	if len(reply.Value) > 0 {
-		g.cfg.State.SetConfig(reply.Value, from.Name)
-	}
-}
-
-func (g *Gossip) pullServers(from Host) {
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
-	defer cancel()
-	var reply serversReply
-	req := serversRequest{g.cfg.State.ServerRevision()}
-	if err := g.cfg.Caller.Call(ctx, from.Address, methodServers, req, &reply); err != nil {
-		g.cfg.Log.WithField("peer", from.Name).WithError(err).Info("server list not had from peer")
-		return
-	}
-	g.cfg.State.TakeServerList(req.Revision, reply.Revision, reply.Values, reply.Whole, from.Name)
-}
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/decision/repeats"
 	"wisteriafield/internal/router/runs"
 	"wisteriafield/platform/kv"
 )
@@ -19,6 +20,8 @@
 	Address string // IP:PORT for calls of peers
 	Notices string // IP:PORT for datagrams of peers
 	Started int64  // Unix nanoseconds
+	// LinkMbps is the rate of its network link, 0 if not known.
+	LinkMbps float64 `json:",omitempty"`
 }
 
 // message is both directions of an exchange.
@@ -32,12 +35,18 @@
 	Reads    bool                      `json:",omitempty"` // it reads the store
 	AgeMs    int64                     // since the store answered it last; -1 if never
 
+	// Signs is how long ago, in ms, there was a sign of life of some peers.
+	Signs map[string]int64 `json:",omitempty"`
+	// Sends counts this router's sends of the last window, by service.
+	Sends map[string]repeats.Counts `json:",omitempty"`
 	// Run is a record for a home; a message with one says nothing else.
 	Run *runs.Record `json:",omitempty"`
 }
 
+// configReply has the configuration, or says that the link is busy.
 type configReply struct {
-	Value []byte
+	Packed []byte // by flate
+	Busy   bool
 }
 
 type serversRequest struct {
@@ -48,6 +57,7 @@
 	Revision int64
 	Values   []kv.Value
 	Whole    bool // the whole list, not changes
+	Busy     bool // the link is; nothing else is set
 }
 
 // Methods of the calls.
@@ -59,17 +69,19 @@
 
 // Times of the exchange.
 const (
-	// dirtyPeriod is between exchanges while this router's loads change, idlePeriod
-	// otherwise. A second of age is what placement and configuration bear.
-	dirtyPeriod = 200 * time.Millisecond
-	idlePeriod  = 600 * time.Millisecond
+	// tick is how often it is looked whether an exchange is due, and kickPause the
+	// least time between two that news make due.
+	tick      = 200 * time.Millisecond
+	kickPause = 25 * time.Millisecond
 	// callTimeout is far above a round trip of 2 ms and below a period's idle time.
 	callTimeout = 400 * time.Millisecond
-	// pullTimeout bounds the fetching of a configuration or a list: some hundred KB
-	// on links of 10 Mbit/s that others use too.
-	pullTimeout = 2 * time.Second
-	// freshFor is how long a peer counts as live after its last message.
-	freshFor = 2 * time.Second
+	// pullTimeout bounds the fetching of a configuration or a list: some ten KB on
+	// links of 10 Mbit/s that are promised a quarter of a second ahead.
+	pullTimeout = time.Second
+	// pullTries is how many peers are asked in turn, pullPause the time between
+	// two that were busy.
+	pullTries = 12
+	pullPause = 40 * time.Millisecond
 	// forgetAfter drops a peer that stays silent.
 	forgetAfter = 30 * time.Second
 	// retryPeriod is between calls to a silent peer.
@@ -77,9 +89,12 @@
 	// behindFor is how old a reader's last answer of the store is before it takes
 	// a peer's list; it hears from the store every second.
 	behindFor = 1300 * time.Millisecond
-	// fanOut bounds the peers of one exchange, so that its cost does not grow with
-	// the fleet.
-	fanOut = 8
+	// called bounds the silent peers that are called at once, and loadsFor is how
+	// old the loads of a peer may be.
+	called   = 4
+	loadsFor = 2 * time.Second
+	// paces bounds the engines whose pace one message of a large fleet tells.
+	paces = 12
 	// listed bounds the peers named in one message, and listEvery is how many
 	// messages pass between two that name any.
 	listed    = 16
@@ -93,6 +108,12 @@
 	Call(ctx context.Context, address, method string, params, result any) error
 }
 
+// Budget is the repeats that all routers share.
+type Budget interface {
+	Own(now time.Time) map[string]repeats.Counts
+	Heard(counts map[string]repeats.Counts, now time.Time)
+}
+
 // State is what this router tells and takes in.
 type State interface {
 	ConfigVersion() int64
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d := server.Dispatch{Request: s.req, Server: &target.Server, After: s.after, From: from}
-	backup := s.chooseBackup(target)
+	backup := s.chooseBackup(ctx, target)
 	if backup != nil {
 		d.Backup = &backup.Server
 	}
--- a/internal/router/relay/backup.go
+++ b/internal/router/relay/backup.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/balance"
 	"wisteriafield/internal/router/runs"
 )
 
@@ -22,10 +24,14 @@
 
 // logDispatch writes what the choice of an engine was based on.
 func (s *stream) logDispatch(target, backup *registry.Entry, from *server.Copy) {
-	st := target.Load.State(time.Now())
+	known := s.choice.known
+	if s.choice.entry == nil {
+		st := target.Load.State(time.Now())
+		known = balance.Engine{Prompts: st.Prompts, Runs: st.Runs, Memory: st.Memory, Pace: st.Pace}
+	}
 	log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).WithField("address", target.Address).
-		WithField("config", s.req.ConfigVersion).WithField("prompt", s.req.PromptTokens).WithField("waiting", st.Prompts).WithField("runs", st.Runs).
-		WithField("memory", st.Memory).WithField("paceMs", st.Pace.Milliseconds()).WithField("after", s.after)
+		WithField("config", s.req.ConfigVersion).WithField("prompt", s.req.PromptTokens).WithField("waiting", known.Prompts).WithField("runs", known.Runs).
+		WithField("memory", known.Memory).WithField("paceMs", known.Pace.Milliseconds()).WithField("asked", s.choice.asked).WithField("after", s.after)
 	if backup != nil {
 		log = log.WithField("backup", backup.Address).WithField("backupID", backup.ID)
 	}
@@ -38,7 +44,7 @@
 // chooseBackup picks the engine that keeps a copy of the run's memory, in
 // another failure domain than the run if there is one, and not where an engine was
 // just lost: its neighbours may be dead too and not known to be yet.
-func (s *stream) chooseBackup(target *registry.Entry) *registry.Entry {
+func (s *stream) chooseBackup(ctx context.Context, target *registry.Entry) *registry.Entry {
 	s.releaseCopy()
 	if s.service.Engine == nil || !s.service.Engine.Backups || !s.req.Route.Resumable {
 		return nil
@@ -47,7 +53,7 @@
 	for k := range s.excluded {
 		excluded[k] = true
 	}
-	e := s.relay.choose(s.service, s.req, excluded, target.Domain, s.lostIn)
+	e := s.relay.choose(ctx, s.service, s.req, excluded, target.Domain, s.lostIn).entry
 	if e != nil {
 		s.dropCopy = e.Load.HoldCopy(s.req.PromptTokens)
 	}
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -31,6 +31,8 @@
 	copies map[string]bool // address/run
 	cached map[string]string
 	sends  []server.Dispatch
+
+	reports int // questions
 }
 
 // fate is what goes wrong at an engine.
@@ -40,6 +42,7 @@
 	loses      bool // the connection breaks at once
 	refuses    bool
 	replaced   bool
+	waiting    int  // requests of other routers that wait there
 	silent     bool // it has no run and sends nothing, but answers questions
 }
 
@@ -93,12 +96,16 @@
 func (e *engines) Report(ctx context.Context, address string) (server.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.reports++
 	if e.fate[idAt(address)].dark {
 		return server.Report{}, context.DeadlineExceeded
 	}
 	if e.fate[idAt(address)].silent {
 		return server.Report{}, nil
 	}
+	if f := e.fate[idAt(address)]; f.waiting > 0 {
+		return server.Report{Queued: f.waiting, Active: 1}, nil
+	}
 	return server.Report{Active: 1}, nil
 }
 
@@ -145,6 +152,8 @@
 	runs    table
 	service routes.Service
 	route   routes.Route
+
+	loadsUnknown bool // what other routers gave the engines
 }
 
 func newWorld(t *testing.T) *world {
@@ -160,7 +169,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	w.relay = relay.New(relay.Config{
-		Servers: w.servers, Client: w.engines, Repeats: always{}, Links: link.New(), Domain: "a", Runs: w.runs, Found: func() {}, Log: log.WithField("part", "stream"),
+		Servers: w.servers, Client: w.engines, Repeats: always{}, Links: link.New(), Domain: "a", Runs: w.runs, Found: func() {},
+		KnowsLoads: func() bool { return !w.loadsUnknown }, Log: log.WithField("part", "stream"),
 	})
 	return w
 }
--- /dev/null
+++ b/internal/router/relay/look.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/decision/balance"
+)
+
+const (
+	// asked is how many engines are asked for their work before one is chosen.
+	asked = 4
+	// lookTimeout bounds the wait for their answers, which take two round trips
+	// of 1 to 2 ms each.
+	lookTimeout = 25 * time.Millisecond
+	// reachTimeout bounds each of the questions to the engine that has a copy: its
+	// answer is worth more wait, since without it the prompt is read again.
+	reachTimeout = 50 * time.Millisecond
+)
+
+// look asks some of the candidates for their work and returns those that answered,
+// or all of the sample if none did.
+func (r *Relay) look(ctx context.Context, entries []*registry.Entry, candidates []balance.Engine, sample []int, prompt int) ([]*registry.Entry, []balance.Engine) {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	type reply struct {
+		i      int
+		report balance.Reported
+		ok     bool
+	}
+	replies := make(chan reply, len(sample))
+	for _, i := range sample {
+		go func() {
+			report, ok := r.workOf(ctx, entries[i])
+			replies <- reply{i, report, ok}
+		}()
+	}
+	var answered, silent []*registry.Entry
+	var known, unknown []balance.Engine
+	for range sample {
+		got := <-replies
+		e, c := entries[got.i], candidates[got.i]
+		if got.ok {
+			answered, known = append(answered, e), append(known, c.WithReport(got.report, prompt))
+		} else {
+			silent, unknown = append(silent, e), append(unknown, c)
+		}
+	}
+	if len(answered) == 0 {
+		return silent, unknown
+	}
+	return answered, known
+}
+
+// reachable reports whether an engine answers. It is asked twice, since a packet may
+// be lost.
+func (r *Relay) reachable(ctx context.Context, e *registry.Entry) bool {
+	for range checks {
+		ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+		_, ok := r.workOf(ctx, e)
+		cancel()
+		if ok {
+			return true
+		}
+	}
+	return false
+}
+
+// workOf asks an engine for its work.
+func (r *Relay) workOf(ctx context.Context, e *registry.Entry) (balance.Reported, bool) {
+	questionsTotal.Inc()
+	report, err := r.cfg.Client.Report(ctx, e.Address)
+	if err != nil || e.Started != 0 && report.Started != 0 && report.Started != e.Started {
+		return balance.Reported{}, false
+	}
+	return balance.Reported{
+		Waiting: report.Queued + max(0, report.Active-len(report.Runs)),
+		Runs:    report.Queued + report.Active,
+		Memory:  report.MemoryUsed,
+	}, true
+}
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -58,10 +58,13 @@
 	}
 	Runs Runs
 	// Found is called when an engine was found silent, so that peers are told.
-	Found  func()
-	Links  *link.Health
-	Domain string // of this router
-	Log    *logrus.Entry
+	Found func()
+	// KnowsLoads reports whether the registry has the work of all routers. Engines
+	// are asked for theirs if it has not.
+	KnowsLoads func() bool
+	Links      *link.Health
+	Domain     string // of this router
+	Log        *logrus.Entry
 }
 
 // Relay runs the generations of this router's callers.
@@ -95,8 +98,9 @@
 // NearbyDown tells the streams of an engine's failure domain that it fell silent.
 func (r *Relay) NearbyDown(e *registry.Entry) { r.nearby.tell(e.Domain, time.Now()) }
 
-// choose picks an engine, or nil.
-func (r *Relay) choose(service *routes.Service, req *server.Request, excluded map[server.Key]bool, avoid ...string) *registry.Entry {
+// candidates returns the engines that may get a request, with what is known of
+// their work.
+func (r *Relay) candidates(service *routes.Service, excluded map[server.Key]bool) ([]*registry.Entry, []balance.Engine) {
 	now := time.Now()
 	var entries []*registry.Entry
 	var candidates []balance.Engine
@@ -115,9 +119,28 @@
 		entries = append(entries, e)
 		candidates = append(candidates, c)
 	}
-	i := balance.PickEngine(candidates, req.PromptTokens, req.OutputTokens, avoid, rand.Float64())
-	if i < 0 {
-		return nil
+	return entries, candidates
+}
+
+// choice is an engine with what decided for it.
+type choice struct {
+	entry *registry.Entry
+	known balance.Engine
+	asked int // engines that were asked for their work
+}
+
+// choose picks an engine, or none. Some are asked for their work while that of other
+// routers is not known.
+func (r *Relay) choose(ctx context.Context, service *routes.Service, req *server.Request, excluded map[server.Key]bool, avoid ...string) choice {
+	entries, candidates := r.candidates(service, excluded)
+	var c choice
+	if service.Engine != nil && !r.cfg.KnowsLoads() {
+		sample := balance.SampleEngines(candidates, req.PromptTokens, req.OutputTokens, avoid, rand.Float64(), asked)
+		entries, candidates = r.look(ctx, entries, candidates, sample, req.PromptTokens)
+		c.asked = len(sample)
+	}
+	if i := balance.PickEngine(candidates, req.PromptTokens, req.OutputTokens, avoid, rand.Float64()); i >= 0 {
+		c.entry, c.known = entries[i], candidates[i]
 	}
-	return entries[i]
+	return c
 }
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -21,12 +21,14 @@
 	after    int  // last event that the caller has
 	begun    bool // the caller has the headers
 	ran      int  // servers that may have begun to work on it
+	arrived  int  // sends that may have reached a server
 	refusals int  // servers in a row that had no room
 	excluded map[server.Key]bool
 	copyAt   string          // address where the lost run's memory is kept; may be empty
 	copyOf   string          // id of the lost run
 	promptAt *registry.Entry // engine that has read the prompt, if it lives
 	lostIn   string          // failure domain of the last loss
+	choice   choice          // of the newest attempt, empty if a copy or a prompt decided
 	dropCopy func()
 
 	eventAt time.Time     // when the caller got the last event
@@ -55,7 +57,15 @@
 			s.excluded = make(map[server.Key]bool)
 			continue
 		}
+		if s.arrived > 0 && !s.relay.cfg.Repeats.Allow(s.service.Name, time.Now()) {
+			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.arrived).Info("repeats are used up")
+			s.giveUp(ctx)
+			return
+		}
 		result := s.attempt(ctx, target, from)
+		if result.kind != notSent {
+			s.arrived++
+		}
 		s.note(target, from, result)
 		switch {
 		case result.kind == finished:
@@ -79,11 +89,12 @@
 
 // next chooses the engine of the next attempt, and the copy to go on from.
 func (s *stream) next(ctx context.Context) (*registry.Entry, *server.Copy) {
+	s.choice = choice{}
 	if address := s.copyAt; address != "" {
 		s.copyAt = ""
 		// The server at the address as it is now: it may be leaving, gone or have
 		// started again before the copy was sent.
-		if at := s.usable(address); at != nil {
+		if at := s.usable(address); at != nil && s.relay.reachable(ctx, at) {
 			return at, &server.Copy{Address: address, Run: s.copyOf}
 		}
 	}
@@ -93,10 +104,8 @@
 			return at, nil
 		}
 	}
-	if e := s.relay.choose(s.service, s.req, s.excluded, s.lostIn); e != nil {
-		return e, nil
-	}
-	return nil, nil
+	s.choice = s.relay.choose(ctx, s.service, s.req, s.excluded, s.lostIn)
+	return s.choice.entry, nil
 }
 
 // usable returns the engine at an address if it may get work.
@@ -213,7 +222,7 @@
 	if r.kind != lost {
 		return true
 	}
-	return s.req.Route.Repeatable() && s.ran < s.req.Route.Attempts && s.relay.cfg.Repeats.Allow(s.service.Name, time.Now())
+	return s.req.Route.Repeatable() && s.ran < s.req.Route.Attempts
 }
 
 // refuse tells the caller that nothing ran.
