A fault soak of the program on the users' platform; copies are used without asking first

The soak (trial/edgesoak, standin/backend) runs routers, stand-ins for backend servers and the store as processes of their own, breaks them from outside in two overlapping series (signals, loopback proxies that cut, silence, delay or pass one way, faults of the store) and checks what callers and servers see: events, answers, runs of bookings, "not run", versions that never go back and are in force in time, stops that cut nothing, recovery.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # set-up that they need.
 GO ?= go
 
-.PHONY: build demo up test lint model bench capacity soak mutants fuzz clean
+.PHONY: build demo up test lint model bench capacity soak edge-soak mutants fuzz clean
 
 build:
 	@mkdir -p bin
@@ -34,6 +34,12 @@
 soak: build
 	./bin/fleet soak --seed $(SEED) --last $(MINUTES)m
 
+# The same for the program on the users' platform.
+LAST ?= 60s
+
+edge-soak: build
+	./bin/fleet edge-soak --seed $(SEED) --last $(LAST)
+
 bench: build
 	./bin/fleet bench
 
--- a/internal/router/relay/look.go
+++ b/internal/router/relay/look.go
@@ -14,9 +14,6 @@
 	// lookTimeout bounds the wait for their answers, which take two round trips
 	// of 1 to 2 ms each.
 	lookTimeout = 25 * time.Millisecond
-	// reachTimeout bounds each of the questions to the engine that has a copy: its
-	// answer is worth more wait, since without it the prompt is read again.
-	reachTimeout = 50 * time.Millisecond
 )
 
 // look asks some of the candidates for their work and returns those that answered,
@@ -53,20 +50,6 @@
 	return answered, known
 }
 
-// reachable reports whether an engine answers. It is asked twice, since a packet may
-// be lost.
-func (r *Relay) reachable(ctx context.Context, e *registry.Entry) bool {
-	for range checks {
-		ctx, cancel := context.WithTimeout(ctx, reachTimeout)
-		_, ok := r.workOf(ctx, e)
-		cancel()
-		if ok {
-			return true
-		}
-	}
-	return false
-}
-
 // workOf asks an engine for its work.
 func (r *Relay) workOf(ctx context.Context, e *registry.Entry) (balance.Reported, bool) {
 	questionsTotal.Inc()
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -94,7 +94,7 @@
 		s.copyAt = ""
 		// The server at the address as it is now: it may be leaving, gone or have
 		// started again before the copy was sent.
-		if at := s.usable(address); at != nil && s.relay.reachable(ctx, at) {
+		if at := s.usable(address); at != nil {
 			return at, &server.Copy{Address: address, Run: s.copyOf}
 		}
 	}
--- /dev/null
+++ b/internal/standin/cli/backend.go
@@ -0,0 +1,50 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"wisteriafield/internal/standin/backend"
+	"wisteriafield/internal/standin/faults"
+	"wisteriafield/platform/kv"
+)
+
+// storeTimeout is short against a heartbeat.
+const storeTimeout = 500 * time.Millisecond
+
+type backendCommand struct {
+	listen
+	Name      string        `long:"name" required:"true"`
+	Service   string        `long:"service" required:"true"`
+	Domain    string        `long:"domain"`
+	Advertise string        `long:"advertise" description:"address to list; default: where it listens"`
+	Store     string        `long:"store" required:"true" description:"IP:PORT"`
+	Slots     int           `long:"slots" default:"16"`
+	Engine    bool          `long:"engine"`
+	Work      time.Duration `long:"work" default:"15ms"`
+	Gap       time.Duration `long:"gap" default:"25ms"`
+	Drain     time.Duration `long:"drain" default:"4s" description:"how long it serves after it said that it leaves"`
+}
+
+// Execute runs a backend server until it was told to stop and has drained.
+func (c *backendCommand) Execute([]string) error {
+	if c.Advertise == "" {
+		c.Advertise = c.Listen
+	}
+	b := backend.New(backend.Config{
+		Name: c.Name, Service: c.Service, Domain: c.Domain, Slots: c.Slots, Engine: c.Engine,
+		Advertise: c.Advertise, Work: c.Work, Gap: c.Gap, Log: os.Stdout,
+	})
+	s, err := faults.Start(c.Listen, &faults.Gate{}, b.Handler())
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	b.List(ctx, kv.New(kv.Config{Address: c.Store, Timeout: storeTimeout}), c.Drain)
+	s.Kill()
+	return nil
+}
--- a/internal/standin/cli/cli.go
+++ b/internal/standin/cli/cli.go
@@ -25,6 +25,7 @@
 	add(parser, "platform", "Key-value service and host list", &platformCommand{})
 	add(parser, "engine", "Model engine", &engineCommand{})
 	add(parser, "service", "Plain service", &serviceCommand{})
+	add(parser, "backend", "Backend server of the users' platform", &backendCommand{})
 	add(parser, "weights", "Weight store", &weightsCommand{})
 	if _, err := parser.ParseArgs(args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -1,5 +1,6 @@
 // Package link is a stand-in for the network between two hosts: a TCP forwarder
-// that can be cut, or make the open connections silent for good.
+// that can be cut, delayed, made deaf in one direction, or make the open connections
+// silent for good.
 package link
 
 import (
@@ -7,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Link forwards connections to one address.
@@ -16,6 +18,8 @@
 	to    string
 	ln    net.Listener
 	cut   atomic.Bool
+	deaf  atomic.Bool  // nothing comes back
+	delay atomic.Int64 // nanoseconds for each read
 	mu    sync.Mutex
 	pairs map[*pair]bool
 }
@@ -46,8 +50,19 @@
 	}
 }
 
-// Mend ends a cut.
-func (l *Link) Mend() { l.cut.Store(false) }
+// Mend ends a cut, a delay and a direction that is cut.
+func (l *Link) Mend() {
+	l.cut.Store(false)
+	l.deaf.Store(false)
+	l.delay.Store(0)
+}
+
+// OneWay drops what comes back from the far end, until Mend. What was dropped is
+// lost for good, so the connections that lost something are closed at once then.
+func (l *Link) OneWay(on bool) { l.deaf.Store(on) }
+
+// Delay holds up all that is forwarded, until Mend.
+func (l *Link) Delay(d time.Duration) { l.delay.Store(int64(d)) }
 
 // Silence makes the open connections swallow everything. New ones work.
 func (l *Link) Silence() {
@@ -89,8 +104,8 @@
 	l.pairs[p] = true
 	l.mu.Unlock()
 	done := make(chan struct{}, 2)
-	go p.copy(far, near, done)
-	go p.copy(near, far, done)
+	go l.copy(p, far, near, done)
+	go l.copy(p, near, far, done)
 	<-done
 	if !p.silent.Load() {
 		p.close()
@@ -103,11 +118,20 @@
 }
 
 // copy moves bytes until an end closes. A silent pair reads on and drops all.
-func (p *pair) copy(to, from net.Conn, done chan<- struct{}) {
+func (l *Link) copy(p *pair, to, from net.Conn, done chan<- struct{}) {
 	buf := make([]byte, 16<<10)
+	dropped := false
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !p.silent.Load() {
+		if d := l.delay.Load(); d > 0 {
+			time.Sleep(time.Duration(d))
+		}
+		deaf := l.deaf.Load() && from == p.far
+		dropped = dropped || deaf && n > 0
+		if dropped && !deaf {
+			break
+		}
+		if n > 0 && !deaf && !p.silent.Load() {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				break
 			}
--- a/internal/trial/demo/cli.go
+++ b/internal/trial/demo/cli.go
@@ -14,6 +14,7 @@
 
 	"wisteriafield/internal/trial/bench"
 	"wisteriafield/internal/trial/capacity"
+	"wisteriafield/internal/trial/edgesoak"
 	"wisteriafield/internal/trial/fleet"
 	"wisteriafield/internal/trial/soak"
 )
@@ -41,6 +42,9 @@
 	if _, err := parser.AddCommand("soak", "soak", "Breaks the system at random and checks what must hold.", &soakCommand{opts: &opts}); err != nil {
 		panic(err)
 	}
+	if _, err := parser.AddCommand("edge-soak", "edge-soak", "The same for the program on the users' platform.", &edgeSoakCommand{opts: &opts}); err != nil {
+		panic(err)
+	}
 	if _, err := parser.AddCommand("capacity", "capacity", "Measures how a router's cost grows.", &capacityCommand{opts: &opts}); err != nil {
 		panic(err)
 	}
@@ -83,6 +87,22 @@
 	return soak.Run(ctx, bin, c.Options)
 }
 
+type edgeSoakCommand struct {
+	edgesoak.Options
+	opts *options
+}
+
+// Execute runs a long random test.
+func (c *edgeSoakCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	bin, err := filepath.Abs(c.opts.Bin)
+	if err != nil {
+		return fmt.Errorf("find programs: %w", err)
+	}
+	return edgesoak.Run(ctx, bin, c.Options)
+}
+
 type capacityCommand struct {
 	Only string `long:"only" description:"measure only axes whose name holds this"`
 	opts *options
--- a/internal/trial/fleet/fleet.go
+++ b/internal/trial/fleet/fleet.go
@@ -137,22 +137,22 @@
 func (f *Fleet) Process(name string) *Process { return f.processes[name] }
 
 func (f *Fleet) startStandins() error {
-	f.Platform = freeAddress()
+	f.Platform = FreeAddress()
 	if err := f.standin("platform", f.Platform, "platform", "--credential", platformCredential, "--host-lag", "1s"); err != nil {
 		return err
 	}
-	f.Weights = freeAddress()
+	f.Weights = FreeAddress()
 	if err := f.standin("weights", f.Weights, "weights", "--loads-per-second", "2", "--load-time", "200ms"); err != nil {
 		return err
 	}
 	for i := range f.Engines {
-		f.Engines[i].Address = freeAddress()
+		f.Engines[i].Address = FreeAddress()
 		if err := f.StartEngine(f.Engines[i]); err != nil {
 			return err
 		}
 	}
 	for _, name := range []string{"banco-1", "grant-ledger-1"} {
-		f.Services[name] = freeAddress()
+		f.Services[name] = FreeAddress()
 		if err := f.StartService(name); err != nil {
 			return err
 		}
@@ -185,7 +185,7 @@
 
 func (f *Fleet) standin(name, address string, args ...string) error {
 	args = append(args[:1:1], append([]string{"--listen", address}, args[1:]...)...)
-	p, err := startProcess(name, filepath.Join(f.Dir, name+".log"), filepath.Join(f.Bin, "standin"), args...)
+	p, err := StartProcess(name, filepath.Join(f.Dir, name+".log"), filepath.Join(f.Bin, "standin"), args...)
 	if err != nil {
 		return err
 	}
--- a/internal/trial/fleet/ports.go
+++ b/internal/trial/fleet/ports.go
@@ -18,8 +18,8 @@
 
 func init() { nextPort.Store(rand.Int64N(lastPort - firstPort)) }
 
-// freeAddress returns a loopback address whose port is free now.
-func freeAddress() string {
+// FreeAddress returns a loopback address whose port is free now.
+func FreeAddress() string {
 	for {
 		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
--- a/internal/trial/fleet/process.go
+++ b/internal/trial/fleet/process.go
@@ -20,7 +20,8 @@
 	err  error
 }
 
-func startProcess(name, logPath, program string, args ...string) (*Process, error) {
+// StartProcess starts a program whose output goes to a file.
+func StartProcess(name, logPath, program string, args ...string) (*Process, error) {
 	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, fmt.Errorf("open log: %w", err)
--- a/internal/trial/fleet/router.go
+++ b/internal/trial/fleet/router.go
@@ -11,7 +11,7 @@
 )
 
 func (f *Fleet) newRouter(name, domain, environment string) (*Router, error) {
-	peer := freeAddress()
+	peer := FreeAddress()
 	peerLink, err := link.New(peer)
 	if err != nil {
 		return nil, fmt.Errorf("peer link: %w", err)
@@ -23,7 +23,7 @@
 	f.links = append(f.links, peerLink, storeLink)
 	h := hosts.Host{
 		Name: name, Kind: hosts.Router, State: hosts.Live, Environment: environment, Domain: domain, Region: "sicilia",
-		CallerAddress: freeAddress(), PeerAddress: peerLink.Address, AdminAddress: freeAddress(),
+		CallerAddress: FreeAddress(), PeerAddress: peerLink.Address, AdminAddress: FreeAddress(),
 	}
 	r := &Router{Host: h, PeerLink: peerLink, StoreLink: storeLink, settings: filepath.Join(f.Dir, name+".ini"), Log: filepath.Join(f.Dir, name+".log")}
 	text := fmt.Sprintf(`[Host]
@@ -56,7 +56,7 @@
 
 // StartRouter starts a router, also again after it died, and lists it.
 func (f *Fleet) StartRouter(r *Router) error {
-	p, err := startProcess(r.Host.Name, filepath.Join(f.Dir, r.Host.Name+".log"), filepath.Join(f.Bin, "wisteriafield"), "router", "--settings", r.settings)
+	p, err := StartProcess(r.Host.Name, filepath.Join(f.Dir, r.Host.Name+".log"), filepath.Join(f.Bin, "wisteriafield"), "router", "--settings", r.settings)
 	if err != nil {
 		return err
 	}
