A run whose copy was lost is copied again

Failure domains are lost in turn, some seconds apart: the first took the engine that kept a run's copy, the next one the run.

While a run answers, the router looks whether the engine with its copy lives. If it does not, the engine that runs it copies it to another one, and again before that copy lapses; a copy that was not needed is freed. The program of the platform's engines says whether they can (routes.Engine.CopiesRuns).

--- a/internal/config/routes/types.go
+++ b/internal/config/routes/types.go
@@ -62,7 +62,8 @@
 // Engine says what a service's model engines can hold and do.
 type Engine struct {
 	Slots        int
-	Memory       int // tokens
+	Memory       int  // tokens
+	CopiesRuns   bool // on request, while they run
 	Backups      bool
 	EventTokens  int           // tokens of one event
 	KeepsCopyFor time.Duration // after the last part of a copy
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -31,6 +31,7 @@
 	reason   string
 	answer   *whole
 	backup   *registry.Entry // has a copy of the lost run's memory
+	spare    *spare          // a newer copy, if the backup was lost before
 	dark     bool            // the server did not answer at all
 	replaced bool            // another incarnation has the address
 
@@ -58,7 +59,9 @@
 }
 
 // attempt sends the request to an engine and forwards its events.
-func (s *stream) attempt(ctx context.Context, target *registry.Entry, from *server.Copy) result {
+func (s *stream) attempt(ctx context.Context, target *registry.Entry, from *server.Copy) (r result) {
+	var sp *spare
+	defer func() { r.spare = sp }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d := server.Dispatch{Request: s.req, Server: &target.Server, After: s.after, From: from}
@@ -107,6 +110,9 @@
 				return r
 			}
 			s.noteEvent(now, target)
+			if sp == nil {
+				sp = s.startSpare(ctx, target, backup)
+			}
 		case report := <-signs:
 			watch.Answered(time.Now(), s.judge(report))
 		case now := <-hurry:
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -115,6 +115,22 @@
 	return []server.Part{{ID: e.cached[address], Tokens: 5000}}, nil
 }
 
+// CopyRun makes a copy whose name holds the run's.
+func (e *engines) CopyRun(_ context.Context, address, run, _ string) (string, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	handle := "copy-of-" + run
+	e.copies[address+"/"+handle] = true
+	return handle, nil
+}
+
+func (e *engines) DropCopy(_ context.Context, c server.Copy) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.copies, c.Address+"/"+c.Run)
+	return nil
+}
+
 func (e *engines) sentTo() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -162,7 +178,7 @@
 		engines: &engines{length: 20, gap: 20 * time.Millisecond, fate: map[string]fate{}, copies: map[string]bool{}, cached: map[string]string{}},
 		servers: registry.New(),
 		runs:    table{runs.NewTable()},
-		service: routes.Service{Name: "engines", Engine: &routes.Engine{Memory: 55000, Backups: true, EventTokens: 6}},
+		service: routes.Service{Name: "engines", Engine: &routes.Engine{Memory: 55000, Backups: true, CopiesRuns: true, EventTokens: 6, KeepsCopyFor: 4 * time.Second}},
 		route:   routes.Route{Kind: routes.Streaming, Resumable: true, Attempts: 3},
 	}
 	w.list(nil)
--- a/internal/router/relay/metrics.go
+++ b/internal/router/relay/metrics.go
@@ -13,6 +13,7 @@
 	cameBackTotal  = metrics.NewCounter("wisteriafield_callers_came_back_total")
 	surveysTotal   = metrics.NewCounter("wisteriafield_surveys_total")
 	questionsTotal = metrics.NewCounter("wisteriafield_engine_questions_total")
+	sparesTotal    = metrics.NewCounter("wisteriafield_runs_copied_again_total")
 	firstSeconds   = metrics.NewHistogram("wisteriafield_first_event_seconds")
 	pauseSeconds   = metrics.NewHistogram("wisteriafield_resume_pause_seconds")
 )
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -41,6 +41,8 @@
 	Send(ctx context.Context, d server.Dispatch) (*server.Answer, error)
 	Report(ctx context.Context, address string) (server.Report, error)
 	Cached(ctx context.Context, address string) ([]server.Part, error)
+	CopyRun(ctx context.Context, address, run, target string) (string, error)
+	DropCopy(ctx context.Context, c server.Copy) error
 }
 
 // Runs remembers where generations run.
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -25,7 +25,7 @@
 	refusals int  // servers in a row that had no room
 	excluded map[server.Key]bool
 	copyAt   string          // address where the lost run's memory is kept; may be empty
-	copyOf   string          // id of the lost run
+	copyOf   server.Copy     // its name
 	promptAt *registry.Entry // engine that has read the prompt, if it lives
 	lostIn   string          // failure domain of the last loss
 	choice   choice          // of the newest attempt, empty if a copy or a prompt decided
@@ -95,7 +95,8 @@
 		// The server at the address as it is now: it may be leaving, gone or have
 		// started again before the copy was sent.
 		if at := s.usable(address); at != nil {
-			return at, &server.Copy{Address: address, Run: s.copyOf}
+			c := s.copyOf
+			return at, &c
 		}
 	}
 	if e := s.promptAt; e != nil {
@@ -130,7 +131,7 @@
 		s.broken = s.promptAt != nil
 		return
 	}
-	s.copyAt, s.copyOf = record.Backup, record.Run
+	s.copyAt, s.copyOf = record.Backup, server.Copy{Address: record.Backup, Run: record.Run}
 	s.promptAt = s.relay.cfg.Servers.At(record.Server)
 	s.broken = true
 }
@@ -149,6 +150,9 @@
 	switch r.kind {
 	case finished:
 		target.Load.NoteRunEnd(false)
+		if r.spare != nil {
+			go s.relay.dropSpare(r.spare)
+		}
 	case refused:
 		switch {
 		case r.replaced:
@@ -175,9 +179,14 @@
 		}
 		s.refusals = 0
 		s.excluded[target.Key()] = true
-		s.copyAt, s.copyOf = "", s.req.ID
+		s.copyAt = ""
 		if r.backup != nil {
-			s.copyAt = r.backup.Address
+			s.copyAt, s.copyOf = r.backup.Address, server.Copy{Address: r.backup.Address, Run: s.req.ID}
+		}
+		if r.spare != nil {
+			if holder, c := r.spare.get(now); c != nil {
+				s.copyAt, s.copyOf = holder.Address, *c
+			}
 		}
 		if !r.dark && s.after > s.req.After {
 			s.promptAt = target
