--- a/internal/backend/registry/registry.go
+++ b/internal/backend/registry/registry.go
@@ -23,6 +23,7 @@
 }
 
 type view struct {
+	revision  int64
 	services  map[string][]*Entry
 	ids       map[string]*Entry
 	addresses map[string]*Entry
@@ -35,12 +36,14 @@
 	return r
 }
 
-// Set replaces the known servers. Incarnations that stay keep their load.
-func (r *Registry) Set(servers []server.Server) {
+// Set replaces the known servers by those of a revision of the store. Incarnations
+// that stay keep their load.
+func (r *Registry) Set(revision int64, servers []server.Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.view.Load()
 	next := &view{
+		revision:  revision,
 		services:  make(map[string][]*Entry),
 		ids:       make(map[string]*Entry, len(servers)),
 		addresses: make(map[string]*Entry, len(servers)),
@@ -67,6 +70,9 @@
 	r.view.Store(next)
 }
 
+// Revision returns the store's revision that the known servers are of.
+func (r *Registry) Revision() int64 { return r.view.Load().revision }
+
 // Service returns the servers of a service, by id. The result is not changed.
 func (r *Registry) Service(name string) []*Entry { return r.view.Load().services[name] }
 
--- a/internal/backend/registry/registry_test.go
+++ b/internal/backend/registry/registry_test.go
@@ -18,7 +18,7 @@
 	g := NewWithT(t)
 	r := registry.New()
 	now := time.Unix(1_000, 0)
-	r.Set([]server.Server{one("i-1", 5)})
+	r.Set(1, []server.Server{one("i-1", 5)})
 	run := r.Get("i-1").Load.BeginRun(5000, 5000)
 	for i := range 50 {
 		run.Event(now.Add(time.Duration(i)*40*time.Millisecond), 6)
@@ -27,11 +27,11 @@
 
 	leaving := one("i-1", 5)
 	leaving.Leaving = true
-	r.Set([]server.Server{leaving})
+	r.Set(1, []server.Server{leaving})
 	g.Expect(r.Get("i-1").Leaving).To(BeTrue())
 	g.Expect(r.Get("i-1").Load.State(now).Runs).To(Equal(1))
 
-	r.Set([]server.Server{one("i-1", 6)}) // the same id, started again
+	r.Set(1, []server.Server{one("i-1", 6)}) // the same id, started again
 	st := r.At("10.0.0.1:80").Load.State(now)
 	g.Expect(st.Down).To(BeFalse())
 	g.Expect(st.Runs).To(BeZero())
@@ -41,9 +41,9 @@
 func TestTheNewestIncarnationHasTheAddress(t *testing.T) {
 	g := NewWithT(t)
 	r := registry.New()
-	r.Set([]server.Server{one("i-old", 5), one("i-new", 9)})
+	r.Set(1, []server.Server{one("i-old", 5), one("i-new", 9)})
 	g.Expect(r.At("10.0.0.1:80").ID).To(Equal("i-new"))
-	r.Set(nil)
+	r.Set(2, nil)
 	g.Expect(r.At("10.0.0.1:80")).To(BeNil())
 }
 
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -52,7 +52,7 @@
 	ServersPrefix string
 	DecodeServer  func(key string, value []byte) (server.Server, error)
 	SetConfig     func(value []byte, source string)
-	SetServers    func(servers []server.Server)
+	SetServers    func(revision int64, servers []server.Server)
 	HostsPrefix   string // of the routers' own entries
 	SetHost       func(value []byte)
 	Changed       func()               // the list or the configuration changed
--- a/internal/router/discovery/follower_test.go
+++ b/internal/router/discovery/follower_test.go
@@ -124,7 +124,7 @@
 			Store: w.store, ConfigKey: "config", ServersPrefix: "servers/", HostsPrefix: "hosts/",
 			DecodeServer: decode, Changed: func() {}, SetHost: func([]byte) {},
 			SetConfig:  func(value []byte, _ string) { w.mu.Lock(); w.config = string(value); w.mu.Unlock() },
-			SetServers: func(s []server.Server) { w.mu.Lock(); w.servers = s; w.mu.Unlock() },
+			SetServers: func(_ int64, s []server.Server) { w.mu.Lock(); w.servers = s; w.mu.Unlock() },
 			HasConfig:  func() bool { w.mu.Lock(); defer w.mu.Unlock(); return w.config != "" },
 			Reads:      func(bool) bool { w.mu.Lock(); defer w.mu.Unlock(); return w.reads },
 			Log:        log.WithField("part", "store"),
--- a/internal/router/discovery/list.go
+++ b/internal/router/discovery/list.go
@@ -129,5 +129,5 @@
 	for _, s := range f.entries {
 		servers = append(servers, s)
 	}
-	f.cfg.SetServers(servers)
+	f.cfg.SetServers(f.revision, servers)
 }
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -89,8 +89,8 @@
 // Stopping reports whether this router was told to stop.
 func (e *Edge) Stopping() bool { return e.stopAt.Load() != 0 }
 
-func (e *Edge) setServers(servers []server.Server) {
-	e.servers.Set(servers)
+func (e *Edge) setServers(revision int64, servers []server.Server) {
+	e.servers.Set(revision, servers)
 	e.listed.Store(true)
 }
 
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -141,7 +141,8 @@
 		return
 	case c.ran == 0:
 		refusedTotal.Inc()
-		c.f.cfg.Log.WithField("id", c.req.ID).WithField("refusals", c.refusals).Info("refused")
+		c.f.cfg.Log.WithField("id", c.req.ID).WithField("refusals", c.refusals).WithField("config", c.req.ConfigVersion).
+			WithField("servers", c.f.cfg.Servers.Revision()).Info("refused")
 		w.Header().Set("Retry-After", retryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case ctx.Err() != nil:
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -135,7 +135,7 @@
 	e.Load.End(took, o.failed() && ctx.Err() == nil)
 	sendsTotal(&o).Inc()
 	f.cfg.Log.WithField("id", req.ID).WithField("server", e.ID).WithField("status", o.status).
-		WithField("notRun", o.notRun).WithField("ms", time.Since(began).Milliseconds()).WithField("config", req.ConfigVersion).
+		WithField("notRun", o.notRun).WithField("ms", time.Since(began).Milliseconds()).WithField("config", req.ConfigVersion).WithField("servers", f.cfg.Servers.Revision()).
 		WithField("inFlight", before.InFlight).WithField("errors", before.Errors).WithError(o.err).Info("sent")
 	return o
 }
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -87,7 +87,7 @@
 
 func serve(d *desk, kind routes.Kind, attempts int) *httptest.ResponseRecorder {
 	servers := registry.New()
-	servers.Set([]server.Server{
+	servers.Set(1, []server.Server{
 		{ID: "i-0", Service: "desk", Address: "10.0.0.1:1", Slots: 6},
 		{ID: "i-1", Service: "desk", Address: "10.0.0.2:1", Slots: 6},
 	})
--- a/internal/router/gossip/gossip_test.go
+++ b/internal/router/gossip/gossip_test.go
@@ -115,7 +115,7 @@
 		log.SetOutput(io.Discard)
 		for i := range n {
 			r := &router{servers: registry.New()}
-			r.servers.Set([]server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
+			r.servers.Set(1, []server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
 			self := gossip.Host{Name: fmt.Sprintf("router-%d", i), Address: fmt.Sprintf("call-%d", i), Notices: fmt.Sprintf("notice-%d", i)}
 			r.gossip = gossip.New(gossip.Config{
 				Self: self, Seeds: []string{"call-0"}, Caller: net, Notices: net, State: r, Servers: r.servers, Runs: runs.NewTable(), Repeats: repeats.New(repeats.Config{Window: time.Second, Routers: func() int { return n }}, time.Now()),
--- a/internal/router/relay/backup.go
+++ b/internal/router/relay/backup.go
@@ -30,7 +30,7 @@
 		known = balance.Engine{Prompts: st.Prompts, Runs: st.Runs, Memory: st.Memory, Pace: st.Pace}
 	}
 	log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).WithField("address", target.Address).
-		WithField("config", s.req.ConfigVersion).WithField("prompt", s.req.PromptTokens).WithField("waiting", known.Prompts).WithField("runs", known.Runs).
+		WithField("config", s.req.ConfigVersion).WithField("servers", s.relay.cfg.Servers.Revision()).WithField("prompt", s.req.PromptTokens).WithField("waiting", known.Prompts).WithField("runs", known.Runs).
 		WithField("memory", known.Memory).WithField("paceMs", known.Pace.Milliseconds()).WithField("asked", s.choice.asked).WithField("after", s.after)
 	if backup != nil {
 		log = log.WithField("backup", backup.Address).WithField("backupID", backup.ID)
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -198,7 +198,7 @@
 		id := fmt.Sprintf("i-%d", i)
 		all = append(all, server.Server{ID: id, Service: "engines", Address: addressOf(i), Domain: string(rune('a' + i)), Slots: 64, Leaving: leaving[id]})
 	}
-	w.servers.Set(all)
+	w.servers.Set(1, all)
 }
 
 func (w *world) request(after int) *server.Request {
--- a/internal/router/relay/relay_test.go
+++ b/internal/router/relay/relay_test.go
@@ -72,7 +72,7 @@
 func TestTheNextCopyIsNotPlacedWhereAnEngineWasJustLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
-		w.servers.Set([]server.Server{
+		w.servers.Set(1, []server.Server{
 			{ID: "i-0", Service: "engines", Address: addressOf(0), Domain: "a", Slots: 64},
 			{ID: "i-1", Service: "engines", Address: addressOf(1), Domain: "b", Slots: 64},
 			{ID: "i-2", Service: "engines", Address: addressOf(2), Domain: "c", Slots: 64},
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -241,7 +241,8 @@
 		return
 	}
 	refusedTotal.Inc()
-	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("reason", reason).Info("refused")
+	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("reason", reason).WithField("config", s.req.ConfigVersion).
+		WithField("servers", s.relay.cfg.Servers.Revision()).Info("refused")
 	s.w.Header().Set("Retry-After", retryAfter)
 	s.w.WriteHeader(http.StatusServiceUnavailable)
 }
