Routers that find each other list peers in every call; loads count as unknown until then

Found by a test of 30 routers on simulated time: after five seconds some knew fewer than nine peers, since only every eighth message named any, and so took the fleet for a small one whose loads they knew. Calls, by which routers find each other, now always name peers, and for the first two seconds of a router engines are asked for their work.

--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -114,7 +114,7 @@
 	streams := relay.New(relay.Config{
 		Servers: e.servers, Client: cfg.Client, Repeats: budget,
 		Links: links, Domain: cfg.Domain, Runs: e, Found: func() { e.gossip.Kick() },
-		KnowsLoads: func() bool { return e.gossip.KnowsLoads() }, Log: e.part("stream"),
+		KnowsLoads: func() bool { return e.gossip.KnowsLoads(time.Now()) }, Log: e.part("stream"),
 	})
 	e.gossip = gossip.New(gossip.Config{
 		Self: e.self, Seeds: cfg.Seeds, Caller: control.NewClient(""), Notices: e, State: e, Servers: e.servers,
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -38,8 +38,9 @@
 
 // Gossip exchanges with peers.
 type Gossip struct {
-	cfg  Config
-	kick chan struct{}
+	cfg     Config
+	kick    chan struct{}
+	started time.Time
 
 	mu    sync.Mutex
 	peers map[string]*peer // by address
@@ -74,7 +75,7 @@
 // New returns a gossip that knows the seeds only.
 func New(cfg Config) *Gossip {
 	g := &Gossip{
-		cfg: cfg, kick: make(chan struct{}, 1), peers: make(map[string]*peer),
+		cfg: cfg, kick: make(chan struct{}, 1), started: time.Now(), peers: make(map[string]*peer),
 		uplink: uplink.New(cfg.Self.LinkMbps * 1e6 / 8),
 	}
 	for _, address := range cfg.Seeds {
@@ -92,7 +93,7 @@
 			return nil, err
 		}
 		go g.take(m)
-		return g.message(), nil
+		return g.message(true), nil
 	})
 	s.Handle(methodConfig, func(context.Context, json.RawMessage) (any, error) { return g.giveConfig() })
 	s.Handle(methodServers, func(_ context.Context, params json.RawMessage) (any, error) {
@@ -167,11 +168,11 @@
 }
 
 // KnowsLoads reports whether the loads of all peers are known here, as of an
-// exchange ago. In a large fleet they are not.
-func (g *Gossip) KnowsLoads() bool {
+// exchange ago. In a large fleet, and while a router finds its peers, they are not.
+func (g *Gossip) KnowsLoads(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.plan().Whole
+	return now.Sub(g.started) > loadsFor && g.plan().Whole
 }
 
 // Run sends and receives until ctx ends.
@@ -206,7 +207,7 @@
 
 // send tells some of the peers by datagram.
 func (g *Gossip) send(now time.Time) {
-	m := g.message()
+	m := g.message(g.messages.Add(1)%listEvery == 1)
 	encoded, err := json.Marshal(m)
 	if err == nil && len(encoded) > maxDatagram {
 		m.Loads = nil
@@ -299,7 +300,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply message
-	err := g.cfg.Caller.Call(ctx, address, methodExchange, g.message(), &reply)
+	err := g.cfg.Caller.Call(ctx, address, methodExchange, g.message(true), &reply)
 	g.mu.Lock()
 	if p := g.peers[address]; p != nil {
 		p.calling = false
--- a/internal/router/gossip/gossip_test.go
+++ b/internal/router/gossip/gossip_test.go
@@ -241,3 +241,33 @@
 		g.Expect(all[0].gossip.Live(time.Now())).To(HaveLen(1))
 	})
 }
+
+// A router that has just started knows no peers and no loads, however few there are.
+func TestLoadsAreKnownInASmallFleetAfterTheFirstExchanges(t *testing.T) {
+	for _, c := range []struct {
+		n    int
+		want bool
+	}{{6, true}, {30, false}} {
+		play(t, c.n, func(g *WithT, _ *network, all []*router) {
+			for _, r := range all {
+				// The story begins five seconds after the routers.
+				g.Expect(r.gossip.KnowsLoads(time.Now().Add(-4 * time.Second))).To(BeFalse())
+				g.Expect(r.gossip.KnowsLoads(time.Now())).To(Equal(c.want), "%d routers", c.n)
+			}
+		})
+	}
+}
+
+// Found on grown Scordia: with 76 routers a third of the live ones counted as lost.
+func TestInALargeFleetLivePeersStayKnown(t *testing.T) {
+	const n = 60
+	play(t, n, func(g *WithT, _ *network, all []*router) {
+		time.Sleep(10 * time.Second)
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			for _, r := range all {
+				g.Expect(len(r.gossip.Live(time.Now()))).To(BeNumerically(">", n*9/10))
+			}
+		}
+	})
+}
--- a/internal/router/gossip/message.go
+++ b/internal/router/gossip/message.go
@@ -7,8 +7,9 @@
 	"wisteriafield/internal/decision/spread"
 )
 
-// message returns what this router tells.
-func (g *Gossip) message() message {
+// message returns what this router tells, with some of its peers if they are to be
+// listed.
+func (g *Gossip) message(list bool) message {
 	m := message{
 		Host:     g.cfg.Self,
 		Version:  g.cfg.State.ConfigVersion(),
@@ -27,7 +28,7 @@
 	plan := g.plan()
 	m.Loads = g.loads(plan.Whole, now)
 	g.vouch(&m, plan, now)
-	if g.messages.Add(1)%listEvery != 1 {
+	if !list {
 		return m
 	}
 	for _, p := range g.peers {
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -96,7 +96,8 @@
 	// paces bounds the engines whose pace one message of a large fleet tells.
 	paces = 12
 	// listed bounds the peers named in one message, and listEvery is how many
-	// messages pass between two that name any.
+	// datagrams pass between two that name any. Calls, by which routers find each
+	// other, always do.
 	listed    = 16
 	listEvery = 8
 	// maxDatagram bounds a datagram, in bytes. Loads that do not fit are left out.
