--- a/internal/router/relay/look.go
+++ b/internal/router/relay/look.go
@@ -52,9 +52,8 @@
 
 // workOf asks an engine for its work.
 func (r *Relay) workOf(ctx context.Context, e *registry.Entry) (balance.Reported, bool) {
-	questionsTotal.Inc()
-	report, err := r.cfg.Client.Report(ctx, e.Address)
-	if err != nil || e.Started != 0 && report.Started != 0 && report.Started != e.Started {
+	report, ok := r.ask(ctx, e)
+	if !ok {
 		return balance.Reported{}, false
 	}
 	return balance.Reported{
--- a/internal/trial/edgesoak/callers.go
+++ b/internal/trial/edgesoak/callers.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"wisteriafield/internal/trial/crowd"
 )
 
 const (
@@ -129,7 +131,7 @@
 }
 
 // plainCaller returns a step that books or looks up, on kept connections.
-func (s *soak) plainCaller() func(context.Context, *rand.Rand) {
+func (s *soak) plainCaller() crowd.Step {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
 	return func(ctx context.Context, r *rand.Rand) {
 		router := s.routers[r.IntN(len(s.routers))]
--- a/internal/trial/edgesoak/check.go
+++ b/internal/trial/edgesoak/check.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"wisteriafield/internal/trial/crowd"
 )
 
 const (
@@ -21,7 +23,7 @@
 )
 
 // watchVersions returns a step that checks that no process goes back.
-func (s *soak) watchVersions() func(context.Context, *rand.Rand) {
+func (s *soak) watchVersions() crowd.Step {
 	type process struct {
 		name string
 		pid  int
--- a/internal/trial/edgesoak/soak.go
+++ b/internal/trial/edgesoak/soak.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"sort"
@@ -15,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"wisteriafield/internal/trial/crowd"
 )
 
 const (
@@ -79,30 +80,19 @@
 func (s *soak) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.Last+healed+time.Minute)
 	defer cancel()
-	until := time.Now().Add(s.Last)
-	var wg sync.WaitGroup
-	start := func(f func(context.Context, *rand.Rand), stream uint64) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			r := rand.New(rand.NewPCG(s.Seed, stream))
-			for time.Now().Before(until) && ctx.Err() == nil {
-				f(ctx, r)
-			}
-		}()
-	}
+	all := crowd.New(s.Seed, time.Now().Add(s.Last))
 	for i := range draftCallers {
-		start(s.draft, uint64(100+i))
+		all.Start(ctx, s.draft, uint64(100+i))
 	}
 	for i := range plainCallers {
-		start(s.plainCaller(), uint64(200+i))
+		all.Start(ctx, s.plainCaller(), uint64(200+i))
 	}
-	start(s.operate, 300)
-	start(s.watchVersions(), 301)
+	all.Start(ctx, s.operate, 300)
+	all.Start(ctx, s.watchVersions(), 301)
 	// Two series of faults overlap.
-	start(s.hurt, 1)
-	start(s.hurt, 2)
-	wg.Wait()
+	all.Start(ctx, s.hurt, 1)
+	all.Start(ctx, s.hurt, 2)
+	all.Wait()
 	s.checkRecovery(ctx)
 }
 
--- a/internal/trial/soak/soak.go
+++ b/internal/trial/soak/soak.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"wisteriafield/internal/trial/caller"
+	"wisteriafield/internal/trial/crowd"
 	"wisteriafield/internal/trial/fleet"
 )
 
@@ -69,30 +70,20 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Last+settleTime+time.Minute)
 	defer cancel()
 	until := time.Now().Add(s.Last)
-	var wg sync.WaitGroup
-	start := func(f func(context.Context, *rand.Rand), stream uint64) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			r := rand.New(rand.NewPCG(s.Seed, stream))
-			for time.Now().Before(until) && ctx.Err() == nil {
-				f(ctx, r)
-			}
-		}()
-	}
+	all := crowd.New(s.Seed, until)
 	for i := range draftCallers {
-		start(s.draft, uint64(100+i))
+		all.Start(ctx, s.draft, uint64(100+i))
 	}
 	for i := range bookingCallers {
-		start(s.book, uint64(200+i))
+		all.Start(ctx, s.book, uint64(200+i))
 	}
-	start(s.operate, 300)
-	start(s.watchRevisions(), 301)
+	all.Start(ctx, s.operate, 300)
+	all.Start(ctx, s.watchRevisions(), 301)
 	r := rand.New(rand.NewPCG(s.Seed, 1))
 	for time.Now().Before(until) && ctx.Err() == nil {
 		s.hurt(ctx, r)
 	}
-	wg.Wait()
+	all.Wait()
 }
 
 func (s *soak) count(what string) {
