Killing a process of a test waits until it is gone

Cause: the signal was sent and the booking made at once; until a killed process is gone the kernel still takes connections for it, so the router's request had left and was reset, and "unknown" was the truth.

Change: Process.Kill returns when the process has ended. The story is as strict as before, and its precondition now holds.

--- a/internal/trial/fleet/process.go
+++ b/internal/trial/fleet/process.go
@@ -46,8 +46,12 @@
 // PID returns the process id.
 func (p *Process) PID() int { return p.cmd.Process.Pid }
 
-// Kill ends the process without warning.
-func (p *Process) Kill() { p.signal(syscall.SIGKILL) }
+// Kill ends the process without warning and returns when it is gone: until then the
+// kernel still takes connections for it.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
 
 // Pause stops the process until Continue.
 func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
