Stand-ins that speak the platform's protocol live in platform/standin

Cause: the stand-ins of the store and of a backend server, and the soak's callers, spelled the platform's names outside platform/. Moved as they were; the callers' headers are now in platform/standin/caller.

--- a/internal/router/node/node_test.go
+++ b/internal/router/node/node_test.go
@@ -22,9 +22,9 @@
 	"wisteriafield/internal/router/node"
 	"wisteriafield/internal/standin/engine"
 	"wisteriafield/internal/standin/faults"
-	"wisteriafield/internal/standin/platform"
 	"wisteriafield/internal/trial/caller"
 	"wisteriafield/platform/kv"
+	"wisteriafield/platform/standin/platform"
 )
 
 var update = flag.Bool("update", false, "write golden files")
--- a/internal/standin/cli/backend.go
+++ b/internal/standin/cli/backend.go
@@ -7,9 +7,9 @@
 	"syscall"
 	"time"
 
-	"wisteriafield/internal/standin/backend"
 	"wisteriafield/internal/standin/faults"
 	"wisteriafield/platform/kv"
+	"wisteriafield/platform/standin/backend"
 )
 
 // storeTimeout is short against a heartbeat.
--- a/internal/standin/cli/cli.go
+++ b/internal/standin/cli/cli.go
@@ -14,9 +14,9 @@
 
 	"wisteriafield/internal/standin/engine"
 	"wisteriafield/internal/standin/faults"
-	"wisteriafield/internal/standin/platform"
 	"wisteriafield/internal/standin/service"
 	"wisteriafield/internal/standin/weights"
+	"wisteriafield/platform/standin/platform"
 )
 
 // Run runs one stand-in until it is told to stop.
--- a/internal/trial/edgesoak/callers.go
+++ b/internal/trial/edgesoak/callers.go
@@ -7,13 +7,13 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/google/uuid"
 
 	"wisteriafield/internal/trial/crowd"
+	"wisteriafield/platform/standin/caller"
 )
 
 const (
@@ -22,18 +22,12 @@
 	maxTries    = 6
 )
 
-// newRequest returns a request with a new attempt id.
+// newRequest returns a request with a new id.
 func newRequest(ctx context.Context, method, address, path string) *http.Request {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader("x"))
+	req, err := caller.NewRequest(ctx, method, address, hostName, path, organisationKey)
 	if err != nil {
 		panic(err) // all parts are constants of this package
 	}
-	req.Host = hostName
-	req.Header.Set("X-Attempt-Id", strings.ReplaceAll(uuid.NewString(), "-", "")[:16])
-	req.Header.Set("Authorization", "Token "+organisationKey)
-	if end, ok := ctx.Deadline(); ok {
-		req.Header.Set("X-Deadline-Ms", strconv.FormatInt(time.Until(end).Milliseconds(), 10))
-	}
 	return req
 }
 
@@ -71,12 +65,7 @@
 func (s *soak) watch(ctx context.Context, router *router, session string, events int, after *int) bool {
 	began := time.Now()
 	req := newRequest(ctx, http.MethodPost, router.callers.Address, "/draft/x")
-	req.Header.Set("X-Model", "m")
-	req.Header.Set("X-Token-Usage", fmt.Sprintf("5000,%d", events*6))
-	req.Header.Set("X-Prefix-Hash", "5c1e07a2:200,"+session+":4800")
-	if *after > 0 {
-		req.Header.Set("Last-Event-Id", strconv.Itoa(*after))
-	}
+	caller.DescribePrompt(req, session, events*6, *after)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	res, err := client.Do(req)
 	if err != nil {
@@ -88,7 +77,7 @@
 		s.count(fmt.Sprintf("drafts told %d", res.StatusCode))
 		return false
 	}
-	if res.Header.Get("X-Server-Seal") == "" {
+	if !caller.Signed(res) {
 		s.problem("stream %s has no signature", session)
 	}
 	lines := bufio.NewReader(res.Body)
@@ -149,7 +138,7 @@
 	ctx, cancel := context.WithTimeout(ctx, bookingTime)
 	defer cancel()
 	req := newRequest(ctx, method, router.callers.Address, path)
-	id := req.Header.Get("X-Attempt-Id")
+	id := caller.ID(req)
 	if method == http.MethodPost {
 		req.GetBody = nil // the library must not send a booking twice by itself
 	}
--- a/internal/trial/fleet/ask.go
+++ b/internal/trial/fleet/ask.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"wisteriafield/internal/router/node"
-	"wisteriafield/internal/standin/platform"
+	"wisteriafield/platform/standin/platform"
 )
 
 // EngineState asks an engine.
