backend/sse: a line that fills the buffer no longer splits its event

Cause: ReadSlice returns a full buffer without its newline; the newline that follows came alone and was taken for the blank line that ends an event. The rest of a long line could also set the ID. Ruled out: the caller's side, which writes Raw as it is. Before: lines of 2,048, 4,096 and 6,144 bytes came as two events, the second with ID 0 (TestLongLinesDoNotSplitAnEvent, TestAnIDWithinALongLineIsNotTheEventsID fail). After: both pass. An event without end is an error after 1 MiB (TestAnEventWithoutEndIsAnError passes before and after).

--- a/internal/backend/sse/reader.go
+++ b/internal/backend/sse/reader.go
@@ -34,8 +34,11 @@
 // between events, and ErrTruncated if it ended within one.
 func (r *Reader) Next() (Event, error) {
 	var e Event
+	lineStarts := true // the next slice is the start of a line, not the rest of a long one
 	for {
 		line, err := r.r.ReadSlice('\n')
+		startsLine := lineStarts
+		lineStarts = err == nil
 		if errors.Is(err, bufio.ErrBufferFull) {
 			err = nil
 		}
@@ -52,6 +55,9 @@
 		if len(e.Raw) > maxEventBytes {
 			return Event{}, fmt.Errorf("event is larger than %d bytes: %w", maxEventBytes, ErrTruncated)
 		}
+		if !startsLine {
+			continue
+		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(line) > 0 && line[len(line)-1] == '\n' {
 			return e, nil
 		}
--- a/internal/backend/sse/reader_test.go
+++ b/internal/backend/sse/reader_test.go
@@ -39,6 +39,51 @@
 	g.Expect(string(e.Raw)).To(Equal(complete))
 }
 
+// A line whose length is a multiple of the buffer's size once ended its event early: the
+// newline that follows was read on its own and taken for a blank line.
+func TestLongLinesDoNotSplitAnEvent(t *testing.T) {
+	g := NewWithT(t)
+	for _, length := range []int{2046, 2047, 2048, 2049, 4096, 6144} {
+		for _, newline := range []string{"\n", "\r\n"} {
+			complete := "data: " + strings.Repeat("a", length-len("data: ")) + newline + "id: 7" + newline + newline
+			r := sse.NewReader(strings.NewReader(complete + "id: 8\n\n"))
+			e, err := r.Next()
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(e).To(Equal(sse.Event{Raw: []byte(complete), ID: 7}), "line of %d bytes", length)
+			e, err = r.Next()
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(e.ID).To(Equal(8))
+		}
+	}
+}
+
+// The rest of a long line may look like a field of its own.
+func TestAnIDWithinALongLineIsNotTheEventsID(t *testing.T) {
+	g := NewWithT(t)
+	line := "data: " + strings.Repeat("a", 2048-len("data: ")) + "id: 9\n"
+	e, err := sse.NewReader(strings.NewReader(line + "\n")).Next()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(e).To(Equal(sse.Event{Raw: []byte(line + "\n")}))
+}
+
+// endless sends the same byte for ever.
+type endless byte
+
+func (b endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = byte(b)
+	}
+	return len(p), nil
+}
+
+func TestAnEventWithoutEndIsAnError(t *testing.T) {
+	g := NewWithT(t)
+	for _, b := range []endless{'a', '\r'} {
+		_, err := sse.NewReader(b).Next()
+		g.Expect(err).To(MatchError(sse.ErrTruncated))
+	}
+}
+
 func FuzzNext(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
