mutants: the scratch copy has platform/ and must build before a mutant counts

Cause: the copy left out platform/, so every end-to-end test failed to build and its mutant counted as refuted.

--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -9,7 +9,12 @@
 filter=${1:-}
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
-cp -r go.mod go.sum main.go cmd internal examples "$scratch"
+cp -r go.mod go.sum main.go cmd internal platform examples "$scratch"
+# A copy that does not build would make every end-to-end test fail and so refute its mutant.
+if ! (cd "$scratch" && go vet . ./cmd/... ./internal/trial/e2e); then
+	echo "the unchanged copy does not build"
+	exit 1
+fi
 failed=0
 
 # mutant NAME FILE OLD NEW TEST
