decision/storereader: an outage of the store makes no herd

Ruled out: the lists themselves, which did not change, and the engines. Change: an Elector gives each router a role. Two readers are elected as before, the second watches each second; during an outage both keep trying and the others take turns, 8 + 0.02 n tries a second over the fleet, or read if they hear no peer. The first to get an answer keeps reading until another does. Only a reader with a recent answer sends to all. A router that does not call the store learns outage and return from its peers, keeps entries that expired as long, and a reader that lost the store's history logs the differences, so that peers fetch those and not the full list. Refused readers back off to 4 s while others are served.

--- a/internal/decision/placement/rendezvous.go
+++ b/internal/decision/placement/rendezvous.go
@@ -32,6 +32,18 @@
 	return ordered
 }
 
+// Rank returns how many of the other names come before a name in the order of Rendezvous.
+func Rank(key, name string, others []string) int {
+	rank := 0
+	hash := hashOf(key, name)
+	for _, other := range others {
+		if h := hashOf(key, other); h > hash || h == hash && other < name {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Owner returns the name that Rendezvous puts first for a key, or "" if there are
 // no names.
 func Owner(key string, names []string) string {
--- a/internal/decision/storereader/storereader.go
+++ b/internal/decision/storereader/storereader.go
@@ -2,9 +2,15 @@
 // fleet. Each call to the store is charged for, and the allowed call rates grow more
 // slowly than the fleet, so a few routers read it and send what they read to the
 // others.
+//
+// The load that it answers: an outage of the store, which all routers notice at the same
+// time, and its end. While no router gets an answer, the elected readers keep trying and
+// the others take turns, so that the fleet's calls stay bounded, and a store that serves
+// only some routers is still found by one of them.
 package storereader
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"wisteriafield/internal/decision/placement"
@@ -17,12 +23,36 @@
 	// maxReaderAge is the age of the store's last answer up to which a reading router
 	// counts as one that reaches the store. Readers get an answer about every second.
 	maxReaderAge = 2500 * time.Millisecond
-	// staleAfter is the age of the newest answer to any known router from which this
-	// router reads for itself.
+	// staleAfter is the age of the newest answer to any known router from which the store
+	// counts as unreachable.
 	staleAfter = 1800 * time.Millisecond
 	// fastLinkFraction is the fraction of the fastest link's rate from which a link
 	// counts as fast.
 	fastLinkFraction = 0.5
+	// baseTriesPerSecond and triesPerSecondAndRouter give the rate at which the routers
+	// that are not elected try a store that answers nobody. In a small fleet each tries
+	// about once a second.
+	baseTriesPerSecond      = 8.0
+	triesPerSecondAndRouter = 0.02
+	// rankKey is the key of the rendezvous order of the readers.
+	rankKey = "store reader"
+	// minTryInterval is the least time between two tries of a router.
+	minTryInterval = 700 * time.Millisecond
+)
+
+// Role is what a router does about the store at a moment.
+type Role string
+
+// The roles of a router.
+const (
+	// Primary reads and watches the store for all.
+	Primary Role = "Primary"
+	// Secondary reads as well, less often, to replace the primary at once.
+	Secondary Role = "Secondary"
+	// Trial makes one call to a store that answers nobody.
+	Trial Role = "Trial"
+	// Idle leaves the store to others.
+	Idle Role = "Idle"
 )
 
 // Router is a candidate for reading the store.
@@ -30,42 +60,115 @@
 	Name       string
 	ReadsStore bool      // it reports that it reads the store
 	ReachedAt  time.Time // last answer of the store; zero if there was none
+	HeardAt    time.Time // last message of the router itself; unused for self
 	LinkRate   float64   // rate of its network link, in the same unit for all routers
 }
 
-// ShouldRead reports whether the router self reads the store now. The peers are the
-// live ones. lastCallFailed says that the last call of self to the store failed.
-func ShouldRead(self Router, peers []Router, lastCallFailed bool, now time.Time) bool {
-	fresh := now.Sub(self.ReachedAt) < staleAfter
-	candidates := []Router{self}
+// Decision is the role of a router now.
+type Decision struct {
+	Role Role
+	// Outage means that the store has not answered any known router for some time.
+	Outage bool
+}
+
+// Elector decides the role of one router. It is not safe for concurrent use.
+type Elector struct {
+	nextTry  time.Time // during an outage; zero outside one
+	outage   bool      // the last decision saw an outage
+	foundEnd bool      // this router got the first answer after an outage, and no other reads yet
+	random   func() float64
+}
+
+// NewElector returns an elector. The random numbers, in [0, 1), spread the tries of the
+// fleet over time; nil selects the default source.
+func NewElector(random func() float64) *Elector {
+	if random == nil {
+		random = rand.Float64
+	}
+	return &Elector{random: random}
+}
+
+// Decide returns the role of the router self. The peers are the live ones.
+func (e *Elector) Decide(self Router, peers []Router, now time.Time) Decision {
+	if !anyFresh(self, peers, now) {
+		e.outage, e.foundEnd = true, false
+		return Decision{Role: e.outageRole(self, peers, now), Outage: true}
+	}
+	selfFresh := now.Sub(self.ReachedAt) < staleAfter
+	e.foundEnd = selfFresh && (e.outage || e.foundEnd)
+	e.outage, e.nextTry = false, time.Time{}
+	var candidates []Router
+	otherReaders := 0
 	for _, p := range peers {
-		if now.Sub(p.ReachedAt) < staleAfter {
-			fresh = true
-		}
 		// A peer that doesn't read yet is a candidate too; one that reads and gets
 		// no answers is not.
 		if !p.ReadsStore || now.Sub(p.ReachedAt) < maxReaderAge {
 			candidates = append(candidates, p)
 		}
+		if p.ReadsStore && now.Sub(p.ReachedAt) < staleAfter {
+			otherReaders++
+		}
+	}
+	e.foundEnd = e.foundEnd && otherReaders == 0
+	role := electedRole(self, candidates)
+	if role == Idle && e.foundEnd {
+		role = Primary // the elected ones have no answer yet
+	}
+	return Decision{Role: role}
+}
+
+// outageRole returns the role while the store answers nobody. All live peers are
+// candidates then, whether they read or not.
+func (e *Elector) outageRole(self Router, peers []Router, now time.Time) Role {
+	if role := electedRole(self, peers); role != Idle {
+		return role
+	}
+	if isolated(peers, now) {
+		return Primary
 	}
-	if !fresh || lastCallFailed {
-		return true
+	interval := TryInterval(len(peers) + 1)
+	if e.nextTry.IsZero() {
+		e.nextTry = now.Add(time.Duration(e.random() * float64(interval)))
 	}
-	for i, name := range rankCandidates(candidates) {
-		if i >= maxReaders {
+	if now.Before(e.nextTry) {
+		return Idle
+	}
+	// Half of the interval is fixed, so that a router does not try twice in a row.
+	e.nextTry = now.Add(interval/2 + time.Duration(e.random()*float64(interval)))
+	return Trial
+}
+
+// TryInterval returns the mean time between two tries of a router in a fleet of n during
+// an outage.
+func TryInterval(n int) time.Duration {
+	rate := baseTriesPerSecond + triesPerSecondAndRouter*float64(n)
+	return max(minTryInterval, time.Duration(float64(n)/rate*float64(time.Second)))
+}
+
+// isolated reports whether no peer has sent a message for so long that this router may be
+// cut off from its peers, but not from the store.
+func isolated(peers []Router, now time.Time) bool {
+	for _, p := range peers {
+		if now.Sub(p.HeardAt) < staleAfter {
 			return false
 		}
-		if name == self.Name {
-			return true
-		}
 	}
-	return false
+	return true
+}
+
+// anyFresh reports whether the store answered any router lately.
+func anyFresh(self Router, peers []Router, now time.Time) bool {
+	fresh := now.Sub(self.ReachedAt) < staleAfter
+	for _, p := range peers {
+		fresh = fresh || now.Sub(p.ReachedAt) < staleAfter
+	}
+	return fresh
 }
 
-// rankCandidates returns the names of the candidates in order of preference. Those on
-// fast links come first, since readers send changes to all other routers.
-func rankCandidates(candidates []Router) []string {
-	fastest := 0.0
+// electedRole returns the role of self by its rank among the candidates. Those on fast
+// links come first, since readers send changes to all other routers.
+func electedRole(self Router, candidates []Router) Role {
+	fastest := self.LinkRate
 	for _, c := range candidates {
 		fastest = max(fastest, c.LinkRate)
 	}
@@ -77,5 +180,15 @@
 			slow = append(slow, c.Name)
 		}
 	}
-	return append(placement.Rendezvous("store reader", fast), placement.Rendezvous("store reader", slow)...)
+	rank := 0
+	if self.LinkRate >= fastest*fastLinkFraction {
+		rank = placement.Rank(rankKey, self.Name, fast)
+	} else {
+		rank = len(fast) + placement.Rank(rankKey, self.Name, slow)
+	}
+	roles := [maxReaders]Role{Primary, Secondary}
+	if rank < len(roles) {
+		return roles[rank]
+	}
+	return Idle
 }
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/base/loop"
+	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/platform/kv"
 )
 
@@ -27,14 +29,19 @@
 	roleCheckInterval = 200 * time.Millisecond
 	// maxLoggedChanges is how many changes are kept for peers with an older server list.
 	maxLoggedChanges = 512
-	// batchDelay is the delay before the next watch, so that one call returns several
-	// changes. It is a small part of the two seconds that a change may take.
+	// batchDelay is the delay of the primary reader before its next watch, so that one call
+	// returns several changes. It is a small part of the two seconds that a change may take.
 	batchDelay = 150 * time.Millisecond
+	// secondaryBatchDelay is the same for the secondary reader, which gets the changes from
+	// the primary's messages first.
+	secondaryBatchDelay = time.Second
 	// minRetryDelay is the delay after the first failed call.
 	minRetryDelay = 250 * time.Millisecond
 	// maxRetryDelay bounds the delay, which doubles with each failure. Servers whose
 	// entries expired must be known again within two seconds of the store's recovery.
 	maxRetryDelay = time.Second
+	// maxRefusedRetryDelay bounds it while other routers reach the store.
+	maxRefusedRetryDelay = 4 * time.Second
 	// recoveryGrace is how long entries that expired during an outage of the store are
 	// kept after it: live servers register again within two seconds.
 	recoveryGrace = 2200 * time.Millisecond
@@ -56,10 +63,11 @@
 	SetServers    func(revision int64, servers []server.Server)
 	HostsPrefix   string // prefix of the routers' own entries
 	AddHost       func(value []byte)
-	OnChange      func()                      // called after changes were applied
-	HasConfig     func() bool                 // a configuration is in effect
-	ShouldRead    func(unreachable bool) bool // whether this router should read the store
-	Log           *logrus.Entry
+	OnChange      func()      // called after changes were applied
+	HasConfig     func() bool // a configuration is in effect
+	// Decide returns the role of this router in reading the store.
+	Decide func() storereader.Decision
+	Log    *logrus.Entry
 }
 
 // Follower keeps the configuration and the server list up to date.
@@ -74,8 +82,9 @@
 	entries          map[string]server.Server // by key
 	keptUntil        map[string]time.Time     // when expired entries are removed, by key
 	unreachableSince time.Time                // when the store stopped answering; zero while it answers
+	outage           bool                     // the store answers no known router
 	storeReachedAt   atomic.Int64             // Unix nanoseconds of the store's last answer
-	readsStore       atomic.Bool
+	role             atomic.Pointer[storereader.Role]
 	recoveredAt      time.Time // when the store answered again
 }
 
@@ -93,17 +102,16 @@
 	return time.Time{}
 }
 
-// Run reads and watches the store until ctx ends, while this router should read it.
+// Run reads and watches the store until ctx ends, while this router has the role to.
 func (f *Follower) Run(ctx context.Context) error {
 	revision := int64(0)
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		if f.initialized() && !f.cfg.ShouldRead(f.storeUnreachable()) {
-			f.readsStore.Store(false)
+		role := f.nextRole(time.Now())
+		if role == storereader.Idle {
 			loop.Sleep(ctx, roleCheckInterval)
 			continue
 		}
-		f.readsStore.Store(true)
 		err := f.readOrWatch(ctx, &revision)
 		switch {
 		case err == nil:
@@ -112,13 +120,59 @@
 			revision = 0
 		case ctx.Err() == nil:
 			f.recordFailure(err)
-			loop.Sleep(ctx, delay)
-			delay = min(2*delay, maxRetryDelay)
+			// The jitter keeps routers that started together from calling together.
+			loop.Sleep(ctx, delay/2+rand.N(delay))
+			delay = min(2*delay, f.maxDelay())
 		}
 	}
 	return nil
 }
 
+// maxDelay returns the bound of the delay after a failed call.
+func (f *Follower) maxDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.outage || f.revision == 0 || !f.cfg.HasConfig() {
+		return maxRetryDelay
+	}
+	return maxRefusedRetryDelay
+}
+
+// nextRole sets and returns the role of this router. A router that does not have all data
+// yet reads it for itself.
+func (f *Follower) nextRole(now time.Time) storereader.Role {
+	role := storereader.Primary
+	if f.initialized() {
+		d := f.cfg.Decide()
+		role = d.Role
+		f.observeOutage(d, now)
+	}
+	if old := f.role.Swap(&role); old == nil || *old != role {
+		f.cfg.Log.WithField("role", string(role)).Debug("role in reading the store changed")
+	}
+	if role == storereader.Idle {
+		f.publishDue(now)
+	}
+	return role
+}
+
+// observeOutage records the start and the end of an outage that other routers saw. A
+// router that calls the store sees the end by its own answer.
+func (f *Follower) observeOutage(d storereader.Decision, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case d.Outage && !f.outage:
+		f.outage = true
+		if f.unreachableSince.IsZero() {
+			f.unreachableSince = now
+		}
+		f.cfg.Log.WithField("role", string(d.Role)).Warn("store answers no known router")
+	case !d.Outage && (f.outage || d.Role == storereader.Idle && !f.unreachableSince.IsZero()):
+		f.endOutage(now)
+	}
+}
+
 // readOrWatch reads all entries, or waits for the next changes.
 func (f *Follower) readOrWatch(ctx context.Context, revision *int64) error {
 	applied := f.Revision()
@@ -135,13 +189,12 @@
 // initialized reports whether this router has a configuration and a server list.
 func (f *Follower) initialized() bool { return f.Revision() > 0 && f.cfg.HasConfig() }
 
-// ReadsStore reports whether this router reads the store.
-func (f *Follower) ReadsStore() bool { return f.readsStore.Load() }
-
-func (f *Follower) storeUnreachable() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.unreachableSince.IsZero()
+// Role returns the role of this router in reading the store.
+func (f *Follower) Role() storereader.Role {
+	if role := f.role.Load(); role != nil {
+		return *role
+	}
+	return storereader.Idle
 }
 
 // readAll reads all entries in one call and replaces the server list.
@@ -187,7 +240,11 @@
 	f.mu.Unlock()
 	if len(values) > 0 {
 		f.cfg.OnChange()
-		loop.Sleep(ctx, batchDelay)
+		delay := batchDelay
+		if f.Role() == storereader.Secondary {
+			delay = secondaryBatchDelay
+		}
+		loop.Sleep(ctx, delay)
 	}
 	return next, nil
 }
@@ -218,9 +275,13 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	f.storeReachedAt.Store(now.UnixNano())
-	if f.unreachableSince.IsZero() {
-		return
+	if !f.unreachableSince.IsZero() {
+		f.endOutage(now)
 	}
+}
+
+// endOutage records the end of an outage. The caller holds mu.
+func (f *Follower) endOutage(now time.Time) {
 	f.cfg.Log.WithField("away", now.Sub(f.unreachableSince).String()).Info("store is reachable again")
-	f.unreachableSince, f.recoveredAt = time.Time{}, now
+	f.outage, f.unreachableSince, f.recoveredAt = false, time.Time{}, now
 }
--- a/internal/router/discovery/follower_test.go
+++ b/internal/router/discovery/follower_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/discovery"
 	"wisteriafield/platform/kv"
 )
@@ -99,10 +100,10 @@
 	store    *store
 	follower *discovery.Follower
 
-	mu         sync.Mutex
-	config     string
-	servers    []server.Server
-	shouldRead bool
+	mu       sync.Mutex
+	config   string
+	servers  []server.Server
+	decision storereader.Decision
 }
 
 func decode(key string, body []byte) (server.Server, error) {
@@ -115,7 +116,7 @@
 // runFollower starts a follower of a store with two servers and runs test.
 func runFollower(t *testing.T, test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{WithT: NewWithT(t), store: &store{values: map[string]kv.Value{}}, shouldRead: true}
+		f := &fixture{WithT: NewWithT(t), store: &store{values: map[string]kv.Value{}}, decision: storereader.Decision{Role: storereader.Primary}}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		f.store.put("config", "one")
@@ -127,7 +128,7 @@
 			SetConfig:  func(value []byte, _ string) { f.mu.Lock(); f.config = string(value); f.mu.Unlock() },
 			SetServers: func(_ int64, s []server.Server) { f.mu.Lock(); f.servers = s; f.mu.Unlock() },
 			HasConfig:  func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.config != "" },
-			ShouldRead: func(bool) bool { f.mu.Lock(); defer f.mu.Unlock(); return f.shouldRead },
+			Decide:     f.decideRole,
 			Log:        log.WithField("part", "store"),
 		})
 		ctx, stop := context.WithCancel(context.Background())
@@ -140,6 +141,23 @@
 	})
 }
 
+// decideRole returns the follower's role. No other router reaches the store while this
+// one does not.
+func (f *fixture) decideRole() storereader.Decision {
+	f.mu.Lock()
+	d := f.decision
+	f.mu.Unlock()
+	f.store.update(func() { d.Outage = d.Outage || f.store.unreachable })
+	return d
+}
+
+// decide sets the follower's role.
+func (f *fixture) decide(d storereader.Decision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.decision = d
+}
+
 // activeServers returns the servers passed on that are not leaving.
 func (f *fixture) activeServers() (ids []string) {
 	f.mu.Lock()
@@ -213,9 +231,7 @@
 
 func TestARouterThatDoesNotReadTheStoreAppliesItsPeersChanges(t *testing.T) {
 	runFollower(t, func(f *fixture) {
-		f.mu.Lock()
-		f.shouldRead = false
-		f.mu.Unlock()
+		f.decide(storereader.Decision{Role: storereader.Idle})
 		time.Sleep(2 * time.Second)
 		f.store.put("servers/c", "ready")
 		time.Sleep(2 * time.Second)
@@ -234,3 +250,44 @@
 		f.Expect(full).To(BeFalse())
 	})
 }
+
+// A router that does not call the store hears of an outage and of its end from its peers.
+// The entries that expired meanwhile are kept as at a router that saw it itself.
+func TestARouterThatDoesNotReadTheStoreKeepsEntriesThatExpiredDuringAnOutage(t *testing.T) {
+	runFollower(t, func(f *fixture) {
+		f.decide(storereader.Decision{Role: storereader.Idle})
+		time.Sleep(2 * time.Second)
+		f.decide(storereader.Decision{Role: storereader.Idle, Outage: true})
+		time.Sleep(2 * time.Second)
+		applied := f.follower.Revision()
+		gone := []kv.Value{{Key: "servers/a", Revision: applied + 1, Deleted: true}, {Key: "servers/b", Revision: applied + 2, Deleted: true}}
+		f.follower.ApplyServerList(applied, applied+2, gone, false, "peer")
+		f.decide(storereader.Decision{Role: storereader.Idle})
+		time.Sleep(1500 * time.Millisecond)
+		f.Expect(f.activeServers()).To(ConsistOf("a", "b"))
+		f.follower.ApplyServerList(applied+2, applied+3, []kv.Value{{Key: "servers/a", Body: []byte("ready"), Revision: applied + 3}}, false, "peer")
+		time.Sleep(time.Second)
+		f.Expect(f.activeServers()).To(ConsistOf("a"), "entries that are still missing are removed")
+		f.follower.ApplyServerList(applied+3, applied+4, []kv.Value{{Key: "servers/a", Revision: applied + 4, Deleted: true}}, false, "peer")
+		f.Expect(f.activeServers()).To(BeEmpty(), "later ones are removed at once")
+	})
+}
+
+// After a loss of the store's history the reader reads all entries. Its peers once fetched
+// the full list then, all at the same time (seen in scenario large scale-1).
+func TestPeersGetOnlyChangesAfterTheStoreLostItsHistory(t *testing.T) {
+	runFollower(t, func(f *fixture) {
+		before := f.follower.Revision()
+		f.store.update(func() { f.store.missesChanges = true })
+		f.store.put("servers/c", "ready")
+		f.store.remove("servers/a")
+		f.store.update(func() { f.store.oldest = f.store.revision })
+		time.Sleep(3 * time.Second)
+		f.Expect(f.activeServers()).To(ConsistOf("b", "c"))
+		_, values, full := f.follower.ServerList(before)
+		f.Expect(full).To(BeFalse())
+		f.Expect(values).To(HaveLen(2))
+		_, _, full = f.follower.ServerList(0)
+		f.Expect(full).To(BeTrue(), "a newcomer gets all")
+	})
+}
--- a/internal/router/discovery/list.go
+++ b/internal/router/discovery/list.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"strings"
 	"time"
 
@@ -8,23 +9,47 @@
 	"wisteriafield/platform/kv"
 )
 
-// replaceServers applies a full server list. The caller holds mu.
+// replaceServers applies a full server list. The differences go into the change log, so
+// that after a loss of the store's history peers get them and not the full list. The
+// caller holds mu.
 func (f *Follower) replaceServers(revision int64, servers []kv.Value) {
 	listed := make(map[string]bool, len(servers))
+	var changes []kv.Value
 	for _, v := range servers {
 		listed[v.Key] = true
+		if old, ok := f.raw[v.Key]; !ok || old.Revision != v.Revision || !bytes.Equal(old.Body, v.Body) {
+			// A peer may have missed the change itself, so it counts as of now.
+			v.Revision = revision
+			changes = append(changes, v)
+		}
 		f.applyServer(v)
 	}
 	now := time.Now()
-	for key := range f.entries {
+	for key := range f.raw {
 		if !listed[key] {
+			changes = append(changes, kv.Value{Key: key, Revision: revision, Deleted: true})
 			f.removeServer(key, now)
 		}
 	}
-	f.revision, f.changeLogStart, f.changeLog = revision, revision, nil
+	if f.revision == 0 {
+		f.changeLogStart, f.changeLog = revision, nil
+	} else {
+		f.appendChanges(changes)
+	}
+	f.revision = revision
 	f.publish(now)
 }
 
+// appendChanges adds changes to the change log, which keeps the newest ones. The caller
+// holds mu.
+func (f *Follower) appendChanges(changes []kv.Value) {
+	f.changeLog = append(f.changeLog, changes...)
+	if over := len(f.changeLog) - maxLoggedChanges; over > 0 {
+		f.changeLogStart = f.changeLog[over-1].Revision
+		f.changeLog = append([]kv.Value(nil), f.changeLog[over:]...)
+	}
+}
+
 // ServerList returns the changes after a revision, or the full list if the change log
 // does not go back that far, and the store's revision that the result is valid for.
 func (f *Follower) ServerList(after int64) (revision int64, values []kv.Value, full bool) {
@@ -72,16 +97,14 @@
 // applyChanges applies the changes that concern servers and adds them to the change
 // log. The caller holds mu.
 func (f *Follower) applyChanges(revision int64, values []kv.Value) {
+	var changes []kv.Value
 	for _, v := range values {
 		if v.Revision > f.revision && strings.HasPrefix(v.Key, f.cfg.ServersPrefix) {
 			f.applyServer(v)
-			f.changeLog = append(f.changeLog, v)
+			changes = append(changes, v)
 		}
 	}
-	if over := len(f.changeLog) - maxLoggedChanges; over > 0 {
-		f.changeLogStart = f.changeLog[over-1].Revision
-		f.changeLog = append([]kv.Value(nil), f.changeLog[over:]...)
-	}
+	f.appendChanges(changes)
 	f.revision = max(f.revision, revision)
 	f.publish(time.Now())
 }
@@ -110,9 +133,14 @@
 	if _, ok := f.entries[key]; !ok {
 		return
 	}
-	if !f.recoveredAt.IsZero() && now.Sub(f.recoveredAt) < recoveryGrace {
+	recoveredAt := f.recoveredAt
+	if f.outage {
+		// A peer's list shows the end of the outage before this router sees it otherwise.
+		recoveredAt = now
+	}
+	if !recoveredAt.IsZero() && now.Sub(recoveredAt) < recoveryGrace {
 		if f.keptUntil[key].IsZero() {
-			f.keptUntil[key] = f.recoveredAt.Add(recoveryGrace)
+			f.keptUntil[key] = recoveredAt.Add(recoveryGrace)
 		}
 		return
 	}
@@ -120,6 +148,18 @@
 	delete(f.keptUntil, key)
 }
 
+// publishDue publishes the server list if kept entries are due.
+func (f *Follower) publishDue(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, until := range f.keptUntil {
+		if !now.Before(until) {
+			f.publish(now)
+			return
+		}
+	}
+}
+
 // publish removes the kept entries that are due and passes the server list on. The
 // caller holds mu.
 func (f *Follower) publish(now time.Time) {
--- a/internal/router/edge/admin.go
+++ b/internal/router/edge/admin.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/gossip"
 )
 
@@ -43,7 +44,7 @@
 	d := Dump{
 		Host: e.cfg.Host, Stopping: e.Stopping(), Active: e.activeRequests.Load(),
 		ConfigVersion: e.ConfigVersion(), ServerRevision: e.ServerRevision(),
-		Reading: e.ReadsStore(), StoreReached: e.StoreReached(), Peers: e.gossip.LivePeers(now),
+		Reading: e.StoreRole() != storereader.Idle, StoreReached: e.StoreReached(), Peers: e.gossip.LivePeers(now),
 	}
 	if at := e.configSince.Load(); at != 0 {
 		d.ConfigSince = time.Unix(0, at)
@@ -64,7 +65,7 @@
 	set.NewGauge("wisteriafield_config_version", func() float64 { return float64(e.ConfigVersion()) })
 	set.NewGauge("wisteriafield_config_age_seconds", func() float64 { return secondsSince(time.Unix(0, e.configSince.Load())) })
 	set.NewGauge("wisteriafield_store_age_seconds", func() float64 { return secondsSince(e.StoreReached()) })
-	set.NewGauge("wisteriafield_store_reading", func() float64 { return boolToFloat(e.ReadsStore()) })
+	set.NewGauge("wisteriafield_store_reading", func() float64 { return boolToFloat(e.StoreRole() != storereader.Idle) })
 	set.NewGauge("wisteriafield_servers_known", func() float64 { return float64(len(e.servers.All())) })
 	set.NewGauge("wisteriafield_peers_live", func() float64 { return float64(len(e.gossip.LivePeers(time.Now()))) })
 	set.NewGauge("wisteriafield_requests_active", func() float64 { return float64(e.activeRequests.Load()) })
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -21,6 +21,7 @@
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/link"
 	"wisteriafield/internal/decision/retrybudget"
+	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/discovery"
 	"wisteriafield/internal/router/forward"
@@ -90,6 +91,7 @@
 	configSince     atomic.Int64           // Unix nanoseconds when the configuration took effect
 	self            gossip.Host
 	follower        *discovery.Follower
+	elector         *storereader.Elector // used by the follower's goroutine only
 	gossip          *gossip.Gossip
 	datagrams       atomic.Pointer[gossip.Datagrams]
 	callerServer    *http.Server
@@ -100,13 +102,13 @@
 
 // New returns a router, which Run starts.
 func New(cfg Config) *Edge {
-	e := &Edge{cfg: cfg, log: cfg.Log, servers: registry.New()}
+	e := &Edge{cfg: cfg, log: cfg.Log, servers: registry.New(), elector: storereader.NewElector(nil)}
 	e.self = gossip.Host{Name: cfg.Host, Domain: cfg.Domain, Address: cfg.PeerAddress, DatagramAddress: cfg.DatagramAddress, Started: time.Now().UnixNano(), LinkMbps: cfg.LinkMbps}
 	e.follower = discovery.New(discovery.Config{
 		Store: cfg.Store, ConfigKey: cfg.ConfigKey, ServersPrefix: cfg.ServersPrefix,
 		DecodeServer: cfg.DecodeServer, SetConfig: e.SetConfig, SetServers: e.setServers,
 		HostsPrefix: hostsPrefix, AddHost: e.addHost, OnChange: func() { e.gossip.Trigger() },
-		HasConfig: func() bool { return e.routeTable.Load() != nil }, ShouldRead: e.shouldReadStore, Log: e.logger("store"),
+		HasConfig: func() bool { return e.routeTable.Load() != nil }, Decide: e.decideStoreRole, Log: e.logger("store"),
 	})
 	cfg.RetryBudget.Routers = func() int { return 1 + len(e.gossip.LivePeers(time.Now())) }
 	retryBudget := retrybudget.New(cfg.RetryBudget, time.Now())
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -68,14 +68,21 @@
 // StoreReached returns when the store last answered this router.
 func (e *Edge) StoreReached() time.Time { return e.follower.StoreReached() }
 
-// ReadsStore reports whether this router reads the store.
-func (e *Edge) ReadsStore() bool { return e.follower.ReadsStore() }
+// StoreRole returns the role of this router in reading the store.
+func (e *Edge) StoreRole() storereader.Role { return e.follower.Role() }
 
-// shouldReadStore reports whether this router should read the store.
-func (e *Edge) shouldReadStore(unreachable bool) bool {
+// decideStoreRole returns the role that this router should have in reading the store.
+func (e *Edge) decideStoreRole() storereader.Decision {
+	if e.cfg.PeerAddress == "" {
+		return storereader.Decision{Role: storereader.Primary}
+	}
 	now := time.Now()
-	self := storereader.Router{Name: e.cfg.Host, ReadsStore: e.ReadsStore(), ReachedAt: e.StoreReached(), LinkRate: e.cfg.LinkMbps}
-	return e.cfg.PeerAddress == "" || e.gossip.Lagging(now) || storereader.ShouldRead(self, e.gossip.StoreReaderCandidates(now), unreachable, now)
+	self := storereader.Router{Name: e.cfg.Host, ReadsStore: e.StoreRole() != storereader.Idle, ReachedAt: e.StoreReached(), LinkRate: e.cfg.LinkMbps}
+	d := e.elector.Decide(self, e.gossip.StoreReaderCandidates(now), now)
+	if d.Role == storereader.Idle && e.gossip.Lagging(now) {
+		d.Role = storereader.Trial
+	}
+	return d
 }
 
 // PutSession records where a session's last attempt runs and where its backup is.
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -152,7 +152,7 @@
 	defer g.mu.Unlock()
 	var routers []storereader.Router
 	for _, p := range g.livePeers(g.plan(), now) {
-		routers = append(routers, storereader.Router{Name: p.host.Name, ReadsStore: p.readsStore, ReachedAt: p.storeReachedAt, LinkRate: p.host.LinkMbps})
+		routers = append(routers, storereader.Router{Name: p.host.Name, ReadsStore: p.readsStore, ReachedAt: p.storeReachedAt, HeardAt: p.lastMessageAt, LinkRate: p.host.LinkMbps})
 	}
 	return routers
 }
@@ -230,9 +230,14 @@
 	}
 }
 
-// targets picks the datagram addresses of the peers to send to now. A store reader
-// sends to all peers, so that they get changes of the store, and the fact that it
-// still reads, without a relay.
+// announces reports whether this router sends to all peers, so that they get changes of
+// the store, and the fact that it answers, without a relay. A router without answers does
+// not: during an outage of the store many may try it.
+func (g *Gossip) announces(now time.Time) bool {
+	return g.cfg.State.StoreRole() != storereader.Idle && now.Sub(g.cfg.State.StoreReached()) <= lagTimeout
+}
+
+// targets picks the datagram addresses of the peers to send to now.
 func (g *Gossip) targets(now time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -242,7 +247,7 @@
 			addresses = append(addresses, p.host.DatagramAddress)
 		}
 	}
-	if g.cfg.State.ReadsStore() {
+	if g.announces(now) {
 		return addresses
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
--- a/internal/router/gossip/gossip_test.go
+++ b/internal/router/gossip/gossip_test.go
@@ -16,6 +16,7 @@
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/decision/retrybudget"
+	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/gossip"
 	"wisteriafield/internal/router/sessions"
@@ -101,9 +102,9 @@
 	defer r.mu.Unlock()
 	r.revision = max(r.revision, revision)
 }
-func (r *router) Stopping() bool          { return false }
-func (r *router) StoreReached() time.Time { return time.Time{} }
-func (r *router) ReadsStore() bool        { return false }
+func (r *router) Stopping() bool              { return false }
+func (r *router) StoreReached() time.Time     { return time.Time{} }
+func (r *router) StoreRole() storereader.Role { return storereader.Idle }
 
 // runRouters starts n routers with the first one as seed, waits 5 s and runs test.
 func runRouters(t *testing.T, n int, test func(g *WithT, net *network, all []*router)) {
--- a/internal/router/gossip/message.go
+++ b/internal/router/gossip/message.go
@@ -6,6 +6,7 @@
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/decision/dissemination"
+	"wisteriafield/internal/decision/storereader"
 )
 
 // buildMessage returns this router's state as a message. With listPeers, the message
@@ -16,7 +17,7 @@
 		Version:    g.cfg.State.ConfigVersion(),
 		Revision:   g.cfg.State.ServerRevision(),
 		Stopping:   g.cfg.State.Stopping(),
-		ReadsStore: g.cfg.State.ReadsStore(),
+		ReadsStore: g.cfg.State.StoreRole() != storereader.Idle,
 		StoreAgeMs: -1,
 	}
 	now := time.Now()
@@ -76,8 +77,8 @@
 
 // addHeartbeats adds the heartbeats of peers that m relays. The caller holds mu.
 func (g *Gossip) addHeartbeats(m *message, plan dissemination.Plan, now time.Time) {
-	if plan.RelayedHeartbeats == 0 || m.ReadsStore {
-		return // a store reader sends to all peers, so its messages stay short
+	if plan.RelayedHeartbeats == 0 || g.announces(now) {
+		return // a message to all peers stays short
 	}
 	m.Heartbeats = make(map[string]int64, plan.RelayedHeartbeats)
 	live := g.livePeers(plan, now)
--- a/internal/router/gossip/receive.go
+++ b/internal/router/gossip/receive.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/decision/storereader"
 )
 
 // handle merges a peer's message into this router's state, and pulls a newer
@@ -24,8 +25,8 @@
 	}
 	ahead := m.Revision > g.cfg.State.ServerRevision()
 	g.trackLag(ahead, now)
-	// A store reader gets the changes from the store itself.
-	readsReachableStore := g.cfg.State.ReadsStore() && now.Sub(g.cfg.State.StoreReached()) <= lagTimeout
+	// The primary reader gets the changes from the store itself.
+	readsReachableStore := g.cfg.State.StoreRole() == storereader.Primary && now.Sub(g.cfg.State.StoreReached()) <= lagTimeout
 	if ahead && !readsReachableStore && g.pullingServerList.CompareAndSwap(false, true) {
 		go func() {
 			defer g.pullingServerList.Store(false)
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -9,6 +9,7 @@
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/decision/retrybudget"
+	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/sessions"
 	"wisteriafield/platform/kv"
 )
@@ -127,7 +128,7 @@
 	ServerList(after int64) (revision int64, values []kv.Value, full bool)
 	ServerRevision() int64
 	ApplyServerList(after, revision int64, values []kv.Value, full bool, source string)
-	StoreReached() time.Time // when the store last answered this router
-	ReadsStore() bool        // this router reads the store
+	StoreReached() time.Time     // when the store last answered this router
+	StoreRole() storereader.Role // of this router in reading the store
 	Stopping() bool
 }
