caller/service: a repeatable call whose answer was lost is not told as not run

Cause: every idempotent call without an answer ended as not_run (503), also when a server had received it. Before: TestALostAnswerIsNotToldAsNotRun got 503; after: 502 unknown_outcome with Retry-After. A call that reached no server stays not_run. Heads are bounded at 64 KiB (1 MiB by the library before); heads, bodies and bytes that are no answer, without end, are lost answers and the connection is closed (TestAnAnswerWithoutEndIsALostAnswer).

--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -24,6 +24,7 @@
 
 const (
 	dialTimeout    = 300 * time.Millisecond
+	maxHeaderBytes = 64 << 10
 	maxAnswerBytes = 4 << 20
 )
 
@@ -82,6 +83,8 @@
 	transport := &http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
+		// A head without end is an error.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
 			if dialed.Swap(true) {
 				return nil, ErrNotSent
--- a/internal/caller/service/idempotent.go
+++ b/internal/caller/service/idempotent.go
@@ -62,6 +62,7 @@
 	candidates := h.servers.order(s, h.isLeaving)
 	results := make(chan attemptResult, len(candidates))
 	running, next := 0, 0
+	mayHaveRun := false
 	startNext := func() {
 		if next >= len(candidates) {
 			return
@@ -81,6 +82,7 @@
 				writeAnswer(w, r.answer)
 				return
 			}
+			mayHaveRun = mayHaveRun || !isNotSent(r.err)
 			if ctx.Err() == nil && next < len(candidates) && b.withdraw(&b.retries) {
 				retriesTotal.Inc()
 				startNext()
@@ -92,7 +94,17 @@
 			}
 		}
 	}
-	apierror.NewRetryable(apierror.NotRun, "no server of the service answered; the call is repeatable", time.Now().Add(time.Second)).Write(w)
+	unansweredRefusal(mayHaveRun).Write(w)
+}
+
+// unansweredRefusal returns the refusal of a call that no server answered. Only if no
+// attempt reached a server is it certain that the call did not run.
+func unansweredRefusal(mayHaveRun bool) *apierror.Error {
+	retryAt := time.Now().Add(time.Second)
+	if mayHaveRun {
+		return apierror.NewRetryable(apierror.UnknownOutcome, "no server of the service answered; the call may have run and is repeatable", retryAt)
+	}
+	return apierror.NewRetryable(apierror.NotRun, "no server of the service could be reached; the call is repeatable", retryAt)
 }
 
 func (h *Handler) sendTo(ctx context.Context, to server, call backend.Call, results chan<- attemptResult) {
