router/control: bytes without end and cancelled calls of a peer

Cause: the decoder of a connection between routers read a message of any size, and the upgrade's answer a head of any size; a call that its caller cancelled closed the connection under all others and counted as a failure of the peer. Before: TestBytesWithoutEndFromAPeerEndTheCall ran until its context ended (11 s), TestACancelledCallLeavesTheOthersAlone lost the other call. A call without an answer in time closes it as before.

--- a/internal/router/control/client.go
+++ b/internal/router/control/client.go
@@ -44,11 +44,14 @@
 	return &Client{credential: credential, conns: make(map[string]*peerConn)}
 }
 
-// Call calls a method of the router at a peer address. If no answer comes, it closes
-// the connection, which may stay silent for good; an error that the peer returns
-// leaves the connection open.
+// Call calls a method of the router at a peer address. If no answer comes in time, it
+// closes the connection, which may stay silent for good. An error that the peer returns
+// and a cancellation by the caller leave it open: other calls use it.
 func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
 	rpc, err := c.conn(ctx, address)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return fmt.Errorf("%s: %w", method, context.Canceled)
+	}
 	if err != nil {
 		return fmt.Errorf("%s: %v: %w", method, err, ErrUnreachable)
 	}
@@ -61,6 +64,9 @@
 	if errors.As(err, &rpcErr) {
 		return fmt.Errorf("%s: %w", method, err)
 	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return fmt.Errorf("%s: %w", method, context.Canceled)
+	}
 	c.closeConn(address, rpc)
 	return fmt.Errorf("%s: %v: %w", method, err, ErrUnreachable)
 }
@@ -115,10 +121,11 @@
 
 func (c *Client) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	dialed, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	conn := &boundedConn{Conn: dialed, left: maxUpgradeBytes}
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(deadline)
 	}
@@ -127,8 +134,7 @@
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
-	stream := jsonrpc2.NewPlainObjectStream(conn)
-	return jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse)), nil
+	return jsonrpc2.NewConn(context.Background(), newStream(conn), jsonrpc2.HandlerWithError(refuse)), nil
 }
 
 // upgrade switches an HTTP connection to the control protocol.
--- a/internal/router/control/server.go
+++ b/internal/router/control/server.go
@@ -77,7 +77,7 @@
 		return
 	}
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
-	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(conn), handler)
+	rpc := jsonrpc2.NewConn(context.Background(), newStream(&boundedConn{Conn: conn}), handler)
 	<-rpc.DisconnectNotify()
 }
 
