limits: a refused request gives its tokens back; unknown organisations

Cause: tokens spent from the entry's allowance stayed spent when the number in flight refused the request; an owner whose configuration lacks the organisation answered like one whose limit in flight is used up; a cancelled lease counted as a failure of the owner. Before: TestARefusedRequestGivesItsTokensBack and TestAnOwnerThatDoesNotKnowTheOrganisationDoesNotRefuseIt fail; after: both pass. With an unknown organisation the entry applies its own share, as without an owner.

--- a/internal/router/limits/limits.go
+++ b/internal/router/limits/limits.go
@@ -6,9 +6,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/limit"
@@ -27,6 +30,8 @@
 	idleTTL       = 2 * time.Minute // after which unused state is deleted
 )
 
+var errUnknownOrganisation = errors.New("organisation is not in the configuration")
+
 // Caller calls other routers.
 type Caller interface {
 	Call(ctx context.Context, address, method string, params, result any) error
@@ -130,6 +135,9 @@
 	d := l.decide(state, o, req, reply, err, tokens)
 	if !d.Allowed {
 		state.inFlight--
+		if spent {
+			state.allowance.Remaining += tokens
+		}
 	}
 	return d
 }
@@ -209,7 +217,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := l.peers.Call(ctx, owner.PeerAddress, methodLease, req, &reply)
-	if err != nil {
+	if errors.Is(err, control.ErrUnreachable) {
 		l.members.RecordFailure(name, now)
 	}
 	return reply, err
@@ -226,7 +234,9 @@
 	}
 	o := view.Organisation(req.Organisation)
 	if o == nil {
-		return leaseReply{}, nil
+		// This router's configuration is older than the entry's, which then applies its
+		// own share of the limit.
+		return nil, fmt.Errorf("organisation %q: %w", req.Organisation, errUnknownOrganisation)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/router/limits/limits_test.go
+++ b/internal/router/limits/limits_test.go
@@ -98,3 +98,30 @@
 	}
 	g.Expect(allowed).To(BeNumerically("~", 4, 1), "the burst is 4 s of the rate")
 }
+
+// A request that was refused for its number in flight once kept the tokens that it had
+// spent from the entry's allowance.
+func TestARefusedRequestGivesItsTokensBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		o := &document.Organisation{Name: "a", TokensPerSecond: 100, InFlight: 2}
+		l := newEntries(1, o)[0]
+		// The first request takes all but 10 tokens of the burst, its entry the rest.
+		g.Expect(l.Acquire(context.Background(), o, 390).Allowed).To(BeTrue())
+		g.Expect(l.Acquire(context.Background(), o, 0).Allowed).To(BeTrue())
+		g.Expect(l.Acquire(context.Background(), o, 10).Cause).To(Equal("InFlight"))
+		l.Release(o, 0)
+		g.Expect(l.Acquire(context.Background(), o, 10)).To(Equal(limits.Decision{Allowed: true}))
+	})
+}
+
+// An owner with an older configuration does not know a new organisation. Its requests were
+// once refused as too many in flight.
+func TestAnOwnerThatDoesNotKnowTheOrganisationDoesNotRefuseIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		l := newEntries(1, &document.Organisation{Name: "a", TokensPerSecond: 1000, InFlight: 2})[0]
+		newcomer := &document.Organisation{Name: "b", TokensPerSecond: 1000, InFlight: 2}
+		g.Expect(l.Acquire(context.Background(), newcomer, 10)).To(Equal(limits.Decision{Allowed: true}))
+	})
+}
