directory, sessions: bounds that hold, and no update lost when full

Cause: directory updates ignored maxRecords; a full session table dropped the news of sessions that it has. Before: TestUpdatesKeepTheBoundOfTheDirectory had 200,011 records, TestAFullTableStillUpdatesItsRecords kept the old engine; after: both pass. A cancelled call no longer counts as a failure of the key's owner.

--- a/internal/router/directory/directory.go
+++ b/internal/router/directory/directory.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/members"
 )
@@ -115,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := d.peers.Call(ctx, h.PeerAddress, method, params, result)
-	if err != nil {
+	if errors.Is(err, control.ErrUnreachable) {
 		d.members.RecordFailure(owner, now)
 	}
 	return err
@@ -145,6 +147,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if _, ok := d.records[req.Key]; !ok && len(d.records) >= maxRecords {
+		return false, nil
+	}
 	d.records[req.Key] = storedRecord{req.Record, time.Now().Add(recordTTL)}
 	return true, nil
 }
--- a/internal/router/sessions/table.go
+++ b/internal/router/sessions/table.go
@@ -43,14 +43,14 @@
 func NewTable() *Table { return &Table{records: make(map[string]entry)} }
 
 // Put stores a record, in place of an earlier one of its session. A full table drops
-// the new record.
+// records of new sessions.
 func (t *Table) Put(r Record, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now.Sub(t.sweptAt) > sweepInterval || len(t.records) >= maxRecords {
 		t.sweep(now)
 	}
-	if len(t.records) < maxRecords {
+	if _, ok := t.records[r.Session]; ok || len(t.records) < maxRecords {
 		t.records[r.Session] = entry{r, now.Add(recordTTL)}
 	}
 }
