backend/engine: a missing load or state report is an error

Cause: status 404 of these paths was taken for an empty report, so that the engine looked idle and without models. Heads are bounded at 64 KiB, with the orders' client.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -33,6 +33,9 @@
 	headerTimeout = 500 * time.Millisecond
 	callTimeout   = 300 * time.Millisecond
 	orderTimeout  = time.Minute
+
+	maxHeaderBytes = 64 << 10
+	maxReplyBytes  = 1 << 20
 )
 
 // Client calls engines. Every call opens its own connection, since an open one may
@@ -47,10 +50,11 @@
 	return &Client{
 		orderCredential: credential,
 		http: &http.Client{Transport: &http.Transport{
-			DisableKeepAlives:     true,
-			DisableCompression:    true,
-			ResponseHeaderTimeout: headerTimeout,
-			DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			ResponseHeaderTimeout:  headerTimeout,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		}},
 	}
 }
@@ -102,7 +106,7 @@
 // Load returns the engine's latest load report.
 func (c *Client) Load(ctx context.Context, address string) (Load, error) {
 	var l Load
-	if _, err := c.get(ctx, address, "/v1/load", &l); err != nil {
+	if err := c.getExisting(ctx, address, "/v1/load", &l); err != nil {
 		return l, fmt.Errorf("load report: %w", err)
 	}
 	return l, nil
@@ -111,7 +115,7 @@
 // State returns the models and adapters that the engine serves.
 func (c *Client) State(ctx context.Context, address string) (State, error) {
 	var s State
-	if _, err := c.get(ctx, address, "/v1/state", &s); err != nil {
+	if err := c.getExisting(ctx, address, "/v1/state", &s); err != nil {
 		return s, fmt.Errorf("state: %w", err)
 	}
 	return s, nil
@@ -121,7 +125,7 @@
 func (c *Client) SendOrder(ctx context.Context, address string, o Order) error {
 	ctx, stop := context.WithTimeout(ctx, orderTimeout)
 	defer stop()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
 	req, err := newPost(ctx, address, "/v1/order", c.orderCredential, o)
 	if err != nil {
 		return err
@@ -165,6 +169,15 @@
 	return req, nil
 }
 
+// getExisting gets a reply that every engine has.
+func (c *Client) getExisting(ctx context.Context, address, path string, reply any) error {
+	status, err := c.get(ctx, address, path, reply)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("status %d: %w", status, ErrRefused)
+	}
+	return err
+}
+
 func (c *Client) get(ctx context.Context, address, path string, reply any) (int, error) {
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
 	defer stop()
@@ -183,5 +196,5 @@
 	if res.StatusCode != http.StatusOK {
 		return res.StatusCode, fmt.Errorf("status %d: %w", res.StatusCode, ErrRefused)
 	}
-	return res.StatusCode, json.NewDecoder(io.LimitReader(res.Body, 1<<20)).Decode(reply)
+	return res.StatusCode, json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(reply)
 }
