relay: an error answer over its bound is lost, not cut

Cause: the body was cut at 1 MiB and passed on with the headers of the whole. Before: TestATooLargeErrorAnswerIsNotPassedOnInPart got 400 and a part of the body; after: 502. The entry of a deleted host is no longer logged as invalid.

--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -254,7 +254,7 @@
 	switch {
 	case v.Key == f.cfg.ConfigKey && !v.Deleted:
 		f.cfg.SetConfig(v.Body, "store")
-	case strings.HasPrefix(v.Key, f.cfg.HostsPrefix):
+	case strings.HasPrefix(v.Key, f.cfg.HostsPrefix) && !v.Deleted:
 		f.cfg.AddHost(v.Body)
 	}
 }
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -240,10 +241,13 @@
 	if a.Status == http.StatusOK || a.Mismatched || a.Status >= http.StatusInternalServerError && s.executed+1 < s.req.Route.MaxAttempts {
 		return result{outcome: lost, reason: "no valid answer: " + http.StatusText(a.Status)}
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxErrorBytes))
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxErrorBytes+1))
 	if err != nil {
 		return result{outcome: lost, reason: err.Error(), backup: backup}
 	}
+	if len(body) > maxErrorBytes {
+		return result{outcome: lost, reason: fmt.Sprintf("error answer is larger than %d bytes", maxErrorBytes), backup: backup}
+	}
 	return result{outcome: answered, answer: &bufferedAnswer{a.Status, a.Header, body}}
 }
 
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -43,6 +44,7 @@
 	refuses         bool // for lack of capacity
 	replaced        bool // another incarnation has the address
 	waiting         int  // queued requests of other routers
+	errorBytes      int  // answers with a failure of that size
 	lostAttempt     bool // does not have the attempt and sends nothing, but answers probes
 }
 
@@ -60,6 +62,9 @@
 		return &server.Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Body: http.NoBody}, nil
 	case f.replaced:
 		return &server.Answer{Status: http.StatusMisdirectedRequest, NotExecuted: true, ActualServerID: "i-other", Body: http.NoBody}, nil
+	case f.errorBytes > 0:
+		body := strings.NewReader(strings.Repeat("x", f.errorBytes))
+		return &server.Answer{Status: http.StatusBadRequest, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: io.NopCloser(body)}, nil
 	case f.losesConnection:
 		return nil, fmt.Errorf("reset: %w", server.ErrLost)
 	case f.lostAttempt:
--- a/internal/router/relay/relay_test.go
+++ b/internal/router/relay/relay_test.go
@@ -197,3 +197,22 @@
 		h.Expect(h.engines.sentTo()).To(Equal([]string{"i-2"}))
 	})
 }
+
+// An error answer over the bound was once cut, while its headers, the length among them,
+// were passed on.
+func TestATooLargeErrorAnswerIsNotPassedOnInPart(t *testing.T) {
+	for _, c := range []struct {
+		size int
+		want int
+	}{{1 << 20, http.StatusBadRequest}, {1<<20 + 1, http.StatusBadGateway}} {
+		h := newHarness(t)
+		for i := range 3 {
+			h.engines.faults[fmt.Sprintf("i-%d", i)] = engineFaults{errorBytes: c.size}
+		}
+		res, _ := h.serve(h.newRequest(0))
+		h.Expect(res.Code).To(Equal(c.want), "%d bytes", c.size)
+		if c.want == http.StatusBadRequest {
+			h.Expect(res.Body.Len()).To(Equal(c.size))
+		}
+	}
+}
