trial/soak: an invariant violation in a router's log fails the soak

Cause: the check searched for ' invariant: ', a form that the logs lost when they became JSON, so it could not fail.

--- a/internal/trial/soak/callers.go
+++ b/internal/trial/soak/callers.go
@@ -181,13 +181,30 @@
 		if d, err := s.fleet.Dump(r); err == nil && d.InvariantViolations > 0 {
 			s.reportProblem("%d invariant violations on %s", d.InvariantViolations, r.Host.Name)
 		}
-		text, _ := os.ReadFile(r.LogPath)
-		for _, line := range strings.Split(string(text), "\n") {
-			if strings.Contains(line, " invariant: ") || strings.HasPrefix(line, "panic:") || strings.Contains(line, "DATA RACE") {
-				s.reportProblem("%s: %s", r.Host.Name, line)
-			}
+		text, err := os.ReadFile(r.LogPath)
+		if err != nil {
+			s.reportProblem("log of %s: %v", r.Host.Name, err)
+		}
+		for _, line := range violations(string(text)) {
+			s.reportProblem("%s: %s", r.Host.Name, line)
+		}
+	}
+}
+
+// violations returns the lines of a router's log that report an invariant violation, a
+// panic or a data race.
+func violations(log string) []string {
+	var found []string
+	for _, line := range strings.Split(log, "\n") {
+		var entry struct {
+			Part string `json:"part"`
+		}
+		isEntry := json.Unmarshal([]byte(line), &entry) == nil
+		if isEntry && entry.Part == "invariant" || strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") || strings.Contains(line, "DATA RACE") {
+			found = append(found, line)
 		}
 	}
+	return found
 }
 
 // codeOrBroken returns the code of an error, or a text for a broken connection.
