--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # set-up that they need.
 GO ?= go
 
-.PHONY: build demo up test lint model bench capacity soak edge-soak mutants fuzz clean
+.PHONY: build demo up test race lint model bench capacity soak edge-soak mutants fuzz clean
 
 build:
 	@mkdir -p bin
@@ -17,6 +17,10 @@
 test:
 	$(GO) test $(if $(SKIP),-skip '$(SKIP)') ./...
 
+# All tests but the end-to-end ones with the race detector, the short soak's programs too.
+race:
+	GOFLAGS=-race $(GO) test $(if $(SKIP),-skip '$(SKIP)') $$($(GO) list ./... | grep -v trial/e2e)
+
 lint:
 	@test -z "$$(gofmt -l .)" || (echo "gofmt needed:"; gofmt -l .; exit 1)
 	$(GO) vet ./...
--- a/internal/router/gossip/gossip_test.go
+++ b/internal/router/gossip/gossip_test.go
@@ -83,6 +83,18 @@
 	gossip       *gossip.Gossip
 	servers      *registry.Registry
 	unresponsive []string // engines that peers reported
+
+	role            storereader.Role
+	reachedAt       time.Time // last answer of the store
+	datagrams       int
+	largestDatagram int
+}
+
+// reported returns the engines that peers reported as unresponsive.
+func (r *router) reported() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.unresponsive...)
 }
 
 func (r *router) ConfigVersion() int64 { r.mu.Lock(); defer r.mu.Unlock(); return r.version }
@@ -103,8 +115,38 @@
 	r.revision = max(r.revision, revision)
 }
 func (r *router) Stopping() bool              { return false }
-func (r *router) StoreReached() time.Time     { return time.Time{} }
-func (r *router) StoreRole() storereader.Role { return storereader.Idle }
+func (r *router) StoreReached() time.Time     { r.mu.Lock(); defer r.mu.Unlock(); return r.reachedAt }
+func (r *router) StoreRole() storereader.Role { r.mu.Lock(); defer r.mu.Unlock(); return r.role }
+
+// setStore sets the router's role in reading the store and the time of its last answer.
+func (r *router) setStore(role storereader.Role, reachedAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.role, r.reachedAt = role, reachedAt
+}
+
+// sender counts the datagrams that a router sends.
+type sender struct {
+	*network
+	from *router
+}
+
+func (s sender) Send(address string, datagram []byte) error {
+	s.from.mu.Lock()
+	s.from.datagrams++
+	s.from.largestDatagram = max(s.from.largestDatagram, len(datagram))
+	s.from.mu.Unlock()
+	return s.network.Send(address, datagram)
+}
+
+// sent returns the number of datagrams since the last call, and the size of the largest.
+func (r *router) sent() (datagrams, largest int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	datagrams, largest = r.datagrams, r.largestDatagram
+	r.datagrams, r.largestDatagram = 0, 0
+	return datagrams, largest
+}
 
 // runRouters starts n routers with the first one as seed, waits 5 s and runs test.
 func runRouters(t *testing.T, n int, test func(g *WithT, net *network, all []*router)) {
@@ -116,17 +158,19 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		for i := range n {
-			r := &router{servers: registry.New()}
+			r := &router{servers: registry.New(), role: storereader.Idle}
 			r.servers.Set(1, []server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
 			self := gossip.Host{Name: fmt.Sprintf("router-%d", i), Address: fmt.Sprintf("call-%d", i), DatagramAddress: fmt.Sprintf("notice-%d", i)}
 			r.gossip = gossip.New(gossip.Config{
-				Self: self, Seeds: []string{"call-0"}, Caller: net, Datagrams: net, State: r, Servers: r.servers, Sessions: sessions.NewTable(), RetryBudget: retrybudget.New(retrybudget.Config{Window: time.Second, Routers: func() int { return n }}, time.Now()),
+				Self: self, Seeds: []string{"call-0"}, Caller: net, Datagrams: sender{net, r}, State: r, Servers: r.servers, Sessions: sessions.NewTable(), RetryBudget: retrybudget.New(retrybudget.Config{Window: time.Second, Routers: func() int { return n }}, time.Now()),
 				EngineUnresponsive: func(e *registry.Entry) { r.mu.Lock(); r.unresponsive = append(r.unresponsive, e.ID); r.mu.Unlock() },
 				Log:                log.WithField("part", "gossip"),
 			})
 			s := control.NewServer()
 			r.gossip.Register(s)
+			net.mu.Lock()
 			net.servers[self.Address], net.receive[self.DatagramAddress] = s, r.gossip.Receive
+			net.mu.Unlock()
 			all = append(all, r)
 			wg.Go(func() { _ = r.gossip.Run(ctx) })
 		}
@@ -211,7 +255,7 @@
 		all[0].gossip.Trigger()
 		time.Sleep(300 * time.Millisecond)
 		g.Expect(all[2].servers.Get("e").Load.State(time.Now()).Down).To(BeTrue())
-		g.Expect(all[2].unresponsive).To(Equal([]string{"e"}))
+		g.Expect(all[2].reported()).To(Equal([]string{"e"}))
 		time.Sleep(4 * time.Second)
 		g.Expect(all[2].servers.Get("e").Load.State(time.Now()).Down).To(BeFalse())
 		g.Expect(all[1].servers.Get("e").Load.State(time.Now()).QueuedTokens).To(BeZero())
@@ -275,3 +319,26 @@
 		}
 	})
 }
+
+// During an outage of the store each router that tried it sent its state to all others, so
+// that the datagrams grew with the square of the fleet (seen in scenario large trouble-3).
+func TestOnlyARouterWithAnswersOfTheStoreSendsToAllPeers(t *testing.T) {
+	const n = 30
+	runRouters(t, n, func(g *WithT, _ *network, all []*router) {
+		time.Sleep(3 * time.Second)
+		all[1].setStore(storereader.Primary, time.Now().Add(time.Minute)) // keeps getting answers
+		all[2].setStore(storereader.Primary, time.Now().Add(-3*time.Second))
+		for _, r := range all {
+			r.sent()
+		}
+		const rounds = 10
+		time.Sleep(rounds * 600 * time.Millisecond)
+		reader, largest := all[1].sent()
+		g.Expect(reader).To(BeNumerically("~", rounds*(n-1), n-1))
+		g.Expect(largest).To(BeNumerically("<", 4<<10))
+		for _, r := range append(all[2:], all[0]) {
+			datagrams, _ := r.sent()
+			g.Expect(datagrams).To(BeNumerically("<=", (rounds+1)*4))
+		}
+	})
+}
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -136,6 +136,13 @@
 	return nil
 }
 
+// dispatched returns the attempts so far.
+func (e *fakeEngines) dispatched() []server.Dispatch {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]server.Dispatch(nil), e.dispatches...)
+}
+
 func (e *fakeEngines) sentTo() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/router/relay/relay_test.go
+++ b/internal/router/relay/relay_test.go
@@ -44,10 +44,10 @@
 		h.Expect(cut).To(BeFalse())
 		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
 		h.Expect(res.Header().Get("Seal")).To(Equal("i-0"), "the caller has the headers of the first engine")
-		h.Expect(h.engines.dispatches).To(HaveLen(2))
-		resumed := h.engines.dispatches[1]
+		h.Expect(h.engines.dispatched()).To(HaveLen(2))
+		resumed := h.engines.dispatched()[1]
 		h.Expect(resumed.RestoreFrom.ID).To(Equal("r-1"))
-		h.Expect(resumed.RestoreFrom.Address).To(Equal(h.engines.dispatches[0].BackupServer.Address))
+		h.Expect(resumed.RestoreFrom.Address).To(Equal(h.engines.dispatched()[0].BackupServer.Address))
 		h.Expect(resumed.LastEventID).To(Equal(7))
 		h.Expect(resumed.Server.Domain).NotTo(Equal("a"))
 		h.Expect(time.Since(startedAt)).To(BeNumerically("<", 600*time.Millisecond))
@@ -83,8 +83,8 @@
 		h.servers.Get("i-3").Load.BeginAttempt(0, 0)
 		_, cut := h.serve(h.newRequest(0))
 		h.Expect(cut).To(BeFalse())
-		h.Expect(h.engines.dispatches[0].Server.ID).To(Equal("i-0"))
-		h.Expect(h.engines.dispatches[1].BackupServer.Domain).NotTo(Equal("a"))
+		h.Expect(h.engines.dispatched()[0].Server.ID).To(Equal("i-0"))
+		h.Expect(h.engines.dispatched()[1].BackupServer.Domain).NotTo(Equal("a"))
 	})
 }
 
@@ -96,13 +96,13 @@
 		h.setFirstEngine(engineFaults{breakAfter: 7})
 		go func() {
 			time.Sleep(50 * time.Millisecond)
-			h.setServers(map[string]bool{engineIDAt(h.engines.dispatches[0].BackupServer.Address): true})
+			h.setServers(map[string]bool{engineIDAt(h.engines.dispatched()[0].BackupServer.Address): true})
 		}()
 		res, cut := h.serve(h.newRequest(0))
 		h.Expect(cut).To(BeFalse())
 		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
-		for _, d := range h.engines.dispatches[1:] {
-			h.Expect(d.Server.Address).NotTo(Equal(h.engines.dispatches[0].BackupServer.Address))
+		for _, d := range h.engines.dispatched()[1:] {
+			h.Expect(d.Server.Address).NotTo(Equal(h.engines.dispatched()[0].BackupServer.Address))
 		}
 	})
 }
@@ -180,7 +180,7 @@
 		res, cut := h.serve(h.newRequest(7))
 		h.Expect(cut).To(BeFalse())
 		h.Expect(res.Body.String()).To(Equal(eventText(8, 20)))
-		h.Expect(h.engines.dispatches[0].RestoreFrom.ID).To(Equal("r-0"))
+		h.Expect(h.engines.dispatched()[0].RestoreFrom.ID).To(Equal("r-0"))
 		h.Expect(h.engines.sentTo()).To(Equal([]string{"i-2"}))
 	})
 }
--- a/internal/router/relay/replacement_test.go
+++ b/internal/router/relay/replacement_test.go
@@ -18,18 +18,18 @@
 		h.setFirstEngine(engineFaults{breakAfter: 50})
 		go func() {
 			time.Sleep(300 * time.Millisecond)
-			h.Expect(h.engines.dispatches).To(HaveLen(1))
-			h.servers.Get(h.engines.dispatches[0].BackupServer.ID).Load.MarkDownAndShare(time.Now().Add(time.Minute))
+			h.Expect(h.engines.dispatched()).To(HaveLen(1))
+			h.servers.Get(h.engines.dispatched()[0].BackupServer.ID).Load.MarkDownAndShare(time.Now().Add(time.Minute))
 		}()
 		res, cut := h.serve(h.newRequest(0))
 		h.Expect(cut).To(BeFalse())
 		h.Expect(res.Body.String()).To(Equal(eventText(1, 60)))
-		h.Expect(h.engines.dispatches).To(HaveLen(2))
-		resumed := h.engines.dispatches[1]
+		h.Expect(h.engines.dispatched()).To(HaveLen(2))
+		resumed := h.engines.dispatched()[1]
 		h.Expect(resumed.RestoreFrom).NotTo(BeNil(), "the prompt must not be prefilled again")
 		h.Expect(resumed.RestoreFrom.ID).To(Equal("copy-of-r-1"))
-		h.Expect(resumed.Server.ID).NotTo(Equal(h.engines.dispatches[0].Server.ID))
-		h.Expect(resumed.Server.ID).NotTo(Equal(h.engines.dispatches[0].BackupServer.ID))
+		h.Expect(resumed.Server.ID).NotTo(Equal(h.engines.dispatched()[0].Server.ID))
+		h.Expect(resumed.Server.ID).NotTo(Equal(h.engines.dispatched()[0].BackupServer.ID))
 	})
 }
 
@@ -39,7 +39,7 @@
 		h.engines.eventCount = 60
 		go func() {
 			time.Sleep(300 * time.Millisecond)
-			h.servers.Get(h.engines.dispatches[0].BackupServer.ID).Load.MarkDownAndShare(time.Now().Add(time.Minute))
+			h.servers.Get(h.engines.dispatched()[0].BackupServer.ID).Load.MarkDownAndShare(time.Now().Add(time.Minute))
 		}()
 		_, cut := h.serve(h.newRequest(0))
 		h.Expect(cut).To(BeFalse())
@@ -59,7 +59,7 @@
 		res, cut := h.serve(h.newRequest(0))
 		h.Expect(cut).To(BeFalse())
 		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
-		h.Expect(h.engines.dispatches).To(HaveLen(2))
-		h.Expect(h.engines.dispatches[1].RestoreFrom).To(BeNil())
+		h.Expect(h.engines.dispatched()).To(HaveLen(2))
+		h.Expect(h.engines.dispatched()[1].RestoreFrom).To(BeNil())
 	})
 }
--- a/internal/trial/edgesoak/check.go
+++ b/internal/trial/edgesoak/check.go
@@ -55,7 +55,7 @@
 		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		for {
 			received := 0
-			served := s.callService(ctx, client, r, http.MethodPost, "/book/x") == http.StatusOK && s.getVersionRoute(ctx, r, s.version) == http.StatusOK
+			served := s.callService(ctx, client, r, http.MethodPost, "/book/x") == http.StatusOK && s.getVersionRoute(ctx, r, int(s.version.Load())) == http.StatusOK
 			if served && s.readStream(ctx, r, "recovery", 10, &received) {
 				break
 			}
@@ -144,7 +144,7 @@
 			}
 		}
 	}
-	s.counts["versions written"] = s.version
+	s.counts["versions written"] = int(s.version.Load())
 	if len(s.problems) > 0 {
 		s.problems = append(s.problems, fmt.Sprintf("(%d in all)", len(s.problems)))
 	}
--- a/internal/trial/edgesoak/faults.go
+++ b/internal/trial/edgesoak/faults.go
@@ -68,7 +68,7 @@
 		}
 	}},
 	{"router paused", false, func(s *soak, r *rand.Rand) func() {
-		p := pick(s.routers, r).Process
+		p := pick(s.routers, r).process()
 		p.Pause()
 		return p.Continue
 	}},
@@ -77,11 +77,11 @@
 		s.mu.Lock()
 		s.stoppedAt[target.name] = time.Now()
 		s.mu.Unlock()
-		process := target.Process
+		process := target.process()
 		done := make(chan bool, 1)
 		go func() { done <- process.Stop(grace) }()
 		return func() {
-			if !<-done && process == target.Process {
+			if !<-done && process == target.process() {
 				s.count("routers that did not end in time")
 				process.Continue()
 				process.Kill()
@@ -117,13 +117,13 @@
 		}
 	}},
 	{"server paused", false, func(s *soak, r *rand.Rand) func() {
-		p := pick(s.backends, r).Process
+		p := pick(s.backends, r).process()
 		p.Pause()
 		return p.Continue
 	}},
 	{"server leaves", true, func(s *soak, r *rand.Rand) func() {
 		b := pick(s.backends, r)
-		process := b.Process
+		process := b.process()
 		done := make(chan bool, 1)
 		go func() { done <- process.Stop(grace) }()
 		return func() {
@@ -211,7 +211,7 @@
 	if err := s.writeConfig(ctx); err != nil {
 		return
 	}
-	writtenAt, version := time.Now(), s.version
+	writtenAt, version := time.Now(), int(s.version.Load())
 	s.count("changes of the configuration")
 	loop.Sleep(ctx, configTimeout)
 	for _, router := range s.routers {
--- a/internal/trial/edgesoak/harness.go
+++ b/internal/trial/edgesoak/harness.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"wisteriafield/internal/standin/link"
@@ -29,7 +30,7 @@
 
 // router is one router process, with an IP address of its own.
 type router struct {
-	*fleet.Process
+	restartable
 	name         string
 	ip           string
 	domain       string
@@ -51,7 +52,7 @@
 
 // backend is one stand-in backend server.
 type backend struct {
-	*fleet.Process
+	restartable
 	name          string
 	service       string
 	domain        string
@@ -68,7 +69,7 @@
 	platform     *fleet.Process
 	routers      []*router
 	backends     []*backend
-	version      int
+	version      atomic.Int64 // of the configuration, as last written
 }
 
 // newHarness starts the fleet and waits until all routers are ready. Runs with
@@ -138,8 +139,11 @@
 		args = append(args, "--slots", "8")
 	}
 	p, err := fleet.StartProcess(b.name, b.logPath, h.programPath("standin"), args...)
-	b.Process = p
-	return err
+	if err != nil {
+		return err
+	}
+	b.setProcess(p)
+	return nil
 }
 
 // addRouter writes the settings of router i and starts it. The seed chooses its IP
@@ -188,24 +192,27 @@
 
 func (h *harness) startRouter(r *router) error {
 	p, err := fleet.StartProcess(r.name, r.logPath, h.programPath("wisteriafield"), "edge", "--settings", r.settingsPath)
-	r.Process = p
-	return err
+	if err != nil {
+		return err
+	}
+	r.setProcess(p)
+	return nil
 }
 
 // writeConfig writes the next version of the configuration. Each version adds one
 // route, by which callers see whether the version is in effect.
 func (h *harness) writeConfig(ctx context.Context) error {
-	h.version++
+	version := int(h.version.Add(1))
 	routes := []map[string]any{
 		{"name": "draft", "host": hostName, "prefix": "/draft/", "type": "streaming", "timeoutMs": 20000, "goalMs": 4500, "gapGoalMs": 700, "service": "redattore", "attempts": 5, "resumable": true, "sticky": true},
 		{"name": "book", "host": hostName, "prefix": "/book/", "type": "non_idempotent", "timeoutMs": 2000, "goalMs": 100, "service": "banco", "attempts": 2},
 		{"name": "look", "host": hostName, "prefix": "/look/", "type": "idempotent", "timeoutMs": 2000, "goalMs": 100, "service": "banco", "attempts": 2},
 	}
-	for v := 2; v <= h.version; v++ {
+	for v := 2; v <= version; v++ {
 		routes = append(routes, map[string]any{"name": fmt.Sprint("v", v), "host": hostName, "prefix": fmt.Sprintf("/v%d/", v), "type": "idempotent", "timeoutMs": 2000, "service": "banco", "attempts": 2})
 	}
 	value, err := json.Marshal(map[string]any{
-		"version": h.version, "routes": routes,
+		"version": version, "routes": routes,
 		"services": []map[string]any{{"name": "redattore", "engine": map[string]any{"slots": 16, "kvCapacity": 55000, "backups": true, "stride": 6, "handleS": 4}}, {"name": "banco"}},
 		"tenants":  []map[string]any{{"name": "banco", "apiKeys": []string{organisationKey}}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutMs": 30000},
@@ -217,7 +224,7 @@
 	// the run.
 	for ctx.Err() == nil {
 		old, err := h.store.Get(ctx, platform.ConfigKey)
-		if err == nil && strings.Contains(string(old.Body), fmt.Sprintf(`"version":%d}`, h.version)) {
+		if err == nil && strings.Contains(string(old.Body), fmt.Sprintf(`"version":%d}`, version)) {
 			return nil
 		}
 		if _, err = h.store.Put(ctx, platform.ConfigKey, value, old.Revision, ""); err == nil {
