--- a/internal/base/jsonlog/jsonlog.go
+++ b/internal/base/jsonlog/jsonlog.go
@@ -28,6 +28,7 @@
 // Sink is a writer that never blocks.
 type Sink struct {
 	lines           chan []byte
+	pending         atomic.Int64 // lines that are queued or being written
 	dropped         atomic.Int64
 	currentSecond   atomic.Int64 // Unix time of the second that linesInSecond counts
 	linesInSecond   atomic.Int64
@@ -51,9 +52,11 @@
 		s.countDropped()
 		return len(p), nil
 	}
+	s.pending.Add(1)
 	select {
 	case s.lines <- line:
 	default:
+		s.pending.Add(-1)
 		s.countDropped()
 	}
 	return len(p), nil
@@ -72,9 +75,9 @@
 	droppedTotal.Inc()
 }
 
-// Flush waits until the queue is empty, or until the deadline.
+// Flush waits until all lines are written, or until the deadline.
 func (s *Sink) Flush(deadline time.Time) {
-	for len(s.lines) > 0 && time.Now().Before(deadline) {
+	for s.pending.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -91,6 +94,7 @@
 		if _, err := w.Write(line); err != nil {
 			s.countDropped()
 		}
+		s.pending.Add(-1)
 	}
 }
 
--- a/internal/base/jsonlog/jsonlog_test.go
+++ b/internal/base/jsonlog/jsonlog_test.go
@@ -1,8 +1,10 @@
 package jsonlog
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -62,3 +64,22 @@
 	}).WithTimeout(3 * time.Second).Should(ContainSubstring("lines dropped"))
 	g.Expect(strings.Count(out.String(), "\"n\"")).To(BeNumerically("<=", 2*maxLinesPerSecond))
 }
+
+// The last line of a process was lost: Flush returned while it was being written.
+func TestFlushWaitsForTheLineThatIsBeingWritten(t *testing.T) {
+	g := NewWithT(t)
+	r, w := io.Pipe()
+	sink := NewSink(w)
+	New(sink).Info("router stopped")
+	time.Sleep(20 * time.Millisecond) // the line has left the queue
+	flushed := make(chan struct{})
+	go func() {
+		sink.Flush(time.Now().Add(5 * time.Second))
+		close(flushed)
+	}()
+	g.Consistently(flushed, 50*time.Millisecond).ShouldNot(BeClosed())
+	line, err := bufio.NewReader(r).ReadString('\n')
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(line).To(ContainSubstring("router stopped"))
+	g.Eventually(flushed, time.Second).Should(BeClosed())
+}
