discovery, gossip: fewer priced calls and bytes of a quiet fleet

Change: leases of 60 s renewed each 20 s, 300 ms between the primary's watches, no paces in messages to all.

--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -31,7 +31,7 @@
 	maxLoggedChanges = 512
 	// batchDelay is the delay of the primary reader before its next watch, so that one call
 	// returns several changes. It is a small part of the two seconds that a change may take.
-	batchDelay = 150 * time.Millisecond
+	batchDelay = 300 * time.Millisecond
 	// secondaryBatchDelay is the same for the secondary reader, which gets the changes from
 	// the primary's messages first.
 	secondaryBatchDelay = time.Second
--- a/internal/router/discovery/registrar.go
+++ b/internal/router/discovery/registrar.go
@@ -13,10 +13,13 @@
 
 const (
 	// hostTTL is how long a dead router stays listed. Peers detect by gossip which
-	// routers are live, so it only has to keep the store tidy.
-	hostTTL = 15 * time.Second
+	// routers are live, so it only has to keep the store tidy, and renewals are charged.
+	hostTTL = time.Minute
 	// hostRenewalInterval is the time between renewals: three in the life of a lease.
 	hostRenewalInterval = hostTTL / 3
+	// registerRetryDelay is the delay after a failed registration, by which routers without
+	// a seed that is up find each other.
+	registerRetryDelay = 1250 * time.Millisecond
 )
 
 // LeaseStore writes keys that expire with their lease.
@@ -40,7 +43,7 @@
 		lease, err := r.register(ctx)
 		if err != nil {
 			r.Log.WithError(err).Info("cannot register host in the store")
-			loop.Sleep(ctx, hostRenewalInterval/4)
+			loop.Sleep(ctx, registerRetryDelay)
 			continue
 		}
 		r.renew(ctx, lease)
--- a/internal/router/gossip/message.go
+++ b/internal/router/gossip/message.go
@@ -28,7 +28,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	plan := g.plan()
-	m.Loads = g.ownLoads(plan.FullMesh, now)
+	paces := maxPaces
+	if g.announces(now) {
+		paces = 0 // a message to all peers stays short
+	}
+	m.Loads = g.ownLoads(plan.FullMesh, paces, now)
 	g.addHeartbeats(&m, plan, now)
 	if !listPeers {
 		return m
@@ -55,8 +59,8 @@
 
 // ownLoads returns the loads for a message: this router's full share of each server's
 // load, or, in a fleet where that would be outdated on arrival, only which servers are
-// unresponsive and the paces of some.
-func (g *Gossip) ownLoads(full bool, now time.Time) map[string]registry.Share {
+// unresponsive and the paces of at most maxPaces.
+func (g *Gossip) ownLoads(full bool, maxPaces int, now time.Time) map[string]registry.Share {
 	loads := make(map[string]registry.Share)
 	sentPaces := 0
 	for id, e := range g.cfg.Servers.All() {
@@ -78,7 +82,7 @@
 // addHeartbeats adds the heartbeats of peers that m relays. The caller holds mu.
 func (g *Gossip) addHeartbeats(m *message, plan dissemination.Plan, now time.Time) {
 	if plan.RelayedHeartbeats == 0 || g.announces(now) {
-		return // a message to all peers stays short
+		return
 	}
 	m.Heartbeats = make(map[string]int64, plan.RelayedHeartbeats)
 	live := g.livePeers(plan, now)
