--- a/internal/operator/cli/check.go
+++ b/internal/operator/cli/check.go
@@ -30,10 +30,9 @@
 			continue
 		}
 		if c.Platform {
-			if _, err := platform.LoadSettings(file); err != nil {
+			if err := c.checkPlatform(file); err != nil {
 				return err
 			}
-			fmt.Fprintf(c.out, "%s: settings are in order\n", file)
 			continue
 		}
 		d, err := loadDocument(file)
@@ -50,6 +49,24 @@
 	return nil
 }
 
+// checkPlatform validates the settings of a router on the users' platform and prints what
+// contradicts itself in them.
+func (c *checkCommand) checkPlatform(file string) error {
+	s, err := platform.LoadSettings(file)
+	if err != nil {
+		return err
+	}
+	lines := s.Contradictions()
+	for _, line := range lines {
+		fmt.Fprintf(c.out, "%s: %s\n", file, line)
+	}
+	if len(lines) > 0 {
+		return fmt.Errorf("settings %s: %d contradictions", file, len(lines))
+	}
+	fmt.Fprintf(c.out, "%s: settings are in order\n", file)
+	return nil
+}
+
 func loadDocument(file string) (*document.Document, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
