--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -7,6 +7,7 @@
 
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/config/routes"
+	"wisteriafield/internal/decision/listing"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/gossip"
 	"wisteriafield/internal/router/sessions"
@@ -85,6 +86,15 @@
 	return d
 }
 
+// shouldList reports whether this router lists itself in the store.
+func (e *Edge) shouldList() bool {
+	var peers []string
+	for _, h := range e.gossip.LivePeers(time.Now()) {
+		peers = append(peers, h.Name)
+	}
+	return listing.ShouldList(e.cfg.Host, peers)
+}
+
 // PutSession records where a session's last attempt runs and where its backup is.
 func (e *Edge) PutSession(r sessions.Record) { e.gossip.PutSession(r) }
 
