storereader, gossip: a reader that the store refuses says so and is replaced at once

Change: a failed call is announced at once (StoreFailing; older builds ignore it), and the next in rank reads; it stays announced only while the router calls the store; in a small fleet the first tries of an outage come at once; routers with data retry after a second. TestAFailingReaderIsReplacedAtOnce and TestAFailedCallIsAnnouncedOnce fail without it.

--- a/internal/decision/storereader/storereader.go
+++ b/internal/decision/storereader/storereader.go
@@ -36,6 +36,10 @@
 	triesPerSecondAndRouter = 0.02
 	// rankKey is the key of the rendezvous order of the readers.
 	rankKey = "store reader"
+	// spreadFleetSize is the number of routers from which the first tries are spread over a
+	// whole interval. In a small fleet they come sooner: they are few, and the answer to one
+	// of them ends the outage for all.
+	spreadFleetSize = 64
 	// minTryInterval is the least time between two tries of a router.
 	minTryInterval = 700 * time.Millisecond
 )
@@ -59,6 +63,7 @@
 type Router struct {
 	Name       string
 	ReadsStore bool      // it reports that it reads the store
+	Failing    bool      // it reports that its last call of the store failed
 	ReachedAt  time.Time // last answer of the store; zero if there was none
 	HeardAt    time.Time // last message of the router itself; unused for self
 	LinkRate   float64   // rate of its network link, in the same unit for all routers
@@ -101,11 +106,11 @@
 	otherReaders := 0
 	for _, p := range peers {
 		// A peer that doesn't read yet is a candidate too; one that reads and gets
-		// no answers is not.
-		if !p.ReadsStore || now.Sub(p.ReachedAt) < maxReaderAge {
+		// no answers is not, so that the next in rank takes its place at once.
+		if !p.Failing && (!p.ReadsStore || now.Sub(p.ReachedAt) < maxReaderAge) {
 			candidates = append(candidates, p)
 		}
-		if p.ReadsStore && now.Sub(p.ReachedAt) < staleAfter {
+		if p.ReadsStore && !p.Failing && now.Sub(p.ReachedAt) < staleAfter {
 			otherReaders++
 		}
 	}
@@ -126,9 +131,11 @@
 	if isolated(peers, now) {
 		return Primary
 	}
-	interval := TryInterval(len(peers) + 1)
+	n := len(peers) + 1
+	interval := TryInterval(n)
 	if e.nextTry.IsZero() {
-		e.nextTry = now.Add(time.Duration(e.random() * float64(interval)))
+		spread := float64(interval) * min(1, float64(n)/spreadFleetSize)
+		e.nextTry = now.Add(time.Duration(e.random() * spread))
 	}
 	if now.Before(e.nextTry) {
 		return Idle
--- a/internal/decision/storereader/storereader_test.go
+++ b/internal/decision/storereader/storereader_test.go
@@ -116,6 +116,20 @@
 	g.Expect(e.Decide(self, peers, now).Role).To(Equal(storereader.Idle), "no outage came before")
 }
 
+// A reader that is refused says so, and the next in rank reads before the store counts as
+// unreachable (a configuration was late by 60 ms in a hunt on Zemevlaga).
+func TestAFailingReaderIsReplacedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	all := fleet(6, 500*time.Millisecond)
+	initial := storeReaders(all)
+	for i := range all {
+		if all[i].Name == initial[0] || all[i].Name == initial[1] {
+			all[i].ReadsStore, all[i].Failing = true, true
+		}
+	}
+	g.Expect(storeReaders(all)).To(HaveLen(4), "the failing ones go on, and two others read")
+}
+
 // simulation is a fleet before a store that answers the routers that reachable allows.
 type simulation struct {
 	routers   []simulatedRouter
@@ -138,7 +152,6 @@
 	messageDelay    = 600 * time.Millisecond // until all know of an answer
 	roleCheck       = 200 * time.Millisecond
 	answerTime      = time.Second // of a watch without changes
-	minDelay        = 250 * time.Millisecond
 	maxDelay        = time.Second
 	maxRefusedDelay = 4 * time.Second // while other routers reach the store
 )
@@ -149,7 +162,7 @@
 	s := &simulation{reachable: reachable, calls: make(map[int]int)}
 	for i := range n {
 		state := storereader.Router{Name: fmt.Sprintf("router-%d", i), ReachedAt: now, HeardAt: now}
-		s.routers = append(s.routers, simulatedRouter{elector: storereader.NewElector(random.Float64), state: state, nextStep: time.Duration(random.Int64N(int64(roleCheck))), delay: minDelay})
+		s.routers = append(s.routers, simulatedRouter{elector: storereader.NewElector(random.Float64), state: state, nextStep: time.Duration(random.Int64N(int64(roleCheck))), delay: maxDelay})
 		s.known = append(s.known, state)
 	}
 	for at := time.Duration(0); at < last; at += simulationStep {
@@ -182,15 +195,17 @@
 	s.known[i] = own
 	r.state.ReadsStore = d.Role != storereader.Idle
 	if d.Role == storereader.Idle {
+		r.state.Failing = false
 		r.nextStep = at + roleCheck
 		return
 	}
 	s.calls[int(at/time.Second)]++
 	if s.reachable(i, at) {
-		r.state.ReachedAt, r.delay = now.Add(at), minDelay
+		r.state.ReachedAt, r.state.Failing, r.delay = now.Add(at), false, maxDelay
 		r.nextStep = at + answerTime
 		return
 	}
+	r.state.Failing = true
 	r.nextStep = at + r.delay
 	r.delay = min(2*r.delay, maxDelay)
 	if !d.Outage {
@@ -231,14 +246,14 @@
 func TestAStoreThatServesAFewRoutersIsFound(t *testing.T) {
 	g := NewWithT(t)
 	const down, last = 5, 15
-	for _, n := range []int{6, 76, 195} {
+	for n, maxAge := range map[int]time.Duration{6: 2 * time.Second, 76: 3 * time.Second, 195: 4 * time.Second} {
 		// All that have a role before the refusal are refused, and four in five others.
 		before := simulate(n, down*time.Second, func(int, time.Duration) bool { return true })
 		s := simulate(n, last*time.Second, func(i int, at time.Duration) bool {
 			return at < down*time.Second || !before.routers[i].state.ReadsStore && i%5 == 0
 		})
 		t.Logf("%d routers: newest answer at most %s old, calls %v", n, s.maxAge, s.calls)
-		g.Expect(s.maxAge).To(BeNumerically("<", 4*time.Second), "%d routers", n)
+		g.Expect(s.maxAge).To(BeNumerically("<", maxAge), "%d routers: a configuration has to be in force by then", n)
 		for second := down; second < last; second++ {
 			g.Expect(s.calls[second]).To(BeNumerically("<=", 16+0.05*float64(n)), "%d routers", n)
 		}
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -35,12 +35,13 @@
 	// secondaryBatchDelay is the same for the secondary reader, which gets the changes from
 	// the primary's messages first.
 	secondaryBatchDelay = time.Second
-	// minRetryDelay is the delay after the first failed call.
+	// minRetryDelay is the delay after the first failed call of a router that has no data
+	// yet. It doubles with each failure up to maxRetryDelay, at which a router that has data
+	// starts: servers whose entries expired must be known again within two seconds of the
+	// store's recovery.
 	minRetryDelay = 250 * time.Millisecond
-	// maxRetryDelay bounds the delay, which doubles with each failure. Servers whose
-	// entries expired must be known again within two seconds of the store's recovery.
 	maxRetryDelay = time.Second
-	// maxRefusedRetryDelay bounds it while other routers reach the store.
+	// maxRefusedRetryDelay bounds the delay while other routers reach the store.
 	maxRefusedRetryDelay = 4 * time.Second
 	// recoveryGrace is how long entries that expired during an outage of the store are
 	// kept after it: live servers register again within two seconds.
@@ -85,7 +86,8 @@
 	outage           bool                     // the store answers no known router
 	storeReachedAt   atomic.Int64             // Unix nanoseconds of the store's last answer
 	role             atomic.Pointer[storereader.Role]
-	recoveredAt      time.Time // when the store answered again
+	failing          atomic.Bool // the last call of the store failed
+	recoveredAt      time.Time   // when the store answered again
 }
 
 // New returns a Follower.
@@ -115,7 +117,7 @@
 		err := f.readOrWatch(ctx, &revision)
 		switch {
 		case err == nil:
-			delay = minRetryDelay
+			delay = f.firstDelay()
 		case errors.Is(err, kv.ErrCompacted):
 			revision = 0
 		case ctx.Err() == nil:
@@ -128,6 +130,14 @@
 	return nil
 }
 
+// firstDelay returns the delay after a first failed call.
+func (f *Follower) firstDelay() time.Duration {
+	if f.initialized() {
+		return maxRetryDelay
+	}
+	return minRetryDelay
+}
+
 // maxDelay returns the bound of the delay after a failed call.
 func (f *Follower) maxDelay() time.Duration {
 	f.mu.Lock()
@@ -151,6 +161,8 @@
 		f.cfg.Log.WithField("role", string(role)).Debug("role in reading the store changed")
 	}
 	if role == storereader.Idle {
+		// Who does not call the store does not fail, and may be elected again.
+		f.failing.Store(false)
 		f.publishDue(now)
 	}
 	return role
@@ -261,6 +273,9 @@
 
 // recordFailure records the start of an outage, if there is none yet.
 func (f *Follower) recordFailure(err error) {
+	if !f.failing.Swap(true) {
+		f.cfg.OnChange() // peers learn of it at once, and one of them takes over
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unreachableSince.IsZero() {
@@ -269,11 +284,16 @@
 	}
 }
 
+// Failing reports whether the last call of the store failed. A router that leaves the
+// store to others is not failing.
+func (f *Follower) Failing() bool { return f.failing.Load() }
+
 // recordAnswer records that the store answered, and the end of an outage.
 func (f *Follower) recordAnswer() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	f.failing.Store(false)
 	f.storeReachedAt.Store(now.UnixNano())
 	if !f.unreachableSince.IsZero() {
 		f.endOutage(now)
--- a/internal/router/discovery/follower_test.go
+++ b/internal/router/discovery/follower_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -100,6 +101,8 @@
 	store    *store
 	follower *discovery.Follower
 
+	changes atomic.Int64 // calls of OnChange
+
 	mu       sync.Mutex
 	config   string
 	servers  []server.Server
@@ -124,7 +127,7 @@
 		f.store.put("servers/b", "ready")
 		f.follower = discovery.New(discovery.Config{
 			Store: f.store, ConfigKey: "config", ServersPrefix: "servers/", HostsPrefix: "hosts/",
-			DecodeServer: decode, OnChange: func() {}, AddHost: func([]byte) {},
+			DecodeServer: decode, OnChange: func() { f.changes.Add(1) }, AddHost: func([]byte) {},
 			SetConfig:  func(value []byte, _ string) { f.mu.Lock(); f.config = string(value); f.mu.Unlock() },
 			SetServers: func(_ int64, s []server.Server) { f.mu.Lock(); f.servers = s; f.mu.Unlock() },
 			HasConfig:  func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.config != "" },
@@ -291,3 +294,25 @@
 		f.Expect(full).To(BeTrue(), "a newcomer gets all")
 	})
 }
+
+// Peers learn at once that the store does not answer a reader, so that one of them reads.
+func TestAFailedCallIsAnnouncedOnce(t *testing.T) {
+	runFollower(t, func(f *fixture) {
+		f.Expect(f.follower.Failing()).To(BeFalse())
+		before := f.changes.Load()
+		f.store.update(func() { f.store.unreachable = true })
+		time.Sleep(1100 * time.Millisecond)
+		f.Expect(f.follower.Failing()).To(BeTrue())
+		f.Expect(f.changes.Load()).To(Equal(before + 1))
+		time.Sleep(5 * time.Second)
+		f.Expect(f.changes.Load()).To(Equal(before + 1))
+		f.store.update(func() { f.store.unreachable = false })
+		time.Sleep(3 * time.Second)
+		f.Expect(f.follower.Failing()).To(BeFalse())
+		f.store.update(func() { f.store.unreachable = true })
+		time.Sleep(1100 * time.Millisecond)
+		f.decide(storereader.Decision{Role: storereader.Idle})
+		time.Sleep(3 * time.Second)
+		f.Expect(f.follower.Failing()).To(BeFalse(), "it does not call the store any more")
+	})
+}
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -72,6 +72,9 @@
 // StoreRole returns the role of this router in reading the store.
 func (e *Edge) StoreRole() storereader.Role { return e.follower.Role() }
 
+// StoreFailing reports whether the store did not answer this router's last call.
+func (e *Edge) StoreFailing() bool { return e.follower.Failing() }
+
 // decideStoreRole returns the role that this router should have in reading the store.
 func (e *Edge) decideStoreRole() storereader.Decision {
 	if e.cfg.PeerAddress == "" {
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -68,6 +68,7 @@
 	loads           map[string]registry.Share
 	calling         bool // an exchange call is in progress
 	readsStore      bool
+	storeFailing    bool      // the store did not answer its last call
 	version         int64     // of its configuration
 	revision        int64     // of its server list
 	storeReachedAt  time.Time // when the store last answered it
@@ -152,7 +153,7 @@
 	defer g.mu.Unlock()
 	var routers []storereader.Router
 	for _, p := range g.livePeers(g.plan(), now) {
-		routers = append(routers, storereader.Router{Name: p.host.Name, ReadsStore: p.readsStore, ReachedAt: p.storeReachedAt, HeardAt: p.lastMessageAt, LinkRate: p.host.LinkMbps})
+		routers = append(routers, storereader.Router{Name: p.host.Name, ReadsStore: p.readsStore, Failing: p.storeFailing, ReachedAt: p.storeReachedAt, HeardAt: p.lastMessageAt, LinkRate: p.host.LinkMbps})
 	}
 	return routers
 }
--- a/internal/router/gossip/gossip_test.go
+++ b/internal/router/gossip/gossip_test.go
@@ -86,6 +86,7 @@
 
 	role            storereader.Role
 	reachedAt       time.Time // last answer of the store
+	failing         bool      // its last call failed
 	datagrams       int
 	largestDatagram int
 }
@@ -117,6 +118,7 @@
 func (r *router) Stopping() bool              { return false }
 func (r *router) StoreReached() time.Time     { r.mu.Lock(); defer r.mu.Unlock(); return r.reachedAt }
 func (r *router) StoreRole() storereader.Role { r.mu.Lock(); defer r.mu.Unlock(); return r.role }
+func (r *router) StoreFailing() bool          { r.mu.Lock(); defer r.mu.Unlock(); return r.failing }
 
 // setStore sets the router's role in reading the store and the time of its last answer.
 func (r *router) setStore(role storereader.Role, reachedAt time.Time) {
--- a/internal/router/gossip/message.go
+++ b/internal/router/gossip/message.go
@@ -13,12 +13,13 @@
 // also lists up to maxListedPeers live peers.
 func (g *Gossip) buildMessage(listPeers bool) message {
 	m := message{
-		Host:       g.cfg.Self,
-		Version:    g.cfg.State.ConfigVersion(),
-		Revision:   g.cfg.State.ServerRevision(),
-		Stopping:   g.cfg.State.Stopping(),
-		ReadsStore: g.cfg.State.StoreRole() != storereader.Idle,
-		StoreAgeMs: -1,
+		Host:         g.cfg.Self,
+		Version:      g.cfg.State.ConfigVersion(),
+		Revision:     g.cfg.State.ServerRevision(),
+		Stopping:     g.cfg.State.Stopping(),
+		ReadsStore:   g.cfg.State.StoreRole() != storereader.Idle,
+		StoreFailing: g.cfg.State.StoreFailing(),
+		StoreAgeMs:   -1,
 	}
 	now := time.Now()
 	if at := g.cfg.State.StoreReached(); !at.IsZero() {
--- a/internal/router/gossip/receive.go
+++ b/internal/router/gossip/receive.go
@@ -69,7 +69,7 @@
 	appeared := now.Sub(p.lastHeartbeatAt) > g.plan().PeerTimeout
 	oldLoads := p.loads
 	p.host, p.lastHeartbeatAt, p.lastMessageAt, p.loads, p.stopping, p.readsStore = m.Host, now, now, m.Loads, m.Stopping, m.ReadsStore
-	p.version, p.revision = m.Version, m.Revision
+	p.version, p.revision, p.storeFailing = m.Version, m.Revision, m.StoreFailing
 	p.storeReachedAt = time.Time{}
 	if m.StoreAgeMs >= 0 {
 		p.storeReachedAt = now.Add(-time.Duration(m.StoreAgeMs) * time.Millisecond)
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -34,7 +34,9 @@
 	Loads      map[string]registry.Share `json:",omitempty"` // by server
 	Stopping   bool                      `json:",omitempty"`
 	ReadsStore bool                      `json:"Reads,omitempty"` // the sender reads the store
-	StoreAgeMs int64                     `json:"AgeMs"`           // since the store last answered the sender; -1 if never
+	// StoreFailing means that the store did not answer the sender's last call.
+	StoreFailing bool  `json:",omitempty"`
+	StoreAgeMs   int64 `json:"AgeMs"` // since the store last answered the sender; -1 if never
 
 	// Heartbeats is the age in ms of the newest known heartbeats of some peers, by
 	// name.
@@ -130,5 +132,6 @@
 	ApplyServerList(after, revision int64, values []kv.Value, full bool, source string)
 	StoreReached() time.Time     // when the store last answered this router
 	StoreRole() storereader.Role // of this router in reading the store
+	StoreFailing() bool          // the store did not answer this router's last call
 	Stopping() bool
 }
