--- a/internal/router/gossip/wire_test.go
+++ b/internal/router/gossip/wire_test.go
@@ -29,6 +29,7 @@
 		}, `{"Host":` + encodedHost + `,"Peers":[` + encodedHost + `],"Version":5,"Revision":6,"Loads":{"e":{"DownMs":7}},` +
 			`"Stopping":true,"Reads":true,"AgeMs":8,"Signs":{"p":9},"Run":{"Session":"","Run":"","Server":"","Backup":""}}`},
 		{gossip.Message{}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},"Version":0,"Revision":0,"AgeMs":0}`},
+		{gossip.Message{StoreFailing: true}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},"Version":0,"Revision":0,"StoreFailing":true,"AgeMs":0}`},
 		{gossip.Message{Attempts: map[string]retrybudget.Counts{"s": {}}}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},` +
 			`"Version":0,"Revision":0,"AgeMs":0,"Sends":{"s":{"Firsts":0,"Repeats":0}}}`},
 		{gossip.ConfigReply{Compressed: []byte("c"), Busy: true}, `{"Packed":"Yw==","Busy":true}`},
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -45,6 +45,7 @@
 	replaced        bool // another incarnation has the address
 	waiting         int  // queued requests of other routers
 	errorBytes      int  // answers with a failure of that size
+	drips           bool // sends a byte now and then, never a whole event
 	lostAttempt     bool // does not have the attempt and sends nothing, but answers probes
 }
 
@@ -72,10 +73,25 @@
 		return nil, fmt.Errorf("closed: %w", server.ErrLost)
 	}
 	r, w := io.Pipe()
-	go e.generate(ctx, w, d, f)
+	if f.drips {
+		go drip(ctx, w)
+	} else {
+		go e.generate(ctx, w, d, f)
+	}
 	return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: r}, nil
 }
 
+// drip writes a byte every 100 ms until ctx ends.
+func drip(ctx context.Context, w *io.PipeWriter) {
+	defer w.Close()
+	for ctx.Err() == nil {
+		if _, err := w.Write([]byte("d")); err != nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 func (e *fakeEngines) generate(ctx context.Context, w *io.PipeWriter, d server.Dispatch, f engineFaults) {
 	for i := d.LastEventID + 1; i <= e.eventCount; i++ {
 		if f.breakAfter > 0 && i > d.LastEventID+f.breakAfter {
