--- /dev/null
+++ b/internal/router/discovery/fixture_test.go
@@ -0,0 +1,180 @@
+package discovery_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/storereader"
+	"wisteriafield/internal/router/discovery"
+	"wisteriafield/platform/kv"
+)
+
+// store is an in-memory store. Its watches can miss changes, as around a compaction.
+type store struct {
+	mu            sync.Mutex
+	revision      int64
+	values        map[string]kv.Value
+	history       []kv.Value
+	oldest        int64 // earlier history is compacted
+	missesChanges bool
+	unreachable   bool
+}
+
+func (s *store) put(key, body string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	v := kv.Value{Key: key, Body: []byte(body), Revision: s.revision}
+	s.values[key] = v
+	s.history = append(s.history, v)
+}
+
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.values, key)
+	s.history = append(s.history, kv.Value{Key: key, Revision: s.revision, Deleted: true})
+}
+
+func (s *store) update(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+func (s *store) Range(context.Context, string, bool) ([]kv.Value, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.unreachable {
+		return nil, 0, kv.ErrUnavailable
+	}
+	var all []kv.Value
+	for _, v := range s.values {
+		all = append(all, v)
+	}
+	return all, s.revision, nil
+}
+
+func (s *store) WatchPrefix(ctx context.Context, _ string, after int64, wait time.Duration) ([]kv.Value, int64, error) {
+	end := time.Now().Add(wait)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		s.mu.Lock()
+		if s.unreachable {
+			s.mu.Unlock()
+			return nil, 0, kv.ErrUnavailable
+		}
+		if after < s.oldest {
+			s.mu.Unlock()
+			return nil, 0, kv.ErrCompacted
+		}
+		var events []kv.Value
+		for _, v := range s.history {
+			if v.Revision > after && !s.missesChanges {
+				events = append(events, v)
+			}
+		}
+		revision := s.revision
+		s.mu.Unlock()
+		if len(events) > 0 {
+			return events, revision, nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return nil, after, ctx.Err()
+}
+
+// fixture holds a follower, its store and what the follower passed on.
+type fixture struct {
+	*WithT
+	store    *store
+	follower *discovery.Follower
+
+	changes atomic.Int64 // calls of OnChange
+
+	mu       sync.Mutex
+	config   string
+	servers  []server.Server
+	decision storereader.Decision
+}
+
+func decode(key string, body []byte) (server.Server, error) {
+	if string(body) == "garbage" {
+		return server.Server{}, errors.New("garbage")
+	}
+	return server.Server{ID: strings.TrimPrefix(key, "servers/"), Leaving: string(body) == "leaving"}, nil
+}
+
+// runFollower starts a follower of a store with two servers and runs test.
+func runFollower(t *testing.T, test func(f *fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fixture{WithT: NewWithT(t), store: &store{values: map[string]kv.Value{}}, decision: storereader.Decision{Role: storereader.Primary}}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		f.store.put("config", "one")
+		f.store.put("servers/a", "ready")
+		f.store.put("servers/b", "ready")
+		f.follower = discovery.New(discovery.Config{
+			Store: f.store, ConfigKey: "config", ServersPrefix: "servers/", HostsPrefix: "hosts/",
+			DecodeServer: decode, OnChange: func() { f.changes.Add(1) }, AddHost: func([]byte) {},
+			SetConfig:  func(value []byte, _ string) { f.mu.Lock(); f.config = string(value); f.mu.Unlock() },
+			SetServers: func(_ int64, s []server.Server) { f.mu.Lock(); f.servers = s; f.mu.Unlock() },
+			HasConfig:  func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.config != "" },
+			Decide:     f.decideRole,
+			Log:        log.WithField("part", "store"),
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { _ = f.follower.Run(ctx); close(done) }()
+		time.Sleep(50 * time.Millisecond)
+		test(f)
+		stop()
+		<-done
+	})
+}
+
+// decideRole returns the follower's role. No other router reaches the store while this
+// one does not.
+func (f *fixture) decideRole() storereader.Decision {
+	f.mu.Lock()
+	d := f.decision
+	f.mu.Unlock()
+	f.store.update(func() { d.Outage = d.Outage || f.store.unreachable })
+	return d
+}
+
+// decide sets the follower's role.
+func (f *fixture) decide(d storereader.Decision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.decision = d
+}
+
+// activeServers returns the servers passed on that are not leaving.
+func (f *fixture) activeServers() (ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if !s.Leaving {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+func (f *fixture) currentConfig() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config
+}
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -130,61 +130,6 @@
 	return nil
 }
 
-// firstDelay returns the delay after a first failed call.
-func (f *Follower) firstDelay() time.Duration {
-	if f.initialized() {
-		return maxRetryDelay
-	}
-	return minRetryDelay
-}
-
-// maxDelay returns the bound of the delay after a failed call.
-func (f *Follower) maxDelay() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.outage || f.revision == 0 || !f.cfg.HasConfig() {
-		return maxRetryDelay
-	}
-	return maxRefusedRetryDelay
-}
-
-// nextRole sets and returns the role of this router. A router that does not have all data
-// yet reads it for itself.
-func (f *Follower) nextRole(now time.Time) storereader.Role {
-	role := storereader.Primary
-	if f.initialized() {
-		d := f.cfg.Decide()
-		role = d.Role
-		f.observeOutage(d, now)
-	}
-	if old := f.role.Swap(&role); old == nil || *old != role {
-		f.cfg.Log.WithField("role", string(role)).Debug("role in reading the store changed")
-	}
-	if role == storereader.Idle {
-		// Who does not call the store does not fail, and may be elected again.
-		f.failing.Store(false)
-		f.publishDue(now)
-	}
-	return role
-}
-
-// observeOutage records the start and the end of an outage that other routers saw. A
-// router that calls the store sees the end by its own answer.
-func (f *Follower) observeOutage(d storereader.Decision, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch {
-	case d.Outage && !f.outage:
-		f.outage = true
-		if f.unreachableSince.IsZero() {
-			f.unreachableSince = now
-		}
-		f.cfg.Log.WithField("role", string(d.Role)).Warn("store answers no known router")
-	case !d.Outage && (f.outage || d.Role == storereader.Idle && !f.unreachableSince.IsZero()):
-		f.endOutage(now)
-	}
-}
-
 // readOrWatch reads all entries, or waits for the next changes.
 func (f *Follower) readOrWatch(ctx context.Context, revision *int64) error {
 	applied := f.Revision()
@@ -201,14 +146,6 @@
 // initialized reports whether this router has a configuration and a server list.
 func (f *Follower) initialized() bool { return f.Revision() > 0 && f.cfg.HasConfig() }
 
-// Role returns the role of this router in reading the store.
-func (f *Follower) Role() storereader.Role {
-	if role := f.role.Load(); role != nil {
-		return *role
-	}
-	return storereader.Idle
-}
-
 // readAll reads all entries in one call and replaces the server list.
 func (f *Follower) readAll(ctx context.Context) (int64, error) {
 	values, revision, err := f.cfg.Store.Range(ctx, "", false)
@@ -270,38 +207,3 @@
 		f.cfg.AddHost(v.Body)
 	}
 }
-
-// recordFailure records the start of an outage, if there is none yet.
-func (f *Follower) recordFailure(err error) {
-	if !f.failing.Swap(true) {
-		f.cfg.OnChange() // peers learn of it at once, and one of them takes over
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.unreachableSince.IsZero() {
-		f.unreachableSince = time.Now()
-		f.cfg.Log.WithError(err).Warn("store is unreachable")
-	}
-}
-
-// Failing reports whether the last call of the store failed. A router that leaves the
-// store to others is not failing.
-func (f *Follower) Failing() bool { return f.failing.Load() }
-
-// recordAnswer records that the store answered, and the end of an outage.
-func (f *Follower) recordAnswer() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	f.failing.Store(false)
-	f.storeReachedAt.Store(now.UnixNano())
-	if !f.unreachableSince.IsZero() {
-		f.endOutage(now)
-	}
-}
-
-// endOutage records the end of an outage. The caller holds mu.
-func (f *Follower) endOutage(now time.Time) {
-	f.cfg.Log.WithField("away", now.Sub(f.unreachableSince).String()).Info("store is reachable again")
-	f.outage, f.unreachableSince, f.recoveredAt = false, time.Time{}, now
-}
--- /dev/null
+++ b/internal/router/gossip/fixture_test.go
@@ -0,0 +1,185 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/retrybudget"
+	"wisteriafield/internal/decision/storereader"
+	"wisteriafield/internal/router/control"
+	"wisteriafield/internal/router/gossip"
+	"wisteriafield/internal/router/sessions"
+	"wisteriafield/platform/kv"
+)
+
+// network carries calls and datagrams between routers in memory.
+type network struct {
+	mu          sync.Mutex
+	servers     map[string]*control.Server
+	receive     map[string]func([]byte)
+	unreachable map[string]bool
+	slowMethod  string // takes 1.5 s
+	inboxes     map[string]chan struct{}
+}
+
+func (n *network) Call(ctx context.Context, address, method string, params, result any) error {
+	n.mu.Lock()
+	s, unreachable, slow := n.servers[address], n.unreachable[address], n.slowMethod == method
+	n.mu.Unlock()
+	if slow {
+		time.Sleep(1500 * time.Millisecond)
+	}
+	if s == nil || unreachable {
+		return errors.New("unreachable")
+	}
+	return s.Call(ctx, method, params, result)
+}
+
+func (n *network) Send(address string, datagram []byte) error {
+	n.mu.Lock()
+	receive, unreachable := n.receive[address], n.unreachable[address]
+	n.mu.Unlock()
+	if receive != nil && !unreachable {
+		go func(datagram []byte) {
+			n.inbox(address) <- struct{}{}
+			defer func() { <-n.inbox(address) }()
+			receive(datagram)
+		}(append([]byte(nil), datagram...))
+	}
+	return nil
+}
+
+// inbox returns a lock that delivers datagrams to an address one at a time, as a
+// socket does. It is a channel, since the fake clock of synctest advances while
+// goroutines block on a channel, but not while they block on a mutex.
+func (n *network) inbox(address string) chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.inboxes == nil {
+		n.inboxes = make(map[string]chan struct{})
+	}
+	if n.inboxes[address] == nil {
+		n.inboxes[address] = make(chan struct{}, 1)
+	}
+	return n.inboxes[address]
+}
+
+// router is the state of one router in the test.
+type router struct {
+	mu           sync.Mutex
+	version      int64
+	revision     int64
+	gossip       *gossip.Gossip
+	servers      *registry.Registry
+	unresponsive []string // engines that peers reported
+
+	role            storereader.Role
+	reachedAt       time.Time // last answer of the store
+	failing         bool      // its last call failed
+	datagrams       int
+	largestDatagram int
+}
+
+// reported returns the engines that peers reported as unresponsive.
+func (r *router) reported() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.unresponsive...)
+}
+
+func (r *router) ConfigVersion() int64 { r.mu.Lock(); defer r.mu.Unlock(); return r.version }
+func (r *router) ConfigValue() []byte  { return fmt.Append(nil, r.ConfigVersion()) }
+func (r *router) SetConfig(value []byte, _ string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var version int64
+	if _, err := fmt.Sscan(string(value), &version); err == nil && version > r.version {
+		r.version = version
+	}
+}
+func (r *router) ServerList(int64) (int64, []kv.Value, bool) { return r.ServerRevision(), nil, true }
+func (r *router) ServerRevision() int64                      { r.mu.Lock(); defer r.mu.Unlock(); return r.revision }
+func (r *router) ApplyServerList(_, revision int64, _ []kv.Value, _ bool, _ string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision = max(r.revision, revision)
+}
+func (r *router) Stopping() bool              { return false }
+func (r *router) StoreReached() time.Time     { r.mu.Lock(); defer r.mu.Unlock(); return r.reachedAt }
+func (r *router) StoreRole() storereader.Role { r.mu.Lock(); defer r.mu.Unlock(); return r.role }
+func (r *router) StoreFailing() bool          { r.mu.Lock(); defer r.mu.Unlock(); return r.failing }
+
+// setStore sets the router's role in reading the store and the time of its last answer.
+func (r *router) setStore(role storereader.Role, reachedAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.role, r.reachedAt = role, reachedAt
+}
+
+// sender counts the datagrams that a router sends.
+type sender struct {
+	*network
+	from *router
+}
+
+func (s sender) Send(address string, datagram []byte) error {
+	s.from.mu.Lock()
+	s.from.datagrams++
+	s.from.largestDatagram = max(s.from.largestDatagram, len(datagram))
+	s.from.mu.Unlock()
+	return s.network.Send(address, datagram)
+}
+
+// sent returns the number of datagrams since the last call, and the size of the largest.
+func (r *router) sent() (datagrams, largest int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	datagrams, largest = r.datagrams, r.largestDatagram
+	r.datagrams, r.largestDatagram = 0, 0
+	return datagrams, largest
+}
+
+// runRouters starts n routers with the first one as seed, waits 5 s and runs test.
+func runRouters(t *testing.T, n int, test func(g *WithT, net *network, all []*router)) {
+	synctest.Test(t, func(t *testing.T) {
+		net := &network{servers: map[string]*control.Server{}, receive: map[string]func([]byte){}, unreachable: map[string]bool{}}
+		ctx, stop := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		var all []*router
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		for i := range n {
+			r := &router{servers: registry.New(), role: storereader.Idle}
+			r.servers.Set(1, []server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
+			self := gossip.Host{Name: fmt.Sprintf("router-%d", i), Address: fmt.Sprintf("call-%d", i), DatagramAddress: fmt.Sprintf("notice-%d", i)}
+			r.gossip = gossip.New(gossip.Config{
+				Self: self, Seeds: []string{"call-0"}, Caller: net, Datagrams: sender{net, r}, State: r, Servers: r.servers, Sessions: sessions.NewTable(), RetryBudget: retrybudget.New(retrybudget.Config{Window: time.Second, Routers: func() int { return n }}, time.Now()),
+				EngineUnresponsive: func(e *registry.Entry) { r.mu.Lock(); r.unresponsive = append(r.unresponsive, e.ID); r.mu.Unlock() },
+				Log:                log.WithField("part", "gossip"),
+			})
+			s := control.NewServer()
+			r.gossip.Register(s)
+			net.mu.Lock()
+			net.servers[self.Address], net.receive[self.DatagramAddress] = s, r.gossip.Receive
+			net.mu.Unlock()
+			all = append(all, r)
+			wg.Go(func() { _ = r.gossip.Run(ctx) })
+		}
+		time.Sleep(5 * time.Second)
+		test(NewWithT(t), net, all)
+		stop()
+		wg.Wait()
+		synctest.Wait()
+	})
+}
--- a/internal/router/limits/limits.go
+++ b/internal/router/limits/limits.go
@@ -71,22 +71,6 @@
 	expiresAt time.Time
 }
 
-// leaseRequest asks for tokens and reports the requests in flight at the entry,
-// including those that wait for the reply.
-type leaseRequest struct {
-	Organisation string
-	Entry        string
-	Tokens       float64 // for the request itself: all or nothing
-	Reserve      float64 `json:"Stock"` // beyond Tokens, granted as far as available
-	InFlight     int
-}
-
-type leaseReply struct {
-	Tokens      float64 // granted, including the reserve
-	Admitted    bool    // the requests in flight are within the limit
-	RetryMillis int64   // until the requested tokens are available
-}
-
 // New returns a limiter without state and registers its method at local.
 func New(m *members.Members, peers Caller, local *control.Server, view func() *document.View) *Limiter {
 	l := &Limiter{members: m, peers: peers, local: local, view: view, entries: make(map[string]*entryState), owned: make(map[string]*ownerState)}
