--- a/Makefile
+++ b/Makefile
@@ -54,9 +54,13 @@
 mutants:
 	internal/trial/mutants/run.sh
 
+# A fuzz target for each parser of bytes from outside.
+FUZZTIME ?= 1m
+FUZZ = internal/config/document/FuzzParse internal/decision/generation/FuzzParseEventID internal/backend/sse/FuzzNext \
+	platform/FuzzDecodeConfig platform/FuzzDecodeServer platform/FuzzDecodeRequest internal/router/gossip/FuzzReceive
+
 fuzz:
-	$(GO) test ./internal/config/document -fuzz FuzzParse -fuzztime 1m
-	$(GO) test ./internal/decision/generation -fuzz FuzzParseEventID -fuzztime 1m
+	@for t in $(FUZZ); do $(GO) test ./$$(dirname $$t) -run '^$$' -fuzz "^$$(basename $$t)$$" -fuzztime $(FUZZTIME) -parallel 2 || exit 1; done
 
 clean:
 	rm -rf bin out
