--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -83,12 +83,16 @@
 
 // drip writes a byte every 100 ms until ctx ends.
 func drip(ctx context.Context, w *io.PipeWriter) {
-	defer w.Close()
-	for ctx.Err() == nil {
+	for {
+		select {
+		case <-ctx.Done():
+			_ = w.CloseWithError(ctx.Err())
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
 		if _, err := w.Write([]byte("d")); err != nil {
 			return
 		}
-		time.Sleep(100 * time.Millisecond)
 	}
 }
 
