relay: log lines tell how far an attempt came and which prompt parts it had

They now carry began (the engine sent its header), attemptEvents and parts (the shared parts of the prompt).

--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -81,6 +81,16 @@
 	return r.PromptParts[len(r.PromptParts)-1].ID
 }
 
+// SharedPartIDs returns the IDs of the parts of the prompt that other sessions may share:
+// all but the last.
+func (r *Request) SharedPartIDs() []string {
+	var ids []string
+	for _, p := range r.PromptParts[:max(len(r.PromptParts)-1, 0)] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 // KVBackup identifies a backup of an attempt's KV cache at an engine.
 type KVBackup struct {
 	Address string // of the backup engine
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -33,6 +33,7 @@
 	answer       *bufferedAnswer    // of outcome answered
 	backup       *registry.Entry    // has the backup of the lost attempt
 	replacement  *replacementBackup // made if the first backup was lost during the attempt
+	began        bool               // the engine began to answer
 	events       int                // forwarded to the caller by this attempt
 	unresponsive bool               // the engine did not answer the last probes
 	replaced     bool               // another incarnation has the address
@@ -66,7 +67,10 @@
 func (s *stream) runAttempt(ctx context.Context, target *registry.Entry, restoreFrom *server.KVBackup) (r result) {
 	var replacement *replacementBackup
 	startEvent := s.lastEventID
-	defer func() { r.replacement, r.events = replacement, s.lastEventID-startEvent }()
+	var answer *server.Answer
+	defer func() {
+		r.replacement, r.events, r.began = replacement, s.lastEventID-startEvent, answer != nil
+	}()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	dispatch := server.Dispatch{Request: s.req, Server: &target.Server, LastEventID: s.lastEventID, RestoreFrom: restoreFrom}
@@ -92,7 +96,6 @@
 	reports := make(chan server.Report, 4)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var answer *server.Answer
 	for {
 		select {
 		case got := <-reads:
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -143,7 +143,8 @@
 func (s *stream) recordResult(target *registry.Entry, restoreFrom *server.KVBackup, r result) {
 	now := time.Now()
 	log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).
-		WithField("outcome", string(r.outcome)).WithField("event", s.lastEventID).WithField("reason", r.reason)
+		WithField("outcome", string(r.outcome)).WithField("event", s.lastEventID).WithField("reason", r.reason).
+		WithField("began", r.began).WithField("attemptEvents", r.events).WithField("parts", s.req.SharedPartIDs())
 	if restoreFrom != nil {
 		log = log.WithField("copy", restoreFrom.Address)
 	}
