--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -32,6 +34,7 @@
 	backups       map[string]bool         // by address/attempt ID
 	cachedPrompts map[string]string       // sessions by address
 	dispatches    []server.Dispatch
+	deadlyPart    string // a part of prompts that crashes every engine after its header
 
 	probes int // reports that were requested
 }
@@ -59,6 +62,9 @@
 	}
 	e.mu.Unlock()
 	switch {
+	case e.deadlyPart != "" && slices.Contains(d.Request.SharedPartIDs(), e.deadlyPart):
+		body := iotest.ErrReader(io.ErrUnexpectedEOF)
+		return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: io.NopCloser(body)}, nil
 	case f.refuses || !backupKnown:
 		return &server.Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Body: http.NoBody}, nil
 	case f.replaced:
@@ -241,6 +247,16 @@
 	}
 }
 
+// newRequestOf returns a request of a session with the given shared parts in its prompt.
+func (h *harness) newRequestOf(session string, shared ...string) *server.Request {
+	req := h.newRequest(0)
+	req.ID, req.PromptParts = "r-"+session, nil
+	for _, id := range append(shared, session) {
+		req.PromptParts = append(req.PromptParts, server.PromptPart{ID: id, Tokens: 5000 / (len(shared) + 1)})
+	}
+	return req
+}
+
 // serve answers a request and reports whether the connection was cut.
 func (h *harness) serve(req *server.Request) (res *httptest.ResponseRecorder, cut bool) {
 	res = httptest.NewRecorder()
