relay: a stream that ends with its connection is complete, if its engine is alive

Callers of a stream whose answer has neither a length nor chunks would have got its events and then a second prefill elsewhere, and in the end a broken connection: the relay took every such end for a loss.

Cause: a server that died between two events closes such an answer just like one that has finished, so the end was never trusted. Now an end within an event is a loss, as before, a reset too, and after an end between events the engine is probed: the same incarnation must answer one of two probes. Plain services have no probe; their end counts as complete.

The readers of answers, reports, cached prompts and the store have tests for whole, cut and reset answers; they needed no change. The reader of our own interface's engines expects a last line and was right.

--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -107,7 +107,7 @@
 				continue
 			}
 			if got.err != nil {
-				return s.classifyReadError(got.err, answer, backup)
+				return s.classifyReadError(ctx, got.err, answer, target, backup)
 			}
 			now := time.Now()
 			detector.ObserveEvent(now)
@@ -223,15 +223,18 @@
 }
 
 // classifyReadError returns the result of an attempt by the error that ended its
-// stream; io.EOF is the regular end.
-func (s *stream) classifyReadError(err error, answer *server.Answer, backup *registry.Entry) result {
+// stream; io.EOF is the regular end. Where the body ends with its connection, an engine that
+// died between two events looks like one that has finished, so it is probed.
+func (s *stream) classifyReadError(ctx context.Context, err error, answer *server.Answer, target, backup *registry.Entry) result {
 	switch {
 	case errors.Is(err, server.ErrNotSent):
 		return result{outcome: notSent, reason: err.Error(), unanswered: errors.Is(err, server.ErrConnectTimeout)}
-	case err == io.EOF && answer != nil && !answer.CloseDelimited && s.headersSent:
-		return result{outcome: finished}
-	default:
+	case err != io.EOF || answer == nil || !s.headersSent:
 		return result{outcome: lost, reason: err.Error(), backup: backup}
+	case answer.CloseDelimited && s.service.Engine != nil && !s.relay.answersProbes(ctx, target):
+		return result{outcome: lost, reason: "engine closed the connection and is gone", backup: backup}
+	default:
+		return result{outcome: finished}
 	}
 }
 
--- a/internal/router/relay/domaincheck.go
+++ b/internal/router/relay/domaincheck.go
@@ -72,10 +72,8 @@
 // checkEngine probes an engine and, if it is unresponsive, marks it as down and notifies
 // streams and peers.
 func (r *Relay) checkEngine(e *registry.Entry) {
-	for range maxFailedProbes {
-		if r.isAlive(context.Background(), e) {
-			return
-		}
+	if r.answersProbes(context.Background(), e) {
+		return
 	}
 	now := time.Now()
 	if e.Load.State(now).Down {
@@ -87,6 +85,16 @@
 	r.cfg.OnUnresponsive()
 }
 
+// answersProbes reports whether an engine answers one of maxFailedProbes probes.
+func (r *Relay) answersProbes(ctx context.Context, e *registry.Entry) bool {
+	for range maxFailedProbes {
+		if r.isAlive(ctx, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // isAlive reports whether an engine answers and is still the same incarnation.
 func (r *Relay) isAlive(ctx context.Context, e *registry.Entry) bool {
 	_, ok := r.probe(ctx, e)
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -50,6 +50,9 @@
 	waiting         int  // queued requests of other routers
 	errorBytes      int  // answers with a failure of that size
 	drips           bool // sends a byte now and then, never a whole event
+	closeDelimited  bool // answers have neither a length nor chunks
+	closesAfter     int  // closes the connection, as if the answer were whole, after this many events
+	cutsEvent       bool // with closesAfter, within the next event
 	lostAttempt     bool // does not have the attempt and sends nothing, but answers probes
 }
 
@@ -85,7 +88,7 @@
 	} else {
 		go e.generate(ctx, w, d, f)
 	}
-	return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: r}, nil
+	return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: r, CloseDelimited: f.closeDelimited}, nil
 }
 
 // drip writes a byte every 100 ms until ctx ends.
@@ -105,6 +108,13 @@
 
 func (e *fakeEngines) generate(ctx context.Context, w *io.PipeWriter, d server.Dispatch, f engineFaults) {
 	for i := d.LastEventID + 1; i <= e.eventCount; i++ {
+		if f.closesAfter > 0 && i > d.LastEventID+f.closesAfter {
+			if f.cutsEvent {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: ev", i)
+			}
+			_ = w.Close()
+			return
+		}
 		if f.breakAfter > 0 && i > d.LastEventID+f.breakAfter {
 			if f.unresponsive {
 				<-ctx.Done()
