--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -117,11 +117,13 @@
 	Status         int
 	Header         http.Header // headers to forward to the caller
 	Body           io.ReadCloser
-	Signed         bool   // the server signed the answer
-	NotExecuted    bool   // the server states that it did not execute the request
-	ActualServerID string // ID of the server at the address, if it is not the expected one
-	Mismatched     bool   // the answer belongs to another request
-	CloseDelimited bool   // the body ends where the connection is closed
+	Signed         bool    // the server signed the answer
+	NotExecuted    bool    // the server states that it did not execute the request
+	ActualServerID string  // ID of the server at the address, if it is not the expected one
+	Mismatched     bool    // the answer belongs to another request
+	RateLimit      float64 // requests a second that the server accepts from all routers together
+	Limited        bool    // the server named a RateLimit
+	CloseDelimited bool    // the body ends where the connection is closed
 }
 
 // RunningAttempt is an attempt that an engine is running.
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -38,7 +38,7 @@
 		if e == nil {
 			return
 		}
-		c.recordResult(c.f.runAttempt(ctx, c.req, e))
+		c.recordResult(c.f.runAttempt(ctx, c.req, e, c.delivered > 0))
 		if c.executed > 0 {
 			return
 		}
@@ -82,7 +82,7 @@
 		}
 		c.excluded[e.Key()] = true
 		inFlight++
-		go func(e *registry.Entry) { results <- c.f.runAttempt(ctx, c.req, e) }(e)
+		go func(e *registry.Entry) { results <- c.f.runAttempt(ctx, c.req, e, retry) }(e)
 		return true
 	}
 	if !start(false) {
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -76,6 +76,8 @@
 	header      http.Header
 	body        []byte
 	notExecuted bool
+	rateLimit   float64
+	limited     bool // the server named a rateLimit
 	err         error
 }
 
@@ -129,7 +131,7 @@
 
 // runAttempt sends the request to a server, reads the complete answer and updates
 // the server's load.
-func (f *Forwarder) runAttempt(ctx context.Context, req *server.Request, e *registry.Entry) result {
+func (f *Forwarder) runAttempt(ctx context.Context, req *server.Request, e *registry.Entry, retry bool) result {
 	startedAt := time.Now()
 	load := e.Load.State(startedAt)
 	e.Load.BeginRequest()
@@ -150,7 +152,7 @@
 	attemptsTotal(&r).Inc()
 	f.cfg.Log.WithField("id", req.ID).WithField("server", e.ID).WithField("status", r.status).
 		WithField("notRun", r.notExecuted).WithField("ms", time.Since(startedAt).Milliseconds()).WithField("config", req.ConfigVersion).WithField("servers", f.cfg.Servers.Revision()).
-		WithField("inFlight", load.InFlight).WithField("errors", load.ErrorRate).WithError(r.err).Info("attempt ended")
+		WithField("inFlight", load.InFlight).WithField("errors", load.ErrorRate).WithField("limited", r.limited).WithField("limit", r.rateLimit).WithField("retry", retry).WithError(r.err).Info("attempt ended")
 	return r
 }
 
@@ -173,7 +175,7 @@
 		return result{server: e, err: err}
 	}
 	defer answer.Body.Close()
-	r := result{server: e, status: answer.Status, header: answer.Header, notExecuted: answer.NotExecuted}
+	r := result{server: e, status: answer.Status, header: answer.Header, notExecuted: answer.NotExecuted, rateLimit: answer.RateLimit, limited: answer.Limited}
 	if r.notExecuted {
 		return r
 	}
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -104,6 +104,9 @@
 					return s.classifyAnswer(got.answer, backup)
 				}
 				answer = got.answer
+				if answer.Limited {
+					s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).WithField("limit", answer.RateLimit).Info("server named its limit")
+				}
 				continue
 			}
 			if got.err != nil {
