The limits that backend servers name are divided among the routers

A backend server in need says in its answers how many requests a second it takes from all routers together.

Cause: the header went through to the caller and was no input of the choice of a server. The class: a bound of the whole fleet that each router would have to know its part of. Evidence: 153 of 267 attempts at one server that named 1.9 a second, as before it named it; 21 were retries. Ruled out: each router taking the limit for itself, and retries or hedges as the excess.

decision/ratelimit keeps what servers named last and gives this router its part: a limit is divided among 1 + 2 x limit holders by rendezvous hashing over the live routers (all of them if they are fewer), by their demand in relation to the mean router's, which the routers tell each other already. Each has a token bucket of one request, so that in 4 s they send at most 6 x limit + 1 even if all buckets are full; the rule allows 6 x limit + 5. First attempts, retries, hedges and resumed streams all take from it; backups go to engines without a limit where there are any. If only limits are in the way the caller gets 503 with the time of the next request as Retry-After. Limits and their end travel in the gossip messages: news for 5 s, all of them in every eighth message and in exchange calls. An answer without the header ends a limit only if its request was sent after the limit was last named. Bounds: 1,024 servers, names of 128 bytes, 96 limits a message, 5 min without a confirmation.

--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,9 @@
 	Started int64
 }
 
+// String returns the key as text, which identifies the incarnation among routers.
+func (k Key) String() string { return k.ID + "/" + strconv.FormatInt(k.Started, 10) }
+
 // PromptPart is a part of a prompt, which several requests may share.
 type PromptPart struct {
 	ID     string
--- a/internal/decision/placement/rendezvous.go
+++ b/internal/decision/placement/rendezvous.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"math"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,6 +45,9 @@
 	return rank
 }
 
+// Fraction returns a number from 0 to 1 that differs from name to name and key to key.
+func Fraction(key, name string) float64 { return float64(hashOf(key, name)) / math.MaxUint64 }
+
 // Owner returns the name that Rendezvous puts first for a key, or "" if there are
 // no names.
 func Owner(key string, names []string) string {
--- a/internal/decision/retrybudget/budget.go
+++ b/internal/decision/retrybudget/budget.go
@@ -109,6 +109,19 @@
 	return true
 }
 
+// Demand returns this router's first attempts for a service in relation to those of the
+// mean router: 1 if all have the same.
+func (b *Budget) Demand(service string, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.currentWindow(service, now)
+	own, peers := w.counts().FirstAttempts, w.peerMean.FirstAttempts
+	routers := float64(max(b.cfg.Routers(), 1))
+	mean := (own + (routers-1)*peers) / routers
+	// One attempt more keeps routers with few of them from extremes.
+	return (own + 1) / (mean + 1)
+}
+
 // OwnCounts returns this router's counts by service, which it sends to peers.
 func (b *Budget) OwnCounts(now time.Time) map[string]Counts {
 	b.mu.Lock()
--- a/internal/router/edge/admin.go
+++ b/internal/router/edge/admin.go
@@ -26,9 +26,17 @@
 	StoreReached   time.Time // when the store last answered this router
 	Peers          []gossip.Host
 	Servers        []ServerDump
+	Limits         []ServerLimit // that backend servers named
 	BlockedParts   []BlockedPart // parts of prompts that crash servers
 }
 
+// ServerLimit is the limit that a backend server named.
+type ServerLimit struct {
+	Server    string
+	PerSecond float64 // requests from all routers together
+	At        time.Time
+}
+
 // BlockedPart is a part of prompts that is not sent to servers.
 type BlockedPart struct {
 	Part    string
@@ -62,6 +70,9 @@
 			ID: s.ID, Service: s.Service, Address: s.Address, Domain: s.Domain, Leaving: s.Leaving, State: s.Load.State(now),
 		})
 	}
+	for _, l := range e.limits.Limits(now) {
+		d.Limits = append(d.Limits, ServerLimit{l.Server, l.PerSecond, l.At})
+	}
 	for _, b := range e.quarantine.Blocks(now) {
 		d.BlockedParts = append(d.BlockedParts, BlockedPart(b))
 	}
@@ -81,6 +92,7 @@
 	set.NewGauge("wisteriafield_peers_live", func() float64 { return float64(len(e.gossip.LivePeers(time.Now()))) })
 	set.NewGauge("wisteriafield_requests_active", func() float64 { return float64(e.activeRequests.Load()) })
 	set.NewGauge("wisteriafield_prompt_parts_blocked", func() float64 { return float64(len(e.quarantine.Blocks(time.Now()))) })
+	set.NewGauge("wisteriafield_servers_limited", func() float64 { return float64(len(e.limits.Limits(time.Now()))) })
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		set.WritePrometheus(w)
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -20,6 +20,7 @@
 	"wisteriafield/internal/caller/front"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/link"
+	decision "wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/decision/retrybudget"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/control"
@@ -27,6 +28,7 @@
 	"wisteriafield/internal/router/forward"
 	"wisteriafield/internal/router/gossip"
 	"wisteriafield/internal/router/quarantine"
+	"wisteriafield/internal/router/ratelimit"
 	"wisteriafield/internal/router/relay"
 	"wisteriafield/internal/router/sessions"
 )
@@ -96,6 +98,7 @@
 	elector         *storereader.Elector // used by the follower's goroutine only
 	gossip          *gossip.Gossip
 	quarantine      *quarantine.Guard
+	limits          *ratelimit.Limiter
 	datagrams       atomic.Pointer[gossip.Datagrams]
 	callerServer    *http.Server
 	readinessServer *http.Server
@@ -116,21 +119,24 @@
 	cfg.RetryBudget.Routers = func() int { return 1 + len(e.gossip.LivePeers(time.Now())) }
 	retryBudget := retrybudget.New(cfg.RetryBudget, time.Now())
 	links := link.New()
+	e.limits = ratelimit.New(decision.Config{
+		Self: cfg.Host, Peers: e.peerNames, Demand: retryBudget.Demand, ContactTime: cfg.ContactTime,
+	}, func() { e.gossip.Trigger() }, e.logger("limits"))
 	e.quarantine = quarantine.New(cfg.ContactTime, func() { e.gossip.Trigger() }, e.logger("quarantine"))
 	streams := relay.New(relay.Config{
 		Servers: e.servers, Client: cfg.Client, RetryBudget: retryBudget,
-		Links: links, Domain: cfg.Domain, Sessions: e, Quarantine: e.quarantine, OnUnresponsive: func() { e.gossip.Trigger() },
+		Links: links, Domain: cfg.Domain, Sessions: e, Quarantine: e.quarantine, Limits: e.limits, OnUnresponsive: func() { e.gossip.Trigger() },
 		KnowsLoads: func() bool { return e.gossip.KnowsLoads(time.Now()) }, Log: e.logger("stream"),
 	})
 	e.gossip = gossip.New(gossip.Config{
 		Self: e.self, Seeds: cfg.Seeds, Caller: control.NewClient(""), Datagrams: e, State: e, Servers: e.servers,
-		Sessions: sessions.NewTable(), RetryBudget: retryBudget, Quarantine: e.quarantine, EngineUnresponsive: streams.EngineUnresponsive, Log: e.logger("gossip"),
+		Sessions: sessions.NewTable(), RetryBudget: retryBudget, Quarantine: e.quarantine, Limits: e.limits, EngineUnresponsive: streams.EngineUnresponsive, Log: e.logger("gossip"),
 	})
 	handler := front.New(front.Config{
 		Protocol:     cfg.Protocol,
 		Table:        e.routeTable.Load,
 		Streaming:    streams,
-		NonStreaming: forward.New(forward.Config{Servers: e.servers, Client: cfg.Client, RetryBudget: retryBudget, Quarantine: e.quarantine, Links: links, Domain: cfg.Domain, Log: e.logger("plain")}),
+		NonStreaming: forward.New(forward.Config{Servers: e.servers, Client: cfg.Client, RetryBudget: retryBudget, Quarantine: e.quarantine, Limits: e.limits, Links: links, Domain: cfg.Domain, Log: e.logger("plain")}),
 		RetryBudget:  retryBudget,
 		Accepts:      e.accepts,
 		Stopping:     e.Stopping,
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -124,6 +124,16 @@
 	e.gossip.Add(h)
 }
 
+// peerNames returns the names of the live peers.
+func (e *Edge) peerNames(now time.Time) []string {
+	peers := e.gossip.LivePeers(now)
+	names := make([]string, len(peers))
+	for i, p := range peers {
+		names[i] = p.Name
+	}
+	return names
+}
+
 // AddSeeds adds the addresses of peers to call.
 func (e *Edge) AddSeeds(seeds []string) {
 	for _, address := range seeds {
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -34,7 +34,7 @@
 		if c.delivered > 0 && !c.spendRetry() {
 			return
 		}
-		e := c.f.choose(c.service.Name, c.excluded)
+		e := c.choose()
 		if e == nil {
 			return
 		}
@@ -46,6 +46,13 @@
 	}
 }
 
+// choose picks the server of the next attempt, or nil.
+func (c *call) choose() *registry.Entry {
+	e, retryAt := c.f.choose(c.service.Name, c.excluded)
+	c.retryAt = retryAt
+	return e
+}
+
 // recordResult counts an attempt and keeps its result if it is the best so far.
 func (c *call) recordResult(r result) {
 	c.attempted = true
@@ -76,7 +83,7 @@
 		if retry && !c.spendRetry() {
 			return false
 		}
-		e := c.f.choose(c.service.Name, c.excluded)
+		e := c.choose()
 		if e == nil {
 			return false
 		}
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,6 +59,11 @@
 		ServerLost(req *server.Request, s *server.Server, events int)
 		ServerFinished(req *server.Request)
 	}
+	Limits interface {
+		ObserveAnswer(s *server.Server, a *server.Answer, sentAt time.Time)
+		Take(s *server.Server) bool
+		NextAt(s *server.Server, now time.Time) time.Time
+	}
 	Links  *link.Health
 	Domain string // failure domain of this router
 	Log    *logrus.Entry
@@ -106,8 +112,9 @@
 	c.writeAnswer(w, ctx)
 }
 
-// choose picks a server that is neither leaving nor excluded, or nil.
-func (f *Forwarder) choose(service string, excluded map[server.Key]bool) *registry.Entry {
+// choose picks a server that is neither leaving nor excluded and may get a request, or nil.
+// If only limits are in the way, it returns when the first of them allows a request.
+func (f *Forwarder) choose(service string, excluded map[server.Key]bool) (chosen *registry.Entry, retryAt time.Time) {
 	now := time.Now()
 	var entries []*registry.Entry
 	var candidates []balance.Service
@@ -115,6 +122,10 @@
 		if e.Leaving || excluded[e.Key()] {
 			continue
 		}
+		if next := f.cfg.Limits.NextAt(&e.Server, now); next.IsZero() || next.After(now) {
+			retryAt = earlier(retryAt, next)
+			continue
+		}
 		st := e.Load.State(now)
 		entries = append(entries, e)
 		candidates = append(candidates, balance.Service{
@@ -122,11 +133,25 @@
 			OtherDomain: e.Domain != f.cfg.Domain, StallRate: f.cfg.Links.StallRate(e.Domain, now),
 		})
 	}
-	i := balance.PickService(candidates, rand.Float64())
-	if i < 0 {
-		return nil
+	for {
+		i := balance.PickService(candidates, rand.Float64())
+		if i < 0 {
+			return nil, retryAt
+		}
+		if f.cfg.Limits.Take(&entries[i].Server) {
+			return entries[i], time.Time{}
+		}
+		// Another request has just taken this router's part of the limit.
+		entries, candidates = slices.Delete(entries, i, i+1), slices.Delete(candidates, i, i+1)
+	}
+}
+
+// earlier returns the earlier of two times, of which zero times do not count.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
 	}
-	return entries[i]
+	return a
 }
 
 // runAttempt sends the request to a server, reads the complete answer and updates
@@ -170,10 +195,12 @@
 
 // exchange sends the request and reads the complete answer.
 func (f *Forwarder) exchange(ctx context.Context, req *server.Request, e *registry.Entry) result {
+	sentAt := time.Now()
 	answer, err := f.cfg.Client.Send(ctx, server.Dispatch{Request: req, Server: &e.Server, LastEventID: req.LastEventID})
 	if err != nil {
 		return result{server: e, err: err}
 	}
+	f.cfg.Limits.ObserveAnswer(&e.Server, answer, sentAt)
 	defer answer.Body.Close()
 	r := result{server: e, status: answer.Status, header: answer.Header, notExecuted: answer.NotExecuted, rateLimit: answer.RateLimit, limited: answer.Limited}
 	if r.notExecuted {
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -19,8 +19,10 @@
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/link"
+	decision "wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/router/forward"
 	"wisteriafield/internal/router/quarantine"
+	"wisteriafield/internal/router/ratelimit"
 )
 
 // fakeService is a service of two servers, which answer as its responses say.
@@ -99,10 +101,13 @@
 		all = append(all, server.Server{ID: fmt.Sprintf("i-%d", i), Service: "desk", Address: fmt.Sprintf("10.0.0.%d:1", i+1), Slots: 6})
 	}
 	servers.Set(1, all)
-	servers.Get("i-1").Load.BeginRequest() // so that i-0 is chosen first
+	if second := servers.Get("i-1"); second != nil {
+		second.Load.BeginRequest() // so that i-0 is chosen first
+	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f := forward.New(forward.Config{Servers: servers, Client: s, RetryBudget: fixedBudget(true), Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")), Links: link.New(), Log: log.WithField("part", "plain")})
+	limits := ratelimit.New(decision.Config{Self: "router", Peers: func(time.Time) []string { return nil }, Demand: func(string, time.Time) float64 { return 1 }}, func() {}, log.WithField("part", "limits"))
+	f := forward.New(forward.Config{Servers: servers, Client: s, RetryBudget: fixedBudget(true), Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")), Limits: limits, Links: link.New(), Log: log.WithField("part", "plain")})
 	sessions := 0
 	return func(kind routes.Kind, attempts int, part string) *httptest.ResponseRecorder {
 		res := httptest.NewRecorder()
--- a/internal/router/gossip/fixture_test.go
+++ b/internal/router/gossip/fixture_test.go
@@ -15,11 +15,13 @@
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
+	decision "wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/decision/retrybudget"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/gossip"
 	"wisteriafield/internal/router/quarantine"
+	"wisteriafield/internal/router/ratelimit"
 	"wisteriafield/internal/router/sessions"
 	"wisteriafield/platform/kv"
 )
@@ -84,6 +86,7 @@
 	gossip       *gossip.Gossip
 	servers      *registry.Registry
 	quarantine   *quarantine.Guard
+	limits       *ratelimit.Limiter
 	unresponsive []string // engines that peers reported
 
 	role            storereader.Role
@@ -100,6 +103,15 @@
 	return append([]string(nil), r.unresponsive...)
 }
 
+// peerNames returns the names of the live peers.
+func (r *router) peerNames(now time.Time) []string {
+	var names []string
+	for _, h := range r.gossip.LivePeers(now) {
+		names = append(names, h.Name)
+	}
+	return names
+}
+
 func (r *router) ConfigVersion() int64 { r.mu.Lock(); defer r.mu.Unlock(); return r.version }
 func (r *router) ConfigValue() []byte  { return fmt.Append(nil, r.ConfigVersion()) }
 func (r *router) SetConfig(value []byte, _ string) {
@@ -163,12 +175,14 @@
 		log.SetOutput(io.Discard)
 		for i := range n {
 			r := &router{servers: registry.New(), role: storereader.Idle}
+			r.limits = ratelimit.New(decision.Config{Self: fmt.Sprintf("router-%d", i), Peers: r.peerNames, Demand: func(string, time.Time) float64 { return 1 }}, func() { r.gossip.Trigger() }, log.WithField("part", "limits"))
 			r.quarantine = quarantine.New(0, func() { r.gossip.Trigger() }, log.WithField("part", "quarantine"))
 			r.servers.Set(1, []server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
 			self := gossip.Host{Name: fmt.Sprintf("router-%d", i), Address: fmt.Sprintf("call-%d", i), DatagramAddress: fmt.Sprintf("notice-%d", i)}
 			r.gossip = gossip.New(gossip.Config{
 				Self: self, Seeds: []string{"call-0"}, Caller: net, Datagrams: sender{net, r}, State: r, Servers: r.servers, Sessions: sessions.NewTable(), RetryBudget: retrybudget.New(retrybudget.Config{Window: time.Second, Routers: func() int { return n }}, time.Now()),
 				Quarantine:         r.quarantine,
+				Limits:             r.limits,
 				EngineUnresponsive: func(e *registry.Entry) { r.mu.Lock(); r.unresponsive = append(r.unresponsive, e.ID); r.mu.Unlock() },
 				Log:                log.WithField("part", "gossip"),
 			})
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -32,6 +32,7 @@
 	Sessions    *sessions.Table
 	RetryBudget RetryBudget
 	Quarantine  Quarantine
+	Limits      Limits
 	// EngineUnresponsive is called when a peer reports an engine as unresponsive.
 	EngineUnresponsive func(entry *registry.Entry)
 	Log                *logrus.Entry
--- a/internal/router/gossip/message.go
+++ b/internal/router/gossip/message.go
@@ -27,6 +27,7 @@
 	}
 	m.Attempts = g.cfg.RetryBudget.OwnCounts(now)
 	m.Crashes, m.Survived = encodeCrashes(g.cfg.Quarantine.Report(listPeers, now), now)
+	m.Limits = encodeLimits(g.cfg.Limits.Report(listPeers, now), now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	plan := g.plan()
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -9,6 +9,7 @@
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/decision/quarantine"
+	"wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/decision/retrybudget"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/sessions"
@@ -48,6 +49,8 @@
 	// ms of the last survival of prompt parts.
 	Crashes  []crashRecord    `json:",omitempty"`
 	Survived map[string]int64 `json:",omitempty"`
+	// Limits are those that backend servers named.
+	Limits []limitRecord `json:",omitempty"`
 	// SessionRecord is a record for one of its owners. A message that has one
 	// carries nothing else.
 	SessionRecord *sessions.Record `json:"Run,omitempty"`
@@ -133,6 +136,12 @@
 	Merge(r quarantine.Report, peer string, now time.Time) (changed bool)
 }
 
+// Limits are the limits that backend servers named.
+type Limits interface {
+	Report(all bool, now time.Time) []ratelimit.Limit
+	Merge(limits []ratelimit.Limit, peer string, now time.Time) (changed bool)
+}
+
 // State is the local state that this router sends to peers and updates from them.
 type State interface {
 	ConfigVersion() int64
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -3,7 +3,6 @@
 package quarantine
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -58,7 +57,7 @@
 	}
 	now := time.Now()
 	crashesTotal.Inc()
-	crash := quarantine.Crash{Server: fmt.Sprintf("%s/%d", s.ID, s.Started), Session: req.SessionID(), Parts: req.SharedPartIDs(), At: now}
+	crash := quarantine.Crash{Server: s.Key().String(), Session: req.SessionID(), Parts: req.SharedPartIDs(), At: now}
 	g.log.WithField("id", req.ID).WithField("server", s.ID).WithField("parts", crash.Parts).WithField("events", events).
 		Info("server was lost at the start of an answer")
 	if g.table.RecordCrash(crash, now) {
--- /dev/null
+++ b/internal/router/ratelimit/ratelimit.go
@@ -0,0 +1,87 @@
+// Package ratelimit keeps this router to its part of the limits that backend servers name.
+// It tells the decision what answers say, and logs what changes.
+package ratelimit
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/ratelimit"
+)
+
+var heldBackTotal = metrics.GetOrCreateCounter("wisteriafield_rate_limited_choices_total")
+
+// Limiter is shared by all parts of a router that send requests to backend servers.
+type Limiter struct {
+	table    *ratelimit.Table
+	onChange func() // called when a limit that peers should know of has changed
+	log      *logrus.Entry
+}
+
+// New returns a limiter that knows no limits.
+func New(cfg ratelimit.Config, onChange func(), log *logrus.Entry) *Limiter {
+	return &Limiter{table: ratelimit.New(cfg, time.Now()), onChange: onChange, log: log}
+}
+
+// ObserveAnswer records what an answer of a server says of its limit. The request was sent
+// at sentAt.
+func (l *Limiter) ObserveAnswer(s *server.Server, a *server.Answer, sentAt time.Time) {
+	if a.Mismatched || a.Status == http.StatusMisdirectedRequest {
+		return // another server's answer
+	}
+	if !l.table.ObserveAnswer(s.Key().String(), a.RateLimit, a.Limited, sentAt, time.Now()) {
+		return
+	}
+	l.log.WithField("server", s.ID).WithField("limited", a.Limited).WithField("limit", a.RateLimit).WithField("source", "answer").
+		Info("limit of a server has changed")
+	l.onChange()
+}
+
+// Take takes one request to a server from this router's part of its limit, and reports
+// whether there was one left.
+func (l *Limiter) Take(s *server.Server) bool {
+	if l.table.Empty() || l.table.Take(s.Key().String(), s.Service, time.Now()) {
+		return true
+	}
+	heldBackTotal.Inc()
+	return false
+}
+
+// NextAt returns when this router may send a server its next request: now or before if it
+// may at once, and the zero time if it may not send it any.
+func (l *Limiter) NextAt(s *server.Server, now time.Time) time.Time {
+	if l.table.Empty() {
+		return now
+	}
+	return l.table.NextAt(s.Key().String(), s.Service, now)
+}
+
+// Allows reports whether this router may send a server a request at once.
+func (l *Limiter) Allows(s *server.Server, now time.Time) bool {
+	next := l.NextAt(s, now)
+	return !next.IsZero() && !next.After(now)
+}
+
+// Limited reports whether a server has named a limit that holds.
+func (l *Limiter) Limited(s *server.Server, now time.Time) bool {
+	return !l.table.Empty() && l.table.Limited(s.Key().String(), now)
+}
+
+// Report returns what peers are told. With all, it includes older limits that still hold.
+func (l *Limiter) Report(all bool, now time.Time) []ratelimit.Limit { return l.table.Report(all, now) }
+
+// Merge records what a peer told, and reports whether a limit has changed.
+func (l *Limiter) Merge(limits []ratelimit.Limit, peer string, now time.Time) (changed bool) {
+	changed = l.table.Merge(limits, now)
+	if changed {
+		l.log.WithField("source", peer).WithField("limits", len(l.table.Limits(now))).Info("limits of servers have changed")
+	}
+	return changed
+}
+
+// Limits returns the limits that hold.
+func (l *Limiter) Limits(now time.Time) []ratelimit.Limit { return l.table.Limits(now) }
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -91,7 +91,8 @@
 
 	domainAlert := make(chan time.Time, 1)
 	defer s.relay.listeners.add(target.Domain, domainAlert)()
-	detector := suspicion.NewDetector(s.timeouts(), time.Now())
+	sentAt := time.Now()
+	detector := suspicion.NewDetector(s.timeouts(), sentAt)
 	arrivals := s.relay.cfg.Links.ObserveStream(target.Domain)
 	reports := make(chan server.Report, 4)
 	timer := time.NewTimer(0)
@@ -100,13 +101,11 @@
 		select {
 		case got := <-reads:
 			if got.answer != nil {
+				s.relay.cfg.Limits.ObserveAnswer(&target.Server, got.answer, sentAt)
 				if got.answer.Status != http.StatusOK || !got.answer.Signed || got.answer.Mismatched {
 					return s.classifyAnswer(got.answer, backup)
 				}
 				answer = got.answer
-				if answer.Limited {
-					s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).WithField("limit", answer.RateLimit).Info("server named its limit")
-				}
 				continue
 			}
 			if got.err != nil {
--- a/internal/router/relay/backup.go
+++ b/internal/router/relay/backup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"wisteriafield/internal/backend/registry"
@@ -54,7 +55,17 @@
 	for k := range s.excluded {
 		excluded[k] = true
 	}
-	e := s.relay.choose(ctx, s.service, s.req, excluded, target.Domain, s.lostDomain).entry
+	// A stream that resumes from a backup is one more request to that engine.
+	unlimited := maps.Clone(excluded)
+	for _, e := range s.relay.cfg.Servers.Service(s.service.Name) {
+		if s.relay.cfg.Limits.Limited(&e.Server, time.Now()) {
+			unlimited[e.Key()] = true
+		}
+	}
+	e := s.relay.choose(ctx, s.service, s.req, unlimited, target.Domain, s.lostDomain).entry
+	if e == nil && len(unlimited) > len(excluded) {
+		e = s.relay.choose(ctx, s.service, s.req, excluded, target.Domain, s.lostDomain).entry
+	}
 	if e != nil {
 		s.releaseBackupTokens = e.Load.ReserveBackup(s.req.PromptTokens)
 	}
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -20,7 +20,9 @@
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/link"
+	decision "wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/router/quarantine"
+	"wisteriafield/internal/router/ratelimit"
 	"wisteriafield/internal/router/relay"
 	"wisteriafield/internal/router/sessions"
 )
@@ -42,18 +44,19 @@
 
 // engineFaults says what goes wrong at an engine.
 type engineFaults struct {
-	breakAfter      int  // the connection breaks after this many events of an attempt
-	unresponsive    bool // with breakAfter, the connection goes silent; probes are not answered
-	losesConnection bool // the connection breaks at once
-	refuses         bool // for lack of capacity
-	replaced        bool // another incarnation has the address
-	waiting         int  // queued requests of other routers
-	errorBytes      int  // answers with a failure of that size
-	drips           bool // sends a byte now and then, never a whole event
-	closeDelimited  bool // answers have neither a length nor chunks
-	closesAfter     int  // closes the connection, as if the answer were whole, after this many events
-	cutsEvent       bool // with closesAfter, within the next event
-	lostAttempt     bool // does not have the attempt and sends nothing, but answers probes
+	breakAfter      int     // the connection breaks after this many events of an attempt
+	unresponsive    bool    // with breakAfter, the connection goes silent; probes are not answered
+	losesConnection bool    // the connection breaks at once
+	refuses         bool    // for lack of capacity
+	replaced        bool    // another incarnation has the address
+	waiting         int     // queued requests of other routers
+	errorBytes      int     // answers with a failure of that size
+	drips           bool    // sends a byte now and then, never a whole event
+	closeDelimited  bool    // answers have neither a length nor chunks
+	closesAfter     int     // closes the connection, as if the answer were whole, after this many events
+	cutsEvent       bool    // with closesAfter, within the next event
+	limit           float64 // that it names in its answers; 0 for none
+	lostAttempt     bool    // does not have the attempt and sends nothing, but answers probes
 }
 
 func (e *fakeEngines) Send(ctx context.Context, d server.Dispatch) (*server.Answer, error) {
@@ -88,7 +91,7 @@
 	} else {
 		go e.generate(ctx, w, d, f)
 	}
-	return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: r, CloseDelimited: f.closeDelimited}, nil
+	return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: r, CloseDelimited: f.closeDelimited, Limited: f.limit > 0, RateLimit: f.limit}, nil
 }
 
 // drip writes a byte every 100 ms until ctx ends.
@@ -216,6 +219,7 @@
 	servers  *registry.Registry
 	relay    *relay.Relay
 	sessions sessionTable
+	limits   *ratelimit.Limiter
 	service  routes.Service
 	route    routes.Route
 
@@ -234,9 +238,11 @@
 	h.setServers(nil)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	h.limits = ratelimit.New(decision.Config{Self: "router", Peers: func(time.Time) []string { return nil }, Demand: func(string, time.Time) float64 { return 1 }}, func() {}, log.WithField("part", "limits"))
 	h.relay = relay.New(relay.Config{
 		Servers: h.servers, Client: h.engines, RetryBudget: unlimitedBudget{}, Links: link.New(), Domain: "a", Sessions: h.sessions, OnUnresponsive: func() {},
 		Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")),
+		Limits:     h.limits,
 		KnowsLoads: func() bool { return !h.loadsUnknown }, Log: log.WithField("part", "stream"),
 	})
 	return h
--- /dev/null
+++ b/internal/router/relay/ratelimit_test.go
@@ -0,0 +1,59 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/backend/server"
+)
+
+// limitEngines gives each engine a limit, and serves a stream at each until it is known.
+func (h *harness) limitEngines(limit float64) {
+	for i := range 3 {
+		h.engines.faults[fmt.Sprintf("i-%d", i)] = engineFaults{limit: limit}
+	}
+	for i := range 12 {
+		h.serve(h.newRequestOf(fmt.Sprintf("warm-%d", i), "system"))
+	}
+}
+
+// Engines that named a limit got streams, retries and resumed streams as before.
+func TestEnginesGetNoMoreStreamsThanTheLimitsThatTheyName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.limitEngines(0.5)
+		before := len(h.engines.dispatched())
+		startedAt := time.Now()
+		refused := 0
+		for i := range 40 {
+			res, _ := h.serve(h.newRequestOf(fmt.Sprintf("own-%d", i), "system"))
+			if res.Code == http.StatusServiceUnavailable {
+				refused++
+				h.Expect(res.Header().Get("Retry-After")).NotTo(BeEmpty())
+				time.Sleep(200 * time.Millisecond)
+			}
+		}
+		seconds := time.Since(startedAt).Seconds()
+		h.Expect(refused).To(BeNumerically(">", 10))
+		h.Expect(float64(len(h.engines.dispatched()) - before)).To(BeNumerically("<=", 3*(0.5*seconds+1)))
+	})
+}
+
+// A backup at an engine that may get no more requests is of no use.
+func TestBackupsAreKeptByEnginesWithoutALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.limits.ObserveAnswer(&h.servers.Get("i-1").Server, &server.Answer{Limited: true, RateLimit: 5}, time.Now())
+		for i := range 10 {
+			h.serve(h.newRequestOf(fmt.Sprintf("own-%d", i), "system"))
+		}
+		for _, d := range h.engines.dispatched() {
+			h.Expect(d.BackupServer.ID).NotTo(Equal("i-1"))
+		}
+	})
+}
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -61,6 +61,14 @@
 	ServerFinished(req *server.Request)
 }
 
+// Limits are the limits that engines name.
+type Limits interface {
+	ObserveAnswer(s *server.Server, a *server.Answer, sentAt time.Time)
+	Take(s *server.Server) bool
+	NextAt(s *server.Server, now time.Time) time.Time
+	Limited(s *server.Server, now time.Time) bool
+}
+
 // Config holds the settings and dependencies of a Relay.
 type Config struct {
 	Servers     *registry.Registry
@@ -70,6 +78,7 @@
 	}
 	Sessions   Sessions
 	Quarantine Quarantine
+	Limits     Limits
 	// OnUnresponsive is called when this router found an engine unresponsive, so that
 	// peers are notified.
 	OnUnresponsive func()
@@ -127,6 +136,9 @@
 		if e.Leaving || excluded[e.Key()] {
 			continue
 		}
+		if next := r.cfg.Limits.NextAt(&e.Server, now); next.IsZero() || next.After(now) {
+			continue
+		}
 		st := e.Load.State(now)
 		c := balance.Engine{
 			Domain: e.Domain, Running: st.Running, Slots: e.Slots, QueuedTokens: st.QueuedTokens, UsedTokens: st.UsedTokens,
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -98,19 +98,24 @@
 		s.backupAddress = ""
 		// The engine is looked up by address: it may be leaving or gone by now, or have
 		// restarted before the backup was sent, so that its new incarnation has it.
-		if engine := s.usableEngineAt(address); engine != nil {
+		if engine := s.usableEngineAt(address); engine != nil && s.relay.cfg.Limits.Take(&engine.Server) {
 			ref := s.backupRef
 			return engine, &ref
 		}
 	}
 	if e := s.promptEngine; e != nil {
 		s.promptEngine = nil
-		if current := s.usableEngineAt(e.Address); current != nil && current.Key() == e.Key() && s.service.Engine != nil && s.relay.isAlive(ctx, current) {
+		if current := s.usableEngineAt(e.Address); current != nil && current.Key() == e.Key() && s.service.Engine != nil && s.relay.isAlive(ctx, current) && s.relay.cfg.Limits.Take(&current.Server) {
 			return current, nil
 		}
 	}
-	s.choice = s.relay.choose(ctx, s.service, s.req, s.excluded, s.lostDomain)
-	return s.choice.entry, nil
+	for {
+		s.choice = s.relay.choose(ctx, s.service, s.req, s.excluded, s.lostDomain)
+		if s.choice.entry == nil || s.relay.cfg.Limits.Take(&s.choice.entry.Server) {
+			return s.choice.entry, nil
+		}
+		// Another stream has just taken this router's part of the engine's limit.
+	}
 }
 
 // usableEngineAt returns the engine at an address if it can get work, or nil.
@@ -259,7 +264,7 @@
 	refusedTotal.Inc()
 	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("reason", reason).WithField("config", s.req.ConfigVersion).
 		WithField("servers", s.relay.cfg.Servers.Revision()).Info("request refused")
-	s.w.Header().Set("Retry-After", retryAfterSeconds)
+	s.w.Header().Set("Retry-After", s.relay.retryAfter(s.service.Name, time.Now()))
 	s.w.WriteHeader(http.StatusServiceUnavailable)
 }
 
