Limited engines are used while their limits allow it, and news of limits stays short

Cause, first: a limit of 0.11 a second has one holder of 195, whose streams chose among 47 engines without a limit and the one that it held, so the limited ones stayed idle and the others had three times their load. An engine whose limit allows this router a request now is marked as reserved and is preferred by the time that a long queue takes. Second: each change of a limit triggered an exchange at each router that heard of it, with up to 96 limits.

--- a/internal/decision/balance/engine.go
+++ b/internal/decision/balance/engine.go
@@ -29,6 +29,9 @@
 	// otherDomainCostMs is the cost of another failure domain: traffic between domains
 	// is charged for, and their links may lose packets before that is known.
 	otherDomainCostMs = 500.0
+	// reservedCostMs makes up for a long queue: what reserved engines do not get goes to
+	// the few that have no limit.
+	reservedCostMs = -3_000.0
 	// jitterMs is the random cost that breaks ties between equal candidates.
 	jitterMs = 40.0
 	// sampleJitterMs and sampleOtherDomainCostMs replace jitterMs and otherDomainCostMs
@@ -52,6 +55,9 @@
 	ErrorRate    float64 // fraction of recent generations whose answers were lost
 	Down         bool    // not to be used, since it failed
 	Full         bool    // refused a request for lack of capacity
+	// Reserved means that the engine limits its requests, and that this router's part of
+	// the limit allows one, which no other router can use.
+	Reserved bool
 }
 
 // PickEngine returns the index of the engine for a generation, or -1. Long prompts
@@ -82,6 +88,9 @@
 		if c.OtherDomain {
 			cost += sampleOtherDomainCostMs
 		}
+		if c.Reserved {
+			cost += reservedCostMs
+		}
 		if slices.Contains(avoid, c.Domain) {
 			cost += noCapacityCostMs / 2
 		}
@@ -137,6 +146,9 @@
 	if c.OtherDomain {
 		cost += otherDomainCostMs
 	}
+	if c.Reserved {
+		cost += reservedCostMs
+	}
 	cost += capacityCost(c, prompt, output)
 	return cost
 }
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -29,9 +29,7 @@
 	// fleet that relays it from peer to peer. maxNewsAge is how old a crash may be as news.
 	newsTime   = 5 * time.Second
 	maxNewsAge = 15 * time.Second
-	// maxNews and maxReported bound the crashes in one message, and maxSurvived the parts.
-	maxNews     = 12
-	maxReported = 24
+	// maxSurvived bounds the parts in a message that are said to have survived.
 	maxSurvived = 16
 )
 
@@ -137,16 +135,12 @@
 	return blocks
 }
 
-// Report returns the news for a message to peers, the strongest evidence first. With all,
-// it also returns the crashes behind the current blocks, for routers that have started
-// since or missed the news.
-func (t *Table) Report(all bool, now time.Time) Report {
+// Report returns the news for a message to peers, with at most n crashes, the strongest
+// evidence first. With all, the crashes behind the current blocks are among them, for
+// routers that have started since or missed the news.
+func (t *Table) Report(n int, all bool, now time.Time) Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	limit := maxNews
-	if all {
-		limit = maxReported
-	}
 	var crashes []knownCrash
 	for _, c := range t.crashes.list {
 		if c.isNews(now) || all && t.explained(c.Crash, now) {
@@ -155,7 +149,7 @@
 	}
 	t.sortByEvidence(crashes, now)
 	r := Report{Survived: t.survivals.recent(now)}
-	for _, c := range crashes[:min(len(crashes), limit)] {
+	for _, c := range crashes[:min(len(crashes), n)] {
 		r.Crashes = append(r.Crashes, c.Crash)
 	}
 	return r
--- a/internal/decision/ratelimit/ratelimit.go
+++ b/internal/decision/ratelimit/ratelimit.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -31,11 +32,8 @@
 	// membersTTL is how long a list of the live routers is used.
 	membersTTL = time.Second
 
-	// newsTime is how long news is sent with every message, maxNews bounds it, and
-	// maxReported the limits in a message that has all.
-	newsTime    = 5 * time.Second
-	maxNews     = 32
-	maxReported = 96
+	// newsTime is how long news is sent with every message.
+	newsTime = 5 * time.Second
 	// sameLimit is the relative change below which a limit stays the same.
 	sameLimit = 0.02
 	// clockError is how much later the same news may seem after it was relayed.
@@ -193,15 +191,12 @@
 	return limits
 }
 
-// Report returns the news for a message to peers, the newest first. With all, older limits
-// that still hold follow, for routers that have started since or missed the news.
-func (t *Table) Report(all bool, now time.Time) []Limit {
+// Report returns at most n limits for a message to peers, drawn at random: news, and with
+// all, also older limits that still hold, for routers that have started since or missed the
+// news.
+func (t *Table) Report(n int, all bool, now time.Time) []Limit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maxSent := maxNews
-	if all {
-		maxSent = maxReported
-	}
 	var told []*entry
 	for name, e := range t.entries {
 		if now.Sub(e.At) > limitTTL {
@@ -212,9 +207,9 @@
 			told = append(told, e)
 		}
 	}
-	slices.SortFunc(told, func(a, b *entry) int { return b.learnedAt.Compare(a.learnedAt) })
+	rand.Shuffle(len(told), func(i, j int) { told[i], told[j] = told[j], told[i] })
 	var limits []Limit
-	for _, e := range told[:min(len(told), maxSent)] {
+	for _, e := range told[:min(len(told), n)] {
 		limits = append(limits, e.Limit)
 	}
 	return limits
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -121,7 +121,7 @@
 	links := link.New()
 	e.limits = ratelimit.New(decision.Config{
 		Self: cfg.Host, Peers: e.peerNames, Demand: retryBudget.Demand, ContactTime: cfg.ContactTime,
-	}, func() { e.gossip.Trigger() }, e.logger("limits"))
+	}, e.logger("limits"))
 	e.quarantine = quarantine.New(cfg.ContactTime, func() { e.gossip.Trigger() }, e.logger("quarantine"))
 	streams := relay.New(relay.Config{
 		Servers: e.servers, Client: cfg.Client, RetryBudget: retryBudget,
--- a/internal/router/gossip/message.go
+++ b/internal/router/gossip/message.go
@@ -26,8 +26,9 @@
 		m.StoreAgeMs = now.Sub(at).Milliseconds()
 	}
 	m.Attempts = g.cfg.RetryBudget.OwnCounts(now)
-	m.Crashes, m.Survived = encodeCrashes(g.cfg.Quarantine.Report(listPeers, now), now)
-	m.Limits = encodeLimits(g.cfg.Limits.Report(listPeers, now), now)
+	news := g.maxNews(now)
+	m.Crashes, m.Survived = encodeCrashes(g.cfg.Quarantine.Report(news, listPeers, now), now)
+	m.Limits = encodeLimits(g.cfg.Limits.Report(news, listPeers, now), now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	plan := g.plan()
@@ -48,6 +49,16 @@
 	return m
 }
 
+// maxNews returns how much news a message may carry now.
+func (g *Gossip) maxNews(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.announces(now) && !g.plan().FullMesh {
+		return maxAnnouncedNews
+	}
+	return maxNews
+}
+
 // livePeers returns the peers that have a recent heartbeat and are not stopping. The
 // caller holds mu.
 func (g *Gossip) livePeers(plan dissemination.Plan, now time.Time) []*peer {
--- a/internal/router/gossip/receive.go
+++ b/internal/router/gossip/receive.go
@@ -20,8 +20,8 @@
 	if len(m.Crashes)+len(m.Survived) > 0 && g.cfg.Quarantine.Merge(decodeCrashes(m, now), m.Host.Name, now) {
 		g.Trigger()
 	}
-	if len(m.Limits) > 0 && g.cfg.Limits.Merge(decodeLimits(m.Limits, now), m.Host.Name, now) {
-		g.Trigger()
+	if len(m.Limits) > 0 {
+		g.cfg.Limits.Merge(decodeLimits(m.Limits, now), m.Host.Name, now)
 	}
 	if m.Version > g.cfg.State.ConfigVersion() && g.pullingConfig.CompareAndSwap(false, true) {
 		go func() {
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -110,6 +110,10 @@
 	loadTTL     = 2 * time.Second
 	// maxPaces bounds the engines whose pace one message of a large fleet holds.
 	maxPaces = 12
+	// maxNews bounds the crashes and the limits in one message, and maxAnnouncedNews those
+	// in a message to all peers of a large fleet.
+	maxNews          = 16
+	maxAnnouncedNews = 4
 	// maxListedPeers bounds the peers listed in one message. One in
 	// datagramsPerPeerList datagrams lists peers; exchange calls, by which routers
 	// discover each other, always do.
@@ -132,14 +136,14 @@
 
 // Quarantine is what the routers know of prompts that crash servers.
 type Quarantine interface {
-	Report(all bool, now time.Time) quarantine.Report
+	Report(n int, all bool, now time.Time) quarantine.Report
 	Merge(r quarantine.Report, peer string, now time.Time) (changed bool)
 }
 
 // Limits are the limits that backend servers named.
 type Limits interface {
-	Report(all bool, now time.Time) []ratelimit.Limit
-	Merge(limits []ratelimit.Limit, peer string, now time.Time) (changed bool)
+	Report(n int, all bool, now time.Time) []ratelimit.Limit
+	Merge(limits []ratelimit.Limit, peer string, now time.Time)
 }
 
 // State is the local state that this router sends to peers and updates from them.
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -86,8 +86,11 @@
 	}
 }
 
-// Report returns what peers are told. With all, it includes older crashes that still matter.
-func (g *Guard) Report(all bool, now time.Time) quarantine.Report { return g.table.Report(all, now) }
+// Report returns what peers are told, with at most n crashes. With all, older ones that
+// still matter are among them.
+func (g *Guard) Report(n int, all bool, now time.Time) quarantine.Report {
+	return g.table.Report(n, all, now)
+}
 
 // Merge records what a peer told, and reports whether the blocked parts have changed.
 func (g *Guard) Merge(r quarantine.Report, peer string, now time.Time) (changed bool) {
--- a/internal/router/ratelimit/ratelimit.go
+++ b/internal/router/ratelimit/ratelimit.go
@@ -17,14 +17,13 @@
 
 // Limiter is shared by all parts of a router that send requests to backend servers.
 type Limiter struct {
-	table    *ratelimit.Table
-	onChange func() // called when a limit that peers should know of has changed
-	log      *logrus.Entry
+	table *ratelimit.Table
+	log   *logrus.Entry
 }
 
 // New returns a limiter that knows no limits.
-func New(cfg ratelimit.Config, onChange func(), log *logrus.Entry) *Limiter {
-	return &Limiter{table: ratelimit.New(cfg, time.Now()), onChange: onChange, log: log}
+func New(cfg ratelimit.Config, log *logrus.Entry) *Limiter {
+	return &Limiter{table: ratelimit.New(cfg, time.Now()), log: log}
 }
 
 // ObserveAnswer records what an answer of a server says of its limit. The request was sent
@@ -38,7 +37,6 @@
 	}
 	l.log.WithField("server", s.ID).WithField("limited", a.Limited).WithField("limit", a.RateLimit).WithField("source", "answer").
 		Info("limit of a server has changed")
-	l.onChange()
 }
 
 // Take takes one request to a server from this router's part of its limit, and reports
@@ -71,16 +69,17 @@
 	return !l.table.Empty() && l.table.Limited(s.Key().String(), now)
 }
 
-// Report returns what peers are told. With all, it includes older limits that still hold.
-func (l *Limiter) Report(all bool, now time.Time) []ratelimit.Limit { return l.table.Report(all, now) }
+// Report returns at most n limits to tell peers. With all, older ones that still hold are
+// among them.
+func (l *Limiter) Report(n int, all bool, now time.Time) []ratelimit.Limit {
+	return l.table.Report(n, all, now)
+}
 
-// Merge records what a peer told, and reports whether a limit has changed.
-func (l *Limiter) Merge(limits []ratelimit.Limit, peer string, now time.Time) (changed bool) {
-	changed = l.table.Merge(limits, now)
-	if changed {
+// Merge records what a peer told.
+func (l *Limiter) Merge(limits []ratelimit.Limit, peer string, now time.Time) {
+	if l.table.Merge(limits, now) {
 		l.log.WithField("source", peer).WithField("limits", len(l.table.Limits(now))).Info("limits of servers have changed")
 	}
-	return changed
 }
 
 // Limits returns the limits that hold.
--- a/internal/router/relay/ratelimit_test.go
+++ b/internal/router/relay/ratelimit_test.go
@@ -48,6 +48,7 @@
 func TestBackupsAreKeptByEnginesWithoutALimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
+		h.engines.faults["i-1"] = engineFaults{limit: 5}
 		h.limits.ObserveAnswer(&h.servers.Get("i-1").Server, &server.Answer{Limited: true, RateLimit: 5}, time.Now())
 		for i := range 10 {
 			h.serve(h.newRequestOf(fmt.Sprintf("own-%d", i), "system"))
@@ -57,3 +58,28 @@
 		}
 	})
 }
+
+// Few routers hold a part of a limit, and what they do not use nobody does. On a large fleet
+// the engines without a limit were overloaded while those with one were idle.
+func TestStreamsGoToLimitedEnginesWhileTheirLimitsAllowIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		for i := range 2 {
+			id := fmt.Sprintf("i-%d", i)
+			h.engines.faults[id] = engineFaults{limit: 0.2}
+			h.limits.ObserveAnswer(&h.servers.Get(id).Server, &server.Answer{Limited: true, RateLimit: 0.2}, time.Now())
+		}
+		startedAt := time.Now()
+		for i := range 40 {
+			h.serve(h.newRequestOf(fmt.Sprintf("own-%d", i), "system"))
+			time.Sleep(500 * time.Millisecond)
+		}
+		atLimited := 0
+		for _, id := range h.engines.sentTo() {
+			if id != "i-2" {
+				atLimited++
+			}
+		}
+		h.Expect(float64(atLimited)).To(BeNumerically(">=", 2*0.2*time.Since(startedAt).Seconds()-2))
+	})
+}
