--- a/internal/decision/ratelimit/ratelimit_test.go
+++ b/internal/decision/ratelimit/ratelimit_test.go
@@ -99,6 +99,18 @@
 	g.Expect(table.NextAt("e2", "desk", at(10))).To(Equal(at(10)), "a server without a limit")
 }
 
+// The choice of an engine is repeated until it can be taken.
+func TestWhatMayBeSentNowCanBeTaken(t *testing.T) {
+	g := NewWithT(t)
+	table := newTable(1)
+	table.ObserveAnswer("e1", 5e6, true, at(0), at(0))
+	for i := range 100_000 {
+		now := at(1).Add(time.Duration(i))
+		allowed := !table.NextAt("e1", "desk", now).After(now)
+		g.Expect(table.Take("e1", "desk", now)).To(Equal(allowed))
+	}
+}
+
 func TestMergeTakesTheNewest(t *testing.T) {
 	limit := func(perSecond, seconds float64, lifted bool) ratelimit.Limit {
 		return ratelimit.Limit{Server: "e1", PerSecond: perSecond, Lifted: lifted, At: at(seconds)}
--- a/internal/decision/ratelimit/share.go
+++ b/internal/decision/ratelimit/share.go
@@ -51,6 +51,8 @@
 	if s.rate == 0 {
 		return time.Time{}
 	}
-	missing := max(1-s.tokens, 0)
-	return now.Add(time.Duration(missing / s.rate * float64(time.Second)))
+	if s.tokens >= oneToken {
+		return now
+	}
+	return now.Add(max(time.Duration((1-s.tokens)/s.rate*float64(time.Second)), time.Nanosecond))
 }
