--- /dev/null
+++ b/internal/router/relay/target.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/backend/server"
+)
+
+// nextTarget chooses the engine of the next attempt, and the backup to resume from, if
+// any. An engine that has the backup comes first, then one that has the prompt cached.
+func (s *stream) nextTarget(ctx context.Context) (*registry.Entry, *server.KVBackup) {
+	s.choice = choice{}
+	if address := s.backupAddress; address != "" {
+		s.backupAddress = ""
+		// The engine is looked up by address: it may be leaving or gone by now, or have
+		// restarted before the backup was sent, so that its new incarnation has it.
+		if engine := s.usableEngineAt(address); engine != nil && s.relay.cfg.Limits.Take(&engine.Server) {
+			ref := s.backupRef
+			return engine, &ref
+		}
+	}
+	if e := s.promptEngine; e != nil {
+		s.promptEngine = nil
+		if current := s.usableEngineAt(e.Address); current != nil && current.Key() == e.Key() && s.service.Engine != nil && s.relay.isAlive(ctx, current) && s.relay.cfg.Limits.Take(&current.Server) {
+			return current, nil
+		}
+	}
+	for {
+		s.choice = s.relay.choose(ctx, s.service, s.req, s.excluded, s.lostDomain)
+		if s.choice.entry == nil || s.relay.cfg.Limits.Take(&s.choice.entry.Server) {
+			return s.choice.entry, nil
+		}
+		// Another stream has just taken this router's part of the engine's limit.
+	}
+}
+
+// usableEngineAt returns the engine at an address if it can get work, or nil.
+func (s *stream) usableEngineAt(address string) *registry.Entry {
+	engine := s.relay.cfg.Servers.ByAddress(address)
+	if engine == nil || engine.Service != s.service.Name || engine.Leaving || engine.Load.State(time.Now()).Down {
+		return nil
+	}
+	return engine
+}
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -66,6 +66,10 @@
 mutant resumes-for-ever $d/admission/queue.go 'maxConsecutiveResumes = 4' 'maxConsecutiveResumes = 4000' ./$d/admission
 mutant bucket-without-bound $d/limit/bucket.go 'math.Max(0, math.Min(want, b.Level))' 'want' ./$d/limit
 mutant hoard-the-limit internal/router/limits/limits.go 'refill = !state.refilling' 'refill = true' ./internal/router/limits
+mutant quarantine-no-survivals $d/quarantine/quarantine.go 'if !t.survivals.record(part, at) || !suspected {' 'if !suspected || true {' "./$d/quarantine -run 'Blocks|Survival'"
+mutant quarantine-two-servers $d/quarantine/quarantine.go 'minServers  = 3' 'minServers  = 2' "./$d/quarantine -run Blocks"
+mutant limit-for-each-router $d/ratelimit/ratelimit.go 'limit/float64(n)*min' 'limit*min' "./$d/ratelimit -run Fleet"
+mutant limit-for-ever $d/ratelimit/ratelimit.go 'e.Lifted || !sentAt.After(e.At)' 'true' "./$d/ratelimit -run LimitEnds"
 mutant not-run-after-a-start $d/resume/machine.go 'm.started = true }' '}' ./$d/resume
 mutant resume-on-the-lost $d/resume/machine.go 'm.avoid = e.Server' 'm.avoid = ""' ./$d/resume
 mutant change-without-draining $d/plan/plan.go 'if e.Running > 0 ||' 'if' ./$d/plan
