forward: Retry-After of refused plain requests is never 0

Read in the diff: the time of a limit's next request was rounded to tenths, so a caller that was refused 40 ms before it came back at once and used up its retry. It is at least 50 ms, as for other refusals, with two decimals.

--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -156,11 +156,11 @@
 		refusedTotal.Inc()
 		c.f.cfg.Log.WithField("id", c.req.ID).WithField("refusals", c.refusals).WithField("config", c.req.ConfigVersion).
 			WithField("servers", c.f.cfg.Servers.Revision()).Info("request refused")
-		retryAfter := retryAfterSeconds
+		wait := minRetryAfter
 		if !c.retryAt.IsZero() {
-			retryAfter = strconv.FormatFloat(time.Until(c.retryAt).Seconds(), 'f', 1, 64)
+			wait = max(wait, time.Until(c.retryAt))
 		}
-		w.Header().Set("Retry-After", retryAfter)
+		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case ctx.Err() != nil:
 		c.writeFailure(w, http.StatusGatewayTimeout)
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -38,8 +38,8 @@
 	// idempotent request is hedged at a second server; most answers have arrived by
 	// then.
 	hedgeDelayFactor = 0.45
-	// retryAfterSeconds is the Retry-After header of a refused request.
-	retryAfterSeconds = "0.05"
+	// minRetryAfter is the least Retry-After of a refused request.
+	minRetryAfter = 50 * time.Millisecond
 )
 
 // Client sends requests to backend servers.
