--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -183,6 +183,20 @@
 	return append([]server.Dispatch(nil), e.dispatches...)
 }
 
+// setFaults replaces the faults of all engines, which probes may be reading.
+func (e *fakeEngines) setFaults(faults map[string]engineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+}
+
+// probed returns the number of reports that were requested.
+func (e *fakeEngines) probed() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.probes
+}
+
 func (e *fakeEngines) sentTo() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -265,16 +279,6 @@
 	}
 }
 
-// newRequestOf returns a request of a session with the given shared parts in its prompt.
-func (h *harness) newRequestOf(session string, shared ...string) *server.Request {
-	req := h.newRequest(0)
-	req.ID, req.PromptParts = "r-"+session, nil
-	for _, id := range append(shared, session) {
-		req.PromptParts = append(req.PromptParts, server.PromptPart{ID: id, Tokens: 5000 / (len(shared) + 1)})
-	}
-	return req
-}
-
 // serve answers a request and reports whether the connection was cut.
 func (h *harness) serve(req *server.Request) (res *httptest.ResponseRecorder, cut bool) {
 	res = httptest.NewRecorder()
--- a/internal/router/relay/quarantine_test.go
+++ b/internal/router/relay/quarantine_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/backend/server"
 )
 
 // Each request with such a part was sent to one engine after the other.
@@ -40,7 +42,7 @@
 			h.serve(h.newRequestOf(fmt.Sprintf("own-%d", i), "system", "deadly"))
 		}
 		time.Sleep(time.Second) // the checks of the lost engines' failure domains end
-		dispatches, probes := len(h.engines.dispatched()), h.engines.probes
+		dispatches, probes := len(h.engines.dispatched()), h.engines.probed()
 		req := h.newRequestOf("own-9", "system", "deadly")
 		req.LastEventID = 3
 		res, cut := h.serve(req)
@@ -48,7 +50,7 @@
 		h.Expect(res.Code).To(Equal(http.StatusServiceUnavailable), "it has not run")
 		h.Expect(res.Header().Get("Retry-After")).To(Equal("299.0"), "when the part is tried again")
 		h.Expect(h.engines.dispatched()).To(HaveLen(dispatches))
-		h.Expect(h.engines.probes).To(Equal(probes))
+		h.Expect(h.engines.probed()).To(Equal(probes))
 	})
 }
 
@@ -62,8 +64,18 @@
 		for i := range 6 {
 			h.serve(h.newRequestOf(fmt.Sprintf("own-%d", i), "system", "doc"))
 		}
-		h.engines.faults = map[string]engineFaults{}
+		h.engines.setFaults(map[string]engineFaults{})
 		res, _ := h.serve(h.newRequestOf("own-9", "system", "doc"))
 		h.Expect(res.Code).To(Equal(http.StatusOK))
 	})
 }
+
+// newRequestOf returns a request of a session with the given shared parts in its prompt.
+func (h *harness) newRequestOf(session string, shared ...string) *server.Request {
+	req := h.newRequest(0)
+	req.ID, req.PromptParts = "r-"+session, nil
+	for _, id := range append(shared, session) {
+		req.PromptParts = append(req.PromptParts, server.PromptPart{ID: id, Tokens: 5000 / (len(shared) + 1)})
+	}
+	return req
+}
