--- a/internal/router/configure/follower.go
+++ b/internal/router/configure/follower.go
@@ -20,6 +20,7 @@
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/config/manifest"
 	"wisteriafield/internal/decision/invariant"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/platform/hosts"
 	"wisteriafield/internal/router/members"
 	"wisteriafield/platform/kv"
@@ -43,7 +44,7 @@
 // Store is the part of the platform's store that a follower needs.
 type Store interface {
 	Get(ctx context.Context, key string) (kv.Value, error)
-	Watch(ctx context.Context, key string, after int64) (kv.Value, error)
+	Watch(ctx context.Context, key string, after storehistory.Position) (kv.Value, error)
 }
 
 // Caller calls other routers.
@@ -87,7 +88,7 @@
 
 // Watch follows the store until ctx ends.
 func (f *Follower) Watch(ctx context.Context) error {
-	var after int64
+	var after storehistory.Position
 	key := ManifestKey(f.deps.Members.Self().Environment)
 	for ctx.Err() == nil {
 		v, err := f.deps.Store.Watch(ctx, key, after)
@@ -102,7 +103,7 @@
 			loop.Sleep(ctx, storeRetryDelay)
 			continue
 		}
-		after = v.Revision
+		after = v.Position()
 	}
 	return nil
 }
--- a/internal/router/discovery/fixture_test.go
+++ b/internal/router/discovery/fixture_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/discovery"
 	"wisteriafield/platform/kv"
@@ -54,41 +55,41 @@
 	f()
 }
 
-func (s *store) Range(context.Context, string, bool) ([]kv.Value, int64, error) {
+func (s *store) Range(context.Context, string, bool) ([]kv.Value, storehistory.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unreachable {
-		return nil, 0, kv.ErrUnavailable
+		return nil, storehistory.Position{}, kv.ErrUnavailable
 	}
 	var all []kv.Value
 	for _, v := range s.values {
 		all = append(all, v)
 	}
-	return all, s.revision, nil
+	return all, storehistory.Position{Revision: s.revision}, nil
 }
 
-func (s *store) WatchPrefix(ctx context.Context, _ string, after int64, wait time.Duration) ([]kv.Value, int64, error) {
+func (s *store) WatchPrefix(ctx context.Context, _ string, after storehistory.Position, wait time.Duration) ([]kv.Value, storehistory.Position, error) {
 	end := time.Now().Add(wait)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		s.mu.Lock()
 		if s.unreachable {
 			s.mu.Unlock()
-			return nil, 0, kv.ErrUnavailable
+			return nil, storehistory.Position{}, kv.ErrUnavailable
 		}
-		if after < s.oldest {
+		if after.Revision < s.oldest {
 			s.mu.Unlock()
-			return nil, 0, kv.ErrCompacted
+			return nil, storehistory.Position{}, kv.ErrCompacted
 		}
 		var events []kv.Value
 		for _, v := range s.history {
-			if v.Revision > after && !s.missesChanges {
+			if v.Revision > after.Revision && !s.missesChanges {
 				events = append(events, v)
 			}
 		}
 		revision := s.revision
 		s.mu.Unlock()
 		if len(events) > 0 {
-			return events, revision, nil
+			return events, storehistory.Position{Revision: revision}, nil
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -15,6 +15,7 @@
 
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/base/loop"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/platform/kv"
 )
@@ -50,8 +51,8 @@
 
 // Store reads the platform's store.
 type Store interface {
-	Range(ctx context.Context, prefix string, stale bool) ([]kv.Value, int64, error)
-	WatchPrefix(ctx context.Context, prefix string, after int64, wait time.Duration) ([]kv.Value, int64, error)
+	Range(ctx context.Context, prefix string, stale bool) ([]kv.Value, storehistory.Position, error)
+	WatchPrefix(ctx context.Context, prefix string, after storehistory.Position, wait time.Duration) ([]kv.Value, storehistory.Position, error)
 }
 
 // Config holds the dependencies and settings of a Follower.
@@ -106,7 +107,7 @@
 
 // Run reads and watches the store until ctx ends, while this router has the role to.
 func (f *Follower) Run(ctx context.Context) error {
-	revision := int64(0)
+	var position storehistory.Position
 	delay := minRetryDelay
 	for ctx.Err() == nil {
 		role := f.nextRole(time.Now())
@@ -114,12 +115,12 @@
 			loop.Sleep(ctx, roleCheckInterval)
 			continue
 		}
-		err := f.readOrWatch(ctx, &revision)
+		err := f.readOrWatch(ctx, &position)
 		switch {
 		case err == nil:
 			delay = f.firstDelay()
 		case errors.Is(err, kv.ErrCompacted):
-			revision = 0
+			position = storehistory.Position{}
 		case ctx.Err() == nil:
 			f.recordFailure(err)
 			// The jitter keeps routers that started together from calling together.
@@ -131,15 +132,17 @@
 }
 
 // readOrWatch reads all entries, or waits for the next changes.
-func (f *Follower) readOrWatch(ctx context.Context, revision *int64) error {
+func (f *Follower) readOrWatch(ctx context.Context, position *storehistory.Position) error {
 	applied := f.Revision()
 	var err error
-	if *revision == 0 || applied == 0 {
-		*revision, err = f.readAll(ctx)
+	if position.IsZero() || applied == 0 {
+		*position, err = f.readAll(ctx)
 		return err
 	}
 	// The server list from a peer may be newer than this router's last call.
-	*revision, err = f.watch(ctx, max(*revision, applied))
+	after := *position
+	after.Revision = max(after.Revision, applied)
+	*position, err = f.watch(ctx, after)
 	return err
 }
 
@@ -147,10 +150,10 @@
 func (f *Follower) initialized() bool { return f.Revision() > 0 && f.cfg.HasConfig() }
 
 // readAll reads all entries in one call and replaces the server list.
-func (f *Follower) readAll(ctx context.Context) (int64, error) {
-	values, revision, err := f.cfg.Store.Range(ctx, "", false)
+func (f *Follower) readAll(ctx context.Context) (storehistory.Position, error) {
+	values, position, err := f.cfg.Store.Range(ctx, "", false)
 	if err != nil {
-		return 0, err
+		return position, err
 	}
 	f.recordAnswer()
 	var servers []kv.Value
@@ -162,30 +165,30 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision >= f.revision {
-		f.replaceServers(revision, servers)
+	if position.Revision >= f.revision {
+		f.replaceServers(position.Revision, servers)
 	}
-	return revision, nil
+	return position, nil
 }
 
 // watch waits for changes and applies them.
-func (f *Follower) watch(ctx context.Context, revision int64) (int64, error) {
+func (f *Follower) watch(ctx context.Context, after storehistory.Position) (storehistory.Position, error) {
 	wait := watchTimeout
 	f.mu.Lock()
 	if len(f.keptUntil) > 0 {
 		wait = recoveryGrace / 4
 	}
 	f.mu.Unlock()
-	values, next, err := f.cfg.Store.WatchPrefix(ctx, "", revision, wait)
+	values, next, err := f.cfg.Store.WatchPrefix(ctx, "", after, wait)
 	if err != nil {
-		return revision, err
+		return after, err
 	}
 	f.recordAnswer()
 	for _, v := range values {
 		f.applyConfigOrHost(v)
 	}
 	f.mu.Lock()
-	f.applyChanges(next, values)
+	f.applyChanges(next.Revision, values)
 	f.mu.Unlock()
 	if len(values) > 0 {
 		f.cfg.OnChange()
--- a/internal/router/planner/follow.go
+++ b/internal/router/planner/follow.go
@@ -10,6 +10,7 @@
 
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/plan"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/router/control"
 	"wisteriafield/platform/kv"
 )
@@ -34,7 +35,7 @@
 // Follow watches the plan in the store until ctx ends, and fetches it from peers
 // while the store is unreachable.
 func (p *Planner) Follow(ctx context.Context) error {
-	var after int64
+	var after storehistory.Position
 	for ctx.Err() == nil {
 		v, err := p.deps.Store.Watch(ctx, p.planKey(), after)
 		if errors.Is(err, kv.ErrNotFound) {
@@ -44,7 +45,7 @@
 			var next plan.Plan
 			if err = json.Unmarshal(v.Body, &next); err == nil {
 				p.apply(&next)
-				after = v.Revision
+				after = v.Position()
 				continue
 			}
 		}
--- a/internal/router/planner/planner.go
+++ b/internal/router/planner/planner.go
@@ -20,6 +20,7 @@
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/invariant"
 	"wisteriafield/internal/decision/plan"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/router/members"
 	"wisteriafield/platform/kv"
 )
@@ -43,7 +44,7 @@
 // Store is the part of the platform's store that a planner needs.
 type Store interface {
 	Get(ctx context.Context, key string) (kv.Value, error)
-	Watch(ctx context.Context, key string, after int64) (kv.Value, error)
+	Watch(ctx context.Context, key string, after storehistory.Position) (kv.Value, error)
 	Put(ctx context.Context, key string, body []byte, revision int64, lease string) (int64, error)
 	Grant(ctx context.Context, ttl time.Duration) (string, error)
 	KeepAlive(ctx context.Context, lease string) error
