--- a/internal/backend/registry/registry.go
+++ b/internal/backend/registry/registry.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/storehistory"
 )
 
 // Entry is a known server and its load.
@@ -23,7 +24,7 @@
 }
 
 type snapshot struct {
-	revision  int64
+	position  storehistory.Position
 	byService map[string][]*Entry
 	byID      map[string]*Entry
 	byAddress map[string]*Entry
@@ -36,15 +37,15 @@
 	return r
 }
 
-// Set replaces the known servers by the list of the given store revision. A server that
+// Set replaces the known servers by the list of the given position of the store. A server that
 // has not restarted keeps its load; one that has restarted at its address inherits what
 // stays valid of it.
-func (r *Registry) Set(revision int64, servers []server.Server) {
+func (r *Registry) Set(at storehistory.Position, servers []server.Server) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.snapshot.Load()
 	next := &snapshot{
-		revision:  revision,
+		position:  at,
 		byService: make(map[string][]*Entry),
 		byID:      make(map[string]*Entry, len(servers)),
 		byAddress: make(map[string]*Entry, len(servers)),
@@ -71,8 +72,8 @@
 	r.snapshot.Store(next)
 }
 
-// Revision returns the store revision of the known servers.
-func (r *Registry) Revision() int64 { return r.snapshot.Load().revision }
+// Position returns the store's position of the known servers.
+func (r *Registry) Position() storehistory.Position { return r.snapshot.Load().position }
 
 // Service returns the servers of a service, sorted by ID. The caller must not modify
 // the result.
--- a/internal/backend/registry/registry_test.go
+++ b/internal/backend/registry/registry_test.go
@@ -9,6 +9,7 @@
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/storehistory"
 )
 
 func newServer(id string, started int64) server.Server {
@@ -19,7 +20,7 @@
 	g := NewWithT(t)
 	r := registry.New()
 	now := time.Unix(1_000, 0)
-	r.Set(1, []server.Server{newServer("i-1", 5)})
+	r.Set(storehistory.Position{Revision: 1}, []server.Server{newServer("i-1", 5)})
 	attempt := r.Get("i-1").Load.BeginAttempt(5000, 5000)
 	for i := range 50 {
 		attempt.RecordEvent(now.Add(time.Duration(i)*40*time.Millisecond), 6)
@@ -28,11 +29,11 @@
 
 	draining := newServer("i-1", 5)
 	draining.Leaving = true
-	r.Set(1, []server.Server{draining})
+	r.Set(storehistory.Position{Revision: 1}, []server.Server{draining})
 	g.Expect(r.Get("i-1").Leaving).To(BeTrue())
 	g.Expect(r.Get("i-1").Load.State(now).Running).To(Equal(1))
 
-	r.Set(1, []server.Server{newServer("i-1", 6)}) // restarted under the same ID
+	r.Set(storehistory.Position{Revision: 1}, []server.Server{newServer("i-1", 6)}) // restarted under the same ID
 	st := r.ByAddress("10.0.0.1:80").Load.State(now)
 	g.Expect(st.Down).To(BeFalse())
 	g.Expect(st.Running).To(BeZero())
@@ -42,9 +43,9 @@
 func TestByAddressReturnsTheNewestIncarnation(t *testing.T) {
 	g := NewWithT(t)
 	r := registry.New()
-	r.Set(1, []server.Server{newServer("i-old", 5), newServer("i-new", 9)})
+	r.Set(storehistory.Position{Revision: 1}, []server.Server{newServer("i-old", 5), newServer("i-new", 9)})
 	g.Expect(r.ByAddress("10.0.0.1:80").ID).To(Equal("i-new"))
-	r.Set(2, nil)
+	r.Set(storehistory.Position{Revision: 2}, nil)
 	g.Expect(r.ByAddress("10.0.0.1:80")).To(BeNil())
 }
 
--- a/internal/router/discovery/fixture_test.go
+++ b/internal/router/discovery/fixture_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +23,9 @@
 	"wisteriafield/platform/kv"
 )
 
+// roundTrip is the time that a call takes.
+const roundTrip = 2 * time.Millisecond
+
 // store is an in-memory store. Its watches can miss changes, as around a compaction.
 type store struct {
 	mu            sync.Mutex
@@ -30,6 +35,42 @@
 	oldest        int64 // earlier history is compacted
 	missesChanges bool
 	unreachable   bool
+	era           int64
+	restoredTo    *store // what restore goes back to
+	seenEra       int64  // newest that an answer named
+	ranges        int
+	watches       int
+}
+
+// copy makes the copy that the next restore goes back to.
+func (s *store) copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restoredTo = &store{revision: s.revision, values: maps.Clone(s.values), history: slices.Clone(s.history)}
+}
+
+// restore goes back to the copy. Revisions since are given out again.
+func (s *store) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.values, s.history = s.restoredTo.revision, maps.Clone(s.restoredTo.values), slices.Clone(s.restoredTo.history)
+}
+
+// calls returns the numbers of calls since the last time.
+func (s *store) calls() (ranges, watches int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ranges, watches = s.ranges, s.watches
+	s.ranges, s.watches = 0, 0
+	return ranges, watches
+}
+
+// Era returns the newest era that an answer named.
+func (s *store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seenEra
 }
 
 func (s *store) put(key, body string) {
@@ -56,40 +97,48 @@
 }
 
 func (s *store) Range(context.Context, string, bool) ([]kv.Value, storehistory.Position, error) {
+	time.Sleep(roundTrip)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ranges++
 	if s.unreachable {
 		return nil, storehistory.Position{}, kv.ErrUnavailable
 	}
+	s.seenEra = s.era
 	var all []kv.Value
 	for _, v := range s.values {
+		v.Era = s.era
 		all = append(all, v)
 	}
-	return all, storehistory.Position{Revision: s.revision}, nil
+	return all, storehistory.Position{Era: s.era, Revision: s.revision}, nil
 }
 
 func (s *store) WatchPrefix(ctx context.Context, _ string, after storehistory.Position, wait time.Duration) ([]kv.Value, storehistory.Position, error) {
 	end := time.Now().Add(wait)
+	time.Sleep(roundTrip)
+	s.update(func() { s.watches++ })
 	for time.Now().Before(end) && ctx.Err() == nil {
 		s.mu.Lock()
 		if s.unreachable {
 			s.mu.Unlock()
 			return nil, storehistory.Position{}, kv.ErrUnavailable
 		}
-		if after.Revision < s.oldest {
+		s.seenEra = s.era
+		if after.Revision < s.oldest || after.Era != s.era || after.Revision > s.revision {
 			s.mu.Unlock()
 			return nil, storehistory.Position{}, kv.ErrCompacted
 		}
 		var events []kv.Value
 		for _, v := range s.history {
 			if v.Revision > after.Revision && !s.missesChanges {
+				v.Era = s.era
 				events = append(events, v)
 			}
 		}
 		revision := s.revision
 		s.mu.Unlock()
 		if len(events) > 0 {
-			return events, storehistory.Position{Revision: revision}, nil
+			return events, storehistory.Position{Era: after.Era, Revision: revision}, nil
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -119,18 +168,25 @@
 
 // runFollower starts a follower of a store with two servers and runs test.
 func runFollower(t *testing.T, test func(f *fixture)) {
+	runFollowerOf(t, func(s *store) {
+		s.put("config", "one")
+		s.put("servers/a", "ready")
+		s.put("servers/b", "ready")
+	}, test)
+}
+
+// runFollowerOf starts a follower of a store that fill has filled and runs test.
+func runFollowerOf(t *testing.T, fill func(s *store), test func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{WithT: NewWithT(t), store: &store{values: map[string]kv.Value{}}, decision: storereader.Decision{Role: storereader.Primary}}
+		f := &fixture{WithT: NewWithT(t), store: &store{era: 1, values: map[string]kv.Value{}}, decision: storereader.Decision{Role: storereader.Primary}}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		f.store.put("config", "one")
-		f.store.put("servers/a", "ready")
-		f.store.put("servers/b", "ready")
+		fill(f.store)
 		f.follower = discovery.New(discovery.Config{
 			Store: f.store, ConfigKey: "config", ServersPrefix: "servers/", HostsPrefix: "hosts/",
 			DecodeServer: decode, OnChange: func() { f.changes.Add(1) }, AddHost: func([]byte) {},
 			SetConfig:  func(value []byte, _ string) { f.mu.Lock(); f.config = string(value); f.mu.Unlock() },
-			SetServers: func(_ int64, s []server.Server) { f.mu.Lock(); f.servers = s; f.mu.Unlock() },
+			SetServers: func(_ storehistory.Position, s []server.Server) { f.mu.Lock(); f.servers = s; f.mu.Unlock() },
 			HasConfig:  func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.config != "" },
 			Decide:     f.decideRole,
 			Log:        log.WithField("part", "store"),
@@ -138,10 +194,9 @@
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { _ = f.follower.Run(ctx); close(done) }()
+		defer func() { stop(); <-done }()
 		time.Sleep(50 * time.Millisecond)
 		test(f)
-		stop()
-		<-done
 	})
 }
 
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -44,8 +44,9 @@
 	maxRetryDelay = time.Second
 	// maxRefusedRetryDelay bounds the delay while other routers reach the store.
 	maxRefusedRetryDelay = 4 * time.Second
-	// recoveryGrace is how long entries that expired during an outage of the store are
-	// kept after it: live servers register again within two seconds.
+	// recoveryGrace is how long entries that expired during an outage of the store, or were
+	// lost when it was restored, are kept after it: live servers register again within two
+	// seconds.
 	recoveryGrace = 2200 * time.Millisecond
 )
 
@@ -53,6 +54,7 @@
 type Store interface {
 	Range(ctx context.Context, prefix string, stale bool) ([]kv.Value, storehistory.Position, error)
 	WatchPrefix(ctx context.Context, prefix string, after storehistory.Position, wait time.Duration) ([]kv.Value, storehistory.Position, error)
+	Era() int64 // the newest that an answer named
 }
 
 // Config holds the dependencies and settings of a Follower.
@@ -62,7 +64,7 @@
 	ServersPrefix string
 	DecodeServer  func(key string, value []byte) (server.Server, error)
 	SetConfig     func(value []byte, source string)
-	SetServers    func(revision int64, servers []server.Server)
+	SetServers    func(at storehistory.Position, servers []server.Server)
 	HostsPrefix   string // prefix of the routers' own entries
 	AddHost       func(value []byte)
 	OnChange      func()      // called after changes were applied
@@ -76,11 +78,15 @@
 type Follower struct {
 	cfg Config
 
+	wake chan struct{} // ends a pause or a watch
+
 	mu               sync.Mutex
-	revision         int64                    // of the store, up to which the server list is known
-	raw              map[string]kv.Value      // server entries as the store holds them, by key
-	changeLog        []kv.Value               // the newest changes
-	changeLogStart   int64                    // changeLog has all changes after this revision
+	position         storehistory.Position // up to which the server list is known
+	peerEra          int64                 // newest that a peer's message named
+	ownEra           int64                 // newest that an answer to this router named
+	ownEraSeenAt     time.Time
+	raw              map[string]kv.Value // server entries as the store holds them, by key
+	changeLog        *storehistory.Log[kv.Value]
 	entries          map[string]server.Server // by key
 	keptUntil        map[string]time.Time     // when expired entries are removed, by key
 	unreachableSince time.Time                // when the store stopped answering; zero while it answers
@@ -93,7 +99,10 @@
 
 // New returns a Follower.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, raw: make(map[string]kv.Value), entries: make(map[string]server.Server), keptUntil: make(map[string]time.Time)}
+	return &Follower{
+		cfg: cfg, wake: make(chan struct{}, 1), changeLog: storehistory.NewLog[kv.Value](maxLoggedChanges),
+		raw: make(map[string]kv.Value), entries: make(map[string]server.Server), keptUntil: make(map[string]time.Time),
+	}
 }
 
 // StoreReached returns when the store last answered this router, or the zero time if
@@ -107,12 +116,13 @@
 
 // Run reads and watches the store until ctx ends, while this router has the role to.
 func (f *Follower) Run(ctx context.Context) error {
+	go loop.Every(ctx, eraCheckInterval, f.checkEra)
 	var position storehistory.Position
 	delay := minRetryDelay
 	for ctx.Err() == nil {
 		role := f.nextRole(time.Now())
 		if role == storereader.Idle {
-			loop.Sleep(ctx, roleCheckInterval)
+			f.pause(ctx, roleCheckInterval)
 			continue
 		}
 		err := f.readOrWatch(ctx, &position)
@@ -124,7 +134,7 @@
 		case ctx.Err() == nil:
 			f.recordFailure(err)
 			// The jitter keeps routers that started together from calling together.
-			loop.Sleep(ctx, delay/2+rand.N(delay))
+			f.pause(ctx, delay/2+rand.N(delay))
 			delay = min(2*delay, f.maxDelay())
 		}
 	}
@@ -133,21 +143,21 @@
 
 // readOrWatch reads all entries, or waits for the next changes.
 func (f *Follower) readOrWatch(ctx context.Context, position *storehistory.Position) error {
-	applied := f.Revision()
+	f.clearInterrupt()
+	applied := f.Position()
+	// The server list from a peer may be newer than this router's last call.
+	after := storehistory.Later(*position, applied)
 	var err error
-	if position.IsZero() || applied == 0 {
+	if position.IsZero() || applied.IsZero() || f.restoredSince(after) {
 		*position, err = f.readAll(ctx)
 		return err
 	}
-	// The server list from a peer may be newer than this router's last call.
-	after := *position
-	after.Revision = max(after.Revision, applied)
 	*position, err = f.watch(ctx, after)
 	return err
 }
 
 // initialized reports whether this router has a configuration and a server list.
-func (f *Follower) initialized() bool { return f.Revision() > 0 && f.cfg.HasConfig() }
+func (f *Follower) initialized() bool { return !f.Position().IsZero() && f.cfg.HasConfig() }
 
 // readAll reads all entries in one call and replaces the server list.
 func (f *Follower) readAll(ctx context.Context) (storehistory.Position, error) {
@@ -165,8 +175,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if position.Revision >= f.revision {
-		f.replaceServers(position.Revision, servers)
+	f.peerEra = min(f.peerEra, position.Era)
+	if !position.Before(f.position) {
+		f.replaceServers(position, servers)
 	}
 	return position, nil
 }
@@ -179,7 +190,11 @@
 		wait = recoveryGrace / 4
 	}
 	f.mu.Unlock()
-	values, next, err := f.cfg.Store.WatchPrefix(ctx, "", after, wait)
+	watchCtx, interrupted := f.interruptible(ctx)
+	values, next, err := f.cfg.Store.WatchPrefix(watchCtx, "", after, wait)
+	if interrupted() && err != nil {
+		return after, nil
+	}
 	if err != nil {
 		return after, err
 	}
@@ -188,7 +203,7 @@
 		f.applyConfigOrHost(v)
 	}
 	f.mu.Lock()
-	f.applyChanges(next.Revision, values)
+	f.applyChanges(next, values)
 	f.mu.Unlock()
 	if len(values) > 0 {
 		f.cfg.OnChange()
@@ -196,7 +211,7 @@
 		if f.Role() == storereader.Secondary {
 			delay = secondaryBatchDelay
 		}
-		loop.Sleep(ctx, delay)
+		f.pause(ctx, delay)
 	}
 	return next, nil
 }
--- a/internal/router/discovery/follower_test.go
+++ b/internal/router/discovery/follower_test.go
@@ -6,10 +6,17 @@
 
 	. "github.com/onsi/gomega"
 
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/platform/kv"
 )
 
+// later returns the position n revisions after p.
+func later(p storehistory.Position, n int64) storehistory.Position {
+	p.Revision += n
+	return p
+}
+
 func TestChangesTakeEffectWithinASecond(t *testing.T) {
 	runFollower(t, func(f *fixture) {
 		f.Expect(f.activeServers()).To(ConsistOf("a", "b"))
@@ -70,16 +77,16 @@
 		f.store.put("servers/c", "ready")
 		time.Sleep(2 * time.Second)
 		f.Expect(f.activeServers()).To(ConsistOf("a", "b"))
-		applied := f.follower.Revision()
-		changes := []kv.Value{{Key: "servers/c", Body: []byte("ready"), Revision: applied + 1}, {Key: "servers/a", Revision: applied + 2, Deleted: true}}
-		f.follower.ApplyServerList(applied, applied+2, changes, false, "peer")
+		applied := f.follower.Position()
+		changes := []kv.Value{{Key: "servers/c", Body: []byte("ready"), Era: applied.Era, Revision: applied.Revision + 1}, {Key: "servers/a", Era: applied.Era, Revision: applied.Revision + 2, Deleted: true}}
+		f.follower.ApplyServerList(applied, later(applied, 2), changes, false, "peer")
 		f.Expect(f.activeServers()).To(ConsistOf("b", "c"))
-		f.follower.ApplyServerList(applied, applied+1, []kv.Value{{Key: "servers/a", Revision: applied + 1}}, false, "late peer")
+		f.follower.ApplyServerList(applied, later(applied, 1), []kv.Value{{Key: "servers/a", Era: applied.Era, Revision: applied.Revision + 1}}, false, "late peer")
 		f.Expect(f.activeServers()).To(ConsistOf("b", "c"), "an older list is ignored")
-		f.follower.ApplyServerList(applied+7, applied+9, changes, false, "peer")
-		f.Expect(f.follower.Revision()).To(Equal(applied+2), "changes that leave a gap are ignored")
-		revision, values, full := f.follower.ServerList(applied)
-		f.Expect(revision).To(Equal(applied + 2))
+		f.follower.ApplyServerList(later(applied, 7), later(applied, 9), changes, false, "peer")
+		f.Expect(f.follower.Position()).To(Equal(later(applied, 2)), "changes that leave a gap are ignored")
+		at, values, full := f.follower.ServerList(applied)
+		f.Expect(at).To(Equal(later(applied, 2)))
 		f.Expect(values).To(HaveLen(2))
 		f.Expect(full).To(BeFalse())
 	})
@@ -93,16 +100,16 @@
 		time.Sleep(2 * time.Second)
 		f.decide(storereader.Decision{Role: storereader.Idle, Outage: true})
 		time.Sleep(2 * time.Second)
-		applied := f.follower.Revision()
-		gone := []kv.Value{{Key: "servers/a", Revision: applied + 1, Deleted: true}, {Key: "servers/b", Revision: applied + 2, Deleted: true}}
-		f.follower.ApplyServerList(applied, applied+2, gone, false, "peer")
+		applied := f.follower.Position()
+		gone := []kv.Value{{Key: "servers/a", Era: applied.Era, Revision: applied.Revision + 1, Deleted: true}, {Key: "servers/b", Era: applied.Era, Revision: applied.Revision + 2, Deleted: true}}
+		f.follower.ApplyServerList(applied, later(applied, 2), gone, false, "peer")
 		f.decide(storereader.Decision{Role: storereader.Idle})
 		time.Sleep(1500 * time.Millisecond)
 		f.Expect(f.activeServers()).To(ConsistOf("a", "b"))
-		f.follower.ApplyServerList(applied+2, applied+3, []kv.Value{{Key: "servers/a", Body: []byte("ready"), Revision: applied + 3}}, false, "peer")
+		f.follower.ApplyServerList(later(applied, 2), later(applied, 3), []kv.Value{{Key: "servers/a", Body: []byte("ready"), Era: applied.Era, Revision: applied.Revision + 3}}, false, "peer")
 		time.Sleep(time.Second)
 		f.Expect(f.activeServers()).To(ConsistOf("a"), "entries that are still missing are removed")
-		f.follower.ApplyServerList(applied+3, applied+4, []kv.Value{{Key: "servers/a", Revision: applied + 4, Deleted: true}}, false, "peer")
+		f.follower.ApplyServerList(later(applied, 3), later(applied, 4), []kv.Value{{Key: "servers/a", Era: applied.Era, Revision: applied.Revision + 4, Deleted: true}}, false, "peer")
 		f.Expect(f.activeServers()).To(BeEmpty(), "later ones are removed at once")
 	})
 }
@@ -111,7 +118,7 @@
 // the full list then, all at the same time (seen in scenario large scale-1).
 func TestPeersGetOnlyChangesAfterTheStoreLostItsHistory(t *testing.T) {
 	runFollower(t, func(f *fixture) {
-		before := f.follower.Revision()
+		before := f.follower.Position()
 		f.store.update(func() { f.store.missesChanges = true })
 		f.store.put("servers/c", "ready")
 		f.store.remove("servers/a")
@@ -121,7 +128,7 @@
 		_, values, full := f.follower.ServerList(before)
 		f.Expect(full).To(BeFalse())
 		f.Expect(values).To(HaveLen(2))
-		_, _, full = f.follower.ServerList(0)
+		_, _, full = f.follower.ServerList(storehistory.Position{})
 		f.Expect(full).To(BeTrue(), "a newcomer gets all")
 	})
 }
--- a/internal/router/discovery/list.go
+++ b/internal/router/discovery/list.go
@@ -6,106 +6,105 @@
 	"time"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/platform/kv"
 )
 
 // replaceServers applies a full server list. The differences go into the change log, so
 // that after a loss of the store's history peers get them and not the full list. The
 // caller holds mu.
-func (f *Follower) replaceServers(revision int64, servers []kv.Value) {
+func (f *Follower) replaceServers(at storehistory.Position, servers []kv.Value) {
+	now := time.Now()
+	if f.position.IsZero() {
+		f.changeLog.Reset(at)
+	}
+	f.advance(at, now)
 	listed := make(map[string]bool, len(servers))
-	var changes []kv.Value
 	for _, v := range servers {
 		listed[v.Key] = true
-		if old, ok := f.raw[v.Key]; !ok || old.Revision != v.Revision || !bytes.Equal(old.Body, v.Body) {
-			// A peer may have missed the change itself, so it counts as of now.
-			v.Revision = revision
-			changes = append(changes, v)
+		if old, ok := f.raw[v.Key]; !ok || !bytes.Equal(old.Body, v.Body) {
+			f.logDifference(at, v)
 		}
 		f.applyServer(v)
 	}
-	now := time.Now()
 	for key := range f.raw {
 		if !listed[key] {
-			changes = append(changes, kv.Value{Key: key, Revision: revision, Deleted: true})
+			f.logDifference(at, kv.Value{Key: key, Deleted: true})
 			f.removeServer(key, now)
 		}
 	}
-	if f.revision == 0 {
-		f.changeLogStart, f.changeLog = revision, nil
-	} else {
-		f.appendChanges(changes)
-	}
-	f.revision = revision
 	f.publish(now)
 }
 
-// appendChanges adds changes to the change log, which keeps the newest ones. The caller
-// holds mu.
-func (f *Follower) appendChanges(changes []kv.Value) {
-	f.changeLog = append(f.changeLog, changes...)
-	if over := len(f.changeLog) - maxLoggedChanges; over > 0 {
-		f.changeLogStart = f.changeLog[over-1].Revision
-		f.changeLog = append([]kv.Value(nil), f.changeLog[over:]...)
-	}
+// logDifference adds a change that a full list shows to the change log. A peer may have
+// missed the change itself, so it counts as of the list. The caller holds mu.
+func (f *Follower) logDifference(at storehistory.Position, v kv.Value) {
+	v.Era, v.Revision = at.Era, at.Revision
+	f.changeLog.Append(at, v)
+}
+
+// advance records that the server list is known up to a position. Entries that vanish when
+// the store is restored are kept, as after an outage. The caller holds mu.
+func (f *Follower) advance(to storehistory.Position, now time.Time) {
+	if f.position.Era != 0 && to.Era > f.position.Era {
+		f.cfg.Log.WithField("era", to.Era).WithField("revision", to.Revision).WithField("hadEra", f.position.Era).
+			WithField("had", f.position.Revision).Warn("store was restored from an older copy")
+		f.recoveredAt = now
+	}
+	f.position = storehistory.Later(f.position, to)
+	f.changeLog.Advance(to)
 }
 
-// ServerList returns the changes after a revision, or the full list if the change log
-// does not go back that far, and the store's revision that the result is valid for.
-func (f *Follower) ServerList(after int64) (revision int64, values []kv.Value, full bool) {
+// ServerList returns the changes after a position, or the full list if the change log
+// does not go back that far, and the position that the result is valid for.
+func (f *Follower) ServerList(after storehistory.Position) (at storehistory.Position, values []kv.Value, full bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if after >= f.changeLogStart {
-		for _, v := range f.changeLog {
-			if v.Revision > after {
-				values = append(values, v)
-			}
-		}
-		return f.revision, values, false
+	if values, complete := f.changeLog.Since(after); complete {
+		return f.position, values, false
 	}
 	for _, v := range f.raw {
 		values = append(values, v)
 	}
-	return f.revision, values, true
+	return f.position, values, true
 }
 
-// Revision returns the store's revision that the server list is valid for.
-func (f *Follower) Revision() int64 {
+// Position returns the position of the store that the server list is valid for.
+func (f *Follower) Position() storehistory.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision
+	return f.position
 }
 
-// ApplyServerList applies a peer's changes after a revision, or its full list, if the
+// ApplyServerList applies a peer's changes after a position, or its full list, if the
 // result is newer than this router's list. Changes that leave a gap are ignored.
-func (f *Follower) ApplyServerList(after, revision int64, values []kv.Value, full bool, source string) {
+func (f *Follower) ApplyServerList(after, at storehistory.Position, values []kv.Value, full bool, source string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if revision <= f.revision || !full && after > f.revision {
+	if !f.position.Before(at) || !full && f.position.Before(after) {
 		return
 	}
-	f.cfg.Log.WithField("peer", source).WithField("revision", revision).WithField("had", f.revision).
-		WithField("changes", len(values)).Info("server list received from peer")
+	f.cfg.Log.WithField("peer", source).WithField("era", at.Era).WithField("revision", at.Revision).
+		WithField("had", f.position.Revision).WithField("changes", len(values)).Info("server list received from peer")
 	if full {
-		f.replaceServers(revision, values)
+		f.replaceServers(at, values)
 	} else {
-		f.applyChanges(revision, values)
+		f.applyChanges(at, values)
 	}
 	f.cfg.OnChange()
 }
 
-// applyChanges applies the changes that concern servers and adds them to the change
-// log. The caller holds mu.
-func (f *Follower) applyChanges(revision int64, values []kv.Value) {
-	var changes []kv.Value
+// applyChanges applies the changes up to a position that concern servers and adds them to
+// the change log. The caller holds mu.
+func (f *Follower) applyChanges(to storehistory.Position, values []kv.Value) {
+	had := f.position
+	f.advance(to, time.Now())
 	for _, v := range values {
-		if v.Revision > f.revision && strings.HasPrefix(v.Key, f.cfg.ServersPrefix) {
+		if had.Before(v.Position()) && strings.HasPrefix(v.Key, f.cfg.ServersPrefix) {
 			f.applyServer(v)
-			changes = append(changes, v)
+			f.changeLog.Append(v.Position(), v)
 		}
 	}
-	f.appendChanges(changes)
-	f.revision = max(f.revision, revision)
 	f.publish(time.Now())
 }
 
@@ -127,7 +126,7 @@
 }
 
 // removeServer removes an entry, or keeps it for recoveryGrace if it may have expired
-// only because the store was unreachable. The caller holds mu.
+// only because the store was unreachable, or was lost with the store's newest changes. The caller holds mu.
 func (f *Follower) removeServer(key string, now time.Time) {
 	delete(f.raw, key)
 	if _, ok := f.entries[key]; !ok {
@@ -173,5 +172,5 @@
 	for _, s := range f.entries {
 		servers = append(servers, s)
 	}
-	f.cfg.SetServers(f.revision, servers)
+	f.cfg.SetServers(f.position, servers)
 }
--- a/internal/router/discovery/role.go
+++ b/internal/router/discovery/role.go
@@ -18,7 +18,7 @@
 func (f *Follower) maxDelay() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.outage || f.revision == 0 || !f.cfg.HasConfig() {
+	if f.outage || f.position.IsZero() || !f.cfg.HasConfig() {
 		return maxRetryDelay
 	}
 	return maxRefusedRetryDelay
@@ -32,6 +32,9 @@
 		d := f.cfg.Decide()
 		role = d.Role
 		f.observeOutage(d, now)
+		if role == storereader.Idle && f.eraOverdue(now) {
+			role = storereader.Trial
+		}
 	}
 	if old := f.role.Swap(&role); old == nil || *old != role {
 		f.cfg.Log.WithField("role", string(role)).Debug("role in reading the store changed")
--- a/internal/router/edge/admin.go
+++ b/internal/router/edge/admin.go
@@ -22,6 +22,7 @@
 	ConfigVersion  int64
 	ConfigSince    time.Time // when the configuration took effect
 	ServerRevision int64
+	ServerEra      int64     // of the store, for ServerRevision
 	Reading        bool      // this router reads the store
 	StoreReached   time.Time // when the store last answered this router
 	Peers          []gossip.Host
@@ -57,9 +58,10 @@
 // Dump returns the state of this router.
 func (e *Edge) Dump() Dump {
 	now := time.Now()
+	position := e.ServerPosition()
 	d := Dump{
 		Host: e.cfg.Host, Stopping: e.Stopping(), Active: e.activeRequests.Load(),
-		ConfigVersion: e.ConfigVersion(), ServerRevision: e.ServerRevision(),
+		ConfigVersion: e.ConfigVersion(), ServerRevision: position.Revision, ServerEra: position.Era,
 		Reading: e.StoreRole() != storereader.Idle, StoreReached: e.StoreReached(), Peers: e.gossip.LivePeers(now),
 	}
 	if at := e.configSince.Load(); at != 0 {
@@ -87,6 +89,7 @@
 	set.NewGauge("wisteriafield_config_version", func() float64 { return float64(e.ConfigVersion()) })
 	set.NewGauge("wisteriafield_config_age_seconds", func() float64 { return secondsSince(time.Unix(0, e.configSince.Load())) })
 	set.NewGauge("wisteriafield_store_age_seconds", func() float64 { return secondsSince(e.StoreReached()) })
+	set.NewGauge("wisteriafield_store_era", func() float64 { return float64(e.follower.Era()) })
 	set.NewGauge("wisteriafield_store_reading", func() float64 { return boolToFloat(e.StoreRole() != storereader.Idle) })
 	set.NewGauge("wisteriafield_servers_known", func() float64 { return float64(len(e.servers.All())) })
 	set.NewGauge("wisteriafield_peers_live", func() float64 { return float64(len(e.gossip.LivePeers(time.Now()))) })
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -8,6 +8,7 @@
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/listing"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/gossip"
 	"wisteriafield/internal/router/sessions"
@@ -53,19 +54,25 @@
 	return nil
 }
 
-// ServerList returns the changes of the server list after a revision, or the full list.
-func (e *Edge) ServerList(after int64) (int64, []kv.Value, bool) {
+// ServerList returns the changes of the server list after a position, or the full list.
+func (e *Edge) ServerList(after storehistory.Position) (storehistory.Position, []kv.Value, bool) {
 	return e.follower.ServerList(after)
 }
 
-// ServerRevision returns the store's revision of the server list.
-func (e *Edge) ServerRevision() int64 { return e.follower.Revision() }
+// ServerPosition returns the store's position of the server list.
+func (e *Edge) ServerPosition() storehistory.Position { return e.follower.Position() }
 
 // ApplyServerList applies a peer's changes or full server list if they are newer.
-func (e *Edge) ApplyServerList(after, revision int64, values []kv.Value, full bool, source string) {
-	e.follower.ApplyServerList(after, revision, values, full, source)
+func (e *Edge) ApplyServerList(after, at storehistory.Position, values []kv.Value, full bool, source string) {
+	e.follower.ApplyServerList(after, at, values, full, source)
 }
 
+// StoreEra returns the newest era that the store named to this router.
+func (e *Edge) StoreEra() int64 { return e.cfg.Store.Era() }
+
+// ObserveStoreEra records the store's era as a peer knows it.
+func (e *Edge) ObserveStoreEra(era int64) { e.follower.ObserveEra(era) }
+
 // StoreReached returns when the store last answered this router.
 func (e *Edge) StoreReached() time.Time { return e.follower.StoreReached() }
 
@@ -91,11 +98,7 @@
 
 // shouldList reports whether this router lists itself in the store.
 func (e *Edge) shouldList() bool {
-	var peers []string
-	for _, h := range e.gossip.LivePeers(time.Now()) {
-		peers = append(peers, h.Name)
-	}
-	return listing.ShouldList(e.cfg.Host, peers)
+	return listing.ShouldList(e.cfg.Host, e.peerNames(time.Now()))
 }
 
 // PutSession records where a session's last attempt runs and where its backup is.
@@ -109,8 +112,8 @@
 // Stopping reports whether this router was told to stop.
 func (e *Edge) Stopping() bool { return e.stoppingAt.Load() != 0 }
 
-func (e *Edge) setServers(revision int64, servers []server.Server) {
-	e.servers.Set(revision, servers)
+func (e *Edge) setServers(at storehistory.Position, servers []server.Server) {
+	e.servers.Set(at, servers)
 	e.serversLoaded.Store(true)
 }
 
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -155,7 +155,7 @@
 	case c.executed == 0:
 		refusedTotal.Inc()
 		c.f.cfg.Log.WithField("id", c.req.ID).WithField("refusals", c.refusals).WithField("config", c.req.ConfigVersion).
-			WithField("servers", c.f.cfg.Servers.Revision()).Info("request refused")
+			WithField("servers", c.f.cfg.Servers.Position().Revision).WithField("era", c.f.cfg.Servers.Position().Era).Info("request refused")
 		wait := minRetryAfter
 		if !c.retryAt.IsZero() {
 			wait = max(wait, time.Until(c.retryAt))
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -176,7 +176,7 @@
 	e.Load.EndRequest(latency, r.failed() && ctx.Err() == nil)
 	attemptsTotal(&r).Inc()
 	f.cfg.Log.WithField("id", req.ID).WithField("server", e.ID).WithField("status", r.status).
-		WithField("notRun", r.notExecuted).WithField("ms", time.Since(startedAt).Milliseconds()).WithField("config", req.ConfigVersion).WithField("servers", f.cfg.Servers.Revision()).
+		WithField("notRun", r.notExecuted).WithField("ms", time.Since(startedAt).Milliseconds()).WithField("config", req.ConfigVersion).WithField("servers", f.cfg.Servers.Position().Revision).WithField("era", f.cfg.Servers.Position().Era).
 		WithField("inFlight", load.InFlight).WithField("errors", load.ErrorRate).WithField("limited", r.limited).WithField("limit", r.rateLimit).WithField("retry", retry).WithError(r.err).Info("attempt ended")
 	return r
 }
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -20,6 +20,7 @@
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/link"
 	decision "wisteriafield/internal/decision/ratelimit"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/router/forward"
 	"wisteriafield/internal/router/quarantine"
 	"wisteriafield/internal/router/ratelimit"
@@ -100,7 +101,7 @@
 	for i := range n {
 		all = append(all, server.Server{ID: fmt.Sprintf("i-%d", i), Service: "desk", Address: fmt.Sprintf("10.0.0.%d:1", i+1), Slots: 6})
 	}
-	servers.Set(1, all)
+	servers.Set(storehistory.Position{Revision: 1}, all)
 	if second := servers.Get("i-1"); second != nil {
 		second.Load.BeginRequest() // so that i-0 is chosen first
 	}
--- a/internal/router/gossip/fixture_test.go
+++ b/internal/router/gossip/fixture_test.go
@@ -17,6 +17,7 @@
 	"wisteriafield/internal/backend/server"
 	decision "wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/decision/retrybudget"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/gossip"
@@ -82,7 +83,9 @@
 type router struct {
 	mu           sync.Mutex
 	version      int64
-	revision     int64
+	position     storehistory.Position
+	storeEra     int64 // newest that the store named
+	observedEra  int64 // newest that a peer named
 	gossip       *gossip.Gossip
 	servers      *registry.Registry
 	quarantine   *quarantine.Guard
@@ -122,12 +125,24 @@
 		r.version = version
 	}
 }
-func (r *router) ServerList(int64) (int64, []kv.Value, bool) { return r.ServerRevision(), nil, true }
-func (r *router) ServerRevision() int64                      { r.mu.Lock(); defer r.mu.Unlock(); return r.revision }
-func (r *router) ApplyServerList(_, revision int64, _ []kv.Value, _ bool, _ string) {
+func (r *router) ServerList(storehistory.Position) (storehistory.Position, []kv.Value, bool) {
+	return r.ServerPosition(), nil, true
+}
+func (r *router) ServerPosition() storehistory.Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.position
+}
+func (r *router) ApplyServerList(_, at storehistory.Position, _ []kv.Value, _ bool, _ string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.revision = max(r.revision, revision)
+	r.position = storehistory.Later(r.position, at)
+}
+func (r *router) StoreEra() int64 { r.mu.Lock(); defer r.mu.Unlock(); return r.storeEra }
+func (r *router) ObserveStoreEra(era int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.observedEra = max(r.observedEra, era)
 }
 func (r *router) Stopping() bool              { return false }
 func (r *router) StoreReached() time.Time     { r.mu.Lock(); defer r.mu.Unlock(); return r.reachedAt }
@@ -177,7 +192,7 @@
 			r := &router{servers: registry.New(), role: storereader.Idle}
 			r.limits = ratelimit.New(decision.Config{Self: fmt.Sprintf("router-%d", i), Peers: r.peerNames, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
 			r.quarantine = quarantine.New(0, func() { r.gossip.Trigger() }, log.WithField("part", "quarantine"))
-			r.servers.Set(1, []server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
+			r.servers.Set(storehistory.Position{Revision: 1}, []server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
 			self := gossip.Host{Name: fmt.Sprintf("router-%d", i), Address: fmt.Sprintf("call-%d", i), DatagramAddress: fmt.Sprintf("notice-%d", i)}
 			r.gossip = gossip.New(gossip.Config{
 				Self: self, Seeds: []string{"call-0"}, Caller: net, Datagrams: sender{net, r}, State: r, Servers: r.servers, Sessions: sessions.NewTable(), RetryBudget: retrybudget.New(retrybudget.Config{Window: time.Second, Routers: func() int { return n }}, time.Now()),
@@ -201,3 +216,17 @@
 		synctest.Wait()
 	})
 }
+
+// seeStoreEra lets the store name an era to the router.
+func (r *router) seeStoreEra(era int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storeEra = era
+}
+
+// heardStoreEra returns the newest era of the store that a peer named.
+func (r *router) heardStoreEra() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.observedEra
+}
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/dissemination"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/decision/uplink"
 	"wisteriafield/internal/router/control"
@@ -47,8 +48,8 @@
 	mu    sync.Mutex
 	peers map[string]*peer // by address
 
-	trackedRevision int64     // revision of this router's server list that laggingSince applies to
-	laggingSince    time.Time // when a peer was first seen with a newer list; zero if none
+	trackedPosition storehistory.Position // of this router's server list that laggingSince applies to
+	laggingSince    time.Time             // when a peer was first seen with a newer list; zero if none
 
 	pullingConfig, pullingServerList atomic.Bool // a fetch is in progress
 
@@ -70,10 +71,10 @@
 	loads           map[string]registry.Share
 	calling         bool // an exchange call is in progress
 	readsStore      bool
-	storeFailing    bool      // the store did not answer its last call
-	version         int64     // of its configuration
-	revision        int64     // of its server list
-	storeReachedAt  time.Time // when the store last answered it
+	storeFailing    bool                  // the store did not answer its last call
+	version         int64                 // of its configuration
+	position        storehistory.Position // of its server list
+	storeReachedAt  time.Time             // when the store last answered it
 }
 
 // New returns a Gossip that knows only the seeds.
@@ -253,17 +254,24 @@
 func (g *Gossip) targets(now time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var addresses []string
+	var addresses, readers []string
+	era := max(g.cfg.State.StoreEra(), g.cfg.State.ServerPosition().Era)
 	for _, p := range g.peers {
-		if p.host.DatagramAddress != "" && now.Sub(p.lastHeartbeatAt) < peerTTL {
-			addresses = append(addresses, p.host.DatagramAddress)
+		if p.host.DatagramAddress == "" || now.Sub(p.lastHeartbeatAt) >= peerTTL {
+			continue
+		}
+		if p.readsStore && p.position.Era < era {
+			readers = append(readers, p.host.DatagramAddress)
+			continue
 		}
+		addresses = append(addresses, p.host.DatagramAddress)
 	}
-	if g.announces(now) {
-		return addresses
+	if !g.announces(now) {
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		addresses = addresses[:min(len(addresses), g.plan().FanOut)]
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(len(addresses), g.plan().FanOut)]
+	// Readers that do not know the store's era have to read it at once.
+	return append(readers, addresses...)
 }
 
 // Receive handles a datagram from a peer.
--- a/internal/router/gossip/gossip_test.go
+++ b/internal/router/gossip/gossip_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/sessions"
 )
@@ -24,12 +25,12 @@
 func TestAConfigurationReachesAllRoutersWithinASecond(t *testing.T) {
 	runRouters(t, 7, func(g *WithT, _ *network, all []*router) {
 		all[3].SetConfig([]byte("12"), "store")
-		all[3].ApplyServerList(0, 40, nil, true, "store")
+		all[3].ApplyServerList(storehistory.Position{}, storehistory.Position{Revision: 40}, nil, true, "store")
 		all[3].gossip.Trigger()
 		time.Sleep(time.Second)
 		for _, r := range all {
 			g.Expect(r.ConfigVersion()).To(Equal(int64(12)))
-			g.Expect(r.ServerRevision()).To(Equal(int64(40)))
+			g.Expect(r.ServerPosition().Revision).To(Equal(int64(40)))
 		}
 		all[5].SetConfig([]byte("11"), "late")
 		time.Sleep(time.Second)
@@ -62,14 +63,14 @@
 		net.mu.Lock()
 		net.slowMethod = "Gossip.Servers"
 		net.mu.Unlock()
-		all[0].ApplyServerList(0, 40, nil, true, "store")
+		all[0].ApplyServerList(storehistory.Position{}, storehistory.Position{Revision: 40}, nil, true, "store")
 		all[0].gossip.Trigger()
 		time.Sleep(time.Second)
 		g.Expect(all[1].gossip.Lagging(time.Now())).To(BeFalse())
 		time.Sleep(450 * time.Millisecond)
 		g.Expect(all[1].gossip.Lagging(time.Now())).To(BeTrue())
 		time.Sleep(2 * time.Second)
-		g.Expect(all[1].ServerRevision()).To(Equal(int64(40)))
+		g.Expect(all[1].ServerPosition().Revision).To(Equal(int64(40)))
 		g.Expect(all[1].gossip.Lagging(time.Now())).To(BeFalse())
 	})
 }
--- a/internal/router/gossip/message.go
+++ b/internal/router/gossip/message.go
@@ -6,21 +6,27 @@
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/decision/dissemination"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 )
 
 // buildMessage returns this router's state as a message. With listPeers, the message
 // also lists up to maxListedPeers live peers.
 func (g *Gossip) buildMessage(listPeers bool) message {
+	position := g.cfg.State.ServerPosition()
 	m := message{
 		Host:         g.cfg.Self,
 		Version:      g.cfg.State.ConfigVersion(),
-		Revision:     g.cfg.State.ServerRevision(),
+		Revision:     position.Revision,
+		Era:          position.Era,
 		Stopping:     g.cfg.State.Stopping(),
 		ReadsStore:   g.cfg.State.StoreRole() != storereader.Idle,
 		StoreFailing: g.cfg.State.StoreFailing(),
 		StoreAgeMs:   -1,
 	}
+	if era := g.cfg.State.StoreEra(); era > position.Era {
+		m.StoreEra = era
+	}
 	now := time.Now()
 	if at := g.cfg.State.StoreReached(); !at.IsZero() {
 		m.StoreAgeMs = now.Sub(at).Milliseconds()
@@ -49,6 +55,19 @@
 	return m
 }
 
+// position returns the position of the sender's server list. A router of an earlier release
+// names no era; it counts as being in this router's.
+func (m message) position(ownEra int64) storehistory.Position {
+	return inEra(m.Era, m.Revision, ownEra)
+}
+
+func inEra(era, revision, ownEra int64) storehistory.Position {
+	if era == 0 {
+		era = ownEra
+	}
+	return storehistory.Position{Era: era, Revision: revision}
+}
+
 // maxNews returns how much news a message may carry now.
 func (g *Gossip) maxNews(now time.Time) int {
 	g.mu.Lock()
--- a/internal/router/gossip/pull.go
+++ b/internal/router/gossip/pull.go
@@ -41,10 +41,10 @@
 	return configReply{Compressed: g.compressed.value}, nil
 }
 
-// serveServerList returns to a peer the changes of the server list since its revision,
+// serveServerList returns to a peer the changes of the server list since its position,
 // or the full list, unless the link is busy.
 func (g *Gossip) serveServerList(req serversRequest) serversReply {
-	revision, values, full := g.cfg.State.ServerList(req.Revision)
+	at, values, full := g.cfg.State.ServerList(inEra(req.Era, req.Revision, g.cfg.State.ServerPosition().Era))
 	size := 0
 	for _, v := range values {
 		size += len(v.Key) + len(v.Body)
@@ -52,7 +52,7 @@
 	if !g.uplink.Admit(size, time.Now()) {
 		return serversReply{Busy: true}
 	}
-	return serversReply{Revision: revision, Values: values, Full: full}
+	return serversReply{Revision: at.Revision, Era: at.Era, Values: values, Full: full}
 }
 
 // pull fetches the newer state that a message announces: first from its sender, whose
@@ -74,9 +74,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	position := m.position(g.cfg.State.ServerPosition().Era)
 	sources := []Host{m.Host}
 	for _, p := range g.peers {
-		if p.version >= m.Version && p.revision >= m.Revision && !p.stopping && now.Sub(p.lastHeartbeatAt) < g.plan().PeerTimeout {
+		if p.version >= m.Version && !p.position.Before(position) && !p.stopping && now.Sub(p.lastHeartbeatAt) < g.plan().PeerTimeout {
 			sources = append(sources, p.host)
 		}
 	}
@@ -113,7 +114,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
 	var reply serversReply
-	req := serversRequest{g.cfg.State.ServerRevision()}
+	own := g.cfg.State.ServerPosition()
+	req := serversRequest{Revision: own.Revision, Era: own.Era}
 	if err := g.cfg.Caller.Call(ctx, from.Address, methodServers, req, &reply); err != nil {
 		g.cfg.Log.WithField("peer", from.Name).WithError(err).Info("cannot fetch server list from peer")
 		return false
@@ -121,7 +123,11 @@
 	if reply.Busy {
 		return false
 	}
-	g.cfg.State.ApplyServerList(req.Revision, reply.Revision, reply.Values, reply.Full, from.Name)
+	at := inEra(reply.Era, reply.Revision, own.Era)
+	for i, v := range reply.Values {
+		reply.Values[i].Era = inEra(v.Era, v.Revision, at.Era).Era
+	}
+	g.cfg.State.ApplyServerList(own, at, reply.Values, reply.Full, from.Name)
 	return true
 }
 
--- a/internal/router/gossip/receive.go
+++ b/internal/router/gossip/receive.go
@@ -29,7 +29,9 @@
 			g.pull(m, g.pullConfig)
 		}()
 	}
-	ahead := m.Revision > g.cfg.State.ServerRevision()
+	g.cfg.State.ObserveStoreEra(max(m.Era, m.StoreEra))
+	own := g.cfg.State.ServerPosition()
+	ahead := own.Before(m.position(own.Era))
 	g.trackLag(ahead, now)
 	// The primary reader gets the changes from the store itself.
 	readsReachableStore := g.cfg.State.StoreRole() == storereader.Primary && now.Sub(g.cfg.State.StoreReached()) <= lagTimeout
@@ -46,9 +48,9 @@
 func (g *Gossip) trackLag(ahead bool, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	revision := g.cfg.State.ServerRevision()
-	if revision != g.trackedRevision {
-		g.trackedRevision, g.laggingSince = revision, time.Time{}
+	position := g.cfg.State.ServerPosition()
+	if position != g.trackedPosition {
+		g.trackedPosition, g.laggingSince = position, time.Time{}
 	}
 	if ahead && g.laggingSince.IsZero() {
 		g.laggingSince = now
@@ -60,12 +62,13 @@
 func (g *Gossip) Lagging(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.laggingSince.IsZero() && now.Sub(g.laggingSince) > lagTimeout && g.cfg.State.ServerRevision() == g.trackedRevision
+	return !g.laggingSince.IsZero() && now.Sub(g.laggingSince) > lagTimeout && g.cfg.State.ServerPosition() == g.trackedPosition
 }
 
 // updatePeer records the sender's state and merges its loads and the heartbeats that
 // it relays.
 func (g *Gossip) updatePeer(m message, now time.Time) {
+	ownEra := g.cfg.State.ServerPosition().Era
 	g.mu.Lock()
 	p := g.peers[m.Host.Address]
 	if p == nil { // the host has no address, or this router's own
@@ -75,7 +78,7 @@
 	appeared := now.Sub(p.lastHeartbeatAt) > g.plan().PeerTimeout
 	oldLoads := p.loads
 	p.host, p.lastHeartbeatAt, p.lastMessageAt, p.loads, p.stopping, p.readsStore = m.Host, now, now, m.Loads, m.Stopping, m.ReadsStore
-	p.version, p.revision, p.storeFailing = m.Version, m.Revision, m.StoreFailing
+	p.version, p.position, p.storeFailing = m.Version, m.position(ownEra), m.StoreFailing
 	p.storeReachedAt = time.Time{}
 	if m.StoreAgeMs >= 0 {
 		p.storeReachedAt = now.Add(-time.Duration(m.StoreAgeMs) * time.Millisecond)
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -1,6 +1,6 @@
 // Package gossip exchanges state between routers: which configuration and servers
 // they know, which attempts they run where, and which peers are live. There is no
-// agreement protocol: the newest version and revision of the platform's store win.
+// agreement protocol: the newest version and position in the platform's store win.
 package gossip
 
 import (
@@ -11,6 +11,7 @@
 	"wisteriafield/internal/decision/quarantine"
 	"wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/decision/retrybudget"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/sessions"
 	"wisteriafield/platform/kv"
@@ -33,12 +34,16 @@
 	Peers      []Host                    `json:",omitempty"`
 	Version    int64                     // of the configuration
 	Revision   int64                     // of the server list
+	Era        int64                     `json:",omitempty"` // of the server list; 0 if the sender knows none
 	Loads      map[string]registry.Share `json:",omitempty"` // by server
 	Stopping   bool                      `json:",omitempty"`
 	ReadsStore bool                      `json:"Reads,omitempty"` // the sender reads the store
 	// StoreFailing means that the store did not answer the sender's last call.
-	StoreFailing bool  `json:",omitempty"`
-	StoreAgeMs   int64 `json:"AgeMs"` // since the store last answered the sender; -1 if never
+	StoreFailing bool `json:",omitempty"`
+	// StoreEra is the newest era that the store named to the sender, if that is newer than
+	// its server list's.
+	StoreEra   int64 `json:",omitempty"`
+	StoreAgeMs int64 `json:"AgeMs"` // since the store last answered the sender; -1 if never
 
 	// Heartbeats is the age in ms of the newest known heartbeats of some peers, by
 	// name.
@@ -64,10 +69,12 @@
 
 type serversRequest struct {
 	Revision int64
+	Era      int64 `json:",omitempty"`
 }
 
 type serversReply struct {
 	Revision int64
+	Era      int64 `json:",omitempty"`
 	Values   []kv.Value
 	Full     bool `json:"Whole"` // Values is the full list, not changes
 	Busy     bool // the link is busy; nothing else is set
@@ -151,9 +158,11 @@
 	ConfigVersion() int64
 	ConfigValue() []byte
 	SetConfig(value []byte, source string)
-	ServerList(after int64) (revision int64, values []kv.Value, full bool)
-	ServerRevision() int64
-	ApplyServerList(after, revision int64, values []kv.Value, full bool, source string)
+	ServerList(after storehistory.Position) (at storehistory.Position, values []kv.Value, full bool)
+	ServerPosition() storehistory.Position
+	ApplyServerList(after, at storehistory.Position, values []kv.Value, full bool, source string)
+	StoreEra() int64             // the newest that the store named to this router
+	ObserveStoreEra(era int64)   // as a peer knows it
 	StoreReached() time.Time     // when the store last answered this router
 	StoreRole() storereader.Role // of this router in reading the store
 	StoreFailing() bool          // the store did not answer this router's last call
--- a/internal/router/gossip/wire_test.go
+++ b/internal/router/gossip/wire_test.go
@@ -32,9 +32,12 @@
 		{gossip.Message{StoreFailing: true}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},"Version":0,"Revision":0,"StoreFailing":true,"AgeMs":0}`},
 		{gossip.Message{Attempts: map[string]retrybudget.Counts{"s": {}}}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},` +
 			`"Version":0,"Revision":0,"AgeMs":0,"Sends":{"s":{"Firsts":0,"Repeats":0}}}`},
+		{gossip.Message{Era: 2, StoreEra: 3}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},"Version":0,"Revision":0,"Era":2,"StoreEra":3,"AgeMs":0}`},
 		{gossip.ConfigReply{Compressed: []byte("c"), Busy: true}, `{"Packed":"Yw==","Busy":true}`},
 		{gossip.ServersRequest{Revision: 1}, `{"Revision":1}`},
 		{gossip.ServersReply{Revision: 1, Full: true, Busy: true}, `{"Revision":1,"Values":null,"Whole":true,"Busy":true}`},
+		{gossip.ServersRequest{Revision: 1, Era: 2}, `{"Revision":1,"Era":2}`},
+		{gossip.ServersReply{Revision: 1, Era: 2}, `{"Revision":1,"Era":2,"Values":null,"Whole":false,"Busy":false}`},
 		{gossip.SessionRequest{Session: "s"}, `{"Session":"s"}`},
 		{gossip.SessionReply{Found: true}, `{"Found":true,"Record":{"Session":"","Run":"","Server":"","Backup":""}}`},
 	} {
--- a/internal/router/relay/backup.go
+++ b/internal/router/relay/backup.go
@@ -32,7 +32,7 @@
 		candidate = balance.Engine{QueuedTokens: st.QueuedTokens, Running: st.Running, UsedTokens: st.UsedTokens, Pace: st.Pace}
 	}
 	log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).WithField("address", target.Address).
-		WithField("config", s.req.ConfigVersion).WithField("servers", s.relay.cfg.Servers.Revision()).WithField("prompt", s.req.PromptTokens).WithField("waiting", candidate.QueuedTokens).WithField("runs", candidate.Running).
+		WithField("config", s.req.ConfigVersion).WithField("servers", s.relay.cfg.Servers.Position().Revision).WithField("era", s.relay.cfg.Servers.Position().Era).WithField("prompt", s.req.PromptTokens).WithField("waiting", candidate.QueuedTokens).WithField("runs", candidate.Running).
 		WithField("memory", candidate.UsedTokens).WithField("paceMs", candidate.Pace.Milliseconds()).WithField("asked", s.choice.probed).WithField("after", s.lastEventID)
 	if backup != nil {
 		log = log.WithField("backup", backup.Address).WithField("backupID", backup.ID)
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -21,6 +21,7 @@
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/link"
 	decision "wisteriafield/internal/decision/ratelimit"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/router/quarantine"
 	"wisteriafield/internal/router/ratelimit"
 	"wisteriafield/internal/router/relay"
@@ -269,7 +270,7 @@
 		id := fmt.Sprintf("i-%d", i)
 		all = append(all, server.Server{ID: id, Service: "engines", Address: engineAddress(i), Domain: string(rune('a' + i)), Slots: 64, Leaving: leaving[id]})
 	}
-	h.servers.Set(1, all)
+	h.servers.Set(storehistory.Position{Revision: 1}, all)
 }
 
 func (h *harness) newRequest(lastEventID int) *server.Request {
--- a/internal/router/relay/relay_test.go
+++ b/internal/router/relay/relay_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/router/sessions"
 )
 
@@ -72,7 +73,7 @@
 func TestNextBackupAvoidsFailureDomainOfLostEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
-		h.servers.Set(1, []server.Server{
+		h.servers.Set(storehistory.Position{Revision: 1}, []server.Server{
 			{ID: "i-0", Service: "engines", Address: engineAddress(0), Domain: "a", Slots: 64},
 			{ID: "i-1", Service: "engines", Address: engineAddress(1), Domain: "b", Slots: 64},
 			{ID: "i-2", Service: "engines", Address: engineAddress(2), Domain: "c", Slots: 64},
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -226,7 +226,7 @@
 	}
 	refusedTotal.Inc()
 	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("reason", reason).WithField("config", s.req.ConfigVersion).
-		WithField("servers", s.relay.cfg.Servers.Revision()).Info("request refused")
+		WithField("servers", s.relay.cfg.Servers.Position().Revision).WithField("era", s.relay.cfg.Servers.Position().Era).Info("request refused")
 	s.w.Header().Set("Retry-After", s.relay.retryAfter(s.service.Name, time.Now()))
 	s.w.WriteHeader(http.StatusServiceUnavailable)
 }
