discovery: a store that refuses every watch is read once a second, not without a pause

After a watch that was refused with 410 a reader read the range and watched again at once.

The first refusal is followed by a range at once, as before; the next one within a second waits for the rest of it. A change is read within that second also if no watch ever succeeds.

--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -48,6 +48,9 @@
 	// lost when it was restored, are kept after it: live servers register again within two
 	// seconds.
 	recoveryGrace = 2200 * time.Millisecond
+	// minRereadInterval is the time between two reads of all entries because a watch was
+	// refused. A change must take effect within two seconds also if every watch is refused.
+	minRereadInterval = time.Second
 )
 
 // Store reads the platform's store.
@@ -118,6 +121,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	go loop.Every(ctx, eraCheckInterval, f.checkEra)
 	var position storehistory.Position
+	var nextReread time.Time // after a refused watch
 	delay := minRetryDelay
 	for ctx.Err() == nil {
 		role := f.nextRole(time.Now())
@@ -131,6 +135,8 @@
 			delay = f.firstDelay()
 		case errors.Is(err, kv.ErrCompacted):
 			position = storehistory.Position{}
+			f.pause(ctx, time.Until(nextReread))
+			nextReread = time.Now().Add(minRereadInterval)
 		case ctx.Err() == nil:
 			f.recordFailure(err)
 			// The jitter keeps routers that started together from calling together.
--- a/internal/router/discovery/restored_test.go
+++ b/internal/router/discovery/restored_test.go
@@ -99,6 +99,22 @@
 	})
 }
 
+// The follower once called a store that refused every watch without any pause.
+func TestCallsAreBoundedWhileAllWatchesAreRefused(t *testing.T) {
+	runFollower(t, func(f *fixture) {
+		f.store.update(func() { f.store.oldest = 1 << 40 })
+		time.Sleep(time.Second)
+		f.store.calls()
+		const seconds = 10
+		time.Sleep(seconds * time.Second)
+		ranges, watches := f.store.calls()
+		f.Expect(ranges + watches).To(BeNumerically("<=", 3*seconds))
+		f.store.put("config", "two")
+		time.Sleep(maxChangeTime)
+		f.Expect(f.currentConfig()).To(Equal("two"))
+	})
+}
+
 // A router that starts after the restore knows only the new history.
 func TestAFollowerThatStartsAfterARestoreReadsTheNewHistory(t *testing.T) {
 	runFollowerOf(t, func(s *store) {
