discovery: a router lists itself again soon after the store was restored

A restored store loses the leases of what was written since its copy, and the routers' entries with them. A router noticed at its next renewal, up to 20 s later; meanwhile a newcomer whose seeds are down finds nobody in the store. In the worst case the ID of its lost lease had been given to another router by then.

The registrar checks each second whether the store's era changed, by any call or a peer's list, and writes its entry under a new lease at its turn: 250 ms apart by rank, so that the sixteen listed routers take 4 s and not one moment. ShouldList is still asked only at renewals.

The test of the registrar failed before: two writes in all, the first registration's.

--- a/internal/decision/listing/listing_test.go
+++ b/internal/decision/listing/listing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -55,3 +56,25 @@
 	}
 	g.Expect(listed(195, func(i, j int) bool { return !lost[j] })).To(BeNumerically(">=", 16))
 }
+
+func TestRoutersListThemselvesAgainInTurnAndWithinFourSeconds(t *testing.T) {
+	g := NewWithT(t)
+	for _, n := range []int{1, 6, 76, 195, 1000} {
+		turns := make(map[time.Duration]bool)
+		count := 0
+		for i := range n {
+			var peers []string
+			for j := range n {
+				if j != i {
+					peers = append(peers, fmt.Sprint("router-", j))
+				}
+			}
+			if self := fmt.Sprint("router-", i); listing.ShouldList(self, peers) {
+				count++
+				turns[listing.Turn(self, peers)] = true
+				g.Expect(listing.Turn(self, peers)).To(BeNumerically("<", 4*time.Second))
+			}
+		}
+		g.Expect(turns).To(HaveLen(count), "%d routers: no two at once", n)
+	}
+}
--- a/internal/router/discovery/registrar.go
+++ b/internal/router/discovery/registrar.go
@@ -23,6 +23,9 @@
 	// registerRetryDelay is the delay after a failed registration, by which routers without
 	// a seed that is up find each other, and between two decisions.
 	registerRetryDelay = 1250 * time.Millisecond
+	// hostEraCheckInterval is how often a listed router checks whether the store was
+	// restored, which loses the entry.
+	hostEraCheckInterval = time.Second
 )
 
 // LeaseStore writes keys that expire with their lease.
@@ -39,7 +42,12 @@
 	Value []byte
 	// ShouldList reports whether this router should be listed now.
 	ShouldList func() bool
-	Log        *logrus.Entry
+	// Era returns the newest era of the store that this router knows.
+	Era func() int64
+	// Turn returns the delay after which this router lists itself again when the store was
+	// restored, so that not all routers do so at once.
+	Turn func() time.Duration
+	Log  *logrus.Entry
 }
 
 // Run keeps the entry registered until ctx ends.
@@ -70,10 +78,24 @@
 	return lease, r.Store.SetWithLease(ctx, r.Key, r.Value, lease)
 }
 
-// renew keeps the lease alive until it expired, the router need not be listed any more or
+// renew keeps the lease alive until it is lost, the router need not be listed any more or
 // ctx ends.
 func (r *Registrar) renew(ctx context.Context, lease string) {
-	for loop.Sleep(ctx, hostRenewalInterval) && r.ShouldList() {
+	era := r.Era()
+	renewal := time.Now().Add(hostRenewalInterval)
+	for loop.Sleep(ctx, hostEraCheckInterval) {
+		if r.Era() != era {
+			r.Log.WithField("era", r.Era()).Info("store was restored, host lists itself again")
+			loop.Sleep(ctx, r.Turn())
+			return
+		}
+		if time.Now().Before(renewal) {
+			continue
+		}
+		if !r.ShouldList() {
+			return
+		}
+		renewal = time.Now().Add(hostRenewalInterval)
 		if err := r.Store.KeepAlive(ctx, lease); errors.Is(err, kv.ErrNotFound) {
 			r.Log.Info("host lease expired")
 			return
--- a/internal/router/discovery/registrar_test.go
+++ b/internal/router/discovery/registrar_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,7 +69,8 @@
 		should := false
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		r := &discovery.Registrar{Store: s, Key: "hosts/a", Log: log.WithField("part", "store"), ShouldList: func() bool { mu.Lock(); defer mu.Unlock(); return should }}
+		r := &discovery.Registrar{Store: s, Key: "hosts/a", Log: log.WithField("part", "store"), ShouldList: func() bool { mu.Lock(); defer mu.Unlock(); return should },
+			Era: func() int64 { return 1 }, Turn: func() time.Duration { return 0 }}
 		set := func(v bool) { mu.Lock(); defer mu.Unlock(); should = v }
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -97,3 +99,33 @@
 		<-done
 	})
 }
+
+// A restored store loses the leases; the entry was once missing until the next renewal.
+func TestARouterListsItselfAgainSoonAfterTheStoreWasRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &leaseStore{}
+		var era atomic.Int64
+		era.Store(1)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		const turn = 2 * time.Second
+		r := &discovery.Registrar{Store: s, Key: "hosts/a", Log: log.WithField("part", "store"), ShouldList: func() bool { return true },
+			Era: era.Load, Turn: func() time.Duration { return turn }}
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { _ = r.Run(ctx); close(done) }()
+		defer func() { stop(); <-done }()
+		time.Sleep(5500 * time.Millisecond)
+		era.Store(2)
+		time.Sleep(turn)
+		writes, _ := s.counts()
+		g.Expect(writes).To(Equal(2), "it waits for its turn")
+		time.Sleep(1500 * time.Millisecond)
+		writes, _ = s.counts()
+		g.Expect(writes).To(Equal(4))
+		time.Sleep(10 * time.Second)
+		writes, _ = s.counts()
+		g.Expect(writes).To(Equal(4), "once")
+	})
+}
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -229,7 +229,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode host entry: %w", err)
 	}
-	registrar := &discovery.Registrar{Store: e.cfg.Store, Key: hostsPrefix + e.cfg.Host, Value: value, ShouldList: e.shouldList, Log: e.logger("store")}
+	registrar := &discovery.Registrar{Store: e.cfg.Store, Key: hostsPrefix + e.cfg.Host, Value: value, ShouldList: e.shouldList, Era: e.follower.Era, Turn: e.listingTurn, Log: e.logger("store")}
 	receive := func(ctx context.Context) error { return datagrams.Run(ctx, e.gossip.Receive) }
 	return append(loops, e.gossip.Run, registrar.Run, receive), nil
 }
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -96,6 +96,12 @@
 	return d
 }
 
+// listingTurn returns the delay after which this router lists itself again when the store
+// was restored.
+func (e *Edge) listingTurn() time.Duration {
+	return listing.Turn(e.cfg.Host, e.peerNames(time.Now()))
+}
+
 // shouldList reports whether this router lists itself in the store.
 func (e *Edge) shouldList() bool {
 	return listing.ShouldList(e.cfg.Host, e.peerNames(time.Now()))
