platform: a refusal that names another request proves nothing of this one

Callers would be told "not run, try again" (REFUSED) for a request that a server had run, or it would run at a second server (TWICE): other operators report a faulty server that writes an earlier refusal once more.

Cause: newAnswer matched the echoed X-Attempt-Id, but took X-Not-Executed and 421 as they came; forwarder and relay look at NotExecuted first.

Ruled out, with tests that passed before: an answer that arrives before the request was written, and bytes after a refusal while a long body is being sent. Every request has a connection of its own, so that no answer to an earlier one can wait there.

--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -74,6 +74,11 @@
 	return &server.Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Body: http.NoBody}, nil
 }
 
+// refuseAnother answers with a refusal that names another request.
+func refuseAnother(context.Context) (*server.Answer, error) {
+	return &server.Answer{Status: http.StatusServiceUnavailable, Mismatched: true, Body: http.NoBody}, nil
+}
+
 // truncateAnswer answers with half of a body.
 func truncateAnswer(context.Context) (*server.Answer, error) {
 	body := io.NopCloser(io.MultiReader(bytes.NewBufferString("boo"), failingReader{}))
@@ -138,6 +143,7 @@
 		{"are not retried once a server may have executed them", func(s *fakeService) func(context.Context) (*server.Answer, error) { return s.loseAnswer }, 502, 1, 1},
 		{"return a server's own error", func(s *fakeService) func(context.Context) (*server.Answer, error) { return s.respond(500, 0) }, 500, 1, 1},
 		{"time out without saying that nothing was executed", func(s *fakeService) func(context.Context) (*server.Answer, error) { return s.respond(200, time.Hour) }, 504, 1, 1},
+		{"are not retried after a refusal of another request", func(*fakeService) func(context.Context) (*server.Answer, error) { return refuseAnother }, 502, 1, 0},
 		{"fail if the answer is truncated", func(*fakeService) func(context.Context) (*server.Answer, error) { return truncateAnswer }, 502, 1, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
