router: a server's 408, 421, 429 or 503 is no promise unless the server states it

Callers take these statuses as "not run, and never will be". A server that answered one of them without X-Not-Executed may have run the request, but its status was passed on as it was (REFUSED for requests that are not idempotent).

--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -130,6 +130,16 @@
 	CloseDelimited bool    // the body ends where the connection is closed
 }
 
+// Unproven reports whether the status would tell a caller that its request was not executed
+// and never will be, though the server does not state so.
+func (a *Answer) Unproven() bool {
+	switch a.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return !a.NotExecuted
+	}
+	return false
+}
+
 // RunningAttempt is an attempt that an engine is running.
 type RunningAttempt struct {
 	ID     string
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -210,6 +210,10 @@
 		r.err = errors.Wrap(server.ErrLost, "answer is unsigned or belongs to another request")
 		return r
 	}
+	if answer.Unproven() {
+		r.err = errors.Wrap(server.ErrLost, "server does not state that it did not execute the request")
+		return r
+	}
 	r.body, err = io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	switch {
 	case err != nil && ctx.Err() == nil:
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -144,6 +144,9 @@
 		{"return a server's own error", func(s *fakeService) func(context.Context) (*server.Answer, error) { return s.respond(500, 0) }, 500, 1, 1},
 		{"time out without saying that nothing was executed", func(s *fakeService) func(context.Context) (*server.Answer, error) { return s.respond(200, time.Hour) }, 504, 1, 1},
 		{"are not retried after a refusal of another request", func(*fakeService) func(context.Context) (*server.Answer, error) { return refuseAnother }, 502, 1, 0},
+		{"fail if a server answers 503 without stating that it did not execute them", func(s *fakeService) func(context.Context) (*server.Answer, error) { return s.respond(503, 0) }, 502, 1, 1},
+		{"fail if a server answers 429 without stating that it did not execute them", func(s *fakeService) func(context.Context) (*server.Answer, error) { return s.respond(429, 0) }, 502, 1, 1},
+		{"fail if a server answers 408 without stating that it did not execute them", func(s *fakeService) func(context.Context) (*server.Answer, error) { return s.respond(408, 0) }, 502, 1, 1},
 		{"fail if the answer is truncated", func(*fakeService) func(context.Context) (*server.Answer, error) { return truncateAnswer }, 502, 1, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -44,13 +44,15 @@
 
 // engineFaults says what goes wrong at an engine.
 type engineFaults struct {
-	breakAfter      int     // the connection breaks after this many events of an attempt
-	unresponsive    bool    // with breakAfter, the connection goes silent; probes are not answered
-	losesConnection bool    // the connection breaks at once
-	refuses         bool    // for lack of capacity
-	replaced        bool    // another incarnation has the address
-	waiting         int     // queued requests of other routers
-	errorBytes      int     // answers with a failure of that size
+	breakAfter      int            // the connection breaks after this many events of an attempt
+	unresponsive    bool           // with breakAfter, the connection goes silent; probes are not answered
+	losesConnection bool           // the connection breaks at once
+	refuses         bool           // for lack of capacity
+	replaced        bool           // another incarnation has the address
+	waiting         int            // queued requests of other routers
+	errorBytes      int            // answers with a failure of that size
+	answer          *server.Answer // answers with it and answerBody
+	answerBody      string
 	drips           bool    // sends a byte now and then, never a whole event
 	closeDelimited  bool    // answers have neither a length nor chunks
 	closesAfter     int     // closes the connection, as if the answer were whole, after this many events
@@ -76,6 +78,10 @@
 		return &server.Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Body: http.NoBody}, nil
 	case f.replaced:
 		return &server.Answer{Status: http.StatusMisdirectedRequest, NotExecuted: true, ActualServerID: "i-other", Body: http.NoBody}, nil
+	case f.answer != nil:
+		a := *f.answer
+		a.Body = io.NopCloser(strings.NewReader(f.answerBody))
+		return &a, nil
 	case f.errorBytes > 0:
 		body := strings.NewReader(strings.Repeat("x", f.errorBytes))
 		return &server.Answer{Status: http.StatusBadRequest, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: io.NopCloser(body)}, nil
@@ -286,12 +292,3 @@
 	h.relay.Serve(res, context.Background(), req, &h.service)
 	return res, false
 }
-
-// eventText returns the text of events from..to.
-func eventText(from, to int) string {
-	text := ""
-	for i := from; i <= to; i++ {
-		text += fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
-	}
-	return text
-}
