relay: bytes that are no event of a stream never reach its caller

Here a status other than 200 cuts the stream or leads elsewhere without a byte of it, but what came in a 200 was forwarded up to each blank line: the reader took any lines for an event, and an event without an ID, or with an ID below 1 or no number, was passed on unchecked.

Now the reader returns ErrMalformed for lines without any field of an event and for an ID that is not a positive number; a resumed answer must have the media type of the first one and must begin with an ID; a stream whose last event has no ID is not resumed, since nothing says where. All of these count as a lost attempt.

Not told apart: a signed 200 without any event, which a sound engine sends when the caller has all events.

--- a/internal/backend/sse/reader.go
+++ b/internal/backend/sse/reader.go
@@ -11,8 +11,13 @@
 	"github.com/pkg/errors"
 )
 
-// ErrTruncated means that a stream ended within an event.
-var ErrTruncated = errors.New("stream ended within an event")
+var (
+	// ErrTruncated means that a stream ended within an event.
+	ErrTruncated = errors.New("stream ended within an event")
+	// ErrMalformed means that a stream has bytes that are no event, such as the text of an
+	// error or the head of another answer.
+	ErrMalformed = errors.New("stream has bytes that are no event")
+)
 
 const maxEventBytes = 1 << 20 // events are some hundred bytes long
 
@@ -31,9 +36,11 @@
 func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReaderSize(r, 2<<10)} }
 
 // Next returns the next complete event. It returns io.EOF if the stream ended
-// between events, and ErrTruncated if it ended within one.
+// between events, ErrTruncated if it ended within one, and ErrMalformed for lines without
+// any field of an event or with an ID that is not a positive number.
 func (r *Reader) Next() (Event, error) {
 	var e Event
+	malformed, hasField := false, false
 	lineStarts := true // the next slice is the start of a line, not the rest of a long one
 	for {
 		line, err := r.r.ReadSlice('\n')
@@ -59,12 +66,19 @@
 			continue
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(line) > 0 && line[len(line)-1] == '\n' {
+			if malformed || !hasField && len(e.Raw) > len(line) {
+				return Event{}, ErrMalformed
+			}
 			return e, nil
 		}
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			if n, err := strconv.Atoi(string(bytes.TrimSpace(id))); err == nil {
-				e.ID = n
-			}
+		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		switch string(name) {
+		case "id":
+			n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
+			malformed = malformed || err != nil || n <= 0
+			e.ID, hasField = n, true
+		case "", "data", "event", "retry": // a comment has no name
+			hasField = true
 		}
 	}
 }
--- a/internal/backend/sse/reader_test.go
+++ b/internal/backend/sse/reader_test.go
@@ -66,6 +66,23 @@
 	g.Expect(e).To(Equal(sse.Event{Raw: []byte(line + "\n")}))
 }
 
+// An error's text or the head of another answer was taken for an event.
+func TestBytesThatAreNoEventAreAnError(t *testing.T) {
+	g := NewWithT(t)
+	for _, text := range []string{
+		"overloaded\n\n", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "{\"data\":1}\n\n", "database: down\n\n",
+		"id: x\ndata: a\n\n", "id: 0\ndata: a\n\n", "id: -1\ndata: a\n\n", "id: 99999999999999999999\n\n", "id: x\nid: 1\n\n",
+	} {
+		_, err := sse.NewReader(strings.NewReader(text)).Next()
+		g.Expect(err).To(MatchError(sse.ErrMalformed), "%q", text)
+	}
+	for _, text := range []string{"data\n\n", "data: a\n\n", "event: end\n\n", ": alive\n\n", "retry: 9\r\n\r\n", "x-weight-versions: 7\nid: 5\ndata: a\n\n", "\n"} {
+		e, err := sse.NewReader(strings.NewReader(text)).Next()
+		g.Expect(err).NotTo(HaveOccurred(), "%q", text)
+		g.Expect(string(e.Raw)).To(Equal(text))
+	}
+}
+
 // endless sends the same byte for ever.
 type endless byte
 
@@ -86,6 +103,7 @@
 
 func FuzzNext(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n")
+	f.Add("id: 1\ndata: a\n\nHTTP/1.1 503 Service Unavailable\r\n\r\nid: x\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		r := sse.NewReader(strings.NewReader(text))
 		var all string
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -102,7 +103,7 @@
 		case got := <-reads:
 			if got.answer != nil {
 				s.relay.cfg.Limits.ObserveAnswer(&target.Server, got.answer, sentAt)
-				if got.answer.Status != http.StatusOK || !got.answer.Signed || got.answer.Mismatched {
+				if got.answer.Status != http.StatusOK || !got.answer.Signed || got.answer.Mismatched || !s.continues(got.answer) {
 					return s.classifyAnswer(got.answer, backup)
 				}
 				answer = got.answer
@@ -115,6 +116,9 @@
 			detector.ObserveEvent(now)
 			arrivals.ObserveEvent(now)
 			attemptLoad.RecordEvent(now, s.eventTokens())
+			if got.event.ID == 0 && startEvent > 0 && s.lastEventID == startEvent {
+				return result{outcome: lost, reason: "resumed stream begins without an ID", backup: backup}
+			}
 			if r, ok := s.forwardEvent(got.event, answer, len(reads) == 0); !ok {
 				r.backup = backup
 				return r
@@ -209,10 +213,12 @@
 		}
 		s.w.WriteHeader(http.StatusOK)
 		s.headersSent = true
+		s.contentType = mediaType(answer)
 	}
 	if _, err := s.w.Write(event.Raw); err != nil {
 		return result{outcome: lost, reason: "caller left", callerDisconnected: true}, false
 	}
+	s.unresumable = event.ID == 0
 	if event.ID > 0 {
 		s.lastEventID = event.ID
 	}
@@ -224,6 +230,17 @@
 	return result{}, true
 }
 
+// continues reports whether an answer may continue the one that the caller has.
+func (s *stream) continues(a *server.Answer) bool {
+	return !s.headersSent || mediaType(a) == s.contentType
+}
+
+// mediaType returns the media type of an answer without its parameters.
+func mediaType(a *server.Answer) string {
+	name, _, _ := strings.Cut(a.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // classifyReadError returns the result of an attempt by the error that ended its
 // stream; io.EOF is the regular end. Where the body ends with its connection, an engine that
 // died between two events looks like one that has finished, so it is probed.
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -20,6 +20,8 @@
 
 	lastEventID         int                 // last event that the caller has
 	headersSent         bool                // the caller has the headers
+	contentType         string              // media type of the answer, once the caller has the headers
+	unresumable         bool                // the last event has no ID to resume after
 	executed            int                 // attempts that a server may have executed
 	delivered           int                 // attempts that may have reached a server
 	refusals            int                 // consecutive refusals for lack of capacity
@@ -214,7 +216,7 @@
 	if r.outcome != lost {
 		return true
 	}
-	return s.req.Route.Retryable() && s.executed < s.req.Route.MaxAttempts
+	return !s.unresumable && s.req.Route.Retryable() && s.executed < s.req.Route.MaxAttempts
 }
 
 // refuse answers 503, which tells the caller that no server executed the request. If
