relay: a 2xx without the server's signature is not passed on

A 201, 204 or 206 on a streaming route went to the caller as it was, signed or not (MIXED: a success without the signature); only 200 was checked. It now counts as lost, as in the forwarder. TestASuccessWithoutASignatureIsNotPassedOn failed before for 201, 204 and 206.

--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -264,7 +264,7 @@
 	if a.NotExecuted {
 		return result{outcome: refused, reason: http.StatusText(a.Status), replaced: a.ActualServerID != "" || a.Status == http.StatusMisdirectedRequest}
 	}
-	if a.Status == http.StatusOK || a.Mismatched || a.Unproven() || a.Status >= http.StatusInternalServerError && s.executed+1 < s.req.Route.MaxAttempts {
+	if a.Status == http.StatusOK || a.Status < http.StatusMultipleChoices && !a.Signed || a.Mismatched || a.Unproven() || a.Status >= http.StatusInternalServerError && s.executed+1 < s.req.Route.MaxAttempts {
 		return result{outcome: lost, reason: "no valid answer: " + http.StatusText(a.Status)}
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxErrorBytes+1))
--- a/internal/router/relay/error_test.go
+++ b/internal/router/relay/error_test.go
@@ -81,3 +81,19 @@
 		})
 	}
 }
+
+func TestASuccessWithoutASignatureIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusCreated, http.StatusNoContent, http.StatusPartialContent} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.setFirstEngine(engineFaults{answer: &server.Answer{Status: status}, answerBody: eventText(1, 20)})
+				res, cut := h.serve(h.newRequest(0))
+				h.Expect(cut).To(BeFalse())
+				h.Expect(res.Code).To(Equal(http.StatusOK))
+				h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+				h.Expect(h.engines.dispatched()).To(HaveLen(2))
+			})
+		})
+	}
+}
