discovery: an oversized entry among the servers is not passed on to peers

An entry of another writer may have a megabyte. It names no server, but its bytes were kept and sent to each peer that fetched the list. By the constants, not by a run: 1.4 MB take over 2 s on half of a 10 Mbit/s link, a peer waits 1 s (pullTimeout), and six such entries exceed what a message may have (8 MiB), so that routers that do not read the store would stop following the list.

A value beyond 16 KiB is dropped where an entry enters the list, from the store or from a peer; the key stays, so that later changes of it are followed. TestALargeEntryOfAnotherWriterIsNotPassedOnToPeers failed before (2,097,184 bytes for peers). The fixture's decoder now rejects all but its two values, instead of one of them.

--- a/internal/router/discovery/fixture_test.go
+++ b/internal/router/discovery/fixture_test.go
@@ -111,7 +111,7 @@
 }
 
 func decode(key string, body []byte) (server.Server, error) {
-	if string(body) == "garbage" {
+	if string(body) != "ready" && string(body) != "leaving" {
 		return server.Server{}, errors.New("garbage")
 	}
 	return server.Server{ID: strings.TrimPrefix(key, "servers/"), Leaving: string(body) == "leaving"}, nil
--- a/internal/router/discovery/follower_test.go
+++ b/internal/router/discovery/follower_test.go
@@ -1,6 +1,7 @@
 package discovery_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -44,6 +45,31 @@
 	})
 }
 
+// Such an entry made the list too long for a peer's link, and routers that do not read the
+// store no longer got it.
+func TestALargeEntryOfAnotherWriterIsNotPassedOnToPeers(t *testing.T) {
+	runFollower(t, func(f *fixture) {
+		before := f.follower.Revision()
+		large := strings.Repeat("x", 1<<20)
+		f.store.put("servers/a", large)
+		f.store.put("servers/d", large)
+		time.Sleep(time.Second)
+		f.Expect(f.activeServers()).To(ConsistOf("b"))
+		for _, after := range []int64{0, before} {
+			_, values, _ := f.follower.ServerList(after)
+			size := 0
+			for _, v := range values {
+				size += len(v.Key) + len(v.Body)
+			}
+			f.Expect(size).To(BeNumerically("<", 100))
+		}
+		f.store.update(func() { f.store.oldest = f.store.revision + 1 }) // the list is read anew
+		f.store.put("servers/a", "ready")
+		time.Sleep(2 * time.Second)
+		f.Expect(f.activeServers()).To(ConsistOf("a", "b"))
+	})
+}
+
 func TestEntriesThatExpiredDuringAnOutageAreKeptUntilLiveServersRegisterAgain(t *testing.T) {
 	runFollower(t, func(f *fixture) {
 		f.store.update(func() { f.store.unreachable = true })
--- a/internal/router/discovery/list.go
+++ b/internal/router/discovery/list.go
@@ -9,6 +9,18 @@
 	"wisteriafield/platform/kv"
 )
 
+// maxEntryBytes bounds the value of a server's entry, which has some hundred bytes.
+const maxEntryBytes = 16 << 10
+
+// bounded returns an entry without its value if that is too large to describe a server.
+// Routers keep all entries and pass them on to peers over slow links.
+func bounded(v kv.Value) kv.Value {
+	if len(v.Body) > maxEntryBytes {
+		v.Body = nil
+	}
+	return v
+}
+
 // replaceServers applies a full server list. The differences go into the change log, so
 // that after a loss of the store's history peers get them and not the full list. The
 // caller holds mu.
@@ -16,6 +28,7 @@
 	listed := make(map[string]bool, len(servers))
 	var changes []kv.Value
 	for _, v := range servers {
+		v = bounded(v)
 		listed[v.Key] = true
 		if old, ok := f.raw[v.Key]; !ok || old.Revision != v.Revision || !bytes.Equal(old.Body, v.Body) {
 			// A peer may have missed the change itself, so it counts as of now.
@@ -100,6 +113,7 @@
 	var changes []kv.Value
 	for _, v := range values {
 		if v.Revision > f.revision && strings.HasPrefix(v.Key, f.cfg.ServersPrefix) {
+			v = bounded(v)
 			f.applyServer(v)
 			changes = append(changes, v)
 		}
