gossip: ages beyond their range in a message do not last forever

An age in a peer's message was multiplied without a bound: below 0, or large enough to wrap, it lay in the future, so that a dead peer counted as live, a router that had no answer of the store as one that has, and a server as down, with no end. Only a faulty peer or another program on the port sends such a message; none was seen.

TestAgesBeyondTheirRangeDoNotLastForever failed before (an answer of the store in 2292).

--- a/internal/router/gossip/crashes.go
+++ b/internal/router/gossip/crashes.go
@@ -41,4 +41,11 @@
 	return r
 }
 
-func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// maxAge bounds the ages in messages; nothing as old counts.
+const maxAge = 24 * time.Hour
+
+// millis returns n milliseconds, at most maxAge either way.
+func millis(n int64) time.Duration {
+	limit := maxAge.Milliseconds()
+	return time.Duration(max(-limit, min(n, limit))) * time.Millisecond
+}
--- a/internal/router/gossip/gossip_test.go
+++ b/internal/router/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -118,6 +119,21 @@
 	})
 }
 
+// An age below 0 kept a dead peer live, and one beyond its range wrapped to the future.
+func TestAgesBeyondTheirRangeDoNotLastForever(t *testing.T) {
+	runRouters(t, 2, func(g *WithT, _ *network, all []*router) {
+		for _, age := range []string{"-9223372036854", "9223372036854775807", "9223372036855"} {
+			all[0].gossip.Receive(fmt.Appendf(nil, `{"Host":{"Name":"dead","Address":"dead"},"Signs":{"dead":%[1]s},"AgeMs":%[1]s,"Loads":{"e":{"DownMs":%[1]s}}}`, age))
+		}
+		for _, c := range all[0].gossip.StoreReaderCandidates(time.Now()) {
+			g.Expect(c.ReachedAt).To(BeTemporally("<=", time.Now()))
+		}
+		time.Sleep(15 * time.Second)
+		g.Expect(all[0].gossip.LivePeers(time.Now())).To(HaveLen(1))
+		g.Expect(all[0].servers.Get("e").Load.State(time.Now()).Down).To(BeFalse())
+	})
+}
+
 // A router that has just started knows no peers and no loads, however few there are.
 func TestLoadsAreKnownInASmallFleetAfterTheFirstExchanges(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/router/gossip/receive.go
+++ b/internal/router/gossip/receive.go
@@ -78,7 +78,7 @@
 	p.version, p.revision, p.storeFailing = m.Version, m.Revision, m.StoreFailing
 	p.storeReachedAt = time.Time{}
 	if m.StoreAgeMs >= 0 {
-		p.storeReachedAt = now.Add(-time.Duration(m.StoreAgeMs) * time.Millisecond)
+		p.storeReachedAt = now.Add(-millis(m.StoreAgeMs))
 	}
 	g.mergeHeartbeats(m, now)
 	g.mu.Unlock()
@@ -88,11 +88,11 @@
 	}
 	// Engines that the sender's previous message did not report as unresponsive.
 	for id, share := range m.Loads {
-		if share.DownMs == 0 || oldLoads[id].DownMs > 0 {
+		if share.DownMs <= 0 || oldLoads[id].DownMs > 0 {
 			continue
 		}
 		if e := g.cfg.Servers.Get(id); e != nil && !e.Load.State(now).Down {
-			e.Load.MarkDown(now.Add(time.Duration(share.DownMs) * time.Millisecond))
+			e.Load.MarkDown(now.Add(min(millis(share.DownMs), maxDownTime)))
 			g.cfg.EngineUnresponsive(e)
 		}
 	}
@@ -105,8 +105,8 @@
 		return
 	}
 	for _, p := range g.peers {
-		if ms, ok := m.Heartbeats[p.host.Name]; ok {
-			p.lastHeartbeatAt = later(p.lastHeartbeatAt, now.Add(-time.Duration(ms)*time.Millisecond))
+		if ms, ok := m.Heartbeats[p.host.Name]; ok && ms >= 0 {
+			p.lastHeartbeatAt = later(p.lastHeartbeatAt, now.Add(-millis(ms)))
 		}
 	}
 }
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -108,6 +108,8 @@
 	// long the loads of a peer are used.
 	maxContacts = 4
 	loadTTL     = 2 * time.Second
+	// maxDownTime bounds how long a peer's report keeps a server out of use.
+	maxDownTime = 10 * time.Second
 	// maxPaces bounds the engines whose pace one message of a large fleet holds.
 	maxPaces = 12
 	// maxNews bounds the crashes and the limits in one message, and maxAnnouncedNews those
