gossip: an odd entry among the routers in the store is no peer

Any JSON object below wisteriafield/hosts/ became a peer: without a name or address, with a host name or port 0 in it, or with the unspecified address, which is this host. Such a peer was called for 30 s and counted in the size of the fleet, by which routers choose how many peers they tell. No caller was hurt by it as far as the code shows.

DecodeHost rejects such entries.

Not covered: a well-formed entry with the name of a live router and another address, which the relayed heartbeats of that name keep live.

--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"wisteriafield/internal/backend/server"
@@ -116,8 +115,8 @@
 
 // addHost adds a router that is registered in the store as a peer.
 func (e *Edge) addHost(value []byte) {
-	var h gossip.Host
-	if err := json.Unmarshal(value, &h); err != nil {
+	h, err := gossip.DecodeHost(value)
+	if err != nil {
 		e.logger("store").WithError(err).Info("invalid host entry ignored")
 		return
 	}
