--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,7 @@
 
 # A fuzz target for each parser of bytes from outside.
 FUZZTIME ?= 1m
-FUZZ = internal/config/document/FuzzParse internal/decision/generation/FuzzParseEventID internal/backend/sse/FuzzNext \
+FUZZ = internal/base/jsonwalk/FuzzEachElement internal/config/document/FuzzParse internal/decision/generation/FuzzParseEventID internal/backend/sse/FuzzNext \
 	platform/FuzzDecodeConfig platform/FuzzDecodeServer platform/FuzzDecodeRequest platform/kv/FuzzRange internal/router/gossip/FuzzReceive internal/router/gossip/FuzzDecodeHost
 
 fuzz:
