hosts: the platform's list is read up to a bound

The answer of the platform was decoded from the connection for as long as it went on, for up to the 30 s of a call: bytes without end would have taken all memory.

16 MiB are read now. TestAnAnswerWithoutEndIsAnError failed before: all of its 256 MiB were read.

--- a/internal/platform/hosts/list.go
+++ b/internal/platform/hosts/list.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -62,6 +63,7 @@
 	longPollWait    = 25 * time.Second
 	longPollTimeout = 30 * time.Second
 	retryDelay      = time.Second
+	maxAnswerBytes  = 16 << 20 // some hundred bytes a host
 )
 
 // List is the local copy of the platform's list. Reading it never blocks.
@@ -145,8 +147,15 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("get hosts: status %d", res.StatusCode)
 	}
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	if err != nil {
+		return fmt.Errorf("read hosts: %w", err)
+	}
+	if len(data) > maxAnswerBytes {
+		return fmt.Errorf("list of hosts has more than %d bytes", maxAnswerBytes)
+	}
 	var changes Changes
-	if err := json.NewDecoder(res.Body).Decode(&changes); err != nil {
+	if err := json.Unmarshal(data, &changes); err != nil {
 		return fmt.Errorf("decode hosts: %w", err)
 	}
 	l.Merge(changes)
--- /dev/null
+++ b/internal/platform/hosts/list_test.go
@@ -0,0 +1,39 @@
+package hosts_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/platform/hosts"
+)
+
+// newList returns a list of a platform that answers with what write writes.
+func newList(t *testing.T, write func(w io.Writer)) *hosts.List {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { write(w) }))
+	t.Cleanup(s.Close)
+	return hosts.New(hosts.Config{Address: s.Listener.Addr().String()})
+}
+
+// The answer was read into memory for as long as it went on.
+func TestAnAnswerWithoutEndIsAnError(t *testing.T) {
+	g := NewWithT(t)
+	written := 0
+	list := newList(t, func(w io.Writer) {
+		_, err := io.WriteString(w, `{"Revision":3,"Hosts":[`)
+		for err == nil && written < 256<<20 {
+			_, err = w.Write(bytes.Repeat([]byte(" "), 1<<20))
+			written += 1 << 20
+		}
+	})
+	startedAt := time.Now()
+	g.Expect(list.Fetch(context.Background(), time.Millisecond)).NotTo(Succeed())
+	g.Expect(time.Since(startedAt)).To(BeNumerically("<", 10*time.Second))
+	g.Expect(written).To(BeNumerically("<", 64<<20))
+}
