hosts: one odd host in the platform's list costs no other host

Hosts are decoded one by one, and one that can't be read is left out; the last copy of it stays. TestOneOddHostCostsNoOtherHost failed before.

--- a/internal/platform/hosts/list.go
+++ b/internal/platform/hosts/list.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"wisteriafield/internal/base/jsonwalk"
 	"wisteriafield/internal/base/loop"
 )
 
@@ -154,14 +155,39 @@
 	if len(data) > maxAnswerBytes {
 		return fmt.Errorf("list of hosts has more than %d bytes", maxAnswerBytes)
 	}
-	var changes Changes
-	if err := json.Unmarshal(data, &changes); err != nil {
+	changes, err := decodeChanges(data)
+	if err != nil {
 		return fmt.Errorf("decode hosts: %w", err)
 	}
 	l.Merge(changes)
 	return nil
 }
 
+// decodeChanges decodes a reply. A host that can't be read is left out, and its last copy
+// stays.
+func decodeChanges(data []byte) (Changes, error) {
+	var changes Changes
+	err := jsonwalk.EachField(data, func(name string, value []byte) error {
+		switch name {
+		case "Revision":
+			return json.Unmarshal(value, &changes.Revision)
+		case "Hosts":
+			if string(value) == "null" {
+				return nil
+			}
+			return jsonwalk.EachElement(value, func(element []byte) error {
+				var h Host
+				if err := json.Unmarshal(element, &h); err == nil && h.Name != "" {
+					changes.Hosts = append(changes.Hosts, h)
+				}
+				return nil
+			})
+		}
+		return nil
+	})
+	return changes, err
+}
+
 // Merge applies changes to the list.
 func (l *List) Merge(changes Changes) {
 	if len(changes.Hosts) == 0 {
--- a/internal/platform/hosts/list_test.go
+++ b/internal/platform/hosts/list_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,3 +39,21 @@
 	g.Expect(time.Since(startedAt)).To(BeNumerically("<", 10*time.Second))
 	g.Expect(written).To(BeNumerically("<", 64<<20))
 }
+
+// The list was not followed any more because of one odd host in it.
+func TestOneOddHostCostsNoOtherHost(t *testing.T) {
+	nested := strings.Repeat("[", 1_000_000) + strings.Repeat("]", 1_000_000)
+	for _, odd := range []string{
+		`null`, `7`, `{}`, `{"Name":7}`, `{"Name":"m","Revision":1e999}`, `{"Name":"m","Revision":1.5}`, `{"Name":"m","Domain":[]}`,
+		nested, `{"Name":"m","Domain":` + nested + `}`, `{"Name":"m","Later":` + nested + `}`,
+	} {
+		g := NewWithT(t)
+		list := newList(t, func(w io.Writer) {
+			_, _ = fmt.Fprintf(w, `{"Revision":7,"Hosts":[{"Name":"a","State":"Live"},%s,{"Name":"z","State":"Live"}]}`, odd)
+		})
+		g.Expect(list.Fetch(context.Background(), time.Millisecond)).To(Succeed(), "%.100s", odd)
+		g.Expect(list.All()).To(And(HaveLen(2), HaveKey("a"), HaveKey("z")))
+	}
+	g := NewWithT(t)
+	g.Expect(newList(t, func(w io.Writer) { _, _ = io.WriteString(w, `{"Revision":7,"Hosts":null}`) }).Fetch(context.Background(), time.Millisecond)).To(Succeed())
+}
