--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -124,7 +124,7 @@
 	Signed         bool    // the server signed the answer
 	NotExecuted    bool    // the server states that it did not execute the request
 	ActualServerID string  // ID of the server at the address, if it is not the expected one
-	Mismatched     bool    // the answer belongs to another request
+	Mismatched     bool    // the answer is not one of this server to this request
 	RateLimit      float64 // requests a second that the server accepts from all routers together
 	Limited        bool    // the server named a RateLimit
 	CloseDelimited bool    // the body ends where the connection is closed
