--- a/internal/router/control/client_test.go
+++ b/internal/router/control/client_test.go
@@ -1,8 +1,10 @@
 package control_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -104,3 +106,45 @@
 		})
 	}
 }
+
+// A peer wrote an earlier answer once more on the connection, which all calls share.
+func TestARepeatedAnswerIsNotTakenForTheNextCalls(t *testing.T) {
+	g := NewWithT(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: wisteriafield-control\r\n\r\n")
+		calls := json.NewDecoder(r)
+		earlier := `{"jsonrpc":"2.0","id":999,"error":{"code":1,"message":"not run"}}`
+		for {
+			var call struct {
+				ID     json.RawMessage `json:"id"`
+				Params int             `json:"params"`
+			}
+			if err := calls.Decode(&call); err != nil {
+				return
+			}
+			answer := fmt.Sprintf(`{"jsonrpc":"2.0","id":%s,"result":%d}`, call.ID, call.Params)
+			_, _ = io.WriteString(conn, earlier+earlier+answer+answer)
+			earlier = answer
+		}
+	}()
+	c := control.NewClient("")
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	for n := range 20 {
+		var reply int
+		g.Expect(c.Call(ctx, ln.Addr().String(), "Echo", n, &reply)).To(Succeed())
+		g.Expect(reply).To(Equal(n))
+	}
+}
