--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -124,12 +124,22 @@
 	Signed         bool    // the server signed the answer
 	NotExecuted    bool    // the server states that it did not execute the request
 	ActualServerID string  // ID of the server at the address, if it is not the expected one
-	Mismatched     bool    // the answer belongs to another request
+	Mismatched     bool    // the answer is not one of this server to this request
 	RateLimit      float64 // requests a second that the server accepts from all routers together
 	Limited        bool    // the server named a RateLimit
 	CloseDelimited bool    // the body ends where the connection is closed
 }
 
+// Unproven reports whether the status would tell a caller that its request was not executed
+// and never will be, though the server does not state so.
+func (a *Answer) Unproven() bool {
+	switch a.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return !a.NotExecuted
+	}
+	return false
+}
+
 // RunningAttempt is an attempt that an engine is running.
 type RunningAttempt struct {
 	ID     string
--- a/internal/platform/hosts/list.go
+++ b/internal/platform/hosts/list.go
@@ -6,12 +6,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"wisteriafield/internal/base/jsonwalk"
 	"wisteriafield/internal/base/loop"
 )
 
@@ -62,6 +64,7 @@
 	longPollWait    = 25 * time.Second
 	longPollTimeout = 30 * time.Second
 	retryDelay      = time.Second
+	maxAnswerBytes  = 16 << 20 // some hundred bytes a host
 )
 
 // List is the local copy of the platform's list. Reading it never blocks.
@@ -145,14 +148,46 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("get hosts: status %d", res.StatusCode)
 	}
-	var changes Changes
-	if err := json.NewDecoder(res.Body).Decode(&changes); err != nil {
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	if err != nil {
+		return fmt.Errorf("read hosts: %w", err)
+	}
+	if len(data) > maxAnswerBytes {
+		return fmt.Errorf("list of hosts has more than %d bytes", maxAnswerBytes)
+	}
+	changes, err := decodeChanges(data)
+	if err != nil {
 		return fmt.Errorf("decode hosts: %w", err)
 	}
 	l.Merge(changes)
 	return nil
 }
 
+// decodeChanges decodes a reply. A host that can't be read is left out, and its last copy
+// stays.
+func decodeChanges(data []byte) (Changes, error) {
+	var changes Changes
+	err := jsonwalk.EachField(data, func(name string, value []byte) error {
+		switch name {
+		case "Revision":
+			return json.Unmarshal(value, &changes.Revision)
+		case "Hosts":
+			if string(value) == "null" {
+				return nil
+			}
+			return jsonwalk.EachElement(value, func(element []byte) error {
+				var h Host
+				if err := json.Unmarshal(element, &h); err == nil && h.Name != "" {
+					changes.Hosts = append(changes.Hosts, h)
+				}
+				return nil
+			})
+		}
+		return nil
+	})
+	return changes, err
+}
+
 // Merge applies changes to the list.
 func (l *List) Merge(changes Changes) {
 	if len(changes.Hosts) == 0 {
--- a/internal/router/discovery/list.go
+++ b/internal/router/discovery/list.go
@@ -10,6 +10,18 @@
 	"wisteriafield/platform/kv"
 )
 
+// maxEntryBytes bounds the value of a server's entry, which has some hundred bytes.
+const maxEntryBytes = 16 << 10
+
+// bounded returns an entry without its value if that is too large to describe a server.
+// Routers keep all entries and pass them on to peers over slow links.
+func bounded(v kv.Value) kv.Value {
+	if len(v.Body) > maxEntryBytes {
+		v.Body = nil
+	}
+	return v
+}
+
 // replaceServers applies a full server list. The differences go into the change log, so
 // that after a loss of the store's history peers get them and not the full list. The
 // caller holds mu.
@@ -21,6 +33,7 @@
 	f.advance(at, now)
 	listed := make(map[string]bool, len(servers))
 	for _, v := range servers {
+		v = bounded(v)
 		listed[v.Key] = true
 		if old, ok := f.raw[v.Key]; !ok || !bytes.Equal(old.Body, v.Body) {
 			f.logDifference(at, v)
@@ -101,6 +114,7 @@
 	f.advance(to, time.Now())
 	for _, v := range values {
 		if had.Before(v.Position()) && strings.HasPrefix(v.Key, f.cfg.ServersPrefix) {
+			v = bounded(v)
 			f.applyServer(v)
 			f.changeLog.Append(v.Position(), v)
 		}
