storehistory: differences of two server lists lead only from the list that was replaced

A reader that reads the whole store again logs the differences of both lists as changes, so that peers need no full list. A peer that had read the new history in between got these differences too. An entry that was lost in the restore and written again with the same value is none of them, so that this peer never learned of its server; after a compaction the same holds for an entry that was added and removed again.

The log names the gap that a list passed over. Positions within it get the full list, those before it the differences, and whoever applies them takes over the gap, which the reply carries in a new field, empty otherwise. The decision about eras moves from discovery to storehistory.Tracker.

--- a/internal/decision/storehistory/log.go
+++ b/internal/decision/storehistory/log.go
@@ -1,17 +1,28 @@
 package storehistory
 
 // Log holds the newest changes of a list, so that whoever has an older list gets only those.
-// It goes back to the store's previous era at most. The zero Log is empty.
+// The zero Log is empty.
 type Log[V any] struct {
 	limit   int
 	changes []change[V]
 	start   Position // the log has all changes after it
 	end     Position // of the list
-	// eraStart is the first position of the list in its era, and previousEnd the last one in
-	// the era before.
-	eraStart, previousEnd Position
+	gap     Gap
 }
 
+// Gap is a part of the store's history that a list has passed over, because it was replaced as
+// a whole. Whatever lies between From and To may have been lost or undone since, so the
+// differences of the two lists lead nowhere from there.
+type Gap struct {
+	From, To Position
+}
+
+// IsZero reports whether g is the zero Gap, which holds no position.
+func (g Gap) IsZero() bool { return g == Gap{} }
+
+// Contains reports whether a position lies within the gap. Its ends do not.
+func (g Gap) Contains(p Position) bool { return g.From.Before(p) && p.Before(g.To) }
+
 type change[V any] struct {
 	at    Position
 	value V
@@ -21,24 +32,27 @@
 func NewLog[V any](limit int) *Log[V] { return &Log[V]{limit: limit} }
 
 // Reset empties the log of a list that is known as of a position.
-func (l *Log[V]) Reset(at Position) { *l = Log[V]{limit: l.limit, start: at, end: at, eraStart: at} }
+func (l *Log[V]) Reset(at Position) { *l = Log[V]{limit: l.limit, start: at, end: at} }
 
 // Advance records that the list is known as of a later position. The changes up to it are
 // appended afterwards.
-func (l *Log[V]) Advance(to Position) {
-	if !l.end.Before(to) {
-		return
-	}
-	if to.Era != l.end.Era {
-		first := 0
-		for first < len(l.changes) && !l.eraStart.Before(l.changes[first].at) {
-			first++
+func (l *Log[V]) Advance(to Position) { l.end = Later(l.end, to) }
+
+// Skip records a gap, after which the list goes on. The differences are appended afterwards,
+// as changes at the end of the gap. The log goes back to the gap before at most.
+func (l *Log[V]) Skip(gap Gap) {
+	if !l.gap.IsZero() {
+		l.start = Later(l.start, l.gap.To)
+		kept := l.changes[:0]
+		for _, c := range l.changes {
+			if l.start.Before(c.at) {
+				kept = append(kept, c)
+			}
 		}
-		l.changes = append([]change[V](nil), l.changes[first:]...)
-		l.start = Later(l.start, l.eraStart)
-		l.previousEnd, l.eraStart = l.end, to
+		l.changes = kept
 	}
-	l.end = to
+	l.gap = gap
+	l.Advance(gap.To)
 }
 
 // Append adds a change.
@@ -50,20 +64,22 @@
 	}
 }
 
-// Since returns the changes after a position, and whether they lead from the list of that
-// position to the newest one. They don't if the log is too short, or if the position is one of
-// a lost history that this list never had.
-func (l *Log[V]) Since(after Position) (values []V, complete bool) {
+// Since returns the changes after a position and the gap among them, if there is one. They are
+// complete if they lead from the list of that position to the newest one.
+func (l *Log[V]) Since(after Position) (values []V, gap Gap, complete bool) {
 	if !after.Before(l.end) {
-		return nil, true
+		return nil, Gap{}, true
 	}
-	if after.Before(l.start) || after.Era != l.end.Era && l.previousEnd.Before(after) {
-		return nil, false
+	if after.Before(l.start) || l.gap.Contains(after) {
+		return nil, Gap{}, false
 	}
 	for _, c := range l.changes {
 		if after.Before(c.at) {
 			values = append(values, c.value)
 		}
 	}
-	return values, true
+	if after.Before(l.gap.To) {
+		gap = l.gap
+	}
+	return values, gap, true
 }
--- a/internal/router/discovery/era.go
+++ b/internal/router/discovery/era.go
@@ -7,14 +7,9 @@
 	"wisteriafield/internal/decision/storehistory"
 )
 
-const (
-	// eraCheckInterval is how often a router checks whether an answer of the store named a
-	// new era. The call may have been that of its registrar.
-	eraCheckInterval = 100 * time.Millisecond
-	// eraReadTimeout is how long a router that does not read the store leaves it to the
-	// readers to read a new era that it saw, before it does so itself.
-	eraReadTimeout = 1300 * time.Millisecond
-)
+// eraCheckInterval is how often a router checks whether an answer of the store named a new
+// era. The call may have been that of its registrar.
+const eraCheckInterval = 100 * time.Millisecond
 
 // Era returns the newest era of the store that this router knows.
 func (f *Follower) Era() int64 { return max(f.cfg.Store.Era(), f.Position().Era) }
@@ -23,8 +18,7 @@
 // store at once, if it reads it at all.
 func (f *Follower) ObserveEra(era int64) {
 	f.mu.Lock()
-	isNew := era > f.peerEra && era > f.position.Era
-	f.peerEra = max(f.peerEra, era)
+	isNew := f.eras.Hear(era, f.position)
 	f.mu.Unlock()
 	if isNew {
 		f.interrupt()
@@ -33,12 +27,8 @@
 
 // checkEra lets this router and its peers know if an answer of the store named a new era.
 func (f *Follower) checkEra(now time.Time) {
-	era := f.cfg.Store.Era()
 	f.mu.Lock()
-	isNew := era > f.ownEra && era > f.position.Era && !f.position.IsZero()
-	if era > f.ownEra {
-		f.ownEra, f.ownEraSeenAt = era, now
-	}
+	isNew := f.eras.See(f.cfg.Store.Era(), f.position, now)
 	f.mu.Unlock()
 	if isNew {
 		f.interrupt()
@@ -51,15 +41,14 @@
 func (f *Follower) eraOverdue(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.ownEra > f.position.Era && now.Sub(f.ownEraSeenAt) > eraReadTimeout
+	return f.eras.Overdue(f.position, now)
 }
 
 // restoredSince reports whether the store is known to have been restored after a position.
 func (f *Follower) restoredSince(p storehistory.Position) bool {
-	era := f.cfg.Store.Era()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(era, f.peerEra) > p.Era
+	return f.eras.RestoredSince(p) || f.cfg.Store.Era() > p.Era
 }
 
 // interrupt ends the current pause or watch.
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -85,9 +85,7 @@
 
 	mu               sync.Mutex
 	position         storehistory.Position // up to which the server list is known
-	peerEra          int64                 // newest that a peer's message named
-	ownEra           int64                 // newest that an answer to this router named
-	ownEraSeenAt     time.Time
+	eras             storehistory.Tracker
 	raw              map[string]kv.Value // server entries as the store holds them, by key
 	changeLog        *storehistory.Log[kv.Value]
 	entries          map[string]server.Server // by key
@@ -181,7 +179,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peerEra = min(f.peerEra, position.Era)
+	f.eras.Read(position.Era)
 	if !position.Before(f.position) {
 		f.replaceServers(position, servers)
 	}
--- a/internal/router/discovery/follower_test.go
+++ b/internal/router/discovery/follower_test.go
@@ -8,6 +8,7 @@
 
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
+	"wisteriafield/internal/router/discovery"
 	"wisteriafield/platform/kv"
 )
 
@@ -79,16 +80,16 @@
 		f.Expect(f.activeServers()).To(ConsistOf("a", "b"))
 		applied := f.follower.Position()
 		changes := []kv.Value{{Key: "servers/c", Body: []byte("ready"), Era: applied.Era, Revision: applied.Revision + 1}, {Key: "servers/a", Era: applied.Era, Revision: applied.Revision + 2, Deleted: true}}
-		f.follower.ApplyServerList(applied, later(applied, 2), changes, false, "peer")
+		f.follower.ApplyServerList(applied, discovery.ServerList{At: later(applied, 2), Values: changes}, "peer")
 		f.Expect(f.activeServers()).To(ConsistOf("b", "c"))
-		f.follower.ApplyServerList(applied, later(applied, 1), []kv.Value{{Key: "servers/a", Era: applied.Era, Revision: applied.Revision + 1}}, false, "late peer")
+		f.follower.ApplyServerList(applied, discovery.ServerList{At: later(applied, 1), Values: []kv.Value{{Key: "servers/a", Era: applied.Era, Revision: applied.Revision + 1}}}, "late peer")
 		f.Expect(f.activeServers()).To(ConsistOf("b", "c"), "an older list is ignored")
-		f.follower.ApplyServerList(later(applied, 7), later(applied, 9), changes, false, "peer")
+		f.follower.ApplyServerList(later(applied, 7), discovery.ServerList{At: later(applied, 9), Values: changes}, "peer")
 		f.Expect(f.follower.Position()).To(Equal(later(applied, 2)), "changes that leave a gap are ignored")
-		at, values, full := f.follower.ServerList(applied)
-		f.Expect(at).To(Equal(later(applied, 2)))
-		f.Expect(values).To(HaveLen(2))
-		f.Expect(full).To(BeFalse())
+		list := f.follower.ServerList(applied)
+		f.Expect(list.At).To(Equal(later(applied, 2)))
+		f.Expect(list.Values).To(HaveLen(2))
+		f.Expect(list.Full).To(BeFalse())
 	})
 }
 
@@ -102,14 +103,14 @@
 		time.Sleep(2 * time.Second)
 		applied := f.follower.Position()
 		gone := []kv.Value{{Key: "servers/a", Era: applied.Era, Revision: applied.Revision + 1, Deleted: true}, {Key: "servers/b", Era: applied.Era, Revision: applied.Revision + 2, Deleted: true}}
-		f.follower.ApplyServerList(applied, later(applied, 2), gone, false, "peer")
+		f.follower.ApplyServerList(applied, discovery.ServerList{At: later(applied, 2), Values: gone}, "peer")
 		f.decide(storereader.Decision{Role: storereader.Idle})
 		time.Sleep(1500 * time.Millisecond)
 		f.Expect(f.activeServers()).To(ConsistOf("a", "b"))
-		f.follower.ApplyServerList(later(applied, 2), later(applied, 3), []kv.Value{{Key: "servers/a", Body: []byte("ready"), Era: applied.Era, Revision: applied.Revision + 3}}, false, "peer")
+		f.follower.ApplyServerList(later(applied, 2), discovery.ServerList{At: later(applied, 3), Values: []kv.Value{{Key: "servers/a", Body: []byte("ready"), Era: applied.Era, Revision: applied.Revision + 3}}}, "peer")
 		time.Sleep(time.Second)
 		f.Expect(f.activeServers()).To(ConsistOf("a"), "entries that are still missing are removed")
-		f.follower.ApplyServerList(later(applied, 3), later(applied, 4), []kv.Value{{Key: "servers/a", Era: applied.Era, Revision: applied.Revision + 4, Deleted: true}}, false, "peer")
+		f.follower.ApplyServerList(later(applied, 3), discovery.ServerList{At: later(applied, 4), Values: []kv.Value{{Key: "servers/a", Era: applied.Era, Revision: applied.Revision + 4, Deleted: true}}}, "peer")
 		f.Expect(f.activeServers()).To(BeEmpty(), "later ones are removed at once")
 	})
 }
@@ -125,11 +126,10 @@
 		f.store.update(func() { f.store.oldest = f.store.revision })
 		time.Sleep(3 * time.Second)
 		f.Expect(f.activeServers()).To(ConsistOf("b", "c"))
-		_, values, full := f.follower.ServerList(before)
-		f.Expect(full).To(BeFalse())
-		f.Expect(values).To(HaveLen(2))
-		_, _, full = f.follower.ServerList(storehistory.Position{})
-		f.Expect(full).To(BeTrue(), "a newcomer gets all")
+		list := f.follower.ServerList(before)
+		f.Expect(list.Full).To(BeFalse())
+		f.Expect(list.Values).To(HaveLen(2))
+		f.Expect(f.follower.ServerList(storehistory.Position{}).Full).To(BeTrue(), "a newcomer gets all")
 	})
 }
 
--- a/internal/router/discovery/list.go
+++ b/internal/router/discovery/list.go
@@ -10,6 +10,15 @@
 	"wisteriafield/platform/kv"
 )
 
+// ServerList is a server list, or the changes that lead to it from an older one.
+type ServerList struct {
+	At     storehistory.Position
+	Values []kv.Value
+	Full   bool
+	// Gap is the part of the history that the changes have passed over.
+	Gap storehistory.Gap
+}
+
 // replaceServers applies a full server list. The differences go into the change log, so
 // that after a loss of the store's history peers get them and not the full list. The
 // caller holds mu.
@@ -17,6 +26,8 @@
 	now := time.Now()
 	if f.position.IsZero() {
 		f.changeLog.Reset(at)
+	} else if f.position.Before(at) {
+		f.changeLog.Skip(storehistory.Gap{From: f.position, To: at})
 	}
 	f.advance(at, now)
 	listed := make(map[string]bool, len(servers))
@@ -52,21 +63,23 @@
 		f.recoveredAt = now
 	}
 	f.position = storehistory.Later(f.position, to)
-	f.changeLog.Advance(to)
 }
 
-// ServerList returns the changes after a position, or the full list if the change log
-// does not go back that far, and the position that the result is valid for.
-func (f *Follower) ServerList(after storehistory.Position) (at storehistory.Position, values []kv.Value, full bool) {
+// ServerList returns the changes after a position, or the full list if the change log does
+// not lead there from that position.
+func (f *Follower) ServerList(after storehistory.Position) ServerList {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if values, complete := f.changeLog.Since(after); complete {
-		return f.position, values, false
+	list := ServerList{At: f.position}
+	var complete bool
+	if list.Values, list.Gap, complete = f.changeLog.Since(after); complete {
+		return list
 	}
+	list.Full = true
 	for _, v := range f.raw {
-		values = append(values, v)
+		list.Values = append(list.Values, v)
 	}
-	return f.position, values, true
+	return list
 }
 
 // Position returns the position of the store that the server list is valid for.
@@ -78,18 +91,23 @@
 
 // ApplyServerList applies a peer's changes after a position, or its full list, if the
 // result is newer than this router's list. Changes that leave a gap are ignored.
-func (f *Follower) ApplyServerList(after, at storehistory.Position, values []kv.Value, full bool, source string) {
+func (f *Follower) ApplyServerList(after storehistory.Position, list ServerList, source string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.position.Before(at) || !full && f.position.Before(after) {
+	stale := f.position.Before(after) || list.Gap.Contains(f.position) || list.At.Before(list.Gap.To)
+	if !f.position.Before(list.At) || !list.Full && stale {
 		return
 	}
-	f.cfg.Log.WithField("peer", source).WithField("era", at.Era).WithField("revision", at.Revision).
-		WithField("had", f.position.Revision).WithField("changes", len(values)).Info("server list received from peer")
-	if full {
-		f.replaceServers(at, values)
-	} else {
-		f.applyChanges(at, values)
+	f.cfg.Log.WithField("peer", source).WithField("era", list.At.Era).WithField("revision", list.At.Revision).
+		WithField("had", f.position.Revision).WithField("changes", len(list.Values)).Info("server list received from peer")
+	switch {
+	case list.Full:
+		f.replaceServers(list.At, list.Values)
+	case f.position.Before(list.Gap.To):
+		f.changeLog.Skip(list.Gap)
+		f.applyChanges(list.At, list.Values)
+	default:
+		f.applyChanges(list.At, list.Values)
 	}
 	f.cfg.OnChange()
 }
@@ -99,6 +117,7 @@
 func (f *Follower) applyChanges(to storehistory.Position, values []kv.Value) {
 	had := f.position
 	f.advance(to, time.Now())
+	f.changeLog.Advance(to)
 	for _, v := range values {
 		if had.Before(v.Position()) && strings.HasPrefix(v.Key, f.cfg.ServersPrefix) {
 			f.applyServer(v)
--- a/internal/router/discovery/restored_test.go
+++ b/internal/router/discovery/restored_test.go
@@ -9,6 +9,7 @@
 
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
+	"wisteriafield/internal/router/discovery"
 	"wisteriafield/platform/kv"
 )
 
@@ -156,13 +157,13 @@
 			if !full {
 				list = []kv.Value{{Key: "servers/b", Era: restored.Era, Revision: restored.Revision, Deleted: true}}
 			}
-			f.follower.ApplyServerList(applied, restored, list, full, "peer")
+			f.follower.ApplyServerList(applied, discovery.ServerList{At: restored, Values: list, Full: full}, "peer")
 			f.Expect(f.follower.Position()).To(Equal(restored))
 			time.Sleep(1500 * time.Millisecond)
 			f.Expect(f.activeServers()).To(ConsistOf("a", "b"))
 			time.Sleep(maxChangeTime)
 			f.Expect(f.activeServers()).To(ConsistOf("a"))
-			f.follower.ApplyServerList(storehistory.Position{}, later(applied, 9), nil, true, "peer of the lost history")
+			f.follower.ApplyServerList(storehistory.Position{}, discovery.ServerList{At: later(applied, 9), Values: nil, Full: true}, "peer of the lost history")
 			f.Expect(f.follower.Position()).To(Equal(restored))
 		})
 	}
@@ -212,3 +213,23 @@
 		f.Expect(watches).To(BeZero())
 	})
 }
+
+// The entry is no difference of the lists before and after the restore.
+func TestAPeerInTheNewHistoryGetsAnEntryThatWasLostAndWrittenAgain(t *testing.T) {
+	runFollower(t, func(f *fixture) {
+		f.store.copy()
+		f.store.put("servers/c", "ready")
+		time.Sleep(100 * time.Millisecond) // the follower has read it and pauses
+		before := f.follower.Position()
+		f.store.restore()
+		f.store.put("servers/d", "ready")
+		peer := storehistory.Position{Era: f.store.era, Revision: f.store.revision}
+		f.store.put("servers/c", "ready")
+		time.Sleep(time.Second)
+		f.Expect(f.activeServers()).To(ConsistOf("a", "b", "c", "d"))
+		f.Expect(f.follower.ServerList(peer).Full).To(BeTrue())
+		list := f.follower.ServerList(before)
+		f.Expect(list.Full).To(BeFalse(), "this one needs the differences only")
+		f.Expect(list.Gap.Contains(peer)).To(BeTrue())
+	})
+}
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -10,9 +10,9 @@
 	"wisteriafield/internal/decision/listing"
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
+	"wisteriafield/internal/router/discovery"
 	"wisteriafield/internal/router/gossip"
 	"wisteriafield/internal/router/sessions"
-	"wisteriafield/platform/kv"
 )
 
 var _ gossip.State = (*Edge)(nil)
@@ -55,7 +55,7 @@
 }
 
 // ServerList returns the changes of the server list after a position, or the full list.
-func (e *Edge) ServerList(after storehistory.Position) (storehistory.Position, []kv.Value, bool) {
+func (e *Edge) ServerList(after storehistory.Position) discovery.ServerList {
 	return e.follower.ServerList(after)
 }
 
@@ -63,8 +63,8 @@
 func (e *Edge) ServerPosition() storehistory.Position { return e.follower.Position() }
 
 // ApplyServerList applies a peer's changes or full server list if they are newer.
-func (e *Edge) ApplyServerList(after, at storehistory.Position, values []kv.Value, full bool, source string) {
-	e.follower.ApplyServerList(after, at, values, full, source)
+func (e *Edge) ApplyServerList(after storehistory.Position, list discovery.ServerList, source string) {
+	e.follower.ApplyServerList(after, list, source)
 }
 
 // StoreEra returns the newest era that the store named to this router.
--- a/internal/router/gossip/fixture_test.go
+++ b/internal/router/gossip/fixture_test.go
@@ -20,11 +20,11 @@
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/router/control"
+	"wisteriafield/internal/router/discovery"
 	"wisteriafield/internal/router/gossip"
 	"wisteriafield/internal/router/quarantine"
 	"wisteriafield/internal/router/ratelimit"
 	"wisteriafield/internal/router/sessions"
-	"wisteriafield/platform/kv"
 )
 
 // network carries calls and datagrams between routers in memory.
@@ -125,18 +125,18 @@
 		r.version = version
 	}
 }
-func (r *router) ServerList(storehistory.Position) (storehistory.Position, []kv.Value, bool) {
-	return r.ServerPosition(), nil, true
+func (r *router) ServerList(storehistory.Position) discovery.ServerList {
+	return discovery.ServerList{At: r.ServerPosition(), Full: true}
 }
 func (r *router) ServerPosition() storehistory.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.position
 }
-func (r *router) ApplyServerList(_, at storehistory.Position, _ []kv.Value, _ bool, _ string) {
+func (r *router) ApplyServerList(_ storehistory.Position, list discovery.ServerList, _ string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.position = storehistory.Later(r.position, at)
+	r.position = storehistory.Later(r.position, list.At)
 }
 func (r *router) StoreEra() int64 { r.mu.Lock(); defer r.mu.Unlock(); return r.storeEra }
 func (r *router) ObserveStoreEra(era int64) {
--- a/internal/router/gossip/gossip_test.go
+++ b/internal/router/gossip/gossip_test.go
@@ -9,6 +9,7 @@
 
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
+	"wisteriafield/internal/router/discovery"
 	"wisteriafield/internal/router/sessions"
 )
 
@@ -25,7 +26,7 @@
 func TestAConfigurationReachesAllRoutersWithinASecond(t *testing.T) {
 	runRouters(t, 7, func(g *WithT, _ *network, all []*router) {
 		all[3].SetConfig([]byte("12"), "store")
-		all[3].ApplyServerList(storehistory.Position{}, storehistory.Position{Revision: 40}, nil, true, "store")
+		all[3].ApplyServerList(storehistory.Position{}, discovery.ServerList{At: storehistory.Position{Revision: 40}, Full: true}, "store")
 		all[3].gossip.Trigger()
 		time.Sleep(time.Second)
 		for _, r := range all {
@@ -63,7 +64,7 @@
 		net.mu.Lock()
 		net.slowMethod = "Gossip.Servers"
 		net.mu.Unlock()
-		all[0].ApplyServerList(storehistory.Position{}, storehistory.Position{Revision: 40}, nil, true, "store")
+		all[0].ApplyServerList(storehistory.Position{}, discovery.ServerList{At: storehistory.Position{Revision: 40}, Full: true}, "store")
 		all[0].gossip.Trigger()
 		time.Sleep(time.Second)
 		g.Expect(all[1].gossip.Lagging(time.Now())).To(BeFalse())
--- a/internal/router/gossip/pull.go
+++ b/internal/router/gossip/pull.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wisteriafield/internal/base/loop"
+	"wisteriafield/internal/router/discovery"
 )
 
 // maxConfigBytes bounds a decompressed configuration. The store's values have at most
@@ -44,15 +45,19 @@
 // serveServerList returns to a peer the changes of the server list since its position,
 // or the full list, unless the link is busy.
 func (g *Gossip) serveServerList(req serversRequest) serversReply {
-	at, values, full := g.cfg.State.ServerList(inEra(req.Era, req.Revision, g.cfg.State.ServerPosition().Era))
+	list := g.cfg.State.ServerList(inEra(req.Era, req.Revision, g.cfg.State.ServerPosition().Era))
 	size := 0
-	for _, v := range values {
+	for _, v := range list.Values {
 		size += len(v.Key) + len(v.Body)
 	}
 	if !g.uplink.Admit(size, time.Now()) {
 		return serversReply{Busy: true}
 	}
-	return serversReply{Revision: at.Revision, Era: at.Era, Values: values, Full: full}
+	reply := serversReply{Revision: list.At.Revision, Era: list.At.Era, Values: list.Values, Full: list.Full}
+	if !list.Gap.IsZero() {
+		reply.Gap = &list.Gap
+	}
+	return reply
 }
 
 // pull fetches the newer state that a message announces: first from its sender, whose
@@ -123,11 +128,14 @@
 	if reply.Busy {
 		return false
 	}
-	at := inEra(reply.Era, reply.Revision, own.Era)
-	for i, v := range reply.Values {
-		reply.Values[i].Era = inEra(v.Era, v.Revision, at.Era).Era
+	list := discovery.ServerList{At: inEra(reply.Era, reply.Revision, own.Era), Values: reply.Values, Full: reply.Full}
+	if reply.Gap != nil {
+		list.Gap = *reply.Gap
+	}
+	for i, v := range list.Values {
+		list.Values[i].Era = inEra(v.Era, v.Revision, list.At.Era).Era
 	}
-	g.cfg.State.ApplyServerList(own, at, reply.Values, reply.Full, from.Name)
+	g.cfg.State.ApplyServerList(own, list, from.Name)
 	return true
 }
 
--- a/internal/router/gossip/restored_test.go
+++ b/internal/router/gossip/restored_test.go
@@ -9,15 +9,16 @@
 
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
+	"wisteriafield/internal/router/discovery"
 )
 
 func TestAListOfALostHistoryDoesNotOverwriteOneOfTheNewHistory(t *testing.T) {
 	runRouters(t, 7, func(g *WithT, _ *network, all []*router) {
 		lost, restored := storehistory.Position{Era: 1, Revision: 40}, storehistory.Position{Era: 2, Revision: 20}
 		for _, r := range all {
-			r.ApplyServerList(storehistory.Position{}, lost, nil, true, "store")
+			r.ApplyServerList(storehistory.Position{}, discovery.ServerList{At: lost, Full: true}, "store")
 		}
-		all[3].ApplyServerList(storehistory.Position{}, restored, nil, true, "store")
+		all[3].ApplyServerList(storehistory.Position{}, discovery.ServerList{At: restored, Full: true}, "store")
 		all[3].gossip.Trigger()
 		time.Sleep(time.Second)
 		for _, r := range all {
@@ -30,8 +31,8 @@
 func TestARouterThatNamesNoEraCountsAsBeingInThatOfItsPeer(t *testing.T) {
 	runRouters(t, 2, func(g *WithT, _ *network, all []*router) {
 		time.Sleep(50 * time.Millisecond) // between two exchanges
-		all[0].ApplyServerList(storehistory.Position{}, storehistory.Position{Era: 3, Revision: 40}, nil, true, "store")
-		all[1].ApplyServerList(storehistory.Position{}, storehistory.Position{Revision: 41}, nil, true, "store")
+		all[0].ApplyServerList(storehistory.Position{}, discovery.ServerList{At: storehistory.Position{Era: 3, Revision: 40}, Full: true}, "store")
+		all[1].ApplyServerList(storehistory.Position{}, discovery.ServerList{At: storehistory.Position{Revision: 41}, Full: true}, "store")
 		all[0].gossip.Receive([]byte(`{"Host":{"Name":"router-1","Address":"call-1","Notices":"notice-1"},"Revision":41,"AgeMs":-1}`))
 		time.Sleep(time.Millisecond)
 		g.Expect(all[0].ServerPosition()).To(Equal(storehistory.Position{Era: 3, Revision: 41}))
@@ -42,7 +43,7 @@
 	for _, n := range []int{6, 76} {
 		runRouters(t, n, func(g *WithT, _ *network, all []*router) {
 			for i, r := range all {
-				r.ApplyServerList(storehistory.Position{}, storehistory.Position{Era: 1, Revision: 40}, nil, true, "store")
+				r.ApplyServerList(storehistory.Position{}, discovery.ServerList{At: storehistory.Position{Era: 1, Revision: 40}, Full: true}, "store")
 				if i == 1 || i == 2 {
 					r.setStore(storereader.Primary, time.Now().Add(time.Minute)) // keeps getting answers
 				}
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -13,6 +13,7 @@
 	"wisteriafield/internal/decision/retrybudget"
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
+	"wisteriafield/internal/router/discovery"
 	"wisteriafield/internal/router/sessions"
 	"wisteriafield/platform/kv"
 )
@@ -76,8 +77,9 @@
 	Revision int64
 	Era      int64 `json:",omitempty"`
 	Values   []kv.Value
-	Full     bool `json:"Whole"` // Values is the full list, not changes
-	Busy     bool // the link is busy; nothing else is set
+	Full     bool              `json:"Whole"`      // Values is the full list, not changes
+	Gap      *storehistory.Gap `json:",omitempty"` // that the changes have passed over
+	Busy     bool              // the link is busy; nothing else is set
 }
 
 // Methods that peers call.
@@ -158,9 +160,9 @@
 	ConfigVersion() int64
 	ConfigValue() []byte
 	SetConfig(value []byte, source string)
-	ServerList(after storehistory.Position) (at storehistory.Position, values []kv.Value, full bool)
+	ServerList(after storehistory.Position) discovery.ServerList
 	ServerPosition() storehistory.Position
-	ApplyServerList(after, at storehistory.Position, values []kv.Value, full bool, source string)
+	ApplyServerList(after storehistory.Position, list discovery.ServerList, source string)
 	StoreEra() int64             // the newest that the store named to this router
 	ObserveStoreEra(era int64)   // as a peer knows it
 	StoreReached() time.Time     // when the store last answered this router
--- a/internal/router/gossip/wire_test.go
+++ b/internal/router/gossip/wire_test.go
@@ -8,6 +8,7 @@
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/decision/retrybudget"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/router/gossip"
 	"wisteriafield/internal/router/sessions"
 )
@@ -38,6 +39,8 @@
 		{gossip.ServersReply{Revision: 1, Full: true, Busy: true}, `{"Revision":1,"Values":null,"Whole":true,"Busy":true}`},
 		{gossip.ServersRequest{Revision: 1, Era: 2}, `{"Revision":1,"Era":2}`},
 		{gossip.ServersReply{Revision: 1, Era: 2}, `{"Revision":1,"Era":2,"Values":null,"Whole":false,"Busy":false}`},
+		{gossip.ServersReply{Gap: &storehistory.Gap{To: storehistory.Position{Era: 2, Revision: 3}}},
+			`{"Revision":0,"Values":null,"Whole":false,"Gap":{"From":{"Revision":0},"To":{"Era":2,"Revision":3}},"Busy":false}`},
 		{gossip.SessionRequest{Session: "s"}, `{"Session":"s"}`},
 		{gossip.SessionReply{Found: true}, `{"Found":true,"Record":{"Session":"","Run":"","Server":"","Backup":""}}`},
 	} {
