--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -75,6 +75,11 @@
 mutant change-without-draining $d/plan/plan.go 'if e.Running > 0 ||' 'if' ./$d/plan
 mutant load-without-pace $d/plan/plan.go '|| in.Now.Before(next.NextLoadAt)' '' ./$d/plan
 mutant part-without-digest internal/config/manifest/manifest.go 'if bodyDigest(body) != p.Digest {' 'if false {' ./internal/config/document
+mutant revisions-without-era $d/storehistory/position.go 'if p.Era != q.Era {' 'if false {' "./$d/storehistory -run 'Fleet|EachChange'"
+mutant differences-from-a-gap $d/storehistory/log.go ' || l.gap.Contains(after)' '' "./$d/storehistory -run Differences"
+mutant watch-a-lost-history internal/router/discovery/follower.go '|| f.restoredSince(after)' '' "./internal/router/discovery -run 'NewEra'"
+mutant reread-without-pause internal/router/discovery/follower.go 'nextReread = time.Now().Add(minRereadInterval)' 'nextReread = time.Now()' "./internal/router/discovery -run CallsAreBounded"
+mutant keep-nothing-lost internal/router/discovery/list.go 'f.recoveredAt = now' '_ = now' "./internal/router/discovery -run LostInARestore"
 # The end-to-end tests check the rules that hold between processes.
 mutant story-no-resume $d/resume/machine.go 'if m.consecutiveLosses > maxConsecutiveLosses {' 'if true {' "$e2e 'when.engines.crash'"
 mutant story-no-probe internal/router/keeper/watchdog.go 'w.abandon("connection went silent")' '_ = w' "$e2e 'engine.connections.that.go.silent'"
