--- a/internal/router/discovery/follower_test.go
+++ b/internal/router/discovery/follower_test.go
@@ -64,9 +64,8 @@
 		time.Sleep(time.Second)
 		f.Expect(f.activeServers()).To(ConsistOf("b"))
 		for _, after := range []storehistory.Position{{}, before} {
-			_, values, _ := f.follower.ServerList(after)
 			size := 0
-			for _, v := range values {
+			for _, v := range f.follower.ServerList(after).Values {
 				size += len(v.Key) + len(v.Body)
 			}
 			f.Expect(size).To(BeNumerically("<", 100))
