sse: blank lines are no events

A server that dripped blank lines looked like one that makes progress: each line was an event without an ID, so that the caller got headers and newlines and the engine was neither probed nor left until the request's time was over.

Blank lines now belong to the event that follows, within its bound of 1 MiB; those at the end of a stream are still passed on. TestBlankLinesAreNoEvents, TestAnEventWithoutEndIsAnError and the two TestAStreamThatDrips... with "\n" failed before. FuzzNext compares each event in place, no longer by a copy of all before it; what it checks is the same.

--- a/internal/backend/sse/reader.go
+++ b/internal/backend/sse/reader.go
@@ -37,10 +37,11 @@
 
 // Next returns the next complete event. It returns io.EOF if the stream ended
 // between events, ErrTruncated if it ended within one, and ErrMalformed for lines without
-// any field of an event or with an ID that is not a positive number.
+// any field of an event or with an ID that is not a positive number. Blank lines before an
+// event belong to it.
 func (r *Reader) Next() (Event, error) {
 	var e Event
-	malformed, hasField := false, false
+	malformed, hasLine, hasField := false, false, false
 	lineStarts := true // the next slice is the start of a line, not the rest of a long one
 	for {
 		line, err := r.r.ReadSlice('\n')
@@ -51,10 +52,13 @@
 		}
 		e.Raw = append(e.Raw, line...)
 		if err == io.EOF {
-			if len(e.Raw) > 0 {
-				return Event{}, ErrTruncated
+			switch {
+			case len(e.Raw) == 0:
+				return Event{}, io.EOF
+			case len(bytes.TrimLeft(e.Raw, "\r\n")) == 0:
+				return e, nil // the stream ends with blank lines
 			}
-			return Event{}, io.EOF
+			return Event{}, ErrTruncated
 		}
 		if err != nil {
 			return Event{}, fmt.Errorf("read event: %w", err)
@@ -65,13 +69,18 @@
 		if !startsLine {
 			continue
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(line) > 0 && line[len(line)-1] == '\n' {
-			if malformed || !hasField && len(e.Raw) > len(line) {
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			if !hasLine || !bytes.HasSuffix(line, []byte("\n")) {
+				continue
+			}
+			if malformed || !hasField {
 				return Event{}, ErrMalformed
 			}
 			return e, nil
 		}
-		name, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+		hasLine = true
+		name, value, _ := bytes.Cut(text, []byte(":"))
 		switch string(name) {
 		case "id":
 			n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
--- a/internal/backend/sse/reader_test.go
+++ b/internal/backend/sse/reader_test.go
@@ -83,6 +83,19 @@
 	}
 }
 
+// A stream that dripped blank lines counted as one that makes progress.
+func TestBlankLinesAreNoEvents(t *testing.T) {
+	g := NewWithT(t)
+	r := sse.NewReader(strings.NewReader("\n\r\n\nid: 1\ndata: a\n\n\n\nid: 2\n\n\n"))
+	for _, want := range []sse.Event{{Raw: []byte("\n\r\n\nid: 1\ndata: a\n\n"), ID: 1}, {Raw: []byte("\n\nid: 2\n\n"), ID: 2}, {Raw: []byte("\n")}} {
+		e, err := r.Next()
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(e).To(Equal(want))
+	}
+	_, err := r.Next()
+	g.Expect(err).To(Equal(io.EOF))
+}
+
 // endless sends the same byte for ever.
 type endless byte
 
@@ -95,7 +108,7 @@
 
 func TestAnEventWithoutEndIsAnError(t *testing.T) {
 	g := NewWithT(t)
-	for _, b := range []endless{'a', '\r'} {
+	for _, b := range []endless{'a', '\r', '\n'} {
 		_, err := sse.NewReader(b).Next()
 		g.Expect(err).To(MatchError(sse.ErrTruncated))
 	}
@@ -106,16 +119,16 @@
 	f.Add("id: 1\ndata: a\n\nHTTP/1.1 503 Service Unavailable\r\n\r\nid: x\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		r := sse.NewReader(strings.NewReader(text))
-		var all string
+		read := 0
 		for {
 			e, err := r.Next()
 			if err != nil {
 				break
 			}
-			all += string(e.Raw)
-		}
-		if !strings.HasPrefix(text, all) {
-			t.Fatalf("%q is not a prefix of %q", all, text)
+			if !strings.HasPrefix(text[read:], string(e.Raw)) {
+				t.Fatalf("%q is not what %q has at %d", e.Raw, text, read)
+			}
+			read += len(e.Raw)
 		}
 	})
 }
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -53,7 +53,7 @@
 	errorBytes      int            // answers with a failure of that size
 	answer          *server.Answer // answers with it and answerBody
 	answerBody      string
-	drips           bool    // sends a byte now and then, never a whole event
+	drips           string  // sends this now and then, never a whole event
 	closeDelimited  bool    // answers have neither a length nor chunks
 	closesAfter     int     // closes the connection, as if the answer were whole, after this many events
 	cutsEvent       bool    // with closesAfter, within the next event
@@ -92,16 +92,16 @@
 		return nil, fmt.Errorf("closed: %w", server.ErrLost)
 	}
 	r, w := io.Pipe()
-	if f.drips {
-		go drip(ctx, w)
+	if f.drips != "" {
+		go drip(ctx, w, f.drips)
 	} else {
 		go e.generate(ctx, w, d, f)
 	}
 	return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: r, CloseDelimited: f.closeDelimited, Limited: f.limit > 0, RateLimit: f.limit}, nil
 }
 
-// drip writes a byte every 100 ms until ctx ends.
-func drip(ctx context.Context, w *io.PipeWriter) {
+// drip writes the text every 100 ms until ctx ends.
+func drip(ctx context.Context, w *io.PipeWriter, text string) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -109,7 +109,7 @@
 			return
 		case <-time.After(100 * time.Millisecond):
 		}
-		if _, err := w.Write([]byte("d")); err != nil {
+		if _, err := w.Write([]byte(text)); err != nil {
 			return
 		}
 	}
--- a/internal/router/relay/relay_test.go
+++ b/internal/router/relay/relay_test.go
@@ -229,27 +229,31 @@
 // Bytes that are no whole event are no progress: a stalled stream that drips is probed like
 // a silent one, and ends with its time at the latest.
 func TestAStreamThatDripsBytesEnds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newHarness(t)
-		for i := range 3 {
-			h.engines.faults[fmt.Sprintf("i-%d", i)] = engineFaults{drips: true}
-		}
-		start := time.Now()
-		res, _ := h.serve(h.newRequest(0))
-		h.Expect(res.Code).To(BeNumerically(">=", 500))
-		h.Expect(time.Since(start)).To(BeNumerically("<=", 20*time.Second+500*time.Millisecond))
-		h.Expect(h.engines.probes).To(BeNumerically(">", 0))
-		synctest.Wait()
-	})
+	for _, drip := range []string{"d", "\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t)
+			for i := range 3 {
+				h.engines.faults[fmt.Sprintf("i-%d", i)] = engineFaults{drips: drip}
+			}
+			start := time.Now()
+			res, _ := h.serve(h.newRequest(0))
+			h.Expect(res.Code).To(BeNumerically(">=", 500))
+			h.Expect(time.Since(start)).To(BeNumerically("<=", 20*time.Second+500*time.Millisecond))
+			h.Expect(h.engines.probes).To(BeNumerically(">", 0))
+			synctest.Wait()
+		})
+	}
 }
 
 // An engine that drips is left for one that answers, if it does not have the attempt.
 func TestAStreamThatDripsAtOneEngineIsServedByAnother(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		h := newHarness(t)
-		h.setFirstEngine(engineFaults{drips: true, unresponsive: true})
-		res, cut := h.serve(h.newRequest(0))
-		h.Expect(cut).To(BeFalse())
-		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
-	})
+	for _, drip := range []string{"d", "\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t)
+			h.setFirstEngine(engineFaults{drips: drip, unresponsive: true})
+			res, cut := h.serve(h.newRequest(0))
+			h.Expect(cut).To(BeFalse())
+			h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+		})
+	}
 }
