relay: a comment at the end of a broken stream does not keep it from being resumed

A comment or a retry time has none either, but nothing is missing or comes twice if the stream goes on after the event before it.

The reader marks such events, and they do not count.

--- a/internal/backend/sse/reader.go
+++ b/internal/backend/sse/reader.go
@@ -24,7 +24,9 @@
 // Event is one event.
 type Event struct {
 	Raw []byte // the event as it was sent, with the blank line that ends it
-	ID  int    // 0 if the event has no numeric ID
+	ID  int    // 0 if the event has none
+	// Comment means that the event has no ID, name or data.
+	Comment bool
 }
 
 // Reader reads events from a stream.
@@ -40,7 +42,7 @@
 // any field of an event or with an ID that is not a positive number. Blank lines before an
 // event belong to it.
 func (r *Reader) Next() (Event, error) {
-	var e Event
+	e := Event{Comment: true}
 	malformed, hasLine, hasField := false, false, false
 	lineStarts := true // the next slice is the start of a line, not the rest of a long one
 	for {
@@ -85,8 +87,10 @@
 		case "id":
 			n, err := strconv.Atoi(string(bytes.TrimSpace(value)))
 			malformed = malformed || err != nil || n <= 0
-			e.ID, hasField = n, true
-		case "", "data", "event", "retry": // a comment has no name
+			e.ID, e.Comment, hasField = n, false, true
+		case "data", "event":
+			e.Comment, hasField = false, true
+		case "", "retry": // a comment has no name
 			hasField = true
 		}
 	}
--- a/internal/backend/sse/reader_test.go
+++ b/internal/backend/sse/reader_test.go
@@ -87,7 +87,7 @@
 func TestBlankLinesAreNoEvents(t *testing.T) {
 	g := NewWithT(t)
 	r := sse.NewReader(strings.NewReader("\n\r\n\nid: 1\ndata: a\n\n\n\nid: 2\n\n\n"))
-	for _, want := range []sse.Event{{Raw: []byte("\n\r\n\nid: 1\ndata: a\n\n"), ID: 1}, {Raw: []byte("\n\nid: 2\n\n"), ID: 2}, {Raw: []byte("\n")}} {
+	for _, want := range []sse.Event{{Raw: []byte("\n\r\n\nid: 1\ndata: a\n\n"), ID: 1}, {Raw: []byte("\n\nid: 2\n\n"), ID: 2}, {Raw: []byte("\n"), Comment: true}} {
 		e, err := r.Next()
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(e).To(Equal(want))
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -218,10 +218,12 @@
 	if _, err := s.w.Write(event.Raw); err != nil {
 		return result{outcome: lost, reason: "caller left", callerDisconnected: true}, false
 	}
-	s.unresumable = event.ID == 0
 	if event.ID > 0 {
 		s.lastEventID = event.ID
 	}
+	if !event.Comment {
+		s.unresumable = event.ID == 0
+	}
 	if flush {
 		if err := http.NewResponseController(s.w).Flush(); err != nil {
 			return result{outcome: lost, reason: "caller left", callerDisconnected: true}, false
--- a/internal/router/relay/error_test.go
+++ b/internal/router/relay/error_test.go
@@ -97,3 +97,34 @@
 		})
 	}
 }
+
+// What follows the last ID would be missing or come twice.
+func TestAStreamIsResumedOnlyAfterAnEventWithAnID(t *testing.T) {
+	for _, c := range []struct {
+		name, last string
+		resumed    bool
+	}{
+		{"event", "", true},
+		{"comment", ": alive\n\n", true},
+		{"retry time", "retry: 500\n\n", true},
+		{"blank lines", "\n\n", true},
+		{"event without an ID", "data: a\n\n", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				answer := &server.Answer{Status: http.StatusOK, Signed: true}
+				h.setFirstEngine(engineFaults{answer: answer, answerBody: eventText(1, 7) + c.last + "id: 8\nda"})
+				res, cut := h.serve(h.newRequest(0))
+				h.Expect(cut).To(Equal(!c.resumed))
+				want := eventText(1, 7) + c.last
+				if c.resumed {
+					want = eventText(1, 20)
+					h.Expect(strings.ReplaceAll(res.Body.String(), c.last, "")).To(Equal(strings.ReplaceAll(want, c.last, "")))
+					return
+				}
+				h.Expect(res.Body.String()).To(Equal(want))
+			})
+		})
+	}
+}
