claim: a booking whose claim the store lost is not run again

Callers saw a booking run twice: its claim was written and acknowledged, the store came back from an older copy without it, and the caller's repeat created a new claim.

Cause: a claim that is missing, held or released in the store was taken as proof that nothing newer had been there. A restored store proves nothing of the kind, and a compare-and-swap that expects a revision of the lost history may hit another value, as revisions are given out again.

The first router that sees an era of the store writes era and time under claim-era. Keys are version 7 UUIDs and name their time: one that is not later than that mark, plus the margin that CheckKey allows and the difference of the routers' clocks, may have had a claim that is gone. It is not sent in this era: Next returns a recorded outcome, asks a holder for one, or reports an unknown outcome. The era is checked again after the claim is written and before the call is dispatched. Keys of the new era cannot be in a lost claim, and attempts of the lost era exclude each other as before, so that at most one of them is dispatched. The first apply of an environment marks the first era, before which there is no claim; without it every new system would refuse bookings until the margin has passed.

The rapid model has the same steps. Mutants: send-on-a-lost-claim, send-without-a-claim, restore-without-margin, era-not-marked.

Ruled out: a condition on a marker key in each transaction, since the marker's revision may be given out again too; asking the routers, since one may have crashed.

The price: for maxAhead and 2 s after a restore, a new booking is answered as unknown, although it was not run.

--- a/internal/caller/service/consent.go
+++ b/internal/caller/service/consent.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/claim"
 	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/members"
@@ -114,3 +115,32 @@
 	case <-ctx.Done():
 	}
 }
+
+// askHolder requests consent from the claim's holder and sets found to the newest
+// record. It returns false if the outcome stays unknown.
+func (r *requestState) askHolder(ctx context.Context) bool {
+	remaining := time.Until(r.waitDeadline)
+	if remaining <= 0 || ctx.Err() != nil {
+		return false
+	}
+	consent, final, err := r.runner.deps.ConsentClient.RequestConsent(ctx, *r.found, remaining)
+	switch {
+	case err == nil && consent == claim.ConsentGiven:
+		consentsTotal.Inc()
+		released := *r.found
+		released.State = claim.Released
+		r.found = &released
+		return true
+	case err == nil && consent == claim.ConsentFinished:
+		r.found = &final
+		return true
+	}
+	if !loop.Sleep(ctx, pollInterval) {
+		return false
+	}
+	found, revision, err := r.runner.get(ctx, r.req.Key)
+	if err == nil {
+		r.found, r.revision = found, revision
+	}
+	return true
+}
--- a/internal/caller/service/nonidempotent.go
+++ b/internal/caller/service/nonidempotent.go
@@ -42,6 +42,7 @@
 type Store interface {
 	Get(ctx context.Context, key string) (kv.Value, error)
 	Put(ctx context.Context, key string, body []byte, revision int64, lease string) (int64, error)
+	Era() int64 // newest that an answer named
 }
 
 // ConsentClient requests consent from the routers that hold claims.
@@ -68,12 +69,13 @@
 	send func(ctx context.Context, s *document.Service, call backend.Call) (*backend.Answer, error)
 
 	pendingSaves sync.WaitGroup // of outcomes that are not in the store yet
+	restores     restoreTracker
 }
 
 // NewNonIdempotentRunner returns a runner. It can run calls once New has set the
 // function that sends them.
 func NewNonIdempotentRunner(deps NonIdempotentDeps) *NonIdempotentRunner {
-	return &NonIdempotentRunner{deps: deps}
+	return &NonIdempotentRunner{deps: deps, restores: restoreTracker{store: deps.Store, log: deps.Log}}
 }
 
 // Flush waits until all outcomes are in the store or ctx is done.
@@ -124,6 +126,7 @@
 	attemptID    string
 	found        *claim.Record
 	revision     int64
+	wasRead      bool      // the store was asked for the claim
 	waitDeadline time.Time // of the wait for another holder of the claim
 }
 
@@ -133,7 +136,16 @@
 	r := &requestState{runner: runner, req: req, attemptID: uuid.NewString(), waitDeadline: time.Now().Add(maxHolderWait)}
 	runner.deps.Attempts.Register(r.attemptID, req.ExpiresAt)
 	for {
-		switch claim.Next(r.found, r.attemptID, req.Digest) {
+		mark, err := runner.restores.mark(ctx)
+		if err != nil {
+			return r.refuseNotRun("the platform's store is out of reach")
+		}
+		mayBeLost := mark.MayHaveLost(req.ExpiresAt)
+		if mayBeLost && !r.wasRead && !r.resolveClaim(ctx) {
+			runner.deps.Attempts.Forget(r.attemptID)
+			return unknownOutcome()
+		}
+		switch claim.Next(r.found, r.attemptID, req.Digest, mayBeLost) {
 		case claim.Create, claim.Replace:
 			if !r.writeClaim(ctx) {
 				return r.refuseNotRun("the platform's store is out of reach")
@@ -195,7 +207,7 @@
 		}
 		found, revision, err := r.runner.get(ctx, r.req.Key)
 		if err == nil {
-			r.found, r.revision = found, revision
+			r.found, r.revision, r.wasRead = found, revision, true
 			return ctx.Err() == nil
 		}
 	}
@@ -262,32 +274,3 @@
 	defer cancel()
 	_, _ = r.runner.put(ctx, r.req.Key, r.newRecord(claim.Released), r.revision)
 }
-
-// askHolder requests consent from the claim's holder and sets found to the newest
-// record. It returns false if the outcome stays unknown.
-func (r *requestState) askHolder(ctx context.Context) bool {
-	remaining := time.Until(r.waitDeadline)
-	if remaining <= 0 || ctx.Err() != nil {
-		return false
-	}
-	consent, final, err := r.runner.deps.ConsentClient.RequestConsent(ctx, *r.found, remaining)
-	switch {
-	case err == nil && consent == claim.ConsentGiven:
-		consentsTotal.Inc()
-		released := *r.found
-		released.State = claim.Released
-		r.found = &released
-		return true
-	case err == nil && consent == claim.ConsentFinished:
-		r.found = &final
-		return true
-	}
-	if !loop.Sleep(ctx, pollInterval) {
-		return false
-	}
-	found, revision, err := r.runner.get(ctx, r.req.Key)
-	if err == nil {
-		r.found, r.revision = found, revision
-	}
-	return true
-}
--- a/internal/decision/claim/claim_test.go
+++ b/internal/decision/claim/claim_test.go
@@ -30,11 +30,70 @@
 		{"key of another request", record(claim.Done, "other", "e"), claim.Conflict},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			NewWithT(t).Expect(claim.Next(test.found, "mine", "d")).To(Equal(test.want))
+			NewWithT(t).Expect(claim.Next(test.found, "mine", "d", false)).To(Equal(test.want))
 		})
 	}
 }
 
+func TestNoCallIsSentIfItsClaimMayBeLost(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		found *claim.Record
+		want  claim.Step
+	}{
+		{"no claim", nil, claim.ReportUnknown},
+		{"own claim", &claim.Record{State: claim.Held, Attempt: "mine"}, claim.ReportUnknown},
+		{"claim of another attempt", &claim.Record{State: claim.Held, Attempt: "other"}, claim.AskHolder},
+		{"released claim", &claim.Record{State: claim.Released, Attempt: "other"}, claim.ReportUnknown},
+		{"ran", &claim.Record{State: claim.Done, Attempt: "other"}, claim.Replay},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			NewWithT(t).Expect(claim.Next(test.found, "mine", "", true)).To(Equal(test.want))
+		})
+	}
+}
+
+func TestNextMark(t *testing.T) {
+	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	seen := claim.RestoreMark{Era: 2, SeenAt: now.Add(-time.Minute)}
+	first := claim.RestoreMark{Era: 2}
+	for _, test := range []struct {
+		name       string
+		stored     *claim.RestoreMark
+		sawEarlier bool
+		want       claim.RestoreMark
+		changed    bool
+	}{
+		{"none", nil, false, claim.RestoreMark{Era: 2, SeenAt: now}, true},
+		{"of an earlier era", &claim.RestoreMark{Era: 1}, false, claim.RestoreMark{Era: 2, SeenAt: now}, true},
+		{"of this era", &seen, true, seen, false},
+		{"of the first era", &first, false, first, false},
+		{"written for an empty store, which was restored", &first, true, claim.RestoreMark{Era: 2, SeenAt: now}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewWithT(t)
+			got, changed := claim.NextMark(test.stored, 2, test.sawEarlier, now)
+			g.Expect(got).To(Equal(test.want))
+			g.Expect(changed).To(Equal(test.changed))
+		})
+	}
+}
+
+func TestKeysThatAreOlderThanARestoreMayHaveLostTheirClaim(t *testing.T) {
+	g := NewWithT(t)
+	seenAt := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	mayHaveLost := func(m claim.RestoreMark, keyTime time.Time) bool {
+		expires, err := claim.CheckKey(keyAt(keyTime), keyTime)
+		g.Expect(err).NotTo(HaveOccurred())
+		return m.MayHaveLost(expires)
+	}
+	mark := claim.RestoreMark{Era: 2, SeenAt: seenAt}
+	g.Expect(mayHaveLost(mark, seenAt.Add(-time.Hour))).To(BeTrue())
+	g.Expect(mayHaveLost(mark, seenAt.Add(5*time.Second))).To(BeTrue(), "its clock or a router's may be ahead")
+	g.Expect(mayHaveLost(mark, seenAt.Add(10*time.Minute))).To(BeFalse())
+	g.Expect(mayHaveLost(claim.RestoreMark{Era: 1}, seenAt)).To(BeFalse(), "no claim is older than the era")
+}
+
 func TestDispatchAndAbandonExcludeEachOther(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := claim.NewAttemptTable()
@@ -105,19 +164,27 @@
 }
 
 // claimModel drives the steps of model/claim.pml against the rules of the store:
-// two routers, lost and late writes, and a router that crashes. A step whose
-// precondition does not hold skips, which makes rapid draw another one; no test
-// is skipped.
+// two routers, lost and late writes, a router that crashes, and a store that is restored
+// from a copy and gives out the same revisions again. A step whose
+// precondition does not hold does nothing: rapid ends a run early after many skipped steps.
 type claimModel struct {
 	stored     *claim.Record // the claim in the store
 	revision   int           // of the claim in the store
+	era        int           // of the store; the key is of era 0
+	copied     storeCopy
 	routers    [2]*routerModel
 	lateWrites []write
 	executions int // of the call, at the service
 }
 
+type storeCopy struct {
+	stored   *claim.Record
+	revision int
+}
+
 type routerModel struct {
 	table        *claim.AttemptTable
+	era          int // of the store, by its last answer to this router
 	alive        bool
 	attempt      string
 	seen         *claim.Record // what the router read last
@@ -154,6 +221,9 @@
 // Begin starts a new attempt at a router.
 func (m *claimModel) Begin(t *rapid.T) {
 	i, router := m.drawRouter(t)
+	if router.attempt != "" && !router.sent && !router.notRun && rapid.IntRange(0, 9).Draw(t, "seldom") != 0 {
+		return
+	}
 	router.attempts++
 	router.attempt = fmt.Sprintf("r%d-%d", i, router.attempts)
 	router.sent, router.notRun = false, false
@@ -165,31 +235,55 @@
 func (m *claimModel) Read(t *rapid.T) {
 	_, router := m.drawRouter(t)
 	if router.attempt == "" || router.sent || router.notRun {
-		t.Skip()
+		return
 	}
+	router.era = m.era
 	router.seen, router.seenRevision = m.stored, m.revision
-	router.step = claim.Next(router.seen, router.attempt, "d")
+	router.step = router.next()
+}
+
+func (r *routerModel) next() claim.Step {
+	return claim.Next(r.seen, r.attempt, "d", r.era > 0)
+}
+
+// Copy makes the copy that the store is restored from.
+func (m *claimModel) Copy(*rapid.T) { m.copied = storeCopy{m.stored, m.revision} }
+
+// Restore loses what was written since the copy.
+func (m *claimModel) Restore(t *rapid.T) {
+	if rapid.IntRange(0, 3).Draw(t, "seldom") != 0 {
+		return
+	}
+	m.era++
+	m.stored, m.revision = m.copied.stored, m.copied.revision
 }
 
 // Write writes the claim; its answer may be lost, or the write may arrive late.
 func (m *claimModel) Write(t *rapid.T) {
 	i, router := m.drawRouter(t)
 	if router.step != claim.Create && router.step != claim.Replace || router.notRun {
-		t.Skip()
+		return
 	}
 	w := write{claim.Record{Digest: "d", Router: fmt.Sprint(i), Attempt: router.attempt, State: claim.Held}, router.seenRevision}
-	if rapid.Bool().Draw(t, "late") {
+	router.step = "" // without an answer, the claim is read back
+	switch rapid.SampledFrom([]string{"late", "lost answer", "answer"}).Draw(t, "write") {
+	case "late":
 		m.lateWrites = append(m.lateWrites, w)
-	} else {
+	case "lost answer":
 		m.compareAndSwap(w)
+	case "answer":
+		router.era = m.era
+		if m.compareAndSwap(w) {
+			router.seen, router.seenRevision = &w.record, m.revision
+			router.step = router.next()
+		}
 	}
-	router.step = "" // whatever the answer was, the claim is read back
 }
 
 // ApplyLateWrite lets the oldest late write arrive at the store.
 func (m *claimModel) ApplyLateWrite(t *rapid.T) {
 	if len(m.lateWrites) == 0 {
-		t.Skip()
+		return
 	}
 	m.compareAndSwap(m.lateWrites[0])
 	m.lateWrites = m.lateWrites[1:]
@@ -200,7 +294,7 @@
 func (m *claimModel) Send(t *rapid.T) {
 	_, router := m.drawRouter(t)
 	if router.step != claim.Send || !router.table.Dispatch(router.attempt) {
-		t.Skip()
+		return
 	}
 	if router.notRun {
 		t.Fatal("attempt dispatched after it was reported as not run")
@@ -218,25 +312,25 @@
 func (m *claimModel) AskHolder(t *rapid.T) {
 	_, router := m.drawRouter(t)
 	if router.step != claim.AskHolder {
-		t.Skip()
+		return
 	}
 	holder := m.routers[router.seen.Router[0]-'0']
 	if !holder.alive {
-		t.Skip()
+		return
 	}
 	if consent, _ := holder.table.Abandon(router.seen.Attempt); consent == claim.ConsentGiven {
 		released := *router.seen
 		released.State = claim.Released
 		router.seen = &released
-		router.step = claim.Next(router.seen, router.attempt, "d")
+		router.step = router.next()
 	}
 }
 
 // DeclareNotRun abandons the current attempt and reports it as not run.
 func (m *claimModel) DeclareNotRun(t *rapid.T) {
 	_, router := m.drawRouter(t)
-	if router.attempt == "" || router.sent || router.notRun {
-		t.Skip()
+	if router.attempt == "" || router.sent || router.notRun || rapid.IntRange(0, 3).Draw(t, "seldom") != 0 {
+		return
 	}
 	if consent, _ := router.table.Abandon(router.attempt); consent == claim.ConsentGiven {
 		router.notRun = true
@@ -247,7 +341,7 @@
 func (m *claimModel) Crash(t *rapid.T) {
 	i, router := m.drawRouter(t)
 	if rapid.IntRange(0, 9).Draw(t, "seldom") != 0 {
-		t.Skip()
+		return
 	}
 	m.routers[i] = &routerModel{table: claim.NewAttemptTable(), alive: true, attempts: router.attempts}
 }
--- a/internal/decision/claim/step.go
+++ b/internal/decision/claim/step.go
@@ -24,9 +24,13 @@
 )
 
 // Next returns the step of an attempt whose request has the given digest, from
-// the record found in the store (nil if there is none).
-func Next(found *Record, attemptID, digest string) Step {
+// the record found in the store (nil if there is none). If the store may have lost
+// the key's claim, what is missing, held or released in the store proves nothing, and
+// the call is not sent.
+func Next(found *Record, attemptID, digest string, mayBeLost bool) Step {
 	switch {
+	case found == nil && mayBeLost:
+		return ReportUnknown
 	case found == nil:
 		return Create
 	case found.Digest != digest:
@@ -35,11 +39,13 @@
 		return Replay
 	case found.State == Unknown:
 		return ReportUnknown
+	case found.State == Held && found.Attempt != attemptID:
+		return AskHolder
+	case mayBeLost:
+		return ReportUnknown
 	case found.State == Released:
 		return Replace
-	case found.Attempt == attemptID:
-		return Send
 	default:
-		return AskHolder
+		return Send
 	}
 }
--- a/internal/platform/publish/publish.go
+++ b/internal/platform/publish/publish.go
@@ -14,6 +14,7 @@
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/config/manifest"
+	"wisteriafield/internal/decision/claim"
 	"wisteriafield/internal/router/configure"
 	"wisteriafield/platform/kv"
 )
@@ -41,6 +42,7 @@
 type Store interface {
 	Get(ctx context.Context, key string) (kv.Value, error)
 	Put(ctx context.Context, key string, body []byte, revision int64, lease string) (int64, error)
+	Era() int64 // newest that an answer named
 }
 
 // ReadManifest returns the manifest of an environment and the store's revision of
@@ -68,6 +70,11 @@
 	if err != nil {
 		return manifest.Manifest{}, fmt.Errorf("split document: %w", err)
 	}
+	if storeRevision == 0 {
+		if err := markFirstEra(ctx, s); err != nil {
+			return manifest.Manifest{}, err
+		}
+	}
 	stored := make(map[string]bool)
 	for _, p := range base.Parts {
 		stored[p.Digest] = true
@@ -83,18 +90,39 @@
 	return CommitManifest(ctx, s, base, storeRevision, parts, origin)
 }
 
+// markFirstEra records that no claim is older than the store's era: no call is served
+// before the first document. A mark that exists stays.
+func markFirstEra(ctx context.Context, s Store) error {
+	body, err := json.Marshal(claim.RestoreMark{Era: s.Era()})
+	if err != nil {
+		return fmt.Errorf("encode era mark: %w", err)
+	}
+	if err := create(ctx, s, claim.RestoreKey, body); err != nil {
+		return fmt.Errorf("write era mark: %w", err)
+	}
+	return nil
+}
+
 // writePart stores a part under its digest. A part that exists under that digest is
-// identical, so a conflict counts as success.
+// identical.
 func writePart(ctx context.Context, s Store, part manifest.Part, body []byte) error {
+	if err := create(ctx, s, configure.PartKey(part.Digest), body); err != nil {
+		return fmt.Errorf("write part %s: %w", part.Name, err)
+	}
+	return nil
+}
+
+// create writes a key unless it exists.
+func create(ctx context.Context, s Store, key string, body []byte) error {
 	var err error
 	for range maxTries {
-		_, err = s.Put(ctx, configure.PartKey(part.Digest), body, 0, "")
+		_, err = s.Put(ctx, key, body, 0, "")
 		if err == nil || errors.Is(err, kv.ErrConflict) {
 			return nil
 		}
 		loop.Sleep(ctx, retryDelay)
 	}
-	return fmt.Errorf("write part %s: %w", part.Name, err)
+	return err
 }
 
 // CommitManifest writes a manifest of stored parts as the next revision of the
--- a/internal/platform/publish/publish_test.go
+++ b/internal/platform/publish/publish_test.go
@@ -41,6 +41,8 @@
 	return s.revision, nil
 }
 
+func (s *store) Era() int64 { return 1 }
+
 func TestTheLoserOfARaceLearnsTheWinner(t *testing.T) {
 	g := NewWithT(t)
 	ctx := context.Background()
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -56,7 +56,11 @@
 mutant skip-the-lineage $d/generation/answer.go 'if s.Attempt == attemptID {' 'if s.contains(position) {' ./$d/generation
 mutant dispatch-twice $d/claim/attempttable.go 'if e == nil || e.phase != registered {' 'if e == nil || e.phase == abandoned {' ./$d/claim
 mutant consent-after-dispatch $d/claim/attempttable.go 'case registered, abandoned:' 'case registered, abandoned, dispatched:' ./$d/claim
-mutant send-on-anothers-claim $d/claim/step.go 'case found.Attempt == attemptID:' 'case found.State == Held:' ./$d/claim
+mutant send-on-anothers-claim $d/claim/step.go 'case found.State == Held && found.Attempt != attemptID:' 'case false:' ./$d/claim
+mutant send-on-a-lost-claim $d/claim/step.go 'case mayBeLost:' 'case false:' "./$d/claim -run AtMostOnce"
+mutant send-without-a-claim $d/claim/step.go 'case found == nil && mayBeLost:' 'case false:' ./$d/claim
+mutant restore-without-margin $d/claim/restore.go '.Add(maxAhead + clockDifference)' '' ./$d/claim
+mutant era-not-marked internal/caller/service/restore.go 't.last.Era == t.store.Era()' 'true' ./internal/caller/service
 mutant old-keys $d/claim/key.go 'now.Sub(keyTime) > Retention' 'now.Sub(keyTime) > 3*Retention' ./$d/claim
 mutant give-a-slot-twice $d/admission/server.go 's.InFlight() >= s.usableSlots()' 's.InFlight() > s.usableSlots()' ./$d/admission
 mutant no-slots-for-short-work $d/admission/server.go 'reservedSlotShare = 0.15' 'reservedSlotShare = 0.0' ./$d/admission
@@ -80,7 +84,7 @@
 mutant story-no-probe internal/router/keeper/watchdog.go 'w.abandon("connection went silent")' '_ = w' "$e2e 'engine.connections.that.go.silent'"
 mutant story-no-heartbeat internal/router/stream/client.go 'silenceTimeout = 500 * time.Millisecond' 'silenceTimeout = time.Hour' "$e2e 'pauses.until'"
 mutant story-no-reattach internal/router/entry/entry.go 'return e.join(req, lastEvent.Generation, sources, &lastEvent)' 'return nil, ErrGone' "$e2e 'crash.of.its.entry,'"
-mutant story-no-claim internal/caller/service/nonidempotent.go 'switch claim.Next(r.found, r.attemptID, req.Digest) {' 'if runner.deps.Attempts.Dispatch(r.attemptID) { return r.dispatch(ctx) }; switch claim.Next(r.found, r.attemptID, req.Digest) {' "$e2e 'many.routers.get.it'"
+mutant story-no-claim internal/caller/service/nonidempotent.go 'switch claim.Next(r.found, r.attemptID, req.Digest, mayBeLost) {' 'if runner.deps.Attempts.Dispatch(r.attemptID) { return r.dispatch(ctx) }; switch claim.Next(r.found, r.attemptID, req.Digest, false) {' "$e2e 'many.routers.get.it'"
 mutant story-blind-after-lost-answer internal/caller/service/nonidempotent.go 'return r.resolveClaim(ctx)
 }
 
--- a/model/claim.pml
+++ b/model/claim.pml
@@ -5,11 +5,14 @@
  * may be lost after the write took effect, and the write may also arrive late. A router
  * may pause at any moment: a process that is not scheduled is paused, so no clock can be
  * trusted. In the holder's memory, consent and dispatch exclude each other. A router may
- * crash, which loses its memory.
+ * crash, which loses its memory. The store may be restored from a copy: the claim is then
+ * what it was, its revisions are given out again, and each later answer shows that the
+ * store was restored.
  *
  * Mutants: TIMEOUT releases a claim because the holder does not answer; NO_BOOK gives
  * consent without checking in the attempt table whether the call was dispatched;
- * BLIND_RETRY dispatches after a lost answer without reading the claim back.
+ * BLIND_RETRY dispatches after a lost answer without reading the claim back; NO_ERA trusts
+ * a claim, or its absence, in a store that may have lost another one.
  */
 #define FREE 0
 #define HELD 1
@@ -19,6 +22,7 @@
 byte state = FREE;	/* of the claim in the store */
 byte holder = 0;	/* 1 or 2 */
 byte revision = 0;
+bool restored = false;	/* the store was restored since the key was made */
 
 bool dispatched[3];	/* by router, in its memory: the call may have been sent */
 bool abandoned[3];	/* by router, in its memory: it will not send the call */
@@ -35,8 +39,17 @@
 	fi
 }
 
+/* an answer names the era of the store */
+inline observe() {
+#ifdef NO_ERA
+	skip
+#else
+	may_be_lost = restored
+#endif
+}
+
 proctype Router(byte r) {
-	byte read_revision; bool ok; byte other; byte tries = 0;
+	byte read_revision; bool ok; byte other; byte tries = 0; bool may_be_lost = false;
 	other = 3 - r;
 read_claim:
 	skip;
@@ -44,15 +57,19 @@
 	:: tries >= 2 -> goto not_run
 	:: else -> tries++
 	fi;
-	atomic { read_revision = revision;
+	atomic { read_revision = revision; observe();
 		if
-		:: state == FREE || state == RELEASED -> skip
+		:: state == FREE || state == RELEASED ->
+			if
+			:: may_be_lost -> goto outcome_unknown
+			:: else -> skip
+			fi
 		:: state == DONE -> goto end
 		:: state == HELD && holder == r -> goto dispatch
 		:: else -> goto ask_consent
 		fi };
 	if
-	:: atomic { true -> cas(r, read_revision, ok);	/* the answer arrives */
+	:: atomic { true -> cas(r, read_revision, ok); observe();	/* the answer arrives */
 		if
 		:: ok -> goto dispatch
 		:: else -> goto read_claim
@@ -98,6 +115,7 @@
 	atomic {
 		if
 		:: abandoned[r] -> goto not_run
+		:: !abandoned[r] && may_be_lost -> goto outcome_unknown
 		:: else -> dispatched[r] = true
 		fi };
 	/* the router may pause here for any length of time */
@@ -130,6 +148,18 @@
 	od
 }
 
+/* the store comes back from a copy, perhaps twice */
+proctype Restore() {
+	byte copied_state; byte copied_holder; byte copied_revision; byte i;
+	atomic { copied_state = state; copied_holder = holder; copied_revision = revision };
+	for (i : 1 .. 2) {
+		if
+		:: atomic { state = copied_state; holder = copied_holder; revision = copied_revision; restored = true }
+		:: skip
+		fi
+	}
+}
+
 proctype Crash() {
 	if
 	:: alive[1] = false
@@ -148,6 +178,6 @@
 init {
 	atomic {
 		alive[1] = true; alive[2] = true;
-		run Router(1); run Router(2); run Network(); run Crash(); run Monitor()
+		run Router(1); run Router(2); run Network(); run Crash(); run Restore(); run Monitor()
 	}
 }
