claim: an outcome that the store lost is written again

Callers whose booking had run and been recorded got "unknown outcome" from every router after the store was restored without the record, although the router that ran it still knew its outcome. If the older copy had the claim of another attempt, which had been given up in the lost history, the outcome was not saved at all and the invariant "claim was taken over" was reported.

A router keeps its outcomes in its attempt table. It now remembers where in the store's history each was written, and in a new era writes them again, the newest first. It stops at the first that the store kept: a copy that has it also has what was written before. NextSave decides what a final record may replace: a claim of the lost history that comes back held or released belongs to an attempt that gave it up before this one was dispatched.

Evidence: TestAnOutcomeThatTheStoreLostIsWrittenAgain (restored twice) and TestAnOutcomeReplacesAClaimThatWasGivenUpInTheLostHistory failed before (no outcome within 5 s; no outcome at a third router) and pass now, with -race. Mutants: lost-outcome-not-rewritten, save-over-no-lost-claim.

Not covered: a router that has crashed since. Its outcomes stay unknown.

--- a/internal/caller/service/record.go
+++ b/internal/caller/service/record.go
@@ -11,6 +11,7 @@
 	backend "wisteriafield/internal/backend/service"
 	"wisteriafield/internal/decision/claim"
 	"wisteriafield/internal/decision/invariant"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/platform/kv"
 )
 
@@ -23,21 +24,11 @@
 	go func() {
 		defer runner.pendingSaves.Done()
 		defer close(saved)
-		for time.Now().Before(final.ExpiresAt) {
-			_, err := runner.put(context.Background(), key, final, revision)
-			if err == nil {
-				return
+		err := runner.putOutcome(context.Background(), key, final, revision)
+		for err != nil && time.Now().Before(final.ExpiresAt) {
+			if _, err = runner.trySave(context.Background(), key, final); err != nil {
+				time.Sleep(saveRetryDelay)
 			}
-			found, rev, err := runner.get(context.Background(), key)
-			if err == nil {
-				if found != nil && found.Attempt != final.Attempt || found != nil && found.State == final.State {
-					invariant.Check(found.Attempt == final.Attempt, "claim of dispatched attempt %s was taken over", final.Attempt)
-					return
-				}
-				revision = rev
-				continue
-			}
-			time.Sleep(saveRetryDelay)
 		}
 	}()
 	timer := time.NewTimer(saveTimeout)
@@ -48,6 +39,48 @@
 	}
 }
 
+// trySave writes an outcome unless the store has it, and reports whether it was written.
+func (runner *NonIdempotentRunner) trySave(ctx context.Context, key string, final *claim.Record) (bool, error) {
+	era := runner.deps.Store.Era()
+	found, revision, err := runner.get(ctx, key)
+	if err != nil {
+		return false, err
+	}
+	mark, err := runner.restores.mark(ctx)
+	if err != nil {
+		return false, err
+	}
+	switch claim.NextSave(found, final, mark.MayHaveLost(final.ExpiresAt)) {
+	case claim.Write:
+		return true, runner.putOutcome(ctx, key, final, revision)
+	case claim.Kept:
+		return false, runner.markSaved(key, final, era, revision)
+	default:
+		invariant.Check(false, "claim of dispatched attempt %s was taken over", final.Attempt)
+		return false, nil
+	}
+}
+
+// putOutcome writes an outcome over the record of the given revision.
+func (runner *NonIdempotentRunner) putOutcome(ctx context.Context, key string, final *claim.Record, revision int64) error {
+	era := runner.deps.Store.Era()
+	written, err := runner.put(ctx, key, final, revision)
+	if err != nil {
+		return err
+	}
+	return runner.markSaved(key, final, era, written)
+}
+
+// markSaved remembers where in the store's history an outcome is. It fails if the store
+// was restored since the given era.
+func (runner *NonIdempotentRunner) markSaved(key string, final *claim.Record, era, revision int64) error {
+	if newest := runner.deps.Store.Era(); newest != era {
+		return fmt.Errorf("store was restored to era %d while an outcome was saved: %w", newest, kv.ErrUnavailable)
+	}
+	runner.deps.Attempts.MarkSaved(final.Attempt, key, storehistory.Position{Era: era, Revision: revision})
+	return nil
+}
+
 func (runner *NonIdempotentRunner) put(ctx context.Context, key string, r *claim.Record, revision int64) (int64, error) {
 	body, err := json.Marshal(r)
 	if err != nil {
--- a/internal/caller/service/restore.go
+++ b/internal/caller/service/restore.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
@@ -15,6 +16,13 @@
 	"wisteriafield/platform/kv"
 )
 
+const (
+	restoreCheckInterval = 500 * time.Millisecond
+	rewriteDelay         = 10 * time.Millisecond // between two outcomes that are written again
+)
+
+var rewrittenTotal = metrics.NewCounter("wisteriafield_outcomes_rewritten_total")
+
 // restoreTracker knows which claims the store may have lost.
 type restoreTracker struct {
 	store Store
@@ -77,3 +85,43 @@
 	t.known, t.last = true, next
 	return nil
 }
+
+// Run writes the outcomes that the store lost again, whenever it was restored, until ctx
+// ends.
+func (runner *NonIdempotentRunner) Run(ctx context.Context) error {
+	var done int64
+	loop.Every(ctx, restoreCheckInterval, func(time.Time) {
+		era := runner.deps.Store.Era()
+		if era == done {
+			return
+		}
+		if err := runner.rewriteLost(ctx, era); err != nil {
+			runner.deps.Log.Infof("outcomes that the store lost are not all written again: %v", err)
+			return
+		}
+		done = era
+	})
+	return nil
+}
+
+// rewriteLost writes outcomes of earlier eras again, the newest first, until it finds one
+// that the store kept: a copy that has it also has what was written before.
+func (runner *NonIdempotentRunner) rewriteLost(ctx context.Context, era int64) error {
+	if _, err := runner.restores.mark(ctx); err != nil {
+		return err
+	}
+	for _, outcome := range runner.deps.Attempts.SavedBefore(era) {
+		lost, err := runner.trySave(ctx, outcome.Key, &outcome.Record)
+		if err != nil {
+			return err
+		}
+		if !lost {
+			return nil
+		}
+		rewrittenTotal.Inc()
+		if !loop.Sleep(ctx, rewriteDelay) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
--- a/internal/caller/service/restored_test.go
+++ b/internal/caller/service/restored_test.go
@@ -17,6 +17,7 @@
 	"wisteriafield/internal/caller/apierror"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/claim"
+	"wisteriafield/internal/decision/invariant"
 	"wisteriafield/internal/router/control"
 	"wisteriafield/platform/kv"
 	standin "wisteriafield/platform/standin/platform"
@@ -182,3 +183,39 @@
 	g.Expect(f.start("b").Do(t.Context(), req).outcome).NotTo(BeNil())
 	g.Expect(f.runs.Load()).To(BeEquivalentTo(1))
 }
+
+func TestAnOutcomeThatTheStoreLostIsWrittenAgain(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t)
+	a, b := f.start("a"), f.start("b")
+	go func() { _ = a.Run(t.Context()) }()
+	kept, lost := booking(time.Now()), booking(time.Now())
+	a.Do(t.Context(), kept)
+	f.store.Copy()
+	a.Do(t.Context(), lost)
+	for range 2 {
+		f.store.Restore()
+		_, _, _ = a.get(t.Context(), kept.Key) // names the new era
+		g.Eventually(func() *claim.Outcome { return b.Do(t.Context(), lost).outcome }, 5*time.Second).ShouldNot(BeNil())
+		g.Expect(b.Do(t.Context(), kept).outcome).NotTo(BeNil())
+	}
+	g.Expect(f.runs.Load()).To(BeEquivalentTo(2))
+}
+
+func TestAnOutcomeReplacesAClaimThatWasGivenUpInTheLostHistory(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t)
+	gone, b := f.start("gone"), f.start("b")
+	gone.send = func(context.Context, *document.Service, backend.Call) (*backend.Answer, error) {
+		f.store.Copy()
+		return nil, backend.ErrNotSent
+	}
+	req := booking(time.Now())
+	gone.Do(t.Context(), req)
+	f.onRun = f.store.Restore
+	violations := invariant.Violations()
+	g.Expect(b.Do(t.Context(), req).outcome).NotTo(BeNil())
+	g.Expect(f.start("c").Do(t.Context(), req).outcome).NotTo(BeNil())
+	g.Expect(f.runs.Load()).To(BeEquivalentTo(1))
+	g.Expect(invariant.Violations()).To(Equal(violations))
+}
--- a/internal/decision/claim/attempttable.go
+++ b/internal/decision/claim/attempttable.go
@@ -1,8 +1,11 @@
 package claim
 
 import (
+	"slices"
 	"sync"
 	"time"
+
+	"wisteriafield/internal/decision/storehistory"
 )
 
 // Consent is a router's reply to the question whether one of its attempts can
@@ -34,6 +37,8 @@
 	phase     phase
 	record    Record
 	done      chan struct{}
+	key       string // in the store; empty until the record is saved
+	savedAt   storehistory.Position
 }
 
 // AttemptTable holds one router's own attempts in memory. For each attempt,
@@ -117,6 +122,41 @@
 	close(e.done)
 }
 
+// MarkSaved remembers where the record of an ended attempt was written.
+func (t *AttemptTable) MarkSaved(attemptID, key string, at storehistory.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[attemptID]; e != nil && e.phase == ended {
+		e.key, e.savedAt = key, at
+	}
+}
+
+// SavedRecord is the record of an ended attempt that was written under a store key.
+type SavedRecord struct {
+	Key    string
+	Record Record
+	At     storehistory.Position
+}
+
+// SavedBefore returns the records that were last saved in an earlier era, the latest first.
+func (t *AttemptTable) SavedBefore(era int64) []SavedRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var saved []SavedRecord
+	for _, e := range t.entries {
+		if e.key != "" && e.savedAt.Era < era {
+			saved = append(saved, SavedRecord{e.key, e.record, e.savedAt})
+		}
+	}
+	slices.SortFunc(saved, func(a, b SavedRecord) int {
+		if b.At.Before(a.At) {
+			return -1
+		}
+		return 1
+	})
+	return saved
+}
+
 // Dispatchable reports whether the attempt may still be dispatched.
 func (t *AttemptTable) Dispatchable(attemptID string) bool {
 	t.mu.Lock()
--- a/internal/decision/claim/claim_test.go
+++ b/internal/decision/claim/claim_test.go
@@ -53,6 +53,27 @@
 	}
 }
 
+func TestNextSave(t *testing.T) {
+	final := &claim.Record{State: claim.Done, Attempt: "mine"}
+	for _, test := range []struct {
+		name      string
+		found     *claim.Record
+		mayBeLost bool
+		want      claim.SaveStep
+	}{
+		{"lost", nil, true, claim.Write},
+		{"own claim", &claim.Record{State: claim.Held, Attempt: "mine"}, false, claim.Write},
+		{"own outcome", &claim.Record{State: claim.Done, Attempt: "mine"}, false, claim.Kept},
+		{"another's claim", &claim.Record{State: claim.Held, Attempt: "other"}, false, claim.TakenOver},
+		{"another's claim of the lost history", &claim.Record{State: claim.Held, Attempt: "other"}, true, claim.Write},
+		{"another's outcome", &claim.Record{State: claim.Done, Attempt: "other"}, true, claim.TakenOver},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			NewWithT(t).Expect(claim.NextSave(test.found, final, test.mayBeLost)).To(Equal(test.want))
+		})
+	}
+}
+
 func TestNextMark(t *testing.T) {
 	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
 	seen := claim.RestoreMark{Era: 2, SeenAt: now.Add(-time.Minute)}
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -60,6 +60,8 @@
 mutant send-on-a-lost-claim $d/claim/step.go 'case mayBeLost:' 'case false:' "./$d/claim -run AtMostOnce"
 mutant send-without-a-claim $d/claim/step.go 'case found == nil && mayBeLost:' 'case false:' ./$d/claim
 mutant restore-without-margin $d/claim/restore.go '.Add(maxAhead + clockDifference)' '' ./$d/claim
+mutant lost-outcome-not-rewritten internal/caller/service/restore.go 'Attempts.SavedBefore(era)' 'Attempts.SavedBefore(0)' ./internal/caller/service
+mutant save-over-no-lost-claim $d/claim/save.go 'case mayBeLost && (found.State == Held || found.State == Released):' 'case false:' ./internal/caller/service
 mutant era-not-marked internal/caller/service/restore.go 't.last.Era == t.store.Era()' 'true' ./internal/caller/service
 mutant old-keys $d/claim/key.go 'now.Sub(keyTime) > Retention' 'now.Sub(keyTime) > 3*Retention' ./$d/claim
 mutant give-a-slot-twice $d/admission/server.go 's.InFlight() >= s.usableSlots()' 's.InFlight() > s.usableSlots()' ./$d/admission
