claim: new bookings are answered seconds after a restore, not minutes

After the store was restored, each new booking was answered with "unknown outcome" for 5 minutes: a key's time could be 5 minutes ahead of the router that accepted it, so that any younger key might have had a claim that was lost.

A claim is now written only when the time of its key is at most 5 s ahead of the router's clock. A key that is further ahead, by up to 5 minutes as before, gets not_run with Retry-After. That is true: no other router can have claimed it, as their clocks differ by at most 2 s; within these 2 s the router waits.

The price: callers whose clock is more than 5 s ahead are told to come back.

--- a/internal/caller/service/handler.go
+++ b/internal/caller/service/handler.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	backend "wisteriafield/internal/backend/service"
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/caller/apierror"
 	"wisteriafield/internal/caller/openai"
 	"wisteriafield/internal/config/document"
@@ -104,16 +105,24 @@
 // serveNonIdempotent runs a call at most once for each Idempotency-Key.
 func (h *Handler) serveNonIdempotent(ctx context.Context, w http.ResponseWriter, o *document.Organisation, s *document.Service, key string, call backend.Call) {
 	now := time.Now()
-	expires, err := claim.CheckKey(key, now)
+	k, err := claim.CheckKey(key, now)
 	if err != nil {
 		apierror.New(apierror.BadRequest, "this call needs an Idempotency-Key: "+err.Error()).Write(w)
 		return
 	}
+	if !k.MayBeClaimed(now) {
+		apierror.NewRetryable(apierror.NotRun, "the time in the Idempotency-Key is ahead; the call was not run", k.UsableAt).Write(w)
+		return
+	}
+	if !loop.SleepUntil(ctx, k.UsableAt) {
+		unknownOutcome().write(w)
+		return
+	}
 	sum := sha256.Sum256([]byte(s.Name + "\n" + call.Method + "\n" + call.Target + "\n" + string(call.Body)))
 	result := h.deps.NonIdempotent.Do(ctx, nonIdempotentRequest{
-		Key:       claim.StoreKey(o.Name, key, expires),
+		Key:       claim.StoreKey(o.Name, key, k.ExpiresAt),
 		Digest:    hex.EncodeToString(sum[:]),
-		ExpiresAt: expires,
+		ExpiresAt: k.ExpiresAt,
 		Service:   s,
 		Call:      call,
 	})
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -59,6 +59,7 @@
 mutant send-on-anothers-claim $d/claim/step.go 'case found.State == Held && found.Attempt != attemptID:' 'case false:' ./$d/claim
 mutant send-on-a-lost-claim $d/claim/step.go 'case mayBeLost:' 'case false:' "./$d/claim -run AtMostOnce"
 mutant send-without-a-claim $d/claim/step.go 'case found == nil && mayBeLost:' 'case false:' ./$d/claim
+mutant claim-ahead-of-time $d/claim/key.go 'now.Add(clockDifference)' 'now.Add(time.Minute)' ./$d/claim
 mutant restore-without-margin $d/claim/restore.go '.Add(maxAhead + clockDifference)' '' ./$d/claim
 mutant lost-outcome-not-rewritten internal/caller/service/restore.go 'Attempts.SavedBefore(era)' 'Attempts.SavedBefore(0)' ./internal/caller/service
 mutant save-over-no-lost-claim $d/claim/save.go 'case mayBeLost && (found.State == Held || found.State == Released):' 'case false:' ./internal/caller/service
