configure: a document applied after a restore is in effect

A document that an operator applied after the store was restored, and that was confirmed, never came into effect: routers kept the configuration that the store had lost, and the invariant "revision has two digests" was reported.

Cause: manifests were ordered by their revision alone. The next apply reads the older manifest that the store still has and uses the lost one's revision again, so that routers took the new document for one that they had.

A manifest now names the era of the store in which it was committed, and manifests are ordered by era and revision (storehistory.Position) wherever they meet: in accept, in the hello of peers, and in the view. The lost configuration stays in effect until the operator applies a newer one; neither goes back.

Ruled out: raising the revision by a large step after a restore, which only makes the collision less likely.

--- a/internal/caller/service/idempotent_test.go
+++ b/internal/caller/service/idempotent_test.go
@@ -15,6 +15,7 @@
 	backend "wisteriafield/internal/backend/service"
 	"wisteriafield/internal/caller/apierror"
 	"wisteriafield/internal/config/document"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/platform/hosts"
 )
 
@@ -53,7 +54,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	h := New(Deps{Hosts: hosts.New(hosts.Config{}), NonIdempotent: &NonIdempotentRunner{}, Log: log.WithField("part", "service")})
-	view := document.NewView(&document.Document{Policy: document.Policy{HedgeAfter: time.Minute}}, 1, "")
+	view := document.NewView(&document.Document{Policy: document.Policy{HedgeAfter: time.Minute}}, storehistory.Position{Revision: 1}, "")
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	w := httptest.NewRecorder()
--- a/internal/config/document/view.go
+++ b/internal/config/document/view.go
@@ -5,14 +5,16 @@
 	"encoding/hex"
 	"slices"
 	"strings"
+
+	"wisteriafield/internal/decision/storehistory"
 )
 
-// View indexes a document for lookups and has the revision and digest of its manifest.
+// View indexes a document for lookups and has the position and digest of its manifest.
 // It is immutable: a router replaces its pointer to the view when the document changes.
 type View struct {
 	*Document
-	Revision int64
-	Digest   string
+	storehistory.Position
+	Digest string
 
 	organisationsByKeyHash map[string]*Organisation
 	organisationsByName    map[string]*Organisation
@@ -22,9 +24,9 @@
 }
 
 // NewView indexes a document.
-func NewView(d *Document, revision int64, digest string) *View {
+func NewView(d *Document, position storehistory.Position, digest string) *View {
 	v := &View{
-		Document: d, Revision: revision, Digest: digest,
+		Document: d, Position: position, Digest: digest,
 		organisationsByKeyHash: make(map[string]*Organisation),
 		organisationsByName:    make(map[string]*Organisation),
 		modelsByName:           make(map[string]*Model),
--- a/internal/config/manifest/manifest.go
+++ b/internal/config/manifest/manifest.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"wisteriafield/internal/config/document"
+	"wisteriafield/internal/decision/storehistory"
 )
 
 // organisationParts is the number of parts that organisations are distributed over by
@@ -28,7 +29,8 @@
 // Manifest lists the parts of the document that is in effect in an environment.
 type Manifest struct {
 	Environment string
-	Revision    int64 // only increases; the first is 1
+	Era         int64 `json:",omitempty"` // of the store when the manifest was committed
+	Revision    int64 // only increases within an era; the first is 1
 	Digest      string
 	Parts       []Part
 	Origin      string   // who wrote it, shown to an operator whose concurrent change was rejected
@@ -40,14 +42,20 @@
 // write whose answer was lost can be recognised.
 const maxHistory = 32
 
-// Next returns the manifest of the next revision, with other parts.
-func (m *Manifest) Next(parts []Part, origin, attempt string) Manifest {
+// Position orders the manifests of an environment: a store that was restored may have lost
+// the latest ones, whose revisions are used again.
+func (m *Manifest) Position() storehistory.Position {
+	return storehistory.Position{Era: m.Era, Revision: m.Revision}
+}
+
+// Next returns the manifest of the next revision, with other parts, committed in an era.
+func (m *Manifest) Next(parts []Part, origin, attempt string, era int64) Manifest {
 	history := append(append([]string(nil), m.History...), attempt)
 	if len(history) > maxHistory {
 		history = history[len(history)-maxHistory:]
 	}
 	return Manifest{
-		Environment: m.Environment, Revision: m.Revision + 1, Digest: DigestOf(parts),
+		Environment: m.Environment, Era: max(m.Era, era), Revision: m.Revision + 1, Digest: DigestOf(parts),
 		Parts: parts, Origin: origin, Attempt: attempt, History: history,
 	}
 }
@@ -63,9 +71,9 @@
 	Digest string
 }
 
-// Supersedes reports whether a router at revision old must apply m. A router never goes
-// back to a lower revision.
-func (m *Manifest) Supersedes(old int64) bool { return m.Revision > old }
+// Supersedes reports whether a router at the position old must apply m. A router never goes
+// back to an earlier one.
+func (m *Manifest) Supersedes(old storehistory.Position) bool { return old.Before(m.Position()) }
 
 // basePart is the content of the part "base".
 type basePart struct {
--- a/internal/platform/publish/publish.go
+++ b/internal/platform/publish/publish.go
@@ -128,7 +128,7 @@
 // CommitManifest writes a manifest of stored parts as the next revision of the
 // environment of base.
 func CommitManifest(ctx context.Context, s Store, base manifest.Manifest, storeRevision int64, parts []manifest.Part, origin string) (manifest.Manifest, error) {
-	next := base.Next(parts, origin, uuid.NewString())
+	next := base.Next(parts, origin, uuid.NewString(), s.Era())
 	body, err := json.Marshal(next)
 	if err != nil {
 		return next, fmt.Errorf("encode manifest: %w", err)
--- a/internal/router/configure/follower.go
+++ b/internal/router/configure/follower.go
@@ -125,11 +125,11 @@
 func (f *Follower) accept(ctx context.Context, m *manifest.Manifest, fetchPart partSource) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var old int64
+	var old storehistory.Position
 	if f.manifest != nil {
-		old = f.manifest.Revision
-		invariant.Check(m.Revision != old || m.Digest == f.manifest.Digest,
-			"revision %d has two digests: %s and %s", old, f.manifest.Digest, m.Digest)
+		old = f.manifest.Position()
+		invariant.Check(m.Position() != old || m.Digest == f.manifest.Digest,
+			"revision %d of era %d has two digests: %s and %s", old.Revision, old.Era, f.manifest.Digest, m.Digest)
 	}
 	if !m.Supersedes(old) || m.Environment != f.deps.Members.Self().Environment {
 		return nil
@@ -153,10 +153,10 @@
 		return fmt.Errorf("document %s: %w", m.Digest, err)
 	}
 	f.manifest, f.bodies = m, bodies
-	view := document.NewView(d, m.Revision, m.Digest)
+	view := document.NewView(d, m.Position(), m.Digest)
 	f.view.Store(view)
 	acceptedTotal.Inc()
-	f.deps.Log.WithFields(logrus.Fields{"revision": m.Revision, "digest": m.Digest[:12]}).Info("configuration in effect")
+	f.deps.Log.WithFields(logrus.Fields{"era": m.Era, "revision": m.Revision, "digest": m.Digest[:12]}).Info("configuration in effect")
 	if f.deps.OnChange != nil {
 		f.deps.OnChange(view)
 	}
--- a/internal/router/configure/gossip.go
+++ b/internal/router/configure/gossip.go
@@ -9,14 +9,16 @@
 	"github.com/pkg/errors"
 
 	"wisteriafield/internal/config/manifest"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/platform/hosts"
 	"wisteriafield/internal/router/control"
 )
 
-// hello carries the revision in effect at a router, and the expected waits at the
+// hello carries the manifest in effect at a router, and the expected waits at the
 // servers that it manages.
 type hello struct {
 	Name     string
+	Era      int64 `json:",omitempty"`
 	Revision int64
 	Digest   string
 	Waits    map[string]int64 `json:",omitempty"` // in ms, by model key
@@ -62,13 +64,21 @@
 		waits[modelKey] = time.Duration(ms) * time.Millisecond
 	}
 	f.deps.RecordPeerWaits(h.Name, waits)
-	if v := f.View(); v == nil && peerHello.Revision > 0 || v != nil && peerHello.Revision > v.Revision {
+	if f.position().Before(storehistory.Position{Era: peerHello.Era, Revision: peerHello.Revision}) {
 		if err := f.pull(ctx, h); err != nil {
 			f.deps.Log.Debugf("pulling configuration from %s failed: %v", h.Name, err)
 		}
 	}
 }
 
+// position returns the position of the manifest in effect.
+func (f *Follower) position() storehistory.Position {
+	if v := f.View(); v != nil {
+		return v.Position
+	}
+	return storehistory.Position{}
+}
+
 // pull fetches and accepts the configuration of a peer.
 func (f *Follower) pull(ctx context.Context, h hosts.Host) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -92,7 +102,7 @@
 func (f *Follower) newHello() hello {
 	h := hello{Name: f.deps.Members.Self().Name, Waits: make(map[string]int64)}
 	if v := f.View(); v != nil {
-		h.Revision, h.Digest = v.Revision, v.Digest
+		h.Era, h.Revision, h.Digest = v.Era, v.Revision, v.Digest
 	}
 	for modelKey, wait := range f.deps.ExpectedWaits() {
 		if len(h.Waits) < maxWaitsSent {
--- /dev/null
+++ b/internal/router/configure/restored_test.go
@@ -0,0 +1,119 @@
+package configure_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"wisteriafield/internal/config/document"
+	"wisteriafield/internal/decision/invariant"
+	"wisteriafield/internal/platform/hosts"
+	"wisteriafield/internal/platform/publish"
+	"wisteriafield/internal/router/configure"
+	"wisteriafield/internal/router/control"
+	"wisteriafield/internal/router/members"
+	"wisteriafield/platform/kv"
+	standin "wisteriafield/platform/standin/platform"
+)
+
+const environment = "production"
+
+// fleet is a store that can be restored, its operator, and routers that follow it.
+type fleet struct {
+	g        *WithT
+	store    *standin.Server
+	operator *kv.Client
+	address  string
+	peers    map[string]*control.Server // by peer address
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{g: NewWithT(t), store: standin.New(standin.Config{}), peers: make(map[string]*control.Server)}
+	server := httptest.NewServer(f.store.Handler())
+	t.Cleanup(server.Close)
+	f.address = strings.TrimPrefix(server.URL, "http://")
+	f.operator = f.client()
+	return f
+}
+
+func (f *fleet) client() *kv.Client {
+	return kv.New(kv.Config{Address: f.address, Timeout: time.Second})
+}
+
+// Call calls a router in this process.
+func (f *fleet) Call(ctx context.Context, address, method string, params, result any) error {
+	peer := f.peers[address]
+	if peer == nil {
+		return control.ErrUnreachable
+	}
+	return peer.Call(ctx, method, params, result)
+}
+
+// routers returns n routers that follow the store and exchange revisions until the test ends.
+func (f *fleet) routers(t *testing.T, n int) []*configure.Follower {
+	list := hosts.New(hosts.Config{})
+	var changes hosts.Changes
+	for i := range n {
+		changes.Hosts = append(changes.Hosts, hosts.Host{Name: fmt.Sprint("r", i), Kind: hosts.Router, State: hosts.Live, Environment: environment, PeerAddress: fmt.Sprint("r", i)})
+	}
+	list.Merge(changes)
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	var all []*configure.Follower
+	for _, h := range changes.Hosts {
+		follower := configure.New(configure.Deps{
+			Store: f.client(), Peers: f, Members: members.New(h, list), Log: logrus.NewEntry(log),
+			ExpectedWaits:   func() map[string]time.Duration { return nil },
+			RecordPeerWaits: func(string, map[string]time.Duration) {},
+		})
+		f.peers[h.PeerAddress] = control.NewServer()
+		follower.Register(f.peers[h.PeerAddress])
+		all = append(all, follower)
+	}
+	for _, follower := range all {
+		go func() { _ = follower.Watch(t.Context()) }()
+	}
+	return all
+}
+
+// apply publishes a document with one organisation and returns its digest.
+func (f *fleet) apply(organisation string) string {
+	d, err := document.Parse("environment.ini", []byte("[Organisation "+organisation+"]\nKeys = "+document.HashKey(organisation)+"\nTokensPerSecond = 1000\n"))
+	f.g.Expect(err).NotTo(HaveOccurred())
+	base, revision, err := publish.ReadManifest(context.Background(), f.operator, environment)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	m, err := publish.CommitDocument(context.Background(), f.operator, base, revision, d, "test")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	return m.Digest
+}
+
+// expectInEffect waits until all routers run the document of a digest.
+func (f *fleet) expectInEffect(routers []*configure.Follower, digest string) {
+	f.g.THelper()
+	for _, follower := range routers {
+		f.g.Eventually(func() string {
+			if v := follower.View(); v != nil {
+				return v.Digest
+			}
+			return ""
+		}, 8*time.Second).Should(Equal(digest))
+	}
+}
+
+func TestADocumentAppliedAfterARestoreIsInEffect(t *testing.T) {
+	f := newFleet(t)
+	violations := invariant.Violations()
+	routers := f.routers(t, 2)
+	f.expectInEffect(routers, f.apply("first"))
+	f.store.Copy()
+	f.expectInEffect(routers, f.apply("lost"))
+	f.store.Restore()
+	f.expectInEffect(routers, f.apply("second"))
+	f.g.Expect(invariant.Violations()).To(Equal(violations))
+}
--- a/internal/router/limits/limits_test.go
+++ b/internal/router/limits/limits_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/config/document"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/platform/hosts"
 	"wisteriafield/internal/router/control"
 	"wisteriafield/internal/router/limits"
@@ -22,7 +23,7 @@
 func newSingle(o *document.Organisation) *limits.Limiter {
 	list := hosts.New(hosts.Config{})
 	m := members.New(hosts.Host{Name: "one", Kind: hosts.Router, State: hosts.Live}, list)
-	view := document.NewView(&document.Document{Organisations: []document.Organisation{*o}}, 1, "")
+	view := document.NewView(&document.Document{Organisations: []document.Organisation{*o}}, storehistory.Position{Revision: 1}, "")
 	return limits.New(m, control.NewClient(""), control.NewServer(), func() *document.View { return view })
 }
 
@@ -39,7 +40,7 @@
 func newEntries(n int, o *document.Organisation) []*limits.Limiter {
 	owner := control.NewServer()
 	self := hosts.Host{Name: "home", Kind: hosts.Router, State: hosts.Live}
-	view := document.NewView(&document.Document{Organisations: []document.Organisation{*o}}, 1, "")
+	view := document.NewView(&document.Document{Organisations: []document.Organisation{*o}}, storehistory.Position{Revision: 1}, "")
 	getView := func() *document.View { return view }
 	limits.New(members.New(self, hosts.New(hosts.Config{})), nil, owner, getView)
 
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -81,6 +81,7 @@
 mutant resume-on-the-lost $d/resume/machine.go 'm.avoid = e.Server' 'm.avoid = ""' ./$d/resume
 mutant change-without-draining $d/plan/plan.go 'if e.Running > 0 ||' 'if' ./$d/plan
 mutant load-without-pace $d/plan/plan.go '|| in.Now.Before(next.NextLoadAt)' '' ./$d/plan
+mutant revision-without-era internal/config/manifest/manifest.go 'return old.Before(m.Position())' 'return m.Revision > old.Revision' ./internal/router/configure
 mutant part-without-digest internal/config/manifest/manifest.go 'if bodyDigest(body) != p.Digest {' 'if false {' ./internal/config/document
 # The end-to-end tests check the rules that hold between processes.
 mutant story-no-resume $d/resume/machine.go 'if m.consecutiveLosses > maxConsecutiveLosses {' 'if true {' "$e2e 'when.engines.crash'"
@@ -96,7 +97,7 @@
 
 // resolveClaim' "$e2e 'loses.its.answers'"
 mutant story-take-over-by-time internal/caller/service/nonidempotent.go 'if !r.askHolder(ctx) {' 'if r.askHolder(ctx); time.Now().After(r.waitDeadline) { r.found.State = claim.Released } else if false {' "$e2e 'dies.or.pauses'"
-mutant story-no-gossip internal/router/configure/gossip.go 'v == nil && peerHello.Revision > 0 || v != nil && peerHello.Revision > v.Revision' 'false && v == nil' "$e2e 'cut.off.from.the.store'"
+mutant story-no-gossip internal/router/configure/gossip.go 'f.position().Before(storehistory.Position{Era: peerHello.Era, Revision: peerHello.Revision})' 'false' "$e2e 'cut.off.from.the.store'"
 mutant blind-put internal/platform/publish/publish.go 'case revision != storeRevision:' 'case revision != storeRevision && false:' ./internal/platform/publish
 mutant story-cut-on-stop internal/router/node/node.go 'if err := n.callerServer.Shutdown(ctx); err != nil {' 'if err := n.callerServer.Close(); err != nil {' "$e2e 'graceful.stop'"
 exit $failed
