platform/kv: a watch of a key that a restored store lost waits

Routers and planners called the store without a pause after it was restored without the key that they watch: the platform charges for each call.

Cause: after a 410 the watch read the key and returned at once that there is none; the next watch began at the same position and got the same 410.

--- a/internal/router/configure/restored_test.go
+++ b/internal/router/configure/restored_test.go
@@ -117,3 +117,14 @@
 	f.expectInEffect(routers, f.apply("second"))
 	f.g.Expect(invariant.Violations()).To(Equal(violations))
 }
+
+func TestAWatchOfAManifestThatTheStoreLostPauses(t *testing.T) {
+	f := newFleet(t)
+	routers := f.routers(t, 1)
+	f.expectInEffect(routers, f.apply("lost"))
+	f.store.Restore()
+	before := f.store.Counts()
+	time.Sleep(300 * time.Millisecond)
+	after := f.store.Counts()
+	f.g.Expect(after.Watches + after.Reads - before.Watches - before.Reads).To(BeNumerically("<", 20))
+}
