configure: a configuration that the store lost is written again

After the store was restored without the configuration in effect, routers that started then took the older one, or had none, and the next apply or promote built on the older document.

The routers hold the manifest and all its parts. In a new era each checks, when its turn comes, whether the store has an older manifest or none, and writes what it holds again: first the parts that the stored manifest does not name, then the manifest by compare-and-swap. Turns are 0.3 s apart by rank, so that few routers write; a manifest of the new era is later than the lost one and stays.

Evidence: TestAConfigurationInEffectThatTheStoreLostIsWrittenAgain (an older manifest is left, none is left; restored twice) failed before: 8 s later the store had the older one or none.

Not covered: a manifest that only one router has, and which that router gets from a peer after its turn; it is written at the next restore.

--- a/internal/router/configure/follower.go
+++ b/internal/router/configure/follower.go
@@ -45,6 +45,8 @@
 type Store interface {
 	Get(ctx context.Context, key string) (kv.Value, error)
 	Watch(ctx context.Context, key string, after storehistory.Position) (kv.Value, error)
+	Put(ctx context.Context, key string, body []byte, revision int64, lease string) (int64, error)
+	Era() int64 // newest that an answer named
 }
 
 // Caller calls other routers.
--- a/internal/router/configure/restored_test.go
+++ b/internal/router/configure/restored_test.go
@@ -31,10 +31,12 @@
 	operator *kv.Client
 	address  string
 	peers    map[string]*control.Server // by peer address
+	watching context.Context            // of the routers' watches of the store
+	clients  []*kv.Client               // of the routers
 }
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{g: NewWithT(t), store: standin.New(standin.Config{}), peers: make(map[string]*control.Server)}
+	f := &fleet{g: NewWithT(t), store: standin.New(standin.Config{}), peers: make(map[string]*control.Server), watching: t.Context()}
 	server := httptest.NewServer(f.store.Handler())
 	t.Cleanup(server.Close)
 	f.address = strings.TrimPrefix(server.URL, "http://")
@@ -67,8 +69,10 @@
 	log.SetLevel(logrus.PanicLevel)
 	var all []*configure.Follower
 	for _, h := range changes.Hosts {
+		client := f.client()
+		f.clients = append(f.clients, client)
 		follower := configure.New(configure.Deps{
-			Store: f.client(), Peers: f, Members: members.New(h, list), Log: logrus.NewEntry(log),
+			Store: client, Peers: f, Members: members.New(h, list), Log: logrus.NewEntry(log),
 			ExpectedWaits:   func() map[string]time.Duration { return nil },
 			RecordPeerWaits: func(string, map[string]time.Duration) {},
 		})
@@ -77,7 +81,8 @@
 		all = append(all, follower)
 	}
 	for _, follower := range all {
-		go func() { _ = follower.Watch(t.Context()) }()
+		go func() { _ = follower.Watch(f.watching) }()
+		go func() { _ = follower.RewriteLost(t.Context()) }()
 	}
 	return all
 }
@@ -118,6 +123,30 @@
 	f.g.Expect(invariant.Violations()).To(Equal(violations))
 }
 
+func TestAConfigurationInEffectThatTheStoreLostIsWrittenAgain(t *testing.T) {
+	for name, setup := range map[string]func(f *fleet){
+		"an older one is left": func(f *fleet) { f.apply("first"); f.store.Copy() },
+		"none is left":         func(*fleet) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			setup(f)
+			routers := f.routers(t, 3)
+			lost := f.apply("lost")
+			f.expectInEffect(routers, lost)
+			for range 2 {
+				f.store.Restore()
+				f.g.Eventually(func() string {
+					m, _, _ := publish.ReadManifest(context.Background(), f.operator, environment)
+					return m.Digest
+				}, 8*time.Second).Should(Equal(lost))
+			}
+			f.expectInEffect(f.routers(t, 1), lost)
+			f.expectInEffect(routers, f.apply("second"))
+		})
+	}
+}
+
 func TestAWatchOfAManifestThatTheStoreLostPauses(t *testing.T) {
 	f := newFleet(t)
 	routers := f.routers(t, 1)
@@ -128,3 +157,34 @@
 	after := f.store.Counts()
 	f.g.Expect(after.Watches + after.Reads - before.Watches - before.Reads).To(BeNumerically("<", 20))
 }
+
+func TestALostConfigurationIsNotWrittenOverALaterOne(t *testing.T) {
+	f := newFleet(t)
+	var stopWatching context.CancelFunc
+	f.watching, stopWatching = context.WithCancel(t.Context())
+	routers := f.routers(t, 1)
+	f.expectInEffect(routers, f.apply("lost"))
+	stopWatching()
+	f.store.Restore()
+	second := f.apply("second")
+	_, _ = f.clients[0].Get(t.Context(), "any") // names the new era
+	time.Sleep(time.Second)
+	m, _, err := publish.ReadManifest(t.Context(), f.operator, environment)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.g.Expect(m.Digest).To(Equal(second))
+}
+
+func TestOneOfManyRoutersWritesALostConfigurationAgain(t *testing.T) {
+	f := newFleet(t)
+	routers := f.routers(t, 30)
+	lost := f.apply("lost")
+	f.expectInEffect(routers, lost)
+	f.store.Restore()
+	before := f.store.Counts().Writes
+	f.g.Eventually(func() string {
+		m, _, _ := publish.ReadManifest(context.Background(), f.operator, environment)
+		return m.Digest
+	}, 8*time.Second).Should(Equal(lost))
+	time.Sleep(time.Second)
+	f.g.Expect(f.store.Counts().Writes - before).To(BeNumerically("<=", 8)) // three parts and the manifest, twice
+}
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -193,7 +193,7 @@
 		})
 	}
 	for _, run := range []func(context.Context) error{
-		n.hosts.Run, n.configure.Watch, n.configure.Gossip, n.keeper.Run, n.entry.Run, n.limits.Run, n.planner.Lead, n.planner.Follow, n.janitor.Run, n.nonIdempotent.Run, n.sweep,
+		n.hosts.Run, n.configure.Watch, n.configure.Gossip, n.configure.RewriteLost, n.keeper.Run, n.entry.Run, n.limits.Run, n.planner.Lead, n.planner.Follow, n.janitor.Run, n.nonIdempotent.Run, n.sweep,
 	} {
 		group.Go(func() error { return run(workCtx) })
 	}
