publish: a change during a restore is not confirmed

An operator's change could be confirmed although the store had lost it, or its parts, in a restore between the write and its answer: the command said "done", or named the older manifest that came back as another operator's change.

The command now compares the era of the store before the first part and after the last answer. A document is whole, so that applying it twice does no harm.

Evidence: TestACommitDuringARestoreIsNotConfirmed (three cases) and TestADocumentWhosePartsTheStoreLostIsNotConfirmed failed before and pass now. Mutant confirm-in-another-era.

--- a/internal/operator/cli/cli.go
+++ b/internal/operator/cli/cli.go
@@ -102,7 +102,7 @@
 		return exitInvalidFile
 	case errors.As(err, &race):
 		return exitRace
-	case errors.Is(err, kv.ErrUnavailable), errors.Is(err, kv.ErrAmbiguous), errors.Is(err, publish.ErrOutcomeUnknown):
+	case errors.Is(err, kv.ErrUnavailable), errors.Is(err, kv.ErrAmbiguous), errors.Is(err, publish.ErrOutcomeUnknown), errors.Is(err, publish.ErrRestored):
 		return exitStore
 	case errors.Is(err, errUnconfirmed):
 		return exitUnconfirmed
--- a/internal/platform/publish/publish.go
+++ b/internal/platform/publish/publish.go
@@ -28,6 +28,9 @@
 // written.
 var ErrOutcomeUnknown = errors.New("the store did not confirm whether the change took effect")
 
+// ErrRestored means that the store was restored during a change, which may be lost.
+var ErrRestored = errors.New("the store was restored from an older copy during the change; look at the status and make the change again")
+
 // RaceError reports that another operator's change was committed first.
 type RaceError struct {
 	Winner manifest.Manifest // the manifest that is in the store now
@@ -66,6 +69,7 @@
 // with a RaceError if another change was committed since base was read at
 // storeRevision.
 func CommitDocument(ctx context.Context, s Store, base manifest.Manifest, storeRevision int64, d *document.Document, origin string) (manifest.Manifest, error) {
+	era := s.Era()
 	parts, bodies, err := manifest.Split(d)
 	if err != nil {
 		return manifest.Manifest{}, fmt.Errorf("split document: %w", err)
@@ -87,7 +91,11 @@
 			return manifest.Manifest{}, err
 		}
 	}
-	return CommitManifest(ctx, s, base, storeRevision, parts, origin)
+	next, err := CommitManifest(ctx, s, base, storeRevision, parts, origin)
+	if s.Era() != era {
+		return next, ErrRestored // parts may be lost
+	}
+	return next, err
 }
 
 // markFirstEra records that no claim is older than the store's era: no call is served
@@ -128,36 +136,40 @@
 // CommitManifest writes a manifest of stored parts as the next revision of the
 // environment of base.
 func CommitManifest(ctx context.Context, s Store, base manifest.Manifest, storeRevision int64, parts []manifest.Part, origin string) (manifest.Manifest, error) {
-	next := base.Next(parts, origin, uuid.NewString(), s.Era())
+	era := s.Era()
+	next := base.Next(parts, origin, uuid.NewString(), era)
 	body, err := json.Marshal(next)
 	if err != nil {
 		return next, fmt.Errorf("encode manifest: %w", err)
 	}
 	_, err = s.Put(ctx, configure.ManifestKey(next.Environment), body, storeRevision, "")
-	if err == nil {
-		return next, nil
+	if err != nil {
+		err = resolveCommit(ctx, s, next, storeRevision, body)
 	}
-	return resolveCommit(ctx, s, next, storeRevision, body)
+	if s.Era() != era {
+		return next, ErrRestored
+	}
+	return next, err
 }
 
 // resolveCommit determines the outcome of a write that was refused or whose answer
 // was lost. While the store still has the old revision, the write is retried;
 // compare-and-swap lets it take effect only once.
-func resolveCommit(ctx context.Context, s Store, next manifest.Manifest, storeRevision int64, body []byte) (manifest.Manifest, error) {
+func resolveCommit(ctx context.Context, s Store, next manifest.Manifest, storeRevision int64, body []byte) error {
 	for range maxTries {
 		found, revision, err := ReadManifest(ctx, s, next.Environment)
 		switch {
 		case err != nil:
 			loop.Sleep(ctx, retryDelay)
 		case found.IncludesAttempt(next.Attempt):
-			return next, nil
+			return nil
 		case revision != storeRevision:
-			return next, &RaceError{Winner: found}
+			return &RaceError{Winner: found}
 		default:
 			if _, err := s.Put(ctx, configure.ManifestKey(next.Environment), body, storeRevision, ""); err == nil {
-				return next, nil
+				return nil
 			}
 		}
 	}
-	return next, ErrOutcomeUnknown
+	return ErrOutcomeUnknown
 }
--- a/internal/platform/publish/publish_test.go
+++ b/internal/platform/publish/publish_test.go
@@ -7,17 +7,22 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/config/manifest"
 	"wisteriafield/internal/platform/publish"
 	"wisteriafield/platform/kv"
 )
 
 // store is an in-memory store with compare-and-swap. It loses the answers of the next
-// lostAnswers writes, after they took effect.
+// lostAnswers writes, after they took effect, and is restored during the next restoredBy
+// writes, with the loss of their effect if loses is set.
 type store struct {
 	values      map[string]kv.Value
 	revision    int64
 	lostAnswers int
+	restoredBy  int
+	loses       bool
+	restores    int64
 }
 
 func (s *store) Get(_ context.Context, key string) (kv.Value, error) {
@@ -34,6 +39,13 @@
 	}
 	s.revision++
 	s.values[key] = kv.Value{Key: key, Body: body, Revision: s.revision}
+	if s.restoredBy > 0 {
+		s.restoredBy--
+		s.restores++
+		if s.loses {
+			delete(s.values, key)
+		}
+	}
 	if s.lostAnswers > 0 {
 		s.lostAnswers--
 		return 0, kv.ErrAmbiguous
@@ -41,7 +53,7 @@
 	return s.revision, nil
 }
 
-func (s *store) Era() int64 { return 1 }
+func (s *store) Era() int64 { return 1 + s.restores }
 
 func TestTheLoserOfARaceLearnsTheWinner(t *testing.T) {
 	g := NewWithT(t)
@@ -68,3 +80,24 @@
 	g.Expect(next.Revision).To(BeEquivalentTo(1))
 	g.Expect(s.revision).To(BeEquivalentTo(1), "the manifest is written once")
 }
+
+func TestACommitDuringARestoreIsNotConfirmed(t *testing.T) {
+	for name, store := range map[string]*store{
+		"written in the new era":                {values: map[string]kv.Value{}, restoredBy: 1},
+		"its answer is lost, written as well":   {values: map[string]kv.Value{}, restoredBy: 1, lostAnswers: 1},
+		"its answer and then the write is lost": {values: map[string]kv.Value{}, restoredBy: 1, lostAnswers: 1, loses: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			_, err := publish.CommitManifest(context.Background(), store, manifest.Manifest{Environment: "trial"}, 0, nil, "operator")
+			g.Expect(err).To(MatchError(publish.ErrRestored))
+		})
+	}
+}
+
+func TestADocumentWhosePartsTheStoreLostIsNotConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	s := &store{values: map[string]kv.Value{}, restoredBy: 1, loses: true}
+	_, err := publish.CommitDocument(context.Background(), s, manifest.Manifest{Environment: "trial"}, 0, &document.Document{}, "operator")
+	g.Expect(err).To(MatchError(publish.ErrRestored))
+}
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -100,6 +100,11 @@
 // resolveClaim' "$e2e 'loses.its.answers'"
 mutant story-take-over-by-time internal/caller/service/nonidempotent.go 'if !r.askHolder(ctx) {' 'if r.askHolder(ctx); time.Now().After(r.waitDeadline) { r.found.State = claim.Released } else if false {' "$e2e 'dies.or.pauses'"
 mutant story-no-gossip internal/router/configure/gossip.go 'f.position().Before(storehistory.Position{Era: peerHello.Era, Revision: peerHello.Revision})' 'false' "$e2e 'cut.off.from.the.store'"
+mutant confirm-in-another-era internal/platform/publish/publish.go 'if s.Era() != era {
+		return next, ErrRestored
+' 'if false {
+		return next, ErrRestored
+' ./internal/platform/publish
 mutant blind-put internal/platform/publish/publish.go 'case revision != storeRevision:' 'case revision != storeRevision && false:' ./internal/platform/publish
 mutant story-cut-on-stop internal/router/node/node.go 'if err := n.callerServer.Shutdown(ctx); err != nil {' 'if err := n.callerServer.Close(); err != nil {' "$e2e 'graceful.stop'"
 exit $failed
