operator/cli: an older document that came back with the store is not promoted

After the store was restored, promote could put an older trial document into production, although trial ran a later one: it read the older manifest from the store, and all trial routers counted as confirming it since they ran "at least" that revision.

promote now refuses (exit 5) while a trial router runs a later manifest than the store has; the routers write theirs again within seconds. Positions, not revisions, are compared, so that the status of a router names its era.

--- a/internal/operator/cli/apply.go
+++ b/internal/operator/cli/apply.go
@@ -89,7 +89,7 @@
 	deadline := time.Now().Add(c.Wait)
 	for {
 		routers := collectStatuses(ctx, cfg, m.Environment)
-		pending := unconfirmedRouters(routers, m.Revision)
+		pending := unconfirmedRouters(routers, m.Position())
 		if len(pending) == 0 && len(routers) > 0 {
 			fmt.Fprintf(c.out, "%s: in force on %d routers\n", m.Environment, len(routers))
 			return nil
--- a/internal/operator/cli/cli.go
+++ b/internal/operator/cli/cli.go
@@ -40,6 +40,9 @@
 // errUnconfirmed means that not all routers confirm a revision.
 var errUnconfirmed = errors.New("not confirmed by all routers")
 
+// errStoreBehind means that routers run a configuration that the store does not have.
+var errStoreBehind = errors.New("the store was restored from an older copy; the routers write what it lost again within seconds: wait and try again")
+
 // output holds the writers of a command.
 type output struct {
 	out io.Writer
@@ -102,7 +105,7 @@
 		return exitInvalidFile
 	case errors.As(err, &race):
 		return exitRace
-	case errors.Is(err, kv.ErrUnavailable), errors.Is(err, kv.ErrAmbiguous), errors.Is(err, publish.ErrOutcomeUnknown), errors.Is(err, publish.ErrRestored):
+	case errors.Is(err, kv.ErrUnavailable), errors.Is(err, kv.ErrAmbiguous), errors.Is(err, publish.ErrOutcomeUnknown), errors.Is(err, publish.ErrRestored), errors.Is(err, errStoreBehind):
 		return exitStore
 	case errors.Is(err, errUnconfirmed):
 		return exitUnconfirmed
--- a/internal/operator/cli/promote.go
+++ b/internal/operator/cli/promote.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"wisteriafield/internal/config/manifest"
 	"wisteriafield/internal/config/settings"
 	"wisteriafield/internal/platform/publish"
 )
@@ -26,12 +27,8 @@
 	if err != nil {
 		return err
 	}
-	if trialManifest.Revision == 0 || c.Digest != "" && c.Digest != trialManifest.Digest {
-		return fmt.Errorf("trial has digest %q at revision %d, not %q", trialManifest.Digest, trialManifest.Revision, c.Digest)
-	}
-	routers := collectStatuses(ctx, cfg, trialEnvironment)
-	if pending := unconfirmedRouters(routers, trialManifest.Revision); len(routers) == 0 || len(pending) > 0 {
-		return fmt.Errorf("trial revision %d is not in force on all trial routers %v: %w", trialManifest.Revision, pending, errUnconfirmed)
+	if err := checkPromotable(&trialManifest, c.Digest, collectStatuses(ctx, cfg, trialEnvironment)); err != nil {
+		return err
 	}
 	base, storeRevision, err := publish.ReadManifest(ctx, store, productionEnvironment)
 	if err != nil {
@@ -46,3 +43,18 @@
 	}
 	return c.reportAndWait(ctx, cfg, m)
 }
+
+// checkPromotable returns an error unless all routers of trial run the manifest that is
+// stored for trial. If one runs a later one, the store was restored and has not got it back.
+func checkPromotable(stored *manifest.Manifest, digest string, routers []routerStatus) error {
+	if stored.Revision == 0 || digest != "" && digest != stored.Digest {
+		return fmt.Errorf("trial has digest %q at revision %d, not %q", stored.Digest, stored.Revision, digest)
+	}
+	if pending := unconfirmedRouters(routers, stored.Position()); len(routers) == 0 || len(pending) > 0 {
+		return fmt.Errorf("trial revision %d is not in force on all trial routers %v: %w", stored.Revision, pending, errUnconfirmed)
+	}
+	if ahead := routersAhead(routers, stored.Position()); len(ahead) > 0 {
+		return fmt.Errorf("trial routers %v run a later revision than %d: %w", ahead, stored.Revision, errStoreBehind)
+	}
+	return nil
+}
--- a/internal/operator/cli/status.go
+++ b/internal/operator/cli/status.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wisteriafield/internal/config/settings"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/platform/hosts"
 	"wisteriafield/internal/platform/publish"
 	"wisteriafield/internal/router/node"
@@ -45,7 +46,7 @@
 		stored, _, err := publish.ReadManifest(ctx, newStore(cfg), environment)
 		known := err == nil
 		for _, r := range collectStatuses(ctx, cfg, environment) {
-			r.Confirmed = known && r.Problem == "" && r.Status.Revision == stored.Revision && r.Status.Digest == stored.Digest
+			r.Confirmed = known && r.Problem == "" && r.Status.Position == stored.Position() && r.Status.Digest == stored.Digest
 			if !known && r.Problem == "" {
 				r.Problem = "the store does not answer"
 			}
@@ -135,14 +136,25 @@
 	return json.NewDecoder(res.Body).Decode(into)
 }
 
-// unconfirmedRouters returns the names of the routers that do not confirm at least
-// the revision.
-func unconfirmedRouters(routers []routerStatus, revision int64) []string {
+// unconfirmedRouters returns the names of the routers that do not confirm a manifest at
+// least as late as the position.
+func unconfirmedRouters(routers []routerStatus, position storehistory.Position) []string {
 	var pending []string
 	for _, r := range routers {
-		if r.Problem != "" || r.Status.Revision < revision {
+		if r.Problem != "" || r.Status.Before(position) {
 			pending = append(pending, r.Host.Name)
 		}
 	}
 	return pending
 }
+
+// routersAhead returns the names of the routers that run a later manifest than the position.
+func routersAhead(routers []routerStatus, position storehistory.Position) []string {
+	var ahead []string
+	for _, r := range routers {
+		if r.Problem == "" && position.Before(r.Status.Position) {
+			ahead = append(ahead, r.Host.Name)
+		}
+	}
+	return ahead
+}
--- a/internal/router/node/admin.go
+++ b/internal/router/node/admin.go
@@ -13,6 +13,7 @@
 	"wisteriafield/internal/caller/apierror"
 	"wisteriafield/internal/decision/invariant"
 	"wisteriafield/internal/decision/plan"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/router/keeper"
 )
 
@@ -20,10 +21,10 @@
 type Status struct {
 	Name        string
 	Environment string
-	Revision    int64
-	Digest      string
-	Stopping    bool
-	StartedAt   time.Time
+	storehistory.Position
+	Digest    string
+	Stopping  bool
+	StartedAt time.Time
 }
 
 // Dump is the full state of a router. It holds no prompt, no token and no key.
@@ -77,7 +78,7 @@
 func (n *Node) Status() Status {
 	s := Status{Name: n.cfg.Host.Name, Environment: n.cfg.Host.Environment, Stopping: n.members.Stopping(), StartedAt: n.startedAt}
 	if v := n.View(); v != nil {
-		s.Revision, s.Digest = v.Revision, v.Digest
+		s.Position, s.Digest = v.Position, v.Digest
 	}
 	return s
 }
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -100,6 +100,7 @@
 // resolveClaim' "$e2e 'loses.its.answers'"
 mutant story-take-over-by-time internal/caller/service/nonidempotent.go 'if !r.askHolder(ctx) {' 'if r.askHolder(ctx); time.Now().After(r.waitDeadline) { r.found.State = claim.Released } else if false {' "$e2e 'dies.or.pauses'"
 mutant story-no-gossip internal/router/configure/gossip.go 'f.position().Before(storehistory.Position{Era: peerHello.Era, Revision: peerHello.Revision})' 'false' "$e2e 'cut.off.from.the.store'"
+mutant promote-an-older-one internal/operator/cli/promote.go 'len(ahead) > 0' 'false' ./internal/operator/cli
 mutant confirm-in-another-era internal/platform/publish/publish.go 'if s.Era() != era {
 		return next, ErrRestored
 ' 'if false {
