planner: leadership ends when the store is restored

Two routers could lead the order plan at once for up to 8 s after a restore: the store had lost the first one's lease and granted one to a second, while the first still trusted its own until half of its time had passed.

The planner remembers the era of the store in which its lease was granted.

Remains: the time until the first leader learns of the new era, by the first answer of the store to any of its calls; there the fencing number decides.

--- a/internal/router/planner/planner.go
+++ b/internal/router/planner/planner.go
@@ -48,6 +48,7 @@
 	Put(ctx context.Context, key string, body []byte, revision int64, lease string) (int64, error)
 	Grant(ctx context.Context, ttl time.Duration) (string, error)
 	KeepAlive(ctx context.Context, lease string) error
+	Era() int64 // newest that an answer named
 }
 
 // Caller calls other routers.
@@ -70,9 +71,10 @@
 	deps    Deps
 	current atomic.Pointer[plan.Plan]
 
-	// Used only by the Lead loop, except leaderUntil.
+	// Used only by the Lead loop, except leaderUntil and leaseEra.
 	lease        string
 	leaseUntil   time.Time
+	leaseEra     atomic.Int64 // of the store when it granted the lease
 	nextProbeAt  time.Time
 	leaderUntil  atomic.Int64 // leaseUntil less leaseMargin in Unix ns, read by IsLeader
 	engineStates map[string]plan.Engine
