planner: plans and fencing numbers rise across a restore of the store

After the store was restored the leader planned from the older plan that came back: routers ignored its plans until their revision had passed the lost one, engines that check fencing numbers refused its orders, and engines that had carried out a lost plan were taken for those of the older one.

Cause: plans were ordered, and orders fenced, by a revision that the store gives out again. A document whose revision is used again in a new era counted as the one that the plan was made from.

A plan names the era of the store in which it was made and the era of its document. Plans are ordered by era and revision everywhere: when they are read, fetched from a peer or written. The fencing number is the era in the upper half and the revision in the lower; a new era always makes a new plan, since engines may have seen a higher number. The leader continues the later of the stored plan and the one that it follows.

Mutants fencing-without-era, follow-a-lost-plan, plan-from-the-older-one.

--- a/internal/decision/plan/plan.go
+++ b/internal/decision/plan/plan.go
@@ -7,17 +7,31 @@
 	"time"
 
 	"wisteriafield/internal/decision/placement"
+	"wisteriafield/internal/decision/storehistory"
 )
 
-// Plan is the decision as it is stored. Its revision is the fencing number of the
-// orders to engines that carry it out.
+// revisionBits is the part of a fencing number that holds the revision.
+const revisionBits = 32
+
+// Plan is the decision as it is stored.
 type Plan struct {
-	Revision   int64
-	Document   int64            // revision of the document that the plan was made from
-	Engines    map[string]Entry // by engine name
-	NextLoadAt time.Time        // no engine is ordered to load weights before this time
+	Era         int64 `json:",omitempty"` // of the store when the plan was made
+	Revision    int64
+	Document    int64            // revision of the document that the plan was made from
+	DocumentEra int64            `json:",omitempty"`
+	Engines     map[string]Entry // by engine name
+	NextLoadAt  time.Time        // no engine is ordered to load weights before this time
+}
+
+// Position orders plans: a restored store may have lost the latest ones, whose revisions
+// are used again.
+func (p *Plan) Position() storehistory.Position {
+	return storehistory.Position{Era: p.Era, Revision: p.Revision}
 }
 
+// Fencing returns the fencing number of the orders to engines that carry out the plan.
+func (p *Plan) Fencing() int64 { return p.Era<<revisionBits + p.Revision }
+
 // Entry is the part of a plan for one engine.
 type Entry struct {
 	Models   map[string]string // models that it is to carry, with their versions
@@ -45,7 +59,9 @@
 // Input is everything that Next depends on.
 type Input struct {
 	Now                  time.Time
+	Era                  int64 // of the store
 	Document             int64
+	DocumentEra          int64
 	Models               []Model
 	Engines              []Engine
 	Previous             Plan
@@ -54,10 +70,13 @@
 
 // Next returns the plan that follows the previous one, and whether it differs.
 func Next(in Input) (Plan, bool) {
-	next := Plan{Revision: in.Previous.Revision, Document: in.Document, Engines: make(map[string]Entry), NextLoadAt: in.Previous.NextLoadAt}
+	next := Plan{
+		Era: max(in.Previous.Era, in.Era), Revision: in.Previous.Revision, Document: in.Document, DocumentEra: in.DocumentEra,
+		Engines: make(map[string]Entry), NextLoadAt: in.Previous.NextLoadAt,
+	}
 	desired := desiredModels(in)
 	changing := countChanging(in)
-	changed := in.Previous.Document != in.Document
+	changed := in.Previous.Document != in.Document || in.Previous.DocumentEra != in.DocumentEra || in.Previous.Era != next.Era
 	for _, e := range in.Engines {
 		old, known := in.Previous.Engines[e.Name]
 		entry := old
--- a/internal/decision/plan/plan_test.go
+++ b/internal/decision/plan/plan_test.go
@@ -60,6 +60,38 @@
 	g.Expect(again.Revision).To(Equal(p.Revision))
 }
 
+func TestAPlanOfANewEraSupersedesOrdersOfPlansThatTheStoreLost(t *testing.T) {
+	g := NewWithT(t)
+	in := newInput(6, "1", 3)
+	in.Era = 1
+	kept, _ := plan.Next(in)
+	applyPlan(&in, kept)
+	lost := kept
+	for document := int64(2); document < 9; document++ {
+		in.Document = document
+		lost, _ = plan.Next(in)
+		applyPlan(&in, lost)
+	}
+	in.Document, in.Era = 1, 2
+	applyPlan(&in, kept)
+	restored, changed := plan.Next(in)
+	g.Expect(changed).To(BeTrue(), "engines may have carried out orders of a later plan")
+	g.Expect(restored.Fencing()).To(BeNumerically(">", lost.Fencing()))
+	g.Expect(lost.Position().Before(restored.Position())).To(BeTrue())
+	applyPlan(&in, restored)
+	_, changed = plan.Next(in)
+	g.Expect(changed).To(BeFalse())
+}
+
+func TestADocumentThatReusesALostRevisionIsPlanned(t *testing.T) {
+	in := newInput(6, "1", 3)
+	p, _ := plan.Next(in)
+	applyPlan(&in, p)
+	in.DocumentEra = 2
+	_, changed := plan.Next(in)
+	NewWithT(t).Expect(changed).To(BeTrue())
+}
+
 func TestANewVersionRollsOutOneEngineAtATimeAndNeverInterruptsADraft(t *testing.T) {
 	g := NewWithT(t)
 	in := newInput(4, "1", 0)
--- a/internal/router/planner/follow.go
+++ b/internal/router/planner/follow.go
@@ -21,8 +21,9 @@
 	peerPollInterval = 3 * time.Second
 )
 
-// planRequest asks for a plan newer than a revision.
+// planRequest asks for a plan later than a position.
 type planRequest struct {
+	KnownEra      int64 `json:"HaveEra,omitempty"`
 	KnownRevision int64 `json:"Have"`
 }
 
@@ -68,8 +69,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	known := positionOf(p.Current())
 	var reply planReply
-	if err := p.deps.Peers.Call(ctx, h.PeerAddress, methodPlan, planRequest{revisionOf(p.Current())}, &reply); err == nil && reply.Plan != nil {
+	if err := p.deps.Peers.Call(ctx, h.PeerAddress, methodPlan, planRequest{known.Era, known.Revision}, &reply); err == nil && reply.Plan != nil {
 		p.apply(reply.Plan)
 	}
 }
@@ -79,7 +81,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if current := p.Current(); current != nil && current.Revision > req.KnownRevision {
+	known := storehistory.Position{Era: req.KnownEra, Revision: req.KnownRevision}
+	if current := p.Current(); known.Before(positionOf(current)) {
 		return planReply{current}, nil
 	}
 	return planReply{}, nil
--- a/internal/router/planner/orders.go
+++ b/internal/router/planner/orders.go
@@ -27,7 +27,7 @@
 		if !p.holdsLease(time.Now()) || !p.beginOrder(e.Name) {
 			continue
 		}
-		go p.sendOrder(ctx, e, engine.Order{Fencing: next.Revision, Models: entry.Models, Adapters: adaptersOf(view, entry.Models), Role: "generate"})
+		go p.sendOrder(ctx, e, engine.Order{Fencing: next.Fencing(), Models: entry.Models, Adapters: adaptersOf(view, entry.Models), Role: "generate"})
 	}
 	return pending
 }
--- a/internal/router/planner/planner.go
+++ b/internal/router/planner/planner.go
@@ -99,7 +99,7 @@
 func (p *Planner) apply(next *plan.Plan) {
 	for {
 		old := p.current.Load()
-		if old != nil && next.Revision <= old.Revision {
+		if old != nil && !old.Position().Before(next.Position()) {
 			return
 		}
 		if p.current.CompareAndSwap(old, next) {
@@ -124,11 +124,18 @@
 	return nil
 }
 
+// isCurrentFor reports whether the current plan was made from the document of the view and
+// in the store's era.
+func (p *Planner) isCurrentFor(view *document.View) bool {
+	current := p.Current()
+	return current != nil && current.Document == view.Revision && current.DocumentEra == view.Era && current.Era >= p.deps.Store.Era()
+}
+
 // step probes the engines, writes the next plan if it differs from the stored one,
 // and sends orders to the engines that differ from it.
 func (p *Planner) step(ctx context.Context, view *document.View) error {
 	now := time.Now()
-	if current := p.Current(); current != nil && current.Document == view.Revision && now.Before(p.nextProbeAt) {
+	if p.isCurrentFor(view) && now.Before(p.nextProbeAt) {
 		return nil
 	}
 	stored, storedRevision, err := p.readPlan(ctx)
@@ -136,7 +143,11 @@
 		return err
 	}
 	p.probeEngines(ctx, view)
-	next, changed := plan.Next(p.planInput(view, stored, now))
+	previous := stored
+	if current := p.Current(); current != nil && stored.Position().Before(current.Position()) {
+		previous = *current // the store lost it
+	}
+	next, changed := plan.Next(p.planInput(view, previous, now))
 	if changed {
 		if err := p.writePlan(ctx, &next, storedRevision); err != nil {
 			return err
@@ -174,7 +185,7 @@
 		return errors.New("planner lease is about to expire")
 	}
 	old := p.Current()
-	invariant.Check(old == nil || next.Revision > old.Revision, "plan revision %d does not exceed revision %d in effect", next.Revision, revisionOf(old))
+	invariant.Check(positionOf(old).Before(next.Position()), "plan %+v is not later than %+v in effect", next.Position(), positionOf(old))
 	body, err := json.Marshal(next)
 	if err != nil {
 		return fmt.Errorf("encode plan: %w", err)
@@ -188,17 +199,20 @@
 	return nil
 }
 
-func revisionOf(p *plan.Plan) int64 {
+func positionOf(p *plan.Plan) storehistory.Position {
 	if p == nil {
-		return 0
+		return storehistory.Position{}
 	}
-	return p.Revision
+	return p.Position()
 }
 
-// planInput builds the input of plan.Next from the document, the stored plan and
+// planInput builds the input of plan.Next from the document, the previous plan and
 // the probed states of the engines.
-func (p *Planner) planInput(view *document.View, stored plan.Plan, now time.Time) plan.Input {
-	in := plan.Input{Now: now, Document: view.Revision, Previous: stored, MaxConcurrentChanges: maxChangingEngines}
+func (p *Planner) planInput(view *document.View, previous plan.Plan, now time.Time) plan.Input {
+	in := plan.Input{
+		Now: now, Era: p.deps.Store.Era(), Document: view.Revision, DocumentEra: view.Era,
+		Previous: previous, MaxConcurrentChanges: maxChangingEngines,
+	}
 	for _, m := range view.Models {
 		loadTime := time.Duration(float64(m.Size) / max(view.Policy.LoadRate, 1) * float64(time.Second))
 		in.Models = append(in.Models, plan.Model{Name: m.Name, Version: m.Version, Replicas: m.Replicas, LoadTime: loadTime})
--- a/internal/router/planner/restored_test.go
+++ b/internal/router/planner/restored_test.go
@@ -10,6 +10,8 @@
 	"github.com/sirupsen/logrus"
 
 	"wisteriafield/internal/config/document"
+	"wisteriafield/internal/decision/invariant"
+	"wisteriafield/internal/decision/plan"
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/platform/hosts"
 	"wisteriafield/internal/router/members"
@@ -53,3 +55,46 @@
 	g.Expect(a.acquireLease(t.Context())).To(BeFalse())
 	g.Expect(b.acquireLease(t.Context())).To(BeTrue())
 }
+
+func TestTheNextPlanContinuesTheOneThatTheStoreLost(t *testing.T) {
+	g := NewWithT(t)
+	store, address := newStore(t)
+	a, client := newPlanner("a", address)
+	violations := invariant.Violations()
+	lead := func(documentRevision int64) {
+		g.Expect(a.acquireLease(t.Context())).To(BeTrue())
+		view := document.NewView(&document.Document{}, storehistory.Position{Era: 1, Revision: documentRevision}, "")
+		g.Expect(a.step(t.Context(), view)).To(Succeed())
+	}
+	lead(1)
+	store.Copy()
+	lead(2)
+	lead(3)
+	lost := a.Current().Position()
+	store.Restore()
+	leader, err := client.Get(t.Context(), a.leaderKey()) // names the new era
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(client.Delete(t.Context(), a.leaderKey(), leader.Revision)).To(Succeed(), "as when the lease of the copy expires")
+	lead(3)
+	g.Expect(a.Current().Position()).To(Equal(storehistory.Position{Era: 2, Revision: lost.Revision + 1}))
+	other, _ := newPlanner("b", address)
+	g.Expect(other.Current()).To(BeNil())
+	stored, _, err := other.readPlan(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(stored.Position()).To(Equal(a.Current().Position()))
+	g.Expect(invariant.Violations()).To(Equal(violations))
+}
+
+func TestAFollowerTakesAPlanOfTheNewEraAndNoOlderOne(t *testing.T) {
+	g := NewWithT(t)
+	_, address := newStore(t)
+	p, _ := newPlanner("a", address)
+	p.apply(&plan.Plan{Era: 1, Revision: 9})
+	p.apply(&plan.Plan{Era: 1, Revision: 4})
+	g.Expect(p.Current().Revision).To(BeEquivalentTo(9))
+	p.apply(&plan.Plan{Era: 2, Revision: 5})
+	g.Expect(p.Current().Position()).To(Equal(storehistory.Position{Era: 2, Revision: 5}))
+	reply, err := p.handlePlan(t.Context(), []byte(`{"HaveEra":1,"Have":9}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(reply.(planReply).Plan).NotTo(BeNil())
+}
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -85,6 +85,9 @@
 mutant rewrite-all-at-once $d/storehistory/turn.go '* turnInterval' '* 0' ./$d/storehistory
 mutant rewrite-over-a-later-one internal/router/configure/rewrite.go '!held.Supersedes(stored.Position())' 'held.Revision == stored.Revision && held.Era == stored.Era' ./internal/router/configure
 mutant lead-in-another-era internal/router/planner/lease.go 'p.leaseEra.Load() != p.deps.Store.Era()' 'false' ./internal/router/planner
+mutant fencing-without-era $d/plan/plan.go 'p.Era<<revisionBits + p.Revision' 'p.Revision' ./$d/plan
+mutant follow-a-lost-plan internal/router/planner/planner.go 'old != nil && !old.Position().Before(next.Position())' 'old != nil && old.Revision >= next.Revision' ./internal/router/planner
+mutant plan-from-the-older-one internal/router/planner/planner.go 'previous = *current' '_ = current' ./internal/router/planner
 mutant part-without-digest internal/config/manifest/manifest.go 'if bodyDigest(body) != p.Digest {' 'if false {' ./internal/config/document
 # The end-to-end tests check the rules that hold between processes.
 mutant story-no-resume $d/resume/machine.go 'if m.consecutiveLosses > maxConsecutiveLosses {' 'if true {' "$e2e 'when.engines.crash'"
