janitor: expired claims that came back with the store are deleted again

Claims whose deletion the store lost in a restore stayed in it for ever: the janitor had done with their minute. A takeover by another router would have found them, but the same router may lead again between two steps.

The janitor goes back by its lookback in each new era of the store.

Evidence: TestClaimsThatCameBackWithTheStoreAreDeletedAgain failed before and passes now.

Ruled out: a deletion that hits a record written again at the same revision. The key of a claim names the minute of its expiry, so that whatever is there has expired.

--- a/internal/router/janitor/janitor.go
+++ b/internal/router/janitor/janitor.go
@@ -28,6 +28,7 @@
 type Store interface {
 	List(ctx context.Context, prefix string) ([]kv.Value, error)
 	Delete(ctx context.Context, key string, revision int64) error
+	Era() int64 // newest that an answer named
 }
 
 // Deps holds the dependencies of a janitor.
@@ -42,6 +43,7 @@
 type Janitor struct {
 	deps Deps
 	next time.Time // first minute that is not done yet; zero while this router is not the leader
+	era  int64     // of the store, in which the minutes before next were done
 }
 
 // New returns a janitor.
@@ -65,7 +67,9 @@
 		return nil
 	}
 	now := j.deps.Now()
-	if j.next.IsZero() {
+	// Claims that were deleted come back with an older copy of the store.
+	if era := j.deps.Store.Era(); j.next.IsZero() || era != j.era {
+		j.era = era
 		j.next = now.Add(-lookback).Truncate(time.Minute)
 	}
 	if now.Before(j.next.Add(time.Minute + gracePeriod)) {
--- a/internal/router/janitor/janitor_test.go
+++ b/internal/router/janitor/janitor_test.go
@@ -36,6 +36,8 @@
 	return nil
 }
 
+func (s store) Era() int64 { return 1 }
+
 // claim adds a claim and returns its store key.
 func (s store) claim(expires time.Time, key string) string {
 	storeKey := claim.StoreKey("org", key, expires)
@@ -65,3 +67,28 @@
 		g.Expect(s).To(And(HaveKey(fresh), HaveKey(recent), HaveKey("manifest/production")))
 	})
 }
+
+// restoredStore is a store whose era changes.
+type restoredStore struct {
+	store
+	era int64
+}
+
+func (s *restoredStore) Era() int64 { return s.era }
+
+func TestClaimsThatCameBackWithTheStoreAreDeletedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := &restoredStore{store: make(store), era: 1}
+		j := janitor.New(janitor.Deps{Store: s, IsLeader: func() bool { return true }, Now: time.Now, Log: logrus.NewEntry(logrus.New())})
+		expired := time.Now().Add(-time.Hour)
+		for range 2 {
+			s.claim(expired, "old")
+			for range 48*60 + 10 {
+				g.Expect(j.Step(context.Background())).To(Succeed())
+			}
+			g.Expect(s.store).To(BeEmpty())
+			s.era++
+		}
+	})
+}
