platform/hosts: a list whose revision went back is read as a whole

A router whose platform came back with an older list of hosts saw no change of it until the list's revision had passed the old one, and never the changes up to it: it asked for changes after a revision that the list did not have yet.

A reply with a lower revision than the known one now makes the next fetch read the whole list, which replaces the copy. An empty reply replaces nothing.

Mutant hosts-list-went-back.

Remains: a list that passes the known revision between two polls; the list names no era.

--- a/internal/platform/hosts/list.go
+++ b/internal/platform/hosts/list.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -71,6 +72,7 @@
 	http       *http.Client
 	hosts      atomic.Pointer[map[string]Host]
 	revision   int64
+	stale      bool // hosts is replaced by the next reply
 	onChange   func()
 }
 
@@ -149,19 +151,28 @@
 	if err := json.NewDecoder(res.Body).Decode(&changes); err != nil {
 		return fmt.Errorf("decode hosts: %w", err)
 	}
-	l.Merge(changes)
+	switch {
+	case changes.Revision < l.revision:
+		// The platform's list went back; the next fetch reads it as a whole.
+		l.revision, l.stale = 0, true
+	case l.stale && len(changes.Hosts) > 0:
+		l.stale = false
+		l.apply(make(map[string]Host), changes)
+	default:
+		l.Merge(changes)
+	}
 	return nil
 }
 
 // Merge applies changes to the list.
 func (l *List) Merge(changes Changes) {
-	if len(changes.Hosts) == 0 {
-		return
-	}
-	merged := make(map[string]Host)
-	for name, h := range l.All() {
-		merged[name] = h
+	if len(changes.Hosts) > 0 {
+		l.apply(maps.Clone(l.All()), changes)
 	}
+}
+
+// apply makes a map with changes the current one.
+func (l *List) apply(merged map[string]Host, changes Changes) {
 	for _, h := range changes.Hosts {
 		if h.State == Gone {
 			delete(merged, h.Name)
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -89,6 +89,7 @@
 mutant follow-a-lost-plan internal/router/planner/planner.go 'old != nil && !old.Position().Before(next.Position())' 'old != nil && old.Revision >= next.Revision' ./internal/router/planner
 mutant plan-from-the-older-one internal/router/planner/planner.go 'previous = *current' '_ = current' ./internal/router/planner
 mutant claims-come-back internal/router/janitor/janitor.go '|| era != j.era' '' ./internal/router/janitor
+mutant hosts-list-went-back internal/platform/hosts/list.go 'case changes.Revision < l.revision:' 'case false:' ./internal/platform/hosts
 mutant part-without-digest internal/config/manifest/manifest.go 'if bodyDigest(body) != p.Digest {' 'if false {' ./internal/config/document
 # The end-to-end tests check the rules that hold between processes.
 mutant story-no-resume $d/resume/machine.go 'if m.consecutiveLosses > maxConsecutiveLosses {' 'if true {' "$e2e 'when.engines.crash'"
