--- a/internal/platform/hosts/list.go
+++ b/internal/platform/hosts/list.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -74,6 +75,7 @@
 	http       *http.Client
 	hosts      atomic.Pointer[map[string]Host]
 	revision   int64
+	stale      bool // hosts is replaced by the next reply
 	onChange   func()
 }
 
@@ -159,7 +161,16 @@
 	if err != nil {
 		return fmt.Errorf("decode hosts: %w", err)
 	}
-	l.Merge(changes)
+	switch {
+	case changes.Revision < l.revision:
+		// The platform's list went back; the next fetch reads it as a whole.
+		l.revision, l.stale = 0, true
+	case l.stale && len(changes.Hosts) > 0:
+		l.stale = false
+		l.apply(make(map[string]Host), changes)
+	default:
+		l.Merge(changes)
+	}
 	return nil
 }
 
@@ -190,13 +201,13 @@
 
 // Merge applies changes to the list.
 func (l *List) Merge(changes Changes) {
-	if len(changes.Hosts) == 0 {
-		return
-	}
-	merged := make(map[string]Host)
-	for name, h := range l.All() {
-		merged[name] = h
+	if len(changes.Hosts) > 0 {
+		l.apply(maps.Clone(l.All()), changes)
 	}
+}
+
+// apply makes a map with changes the current one.
+func (l *List) apply(merged map[string]Host, changes Changes) {
 	for _, h := range changes.Hosts {
 		if h.State == Gone {
 			delete(merged, h.Name)
--- a/internal/platform/publish/publish.go
+++ b/internal/platform/publish/publish.go
@@ -14,6 +14,7 @@
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/config/manifest"
+	"wisteriafield/internal/decision/claim"
 	"wisteriafield/internal/router/configure"
 	"wisteriafield/platform/kv"
 )
@@ -27,6 +28,9 @@
 // written.
 var ErrOutcomeUnknown = errors.New("the store did not confirm whether the change took effect")
 
+// ErrRestored means that the store was restored during a change, which may be lost.
+var ErrRestored = errors.New("the store was restored from an older copy during the change; look at the status and make the change again")
+
 // RaceError reports that another operator's change was committed first.
 type RaceError struct {
 	Winner manifest.Manifest // the manifest that is in the store now
@@ -41,6 +45,7 @@
 type Store interface {
 	Get(ctx context.Context, key string) (kv.Value, error)
 	Put(ctx context.Context, key string, body []byte, revision int64, lease string) (int64, error)
+	Era() int64 // newest that an answer named
 }
 
 // ReadManifest returns the manifest of an environment and the store's revision of
@@ -64,10 +69,16 @@
 // with a RaceError if another change was committed since base was read at
 // storeRevision.
 func CommitDocument(ctx context.Context, s Store, base manifest.Manifest, storeRevision int64, d *document.Document, origin string) (manifest.Manifest, error) {
+	era := s.Era()
 	parts, bodies, err := manifest.Split(d)
 	if err != nil {
 		return manifest.Manifest{}, fmt.Errorf("split document: %w", err)
 	}
+	if storeRevision == 0 {
+		if err := markFirstEra(ctx, s); err != nil {
+			return manifest.Manifest{}, err
+		}
+	}
 	stored := make(map[string]bool)
 	for _, p := range base.Parts {
 		stored[p.Digest] = true
@@ -80,56 +91,85 @@
 			return manifest.Manifest{}, err
 		}
 	}
-	return CommitManifest(ctx, s, base, storeRevision, parts, origin)
+	next, err := CommitManifest(ctx, s, base, storeRevision, parts, origin)
+	if s.Era() != era {
+		return next, ErrRestored // parts may be lost
+	}
+	return next, err
+}
+
+// markFirstEra records that no claim is older than the store's era: no call is served
+// before the first document. A mark that exists stays.
+func markFirstEra(ctx context.Context, s Store) error {
+	body, err := json.Marshal(claim.RestoreMark{Era: s.Era()})
+	if err != nil {
+		return fmt.Errorf("encode era mark: %w", err)
+	}
+	if err := create(ctx, s, claim.RestoreKey, body); err != nil {
+		return fmt.Errorf("write era mark: %w", err)
+	}
+	return nil
 }
 
 // writePart stores a part under its digest. A part that exists under that digest is
-// identical, so a conflict counts as success.
+// identical.
 func writePart(ctx context.Context, s Store, part manifest.Part, body []byte) error {
+	if err := create(ctx, s, configure.PartKey(part.Digest), body); err != nil {
+		return fmt.Errorf("write part %s: %w", part.Name, err)
+	}
+	return nil
+}
+
+// create writes a key unless it exists.
+func create(ctx context.Context, s Store, key string, body []byte) error {
 	var err error
 	for range maxTries {
-		_, err = s.Put(ctx, configure.PartKey(part.Digest), body, 0, "")
+		_, err = s.Put(ctx, key, body, 0, "")
 		if err == nil || errors.Is(err, kv.ErrConflict) {
 			return nil
 		}
 		loop.Sleep(ctx, retryDelay)
 	}
-	return fmt.Errorf("write part %s: %w", part.Name, err)
+	return err
 }
 
 // CommitManifest writes a manifest of stored parts as the next revision of the
 // environment of base.
 func CommitManifest(ctx context.Context, s Store, base manifest.Manifest, storeRevision int64, parts []manifest.Part, origin string) (manifest.Manifest, error) {
-	next := base.Next(parts, origin, uuid.NewString())
+	era := s.Era()
+	next := base.Next(parts, origin, uuid.NewString(), era)
 	body, err := json.Marshal(next)
 	if err != nil {
 		return next, fmt.Errorf("encode manifest: %w", err)
 	}
 	_, err = s.Put(ctx, configure.ManifestKey(next.Environment), body, storeRevision, "")
-	if err == nil {
-		return next, nil
+	if err != nil {
+		err = resolveCommit(ctx, s, next, storeRevision, body)
 	}
-	return resolveCommit(ctx, s, next, storeRevision, body)
+	if s.Era() != era {
+		return next, ErrRestored
+	}
+	return next, err
 }
 
 // resolveCommit determines the outcome of a write that was refused or whose answer
 // was lost. While the store still has the old revision, the write is retried;
 // compare-and-swap lets it take effect only once.
-func resolveCommit(ctx context.Context, s Store, next manifest.Manifest, storeRevision int64, body []byte) (manifest.Manifest, error) {
+func resolveCommit(ctx context.Context, s Store, next manifest.Manifest, storeRevision int64, body []byte) error {
 	for range maxTries {
 		found, revision, err := ReadManifest(ctx, s, next.Environment)
 		switch {
 		case err != nil:
 			loop.Sleep(ctx, retryDelay)
 		case found.IncludesAttempt(next.Attempt):
-			return next, nil
+			return nil
 		case revision != storeRevision:
-			return next, &RaceError{Winner: found}
+			return &RaceError{Winner: found}
 		default:
 			if _, err := s.Put(ctx, configure.ManifestKey(next.Environment), body, storeRevision, ""); err == nil {
-				return next, nil
+				return nil
 			}
 		}
 	}
-	return next, ErrOutcomeUnknown
+	return ErrOutcomeUnknown
 }
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -56,7 +56,14 @@
 mutant skip-the-lineage $d/generation/answer.go 'if s.Attempt == attemptID {' 'if s.contains(position) {' ./$d/generation
 mutant dispatch-twice $d/claim/attempttable.go 'if e == nil || e.phase != registered {' 'if e == nil || e.phase == abandoned {' ./$d/claim
 mutant consent-after-dispatch $d/claim/attempttable.go 'case registered, abandoned:' 'case registered, abandoned, dispatched:' ./$d/claim
-mutant send-on-anothers-claim $d/claim/step.go 'case found.Attempt == attemptID:' 'case found.State == Held:' ./$d/claim
+mutant send-on-anothers-claim $d/claim/step.go 'case found.State == Held && found.Attempt != attemptID:' 'case false:' ./$d/claim
+mutant send-on-a-lost-claim $d/claim/step.go 'case mayBeLost:' 'case false:' "./$d/claim -run AtMostOnce"
+mutant send-without-a-claim $d/claim/step.go 'case found == nil && mayBeLost:' 'case false:' ./$d/claim
+mutant claim-ahead-of-time $d/claim/key.go 'now.Add(clockDifference)' 'now.Add(time.Minute)' ./$d/claim
+mutant restore-without-margin $d/claim/restore.go '.Add(maxAhead + clockDifference)' '' ./$d/claim
+mutant lost-outcome-not-rewritten internal/caller/service/restore.go 'Attempts.SavedBefore(era)' 'Attempts.SavedBefore(0)' ./internal/caller/service
+mutant save-over-no-lost-claim $d/claim/save.go 'case mayBeLost && (found.State == Held || found.State == Released):' 'case false:' ./internal/caller/service
+mutant era-not-marked internal/caller/service/restore.go 't.last.Era == t.store.Era()' 'true' ./internal/caller/service
 mutant old-keys $d/claim/key.go 'now.Sub(keyTime) > Retention' 'now.Sub(keyTime) > 3*Retention' ./$d/claim
 mutant give-a-slot-twice $d/admission/server.go 's.InFlight() >= s.usableSlots()' 's.InFlight() > s.usableSlots()' ./$d/admission
 mutant no-slots-for-short-work $d/admission/server.go 'reservedSlotShare = 0.15' 'reservedSlotShare = 0.0' ./$d/admission
@@ -74,6 +81,15 @@
 mutant resume-on-the-lost $d/resume/machine.go 'm.avoid = e.Server' 'm.avoid = ""' ./$d/resume
 mutant change-without-draining $d/plan/plan.go 'if e.Running > 0 ||' 'if' ./$d/plan
 mutant load-without-pace $d/plan/plan.go '|| in.Now.Before(next.NextLoadAt)' '' ./$d/plan
+mutant revision-without-era internal/config/manifest/manifest.go 'return old.Before(m.Position())' 'return m.Revision > old.Revision' ./internal/router/configure
+mutant rewrite-all-at-once $d/storehistory/turn.go '* turnInterval' '* 0' ./$d/storehistory
+mutant rewrite-over-a-later-one internal/router/configure/rewrite.go '!held.Supersedes(stored.Position())' 'held.Revision == stored.Revision && held.Era == stored.Era' ./internal/router/configure
+mutant lead-in-another-era internal/router/planner/lease.go 'p.leaseEra.Load() != p.deps.Store.Era()' 'false' ./internal/router/planner
+mutant fencing-without-era $d/plan/plan.go 'p.Era<<revisionBits + p.Revision' 'p.Revision' ./$d/plan
+mutant follow-a-lost-plan internal/router/planner/planner.go 'old != nil && !old.Position().Before(next.Position())' 'old != nil && old.Revision >= next.Revision' ./internal/router/planner
+mutant plan-from-the-older-one internal/router/planner/planner.go 'previous = *current' '_ = current' ./internal/router/planner
+mutant claims-come-back internal/router/janitor/janitor.go '|| era != j.era' '' ./internal/router/janitor
+mutant hosts-list-went-back internal/platform/hosts/list.go 'case changes.Revision < l.revision:' 'case false:' ./internal/platform/hosts
 mutant part-without-digest internal/config/manifest/manifest.go 'if bodyDigest(body) != p.Digest {' 'if false {' ./internal/config/document
 mutant revisions-without-era $d/storehistory/position.go 'if p.Era != q.Era {' 'if false {' "./$d/storehistory -run 'Fleet|EachChange'"
 mutant differences-from-a-gap $d/storehistory/log.go ' || l.gap.Contains(after)' '' "./$d/storehistory -run Differences"
@@ -85,7 +101,7 @@
 mutant story-no-probe internal/router/keeper/watchdog.go 'w.abandon("connection went silent")' '_ = w' "$e2e 'engine.connections.that.go.silent'"
 mutant story-no-heartbeat internal/router/stream/client.go 'silenceTimeout = 500 * time.Millisecond' 'silenceTimeout = time.Hour' "$e2e 'pauses.until'"
 mutant story-no-reattach internal/router/entry/entry.go 'return e.join(req, lastEvent.Generation, sources, &lastEvent)' 'return nil, ErrGone' "$e2e 'crash.of.its.entry,'"
-mutant story-no-claim internal/caller/service/nonidempotent.go 'switch claim.Next(r.found, r.attemptID, req.Digest) {' 'if runner.deps.Attempts.Dispatch(r.attemptID) { return r.dispatch(ctx) }; switch claim.Next(r.found, r.attemptID, req.Digest) {' "$e2e 'many.routers.get.it'"
+mutant story-no-claim internal/caller/service/nonidempotent.go 'switch claim.Next(r.found, r.attemptID, req.Digest, mayBeLost) {' 'if runner.deps.Attempts.Dispatch(r.attemptID) { return r.dispatch(ctx) }; switch claim.Next(r.found, r.attemptID, req.Digest, false) {' "$e2e 'many.routers.get.it'"
 mutant story-blind-after-lost-answer internal/caller/service/nonidempotent.go 'return r.resolveClaim(ctx)
 }
 
@@ -94,7 +110,13 @@
 
 // resolveClaim' "$e2e 'loses.its.answers'"
 mutant story-take-over-by-time internal/caller/service/nonidempotent.go 'if !r.askHolder(ctx) {' 'if r.askHolder(ctx); time.Now().After(r.waitDeadline) { r.found.State = claim.Released } else if false {' "$e2e 'dies.or.pauses'"
-mutant story-no-gossip internal/router/configure/gossip.go 'v == nil && peerHello.Revision > 0 || v != nil && peerHello.Revision > v.Revision' 'false && v == nil' "$e2e 'cut.off.from.the.store'"
+mutant story-no-gossip internal/router/configure/gossip.go 'f.position().Before(storehistory.Position{Era: peerHello.Era, Revision: peerHello.Revision})' 'false' "$e2e 'cut.off.from.the.store'"
+mutant promote-an-older-one internal/operator/cli/promote.go 'len(ahead) > 0' 'false' ./internal/operator/cli
+mutant confirm-in-another-era internal/platform/publish/publish.go 'if s.Era() != era {
+		return next, ErrRestored
+' 'if false {
+		return next, ErrRestored
+' ./internal/platform/publish
 mutant blind-put internal/platform/publish/publish.go 'case revision != storeRevision:' 'case revision != storeRevision && false:' ./internal/platform/publish
 mutant story-cut-on-stop internal/router/node/node.go 'if err := n.callerServer.Shutdown(ctx); err != nil {' 'if err := n.callerServer.Close(); err != nil {' "$e2e 'graceful.stop'"
 exit $failed
