edge: log connections that end without a complete answer, and panics

A caller's connection could end without a status and without a line that says why: net/http recovers a panic of a handler, closes the connection and writes to a log that is discarded; a connection that ends while a request is read, or an answer that is cut, left nothing; and at the end of a drain only requests whose handler had begun were counted.

Connections are tracked from the first byte of a request. One line and one counter each for: a panic (with the request's ID and the top of its stack), an answer that is cut, a connection that ends while its request is served, one that ends while a request is read. A panic before the header is answered with 502. `router has drained` has the numbers of requests that are read and served.

--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -61,7 +61,9 @@
 			break
 		}
 	}
-	e.logger("node").WithField("active", e.activeRequests.Load()).Info("router has drained")
+	left := e.callerConns.count()
+	e.logger("node").WithField("active", e.activeRequests.Load()).WithField("reading", left[connReading]).
+		WithField("serving", left[connServing]).Info("router has drained")
 }
 
 // discardLogger drops the HTTP library's messages about connections that callers broke.
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -101,6 +101,7 @@
 	limits          *ratelimit.Limiter
 	datagrams       atomic.Pointer[gossip.Datagrams]
 	callerServer    *http.Server
+	callerConns     *connections
 	readinessServer *http.Server
 	peerServer      *http.Server
 	adminServer     *http.Server
@@ -109,6 +110,7 @@
 // New returns a router, which Run starts.
 func New(cfg Config) *Edge {
 	e := &Edge{cfg: cfg, log: cfg.Log, servers: registry.New(), elector: storereader.NewElector(nil)}
+	e.callerConns = newConnections(e.logger("front"))
 	e.self = gossip.Host{Name: cfg.Host, Domain: cfg.Domain, Address: cfg.PeerAddress, DatagramAddress: cfg.DatagramAddress, Started: time.Now().UnixNano(), LinkMbps: cfg.LinkMbps}
 	e.follower = discovery.New(discovery.Config{
 		Store: cfg.Store, ConfigKey: cfg.ConfigKey, ServersPrefix: cfg.ServersPrefix,
@@ -142,7 +144,7 @@
 		Stopping:     e.Stopping,
 		Log:          e.logger("front"),
 	})
-	e.callerServer = e.newServer(e.countActive(handler))
+	e.callerServer = e.newCallerServer(handler)
 	readinessMux := http.NewServeMux()
 	readinessMux.HandleFunc(cfg.ReadyPath, e.handleReadiness)
 	e.readinessServer = e.newServer(readinessMux)
@@ -164,13 +166,11 @@
 	}
 }
 
-// countActive wraps a handler and counts its requests in progress.
-func (e *Edge) countActive(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		e.activeRequests.Add(1)
-		defer e.activeRequests.Add(-1)
-		h.ServeHTTP(w, r)
-	})
+// newCallerServer returns the server of callers' requests.
+func (e *Edge) newCallerServer(h http.Handler) *http.Server {
+	s := e.newServer(e.observe(h))
+	s.ConnContext, s.ConnState = withConn, e.callerConns.stateChanged
+	return s
 }
 
 // Run serves requests until ctx ends, then drains and stops.
@@ -190,6 +190,9 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
+		if s.server == e.callerServer {
+			ln = callerListener{ln, e.callerConns}
+		}
 		group.Go(func() error { return serve(s.server, ln) })
 	}
 	loops, err := e.backgroundLoops()
--- /dev/null
+++ b/internal/router/edge/observe.go
@@ -0,0 +1,85 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+)
+
+// maxStackBytes bounds the stack in the log line of a panic.
+const maxStackBytes = 2 << 10
+
+var (
+	handlerPanicsTotal = metrics.NewCounter("wisteriafield_handler_panics_total")
+	answersCutTotal    = metrics.NewCounter("wisteriafield_answers_cut_total")
+	callersLeftTotal   = metrics.NewCounter("wisteriafield_callers_left_total")
+)
+
+// observe wraps the handler of callers' requests. It counts the requests in progress, logs
+// the answers that do not reach their callers, and answers for a handler that panics.
+func (e *Edge) observe(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.activeRequests.Add(1)
+		defer e.activeRequests.Add(-1)
+		markServing(r)
+		startedAt := time.Now()
+		recorder := &headerRecorder{ResponseWriter: w}
+		defer func() {
+			p := recover()
+			callerLeft := r.Context().Err() != nil
+			if p == nil && !callerLeft {
+				return
+			}
+			log := e.logger("front").WithField("id", e.cfg.Protocol.DecodeRequest(r, startedAt).ID).
+				WithField("begun", recorder.written).WithField("ms", time.Since(startedAt).Milliseconds())
+			switch {
+			case p != nil && p != http.ErrAbortHandler:
+				logPanic(log, p)
+				if !recorder.written {
+					clear(w.Header())
+					w.WriteHeader(http.StatusBadGateway) // a server may have executed the request
+					return
+				}
+			case callerLeft:
+				callersLeftTotal.Inc()
+				log.Info("connection ended while its request was served")
+			default:
+				answersCutTotal.Inc()
+				log.Info("answer cut")
+			}
+			if p != nil {
+				panic(http.ErrAbortHandler) // cuts the connection, so that the answer does not look complete
+			}
+		}()
+		h.ServeHTTP(recorder, r)
+	})
+}
+
+func logPanic(log *logrus.Entry, p any) {
+	handlerPanicsTotal.Inc()
+	stack := debug.Stack()
+	log.WithField("panic", fmt.Sprint(p)).WithField("stack", string(stack[:min(len(stack), maxStackBytes)])).Error("handler panicked")
+}
+
+// headerRecorder records whether the header of an answer was sent.
+type headerRecorder struct {
+	http.ResponseWriter
+	written bool
+}
+
+func (w *headerRecorder) WriteHeader(status int) {
+	w.written = w.written || status >= http.StatusOK
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *headerRecorder) Write(p []byte) (int, error) {
+	w.written = true
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap lets http.ResponseController find the writer's other methods.
+func (w *headerRecorder) Unwrap() http.ResponseWriter { return w.ResponseWriter }
