edge: a request that was read is answered at the end of the drain

What callers saw: at the end of a planned stop a request that had been passed on to a server ended with its connection, without an answer.

Cause: the drain counted requests from the begin to the end of their handlers. net/http reads a request before its handler begins and writes the end of the answer after it has returned; the servers were closed in between. SetKeepAlivesEnabled(false) closes connections that net/http counts as idle, which it does until a request's header is read completely. And a shutdown makes net/http drop requests that it has just read.

Now a connection is in use from the first byte of a request until net/http has written the answer. After the lame duck, connections that have been idle for 200 ms are closed; one that is closed this way never delivers the bytes of a request. New connections are accepted until no request is left, at most until half a second before the end; net/http learns of the stop only when no connection is left.

Ruled out: http.Server.Shutdown, which drops a request whose header was read when the shutdown begins, and closes its idle connections in the same way.

--- a/internal/router/edge/connections.go
+++ b/internal/router/edge/connections.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
@@ -12,6 +14,10 @@
 
 var endedWhileReadTotal = metrics.NewCounter("wisteriafield_connections_ended_while_read_total")
 
+// minIdle is how long a connection must have been idle to be closed. net/http may have read
+// the first byte of the next request before it reports the connection as idle.
+const minIdle = 200 * time.Millisecond
+
 // connPhase is what happens on a caller's connection.
 type connPhase string
 
@@ -26,8 +32,10 @@
 type connections struct {
 	log *logrus.Entry
 
-	mu   sync.Mutex
-	open map[*callerConn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	stopped  bool // no more connections are accepted
+	open     map[*callerConn]bool
 }
 
 func newConnections(log *logrus.Entry) *connections {
@@ -40,14 +48,22 @@
 	conns *connections
 }
 
+// Accept returns http.ErrServerClosed once no more connections are accepted. net/http must
+// not learn of the end in another way: it would drop requests that it has just read.
 func (l callerListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
+	l.conns.mu.Lock()
+	defer l.conns.mu.Unlock()
+	if l.conns.stopped && err == nil {
+		_ = conn.Close()
+	}
+	if l.conns.stopped {
+		return nil, http.ErrServerClosed
+	}
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: conn, phase: connIdle}
-	l.conns.mu.Lock()
-	defer l.conns.mu.Unlock()
+	c := &callerConn{Conn: conn, phase: connIdle, idleSince: time.Now()}
 	l.conns.open[c] = true
 	return c, nil
 }
@@ -56,14 +72,18 @@
 type callerConn struct {
 	net.Conn
 
-	mu    sync.Mutex
-	phase connPhase
+	mu        sync.Mutex
+	phase     connPhase
+	idleSince time.Time
+	closed    bool // while idle, by closeIdle
 }
 
+// Read ends the connection if it was closed as idle before the first byte of a request
+// was read, so that no such request is served in part.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.beginReading()
+	if n > 0 && !c.beginReading() {
+		return 0, io.EOF
 	}
 	return n, err
 }
@@ -77,18 +97,32 @@
 	return nil
 }
 
-func (c *callerConn) beginReading() {
+// beginReading records that a byte of a request was read. It reports whether the connection
+// is still in use.
+func (c *callerConn) beginReading() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == connIdle {
 		c.phase = connReading
 	}
+	return !c.closed
 }
 
 func (c *callerConn) setPhase(phase connPhase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = phase
+	c.phase, c.idleSince = phase, time.Now()
+}
+
+// closeIfIdle closes the connection if no byte of a request was read for minIdle.
+func (c *callerConn) closeIfIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != connIdle || now.Sub(c.idleSince) < minIdle {
+		return
+	}
+	c.closed = true
+	_ = c.Close()
 }
 
 func (c *callerConn) currentPhase() connPhase {
@@ -131,6 +165,33 @@
 	}
 }
 
+// listen makes a listener's connections the callers'.
+func (cs *connections) listen(ln net.Listener) net.Listener {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.listener = ln
+	return callerListener{ln, cs}
+}
+
+// stopAccepting closes the listener.
+func (cs *connections) stopAccepting() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.stopped = true
+	if cs.listener != nil {
+		_ = cs.listener.Close()
+	}
+}
+
+// closeIdle closes the idle connections.
+func (cs *connections) closeIdle(now time.Time) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.open {
+		c.closeIfIdle(now)
+	}
+}
+
 // count returns the number of connections by phase.
 func (cs *connections) count() map[connPhase]int {
 	cs.mu.Lock()
--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -18,6 +18,8 @@
 	// killMargin is the time between the end of the drain and the platform's kill.
 	killMargin         = 300 * time.Millisecond
 	drainCheckInterval = 20 * time.Millisecond
+	// refusalTime is enough to read and refuse a request of the last new connection.
+	refusalTime = 500 * time.Millisecond
 )
 
 // handleReadiness returns 200 while this router serves: it has a configuration and a
@@ -43,21 +45,31 @@
 	return drain.FitsCall(left, req.Deadline.Sub(now))
 }
 
-// drain waits until the requests in progress have ended, at most until killMargin
-// before the end of the grace time. Answers tell callers to close their connections.
+// drain waits until the callers' connections have ended, at most until killMargin before the
+// end of the grace time. Answers tell callers to close their connections. After the lame
+// duck, idle connections are closed, and once no request is left, or refusalTime before the
+// end, new ones are not accepted.
 func (e *Edge) drain(now time.Time) {
 	e.stoppingAt.Store(now.UnixNano())
 	e.logger("node").WithField("active", e.activeRequests.Load()).Info("router is stopping")
 	end := now.Add(e.cfg.Grace - killMargin)
 	lameDuckEnd := now.Add(lameDuck)
+	accepting := true
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
 	for now := range ticker.C {
-		if now.After(lameDuckEnd) {
-			// Closes idle connections, so that no caller sends its next request here.
-			e.callerServer.SetKeepAlivesEnabled(false)
+		if !now.Before(end) {
+			break
+		}
+		if now.Before(lameDuckEnd) {
+			continue
 		}
-		if !now.Before(end) || now.After(lameDuckEnd) && e.activeRequests.Load() == 0 {
+		e.callerConns.closeIdle(now)
+		left := e.callerConns.count()
+		if accepting && (left[connReading]+left[connServing] == 0 || now.After(end.Add(-refusalTime))) {
+			e.callerConns.stopAccepting()
+			accepting = false
+		} else if !accepting && len(left) == 0 {
 			break
 		}
 	}
--- /dev/null
+++ b/internal/router/edge/drain_test.go
@@ -0,0 +1,120 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// slowListener accepts connections on which each read and write takes a while, as on a host
+// whose processor is busy.
+type slowListener struct{ net.Listener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return slowConn{conn}, err
+}
+
+type slowConn struct{ net.Conn }
+
+const slowness = 15 * time.Millisecond
+
+func (c slowConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	time.Sleep(slowness)
+	return n, err
+}
+
+func (c slowConn) Write(p []byte) (int, error) {
+	time.Sleep(slowness)
+	return c.Conn.Write(p)
+}
+
+// drainCaller sends requests over kept and new connections until the router is gone, and
+// returns the IDs of those that got no complete answer.
+func drainCaller(address, name string) (unanswered []string) {
+	for connection := 0; ; connection++ {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return unanswered
+		}
+		answers := bufio.NewReader(conn)
+		for request := 0; ; request++ {
+			time.Sleep(rand.N(60 * time.Millisecond))
+			id := fmt.Sprintf("%s-%d-%d", name, connection, request)
+			_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nId: %s\r\nContent-Length: 1\r\n\r\nx", id)
+			res, err := http.ReadResponse(answers, nil)
+			if err == nil {
+				_, err = io.ReadAll(res.Body)
+			}
+			if err != nil {
+				unanswered = append(unanswered, id)
+			}
+			if err != nil || res.Close {
+				break
+			}
+		}
+		_ = conn.Close()
+	}
+}
+
+func TestARequestThatWasPassedOnIsAnsweredAtTheEndOfTheDrain(t *testing.T) {
+	for _, callers := range []int{1, 2, 4, 40} {
+		t.Run(fmt.Sprint(callers), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			var served sync.Map // by ID
+			var e *Edge
+			e, _ = newCallerSide(func(w http.ResponseWriter, r *http.Request) {
+				if e.Stopping() {
+					w.Header().Set("Connection", "close")
+				}
+				served.Store(r.Header.Get("Id"), true)
+				_, _ = io.WriteString(w, "whole answer")
+			})
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			e.serveOn(slowListener{ln}, t)
+			results := make(chan []string)
+			for i := range callers {
+				go func() { results <- drainCaller(ln.Addr().String(), fmt.Sprint(i)) }()
+			}
+			e.drain(time.Now())
+			_ = e.callerServer.Close()
+			for range callers {
+				for _, id := range <-results {
+					_, passedOn := served.Load(id)
+					g.Expect(passedOn).To(BeFalse(), "request %s was passed on and not answered", id)
+				}
+			}
+		})
+	}
+}
+
+func TestADrainEndsWithIdleAndSilentConnections(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	e, _ := newCallerSide(func(http.ResponseWriter, *http.Request) {})
+	address := e.listen(g, t)
+	for i := range 4 {
+		conn, err := net.Dial("tcp", address)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		if i%2 == 0 {
+			_, _ = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		}
+	}
+	start := time.Now()
+	e.drain(start)
+	g.Expect(time.Since(start)).To(BeNumerically("<", lameDuck+time.Second))
+	_, err := net.Dial("tcp", address)
+	g.Expect(err).To(HaveOccurred())
+}
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -191,7 +191,7 @@
 			return fmt.Errorf("listen: %w", err)
 		}
 		if s.server == e.callerServer {
-			ln = callerListener{ln, e.callerConns}
+			ln = e.callerConns.listen(ln)
 		}
 		group.Go(func() error { return serve(s.server, ln) })
 	}
--- a/internal/router/edge/observe_test.go
+++ b/internal/router/edge/observe_test.go
@@ -38,11 +38,15 @@
 func (e *Edge) listen(g *WithT, t *testing.T) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	go func() { _ = e.callerServer.Serve(callerListener{ln, e.callerConns}) }()
-	t.Cleanup(func() { _ = e.callerServer.Close() })
+	e.serveOn(ln, t)
 	return ln.Addr().String()
 }
 
+func (e *Edge) serveOn(ln net.Listener, t *testing.T) {
+	go func() { _ = e.callerServer.Serve(e.callerConns.listen(ln)) }()
+	t.Cleanup(func() { _ = e.callerServer.Close() })
+}
+
 // logged returns the fields of the lines with a message.
 func logged(hook *logtest.Hook, message string) []logrus.Fields {
 	var lines []logrus.Fields
