relay: silence does not end the only attempt that is allowed

What callers saw: a stream that had begun was cut, or ended with 502, while its engine was sound and silent.

Cause: an attempt whose engine was silent (0.31 s without an answer to probes, 1.5 s with) was cancelled first; only then were the retry budget, the route's attempts, the quarantine and the other engines asked whether another attempt may follow.

Now a verdict of silence asks first. suspicion.Alternative decides: if another attempt is allowed, its retry is taken from the budget and the silent attempt ends; if not, the attempt is kept until the deadline, its engine is probed about every 0.65 s, and the question is asked again. An attempt ends at once if another incarnation has its engine's address.

Tests that failed on the former code: TestASilentSoundEngineIsNotLeftWithoutAnotherAttempt (all four cases), TestASoundEngineThatIsSilentAtTheStartIsNotLeftWithoutAnotherAttempt, TestAStreamOfADeadEngineGoesOnOnceTheRetryBudgetAllowsIt.

Ruled out: to leave for another engine without a retry of the budget; many silent engines at once would multiply the load.

--- a/internal/decision/suspicion/detector.go
+++ b/internal/decision/suspicion/detector.go
@@ -13,6 +13,7 @@
 	MaxSilence      time.Duration // after which a stream is lost whatever the engine replies
 	MaxStartSilence time.Duration // the same before the first event
 	ReportLag       time.Duration // maximum age of what an engine reports
+	HoldDelay       time.Duration // between two verdicts on a stream that is kept though it counts as lost
 }
 
 // DefaultTimeouts returns timeouts for callers that accept pauses of 700 ms:
@@ -26,6 +27,7 @@
 		MaxSilence:      1500 * time.Millisecond,
 		MaxStartSilence: 8 * time.Second,
 		ReportLag:       400 * time.Millisecond,
+		HoldDelay:       500 * time.Millisecond,
 	}
 }
 
@@ -55,6 +57,8 @@
 	probedAt time.Time // first probe without a reply yet; zero if there is none
 	probes   int
 	doubts   int // consecutive replies that the attempt is missing or ahead
+
+	heldUntil time.Time // of a stream that is kept though it counts as lost, the next probe; zero otherwise
 }
 
 // maxDoubts is the number of consecutive doubtful replies that make a stream lost.
@@ -71,6 +75,14 @@
 	d.eventAt, d.aliveAt = now, now
 	d.probedAt, d.probes = time.Time{}, 0
 	d.doubts = 0
+	d.heldUntil = time.Time{}
+}
+
+// Hold keeps a stream that counts as lost, since no other attempt may follow now. The
+// engine is probed again after a while, and the next verdict follows.
+func (d *Detector) Hold(now time.Time) {
+	d.probedAt, d.probes = time.Time{}, 0
+	d.heldUntil = now.Add(d.timeouts.HoldDelay)
 }
 
 // ProbeResult is what an engine's reply says about the attempt.
@@ -87,7 +99,13 @@
 // the attempt is missing or ahead counts only if the next one confirms it.
 func (d *Detector) ObserveReply(now time.Time, result ProbeResult) {
 	d.aliveAt = now
-	d.probedAt, d.probes = time.Time{}, 0
+	d.probedAt = time.Time{}
+	if result == Working && now.Before(d.eventAt.Add(d.maxSilence())) {
+		d.heldUntil = time.Time{}
+	}
+	if d.heldUntil.IsZero() {
+		d.probes = 0
+	}
 	if result == Working || now.Sub(d.eventAt) < d.timeouts.ReportLag {
 		d.doubts = 0
 		return
@@ -98,6 +116,9 @@
 // ProbePending reports whether the engine was probed and hasn't replied.
 func (d *Detector) ProbePending() bool { return !d.probedAt.IsZero() }
 
+// Silence returns the time since the last event, or since the start.
+func (d *Detector) Silence(now time.Time) time.Duration { return now.Sub(d.eventAt) }
+
 // ProbeNow makes the next probe due at once, because another engine of the same failure
 // domain became unresponsive.
 func (d *Detector) ProbeNow(now time.Time) {
@@ -108,11 +129,14 @@
 
 // Evaluate returns the verdict at a time, and when to evaluate the stream again.
 func (d *Detector) Evaluate(now time.Time) (Verdict, time.Time) {
-	delay, maxSilence := d.timeouts.ProbeDelay, d.timeouts.MaxSilence
+	if !d.heldUntil.IsZero() {
+		return d.evaluateHeld(now)
+	}
+	delay := d.timeouts.ProbeDelay
 	if !d.started {
-		delay, maxSilence = d.timeouts.StartProbeDelay, d.timeouts.MaxStartSilence
+		delay = d.timeouts.StartProbeDelay
 	}
-	end := d.eventAt.Add(maxSilence)
+	end := d.eventAt.Add(d.maxSilence())
 	if !now.Before(end) || d.doubts >= maxDoubts {
 		return Lost, now
 	}
@@ -140,6 +164,29 @@
 	return Wait, earlier(lostAt, end)
 }
 
+func (d *Detector) maxSilence() time.Duration {
+	if d.started {
+		return d.timeouts.MaxSilence
+	}
+	return d.timeouts.MaxStartSilence
+}
+
+// evaluateHeld is Evaluate for a stream that is kept though it counts as lost.
+func (d *Detector) evaluateHeld(now time.Time) (Verdict, time.Time) {
+	lostAt := d.heldUntil.Add(d.timeouts.ProbeTimeout)
+	switch {
+	case now.Before(d.heldUntil):
+		return Wait, d.heldUntil
+	case !now.Before(lostAt):
+		return Lost, now
+	case d.probes == 0:
+		d.probedAt, d.probes = now, 1
+		return Probe, lostAt
+	default:
+		return Wait, lostAt
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -137,7 +137,15 @@
 		case suspicion.Probe:
 			go s.probe(ctx, target, reports)
 		case suspicion.Lost:
-			return result{outcome: lost, reason: "silent", backup: backup, unresponsive: detector.ProbePending()}
+			unresponsive := detector.ProbePending()
+			if s.mayLeave(target, detector.Silence(time.Now())) {
+				return result{outcome: lost, reason: "silent", backup: backup, unresponsive: unresponsive}
+			}
+			if unresponsive {
+				s.recordUnresponsive(target, time.Now())
+			}
+			detector.Hold(time.Now())
+			_, at = detector.Evaluate(time.Now())
 		}
 		timer.Reset(time.Until(at))
 	}
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -5,26 +5,13 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
-	"testing"
 	"testing/iotest"
 	"time"
 
-	. "github.com/onsi/gomega"
-	"github.com/sirupsen/logrus"
-
-	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
-	"wisteriafield/internal/config/routes"
-	"wisteriafield/internal/decision/link"
-	decision "wisteriafield/internal/decision/ratelimit"
-	"wisteriafield/internal/router/quarantine"
-	"wisteriafield/internal/router/ratelimit"
-	"wisteriafield/internal/router/relay"
-	"wisteriafield/internal/router/sessions"
 )
 
 // fakeEngines is a set of engines that generate events 1 to eventCount for every request,
@@ -39,7 +26,8 @@
 	dispatches    []server.Dispatch
 	deadlyPart    string // a part of prompts that crashes every engine after its header
 
-	probes int // reports that were requested
+	probes      int                  // reports that were requested
+	pausedUntil map[string]time.Time // by server ID
 }
 
 // engineFaults says what goes wrong at an engine.
@@ -56,7 +44,10 @@
 	closesAfter     int     // closes the connection, as if the answer were whole, after this many events
 	cutsEvent       bool    // with closesAfter, within the next event
 	limit           float64 // that it names in its answers; 0 for none
-	lostAttempt     bool    // does not have the attempt and sends nothing, but answers probes
+	pauseAfter      int     // after this many events of an attempt, neither events nor replies for the pause
+	pause           time.Duration
+	hangsAfter      int  // sends no more events after this many, but answers probes
+	lostAttempt     bool // does not have the attempt and sends nothing, but answers probes
 }
 
 func (e *fakeEngines) Send(ctx context.Context, d server.Dispatch) (*server.Answer, error) {
@@ -125,11 +116,21 @@
 			_ = w.CloseWithError(io.ErrUnexpectedEOF)
 			return
 		}
+		gap := e.gap
+		if f.pause > 0 && i == d.LastEventID+f.pauseAfter+1 {
+			e.mu.Lock()
+			e.pausedUntil[d.Server.ID] = time.Now().Add(f.pause)
+			e.mu.Unlock()
+			gap = f.pause
+		}
+		if f.hangsAfter > 0 && i > d.LastEventID+f.hangsAfter {
+			<-ctx.Done()
+		}
 		select {
 		case <-ctx.Done():
 			_ = w.CloseWithError(ctx.Err())
 			return
-		case <-time.After(e.gap):
+		case <-time.After(gap):
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i); err != nil {
 			return
@@ -142,7 +143,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.probes++
-	if e.faults[engineIDAt(address)].unresponsive {
+	if e.faults[engineIDAt(address)].unresponsive || time.Now().Before(e.pausedUntil[engineIDAt(address)]) {
 		return server.Report{}, context.DeadlineExceeded
 	}
 	if e.faults[engineIDAt(address)].lostAttempt {
@@ -212,86 +213,3 @@
 func engineIDAt(address string) string { return "i-" + address[len("10.0.0."):len("10.0.0.")+1] }
 
 func engineAddress(i int) string { return fmt.Sprintf("10.0.0.%d:80", i) }
-
-// sessionTable keeps the session records of all routers in one table.
-type sessionTable struct{ *sessions.Table }
-
-func (t sessionTable) PutSession(r sessions.Record) { t.Put(r, time.Now()) }
-
-func (t sessionTable) FindSession(_ context.Context, session string) (sessions.Record, bool) {
-	return t.Get(session, time.Now())
-}
-
-type unlimitedBudget struct{}
-
-func (unlimitedBudget) Allow(string, time.Time) bool { return true }
-
-// harness is a relay with three fake engines.
-type harness struct {
-	*WithT
-	engines  *fakeEngines
-	servers  *registry.Registry
-	relay    *relay.Relay
-	sessions sessionTable
-	limits   *ratelimit.Limiter
-	service  routes.Service
-	route    routes.Route
-
-	loadsUnknown bool // the loads that other routers put on the engines are not known
-}
-
-func newHarness(t *testing.T) *harness {
-	h := &harness{
-		WithT:    NewWithT(t),
-		engines:  &fakeEngines{eventCount: 20, gap: 20 * time.Millisecond, faults: map[string]engineFaults{}, backups: map[string]bool{}, cachedPrompts: map[string]string{}},
-		servers:  registry.New(),
-		sessions: sessionTable{sessions.NewTable()},
-		service:  routes.Service{Name: "engines", Engine: &routes.Engine{MemoryTokens: 55000, SupportsBackups: true, CopiesKVCache: true, TokensPerEvent: 6, BackupTTL: 4 * time.Second}},
-		route:    routes.Route{Kind: routes.Streaming, Resumable: true, MaxAttempts: 3},
-	}
-	h.setServers(nil)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	h.limits = ratelimit.New(decision.Config{Self: "router", Peers: func(time.Time) []string { return nil }, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
-	h.relay = relay.New(relay.Config{
-		Servers: h.servers, Client: h.engines, RetryBudget: unlimitedBudget{}, Links: link.New(), Domain: "a", Sessions: h.sessions, OnUnresponsive: func() {},
-		Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")),
-		Limits:     h.limits,
-		KnowsLoads: func() bool { return !h.loadsUnknown }, Log: log.WithField("part", "stream"),
-	})
-	return h
-}
-
-// setServers lists the engines in the registry, some of them as leaving.
-func (h *harness) setServers(leaving map[string]bool) {
-	var all []server.Server
-	for i := range 3 {
-		id := fmt.Sprintf("i-%d", i)
-		all = append(all, server.Server{ID: id, Service: "engines", Address: engineAddress(i), Domain: string(rune('a' + i)), Slots: 64, Leaving: leaving[id]})
-	}
-	h.servers.Set(1, all)
-}
-
-func (h *harness) newRequest(lastEventID int) *server.Request {
-	return &server.Request{
-		ID: "r-1", Route: &h.route, Service: "engines", ArrivedAt: time.Now(), Deadline: time.Now().Add(20 * time.Second),
-		PromptTokens: 5000, MaxOutputTokens: 120, PromptParts: []server.PromptPart{{ID: "shared", Tokens: 200}, {ID: "own", Tokens: 4800}}, LastEventID: lastEventID,
-	}
-}
-
-// serve answers a request and reports whether the connection was cut.
-func (h *harness) serve(req *server.Request) (res *httptest.ResponseRecorder, cut bool) {
-	res = httptest.NewRecorder()
-	defer func() { cut = recover() != nil }()
-	h.relay.Serve(res, context.Background(), req, &h.service)
-	return res, false
-}
-
-// eventText returns the text of events from..to.
-func eventText(from, to int) string {
-	text := ""
-	for i := from; i <= to; i++ {
-		text += fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
-	}
-	return text
-}
--- /dev/null
+++ b/internal/router/relay/harness_test.go
@@ -0,0 +1,109 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/config/routes"
+	"wisteriafield/internal/decision/link"
+	decision "wisteriafield/internal/decision/ratelimit"
+	"wisteriafield/internal/router/quarantine"
+	"wisteriafield/internal/router/ratelimit"
+	"wisteriafield/internal/router/relay"
+	"wisteriafield/internal/router/sessions"
+)
+
+// sessionTable keeps the session records of all routers in one table.
+type sessionTable struct{ *sessions.Table }
+
+func (t sessionTable) PutSession(r sessions.Record) { t.Put(r, time.Now()) }
+
+func (t sessionTable) FindSession(_ context.Context, session string) (sessions.Record, bool) {
+	return t.Get(session, time.Now())
+}
+
+// fakeBudget is a retry budget that is exhausted until a time.
+type fakeBudget struct{ exhaustedUntil time.Time }
+
+func (b *fakeBudget) Allow(_ string, now time.Time) bool { return !now.Before(b.exhaustedUntil) }
+
+// harness is a relay with three fake engines.
+type harness struct {
+	*WithT
+	engines  *fakeEngines
+	servers  *registry.Registry
+	relay    *relay.Relay
+	sessions sessionTable
+	limits   *ratelimit.Limiter
+	budget   *fakeBudget
+	service  routes.Service
+	route    routes.Route
+
+	loadsUnknown bool // the loads that other routers put on the engines are not known
+}
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{
+		WithT:    NewWithT(t),
+		engines:  &fakeEngines{eventCount: 20, gap: 20 * time.Millisecond, faults: map[string]engineFaults{}, backups: map[string]bool{}, cachedPrompts: map[string]string{}, pausedUntil: map[string]time.Time{}},
+		servers:  registry.New(),
+		sessions: sessionTable{sessions.NewTable()},
+		service:  routes.Service{Name: "engines", Engine: &routes.Engine{MemoryTokens: 55000, SupportsBackups: true, CopiesKVCache: true, TokensPerEvent: 6, BackupTTL: 4 * time.Second}},
+		route:    routes.Route{Kind: routes.Streaming, Resumable: true, MaxAttempts: 3},
+	}
+	h.budget = &fakeBudget{}
+	h.setServers(nil)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h.limits = ratelimit.New(decision.Config{Self: "router", Peers: func(time.Time) []string { return nil }, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
+	h.relay = relay.New(relay.Config{
+		Servers: h.servers, Client: h.engines, RetryBudget: h.budget, Links: link.New(), Domain: "a", Sessions: h.sessions, OnUnresponsive: func() {},
+		Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")),
+		Limits:     h.limits,
+		KnowsLoads: func() bool { return !h.loadsUnknown }, Log: log.WithField("part", "stream"),
+	})
+	return h
+}
+
+// setServers lists the engines in the registry, some of them as leaving.
+func (h *harness) setServers(leaving map[string]bool) {
+	var all []server.Server
+	for i := range 3 {
+		id := fmt.Sprintf("i-%d", i)
+		all = append(all, server.Server{ID: id, Service: "engines", Address: engineAddress(i), Domain: string(rune('a' + i)), Slots: 64, Leaving: leaving[id]})
+	}
+	h.servers.Set(1, all)
+}
+
+func (h *harness) newRequest(lastEventID int) *server.Request {
+	return &server.Request{
+		ID: "r-1", Route: &h.route, Service: "engines", ArrivedAt: time.Now(), Deadline: time.Now().Add(20 * time.Second),
+		PromptTokens: 5000, MaxOutputTokens: 120, PromptParts: []server.PromptPart{{ID: "shared", Tokens: 200}, {ID: "own", Tokens: 4800}}, LastEventID: lastEventID,
+	}
+}
+
+// serve answers a request and reports whether the connection was cut.
+func (h *harness) serve(req *server.Request) (res *httptest.ResponseRecorder, cut bool) {
+	res = httptest.NewRecorder()
+	defer func() { cut = recover() != nil }()
+	h.relay.Serve(res, context.Background(), req, &h.service)
+	return res, false
+}
+
+// eventText returns the text of events from..to.
+func eventText(from, to int) string {
+	text := ""
+	for i := from; i <= to; i++ {
+		text += fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/router/relay/silence.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"time"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/suspicion"
+)
+
+// mayLeave reports whether the attempt at a silent engine may be ended. If another attempt
+// is to follow, its retry is reserved: once the silent attempt has ended, the caller's
+// stream depends on it.
+func (s *stream) mayLeave(target *registry.Entry, silence time.Duration) bool {
+	_, quarantined := s.relay.cfg.Quarantine.Refuses(s.req)
+	decision := suspicion.Alternative{
+		Replaced:     s.relay.replaced(target),
+		Retryable:    s.req.Route.Retryable(),
+		AttemptsLeft: s.req.Route.MaxAttempts - s.executed - 1,
+		Quarantined:  quarantined,
+		EngineUsable: s.otherEngineUsable(target),
+		Begun:        s.headersSent,
+		Silence:      silence,
+	}.Decide()
+	if decision != suspicion.Retry {
+		return decision == suspicion.Abandon
+	}
+	s.retryReserved = s.relay.cfg.RetryBudget.Allow(s.service.Name, time.Now())
+	return s.retryReserved
+}
+
+// takeRetry reports whether another attempt is within the retry budget. A reserved retry is.
+func (s *stream) takeRetry() bool {
+	if s.retryReserved {
+		s.retryReserved = false
+		return true
+	}
+	return s.relay.cfg.RetryBudget.Allow(s.service.Name, time.Now())
+}
+
+// otherEngineUsable reports whether another engine than the target could get the stream.
+// Once the stream has begun, the search for one includes engines that failed before.
+func (s *stream) otherEngineUsable(target *registry.Entry) bool {
+	excluded := map[server.Key]bool{target.Key(): true}
+	if !s.headersSent {
+		for key := range s.excluded {
+			excluded[key] = true
+		}
+	}
+	_, candidates := s.relay.candidates(s.service, excluded)
+	return balance.PickEngine(candidates, s.req.PromptTokens, s.req.MaxOutputTokens, nil, 0) >= 0
+}
+
+// replaced reports whether another incarnation has the address of an engine.
+func (r *Relay) replaced(e *registry.Entry) bool {
+	current := r.cfg.Servers.ByAddress(e.Address)
+	return current != nil && current.Key() != e.Key()
+}
+
+// recordUnresponsive keeps new work away from an engine that does not answer probes, and
+// notifies the streams of its failure domain and the peers.
+func (s *stream) recordUnresponsive(target *registry.Entry, now time.Time) {
+	target.Load.MarkDownAndShare(now.Add(unresponsiveBackoff))
+	s.relay.listeners.notify(target.Domain, now)
+	s.relay.cfg.OnUnresponsive()
+}
--- /dev/null
+++ b/internal/router/relay/silence_test.go
@@ -0,0 +1,93 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/backend/server"
+)
+
+// pausing is an engine that is sound, but silent for a second and a half after 7 events.
+var pausing = engineFaults{pauseAfter: 7, pause: 1500 * time.Millisecond}
+
+func TestASilentSoundEngineIsNotLeftWithoutAnotherAttempt(t *testing.T) {
+	for name, deny := range map[string]func(h *harness){
+		"retry budget exhausted": func(h *harness) { h.budget.exhaustedUntil = time.Now().Add(time.Minute) },
+		"no attempts left":       func(h *harness) { h.route.MaxAttempts = 1 },
+		"not resumable":          func(h *harness) { h.route.Resumable = false },
+		"no other engine":        func(h *harness) { h.setServers(map[string]bool{"i-1": true, "i-2": true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.setFirstEngine(pausing)
+				deny(h)
+				res, cut := h.serve(h.newRequest(0))
+				h.Expect(cut).To(BeFalse())
+				h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+				h.Expect(h.engines.sentTo()).To(Equal([]string{"i-0"}))
+				h.Expect(h.engines.probed()).To(BeNumerically("<=", 5), "probes of a stream that is kept")
+			})
+		})
+	}
+}
+
+// The same before the first event.
+func TestASoundEngineThatIsSilentAtTheStartIsNotLeftWithoutAnotherAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{pause: 1500 * time.Millisecond})
+		h.budget.exhaustedUntil = time.Now().Add(time.Minute)
+		res, _ := h.serve(h.newRequest(0))
+		h.Expect(res.Code).To(Equal(http.StatusOK))
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+	})
+}
+
+// An engine that stays silent from the start is not waited for until the deadline.
+func TestACallerWithoutAnAnswerIsToldOfASilentEngineInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{pause: time.Minute})
+		h.route.MaxAttempts = 1
+		start := time.Now()
+		res, _ := h.serve(h.newRequest(0))
+		h.Expect(res.Code).To(Equal(http.StatusBadGateway))
+		h.Expect(time.Since(start)).To(BeNumerically("<", 4*time.Second))
+	})
+}
+
+func TestAStreamOfADeadEngineGoesOnOnceTheRetryBudgetAllowsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{breakAfter: 7, unresponsive: true})
+		start := time.Now()
+		h.budget.exhaustedUntil = start.Add(4 * time.Second)
+		res, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+		h.Expect(time.Since(start)).To(BeNumerically("<", 6*time.Second))
+		h.Expect(h.engines.probed()).To(BeNumerically("<=", 4*2+6))
+	})
+}
+
+// The engine's address has another incarnation: its answer will never come.
+func TestAnEngineThatRestartedIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{breakAfter: 7, unresponsive: true})
+		h.route.MaxAttempts = 1
+		go func() {
+			time.Sleep(time.Second)
+			h.servers.Set(2, []server.Server{{ID: "i-9", Service: "engines", Address: engineAddress(0), Domain: "a", Slots: 64}})
+		}()
+		start := time.Now()
+		_, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeTrue())
+		h.Expect(time.Since(start)).To(BeNumerically("<", 3*time.Second))
+	})
+}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -29,6 +29,7 @@
 	promptEngine        *registry.Entry     // has the prompt cached, if it is still alive; may be nil
 	lostDomain          string              // failure domain of the last lost engine
 	choice              choice              // of the last attempt; empty if a backup or a cached prompt decided
+	retryReserved       bool                // the next attempt is within the retry budget
 	releaseBackupTokens func()              // ends the reservation at the backup's engine; may be nil
 
 	lastEventAt     time.Time     // when the caller got the last event
@@ -44,7 +45,7 @@
 func (s *stream) serve(ctx context.Context) {
 	defer s.releaseBackup()
 	for {
-		if s.executed > 0 && s.refusedByQuarantine() {
+		if s.executed > 0 && !s.retryReserved && s.refusedByQuarantine() {
 			return
 		}
 		target, restoreFrom := s.nextTarget(ctx)
@@ -60,7 +61,7 @@
 			s.excluded = make(map[server.Key]bool) // they may be usable again
 			continue
 		}
-		if s.delivered > 0 && !s.relay.cfg.RetryBudget.Allow(s.service.Name, time.Now()) {
+		if s.delivered > 0 && !s.takeRetry() {
 			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).Info("retry budget exhausted")
 			s.abandon(ctx)
 			return
@@ -173,9 +174,7 @@
 		}
 		s.lostDomain = target.Domain
 		if r.unresponsive {
-			target.Load.MarkDownAndShare(now.Add(unresponsiveBackoff))
-			s.relay.listeners.notify(target.Domain, now)
-			s.relay.cfg.OnUnresponsive()
+			s.recordUnresponsive(target, now)
 		}
 		if !r.callerDisconnected {
 			s.checkDomain(target, now)
