relay: silence of an engine is not a crash of its prompt

What callers saw: a stream was cut in the middle (`answer cut`), and others refused for five minutes, because a part of their prompt was blocked; no engine had crashed.

Cause: every attempt that was lost early counted as a crash, also one whose engine was only silent. A sound engine may be silent for a second.

Now an attempt that ended by silence is no crash. TestEnginesThatAreOnlySilentBlockNoPromptPart failed before in both cases (503 for 200).

Not covered: a prompt that makes engines hang for good is not blocked any more; its requests are bounded by their route's attempts and the retry budget.

--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -36,6 +36,7 @@
 	began        bool               // the engine began to answer
 	events       int                // forwarded to the caller by this attempt
 	unresponsive bool               // the engine did not answer the last probes
+	silent       bool               // the connection did not end
 	replaced     bool               // another incarnation has the address
 
 	callerDisconnected bool
@@ -139,7 +140,7 @@
 		case suspicion.Lost:
 			unresponsive := detector.ProbePending()
 			if s.mayLeave(target, detector.Silence(time.Now())) {
-				return result{outcome: lost, reason: "silent", backup: backup, unresponsive: unresponsive}
+				return result{outcome: lost, reason: "silent", backup: backup, silent: true, unresponsive: unresponsive}
 			}
 			if unresponsive {
 				s.recordUnresponsive(target, time.Now())
--- a/internal/router/relay/silence_test.go
+++ b/internal/router/relay/silence_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -91,3 +92,25 @@
 		h.Expect(time.Since(start)).To(BeNumerically("<", 3*time.Second))
 	})
 }
+
+func TestEnginesThatAreOnlySilentBlockNoPromptPart(t *testing.T) {
+	for name, fault := range map[string]engineFaults{
+		"answering probes": {hangsAfter: 2},
+		"without probes":   {breakAfter: 2, unresponsive: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.route.MaxAttempts = 2
+				h.engines.faults = map[string]engineFaults{"i-0": fault, "i-1": fault, "i-2": fault}
+				for i := range 12 {
+					h.serve(h.newRequestOf(fmt.Sprintf("own-%d", i), "system", "doc"))
+				}
+				h.engines.setFaults(map[string]engineFaults{})
+				time.Sleep(10 * time.Second) // the engines get work again
+				res, _ := h.serve(h.newRequestOf("own-99", "system", "doc"))
+				h.Expect(res.Code).To(Equal(http.StatusOK))
+			})
+		})
+	}
+}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -153,7 +153,7 @@
 		if !r.callerDisconnected {
 			target.Load.RecordOutcome(true)
 		}
-		if r.began && !r.callerDisconnected {
+		if r.began && !r.callerDisconnected && !r.silent {
 			s.relay.cfg.Quarantine.ServerLost(s.req, &target.Server, r.events)
 		}
 		s.refusals = 0
