relay: an engine's error in mid-stream is a lost attempt

Cause: an error answer of 4xx, or of 5xx on the route's last attempt, counted as the answer for the caller whether or not the stream had begun. forwardError then cut the connection, so no error text got into a stream here, but the stream ended.

Now it counts as a lost attempt once the stream has begun: the next engine is another one, within the route's attempts and the retry budget. Tests that failed before: TestAnErrorOfTheNextEngineDoesNotEndAStreamThatHasBegun (both cases, cut), TestAStreamDoesNotReturnToTheEngineThatAnsweredWithAnError. TestAStreamThatOnlyErrorsFollowIsCut passed before too and guards that no error text is forwarded.

--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -37,6 +37,7 @@
 	events       int                // forwarded to the caller by this attempt
 	unresponsive bool               // the engine did not answer the last probes
 	silent       bool               // the connection did not end
+	erred        bool               // the engine answered with an error instead of the rest of the stream
 	replaced     bool               // another incarnation has the address
 
 	callerDisconnected bool
@@ -256,6 +257,10 @@
 	if a.NotExecuted {
 		return result{outcome: refused, reason: http.StatusText(a.Status), replaced: a.ActualServerID != "" || a.Status == http.StatusMisdirectedRequest}
 	}
+	if s.headersSent {
+		// The caller has a part of the stream already, and no error may be sent into it.
+		return result{outcome: lost, reason: "answered in mid-stream: " + http.StatusText(a.Status), erred: true}
+	}
 	if a.Status == http.StatusOK || a.Mismatched || a.Status >= http.StatusInternalServerError && s.executed+1 < s.req.Route.MaxAttempts {
 		return result{outcome: lost, reason: "no valid answer: " + http.StatusText(a.Status)}
 	}
@@ -269,11 +274,8 @@
 	return result{outcome: answered, answer: &bufferedAnswer{a.Status, a.Header, body}}
 }
 
-// forwardError forwards a server's own error to the caller.
+// forwardError forwards a server's own error to the caller, who has no headers yet.
 func (s *stream) forwardError(a *bufferedAnswer) {
-	if s.headersSent {
-		panic(http.ErrAbortHandler)
-	}
 	for name, values := range a.header {
 		s.w.Header()[name] = values
 	}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -169,7 +169,7 @@
 				s.backupAddress, s.backupRef = engine.Address, *ref
 			}
 		}
-		if !r.unresponsive && s.lastEventID > s.req.LastEventID {
+		if !r.unresponsive && !r.erred && s.lastEventID > s.req.LastEventID {
 			s.promptEngine = target
 		}
 		s.lostDomain = target.Domain
