edge: requests left at the end of the grace time are answered

What callers saw: a request that was still without an answer when a stop's grace time ended lost its connection, although the router could say so: 504 promises as little as a closed connection, but needs no guess.

Cause: the servers were closed under the handlers, which had no time to answer. Now the requests that are left are cancelled first, and the router waits up to 150 ms for their answers, within the margin of 300 ms before the kill. Streams that have begun are cut as before.

TestARequestWithoutAnAnswerAtTheEndOfTheGraceTimeIsAnswered failed without the cancellation (no answer; now 504).

--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"io"
 	"log"
 	"net/http"
@@ -20,8 +21,13 @@
 	drainCheckInterval = 20 * time.Millisecond
 	// refusalTime is enough to read and refuse a request of the last new connection.
 	refusalTime = 500 * time.Millisecond
+	// failureTime is enough to answer the requests that could not be completed.
+	failureTime = 150 * time.Millisecond
 )
 
+// errStopped ends the requests that are left at the end of the drain.
+var errStopped = errors.New("router has stopped")
+
 // handleReadiness returns 200 while this router serves: it has a configuration and a
 // server list and is not stopping.
 func (e *Edge) handleReadiness(w http.ResponseWriter, _ *http.Request) {
@@ -48,7 +54,8 @@
 // drain waits until the callers' connections have ended, at most until killMargin before the
 // end of the grace time. Answers tell callers to close their connections. After the lame
 // duck, idle connections are closed, and once no request is left, or refusalTime before the
-// end, new ones are not accepted.
+// end, new ones are not accepted. Requests that are left at the end are answered with a
+// failure, or cut if their answers have begun.
 func (e *Edge) drain(now time.Time) {
 	e.stoppingAt.Store(now.UnixNano())
 	e.logger("node").WithField("active", e.activeRequests.Load()).Info("router is stopping")
@@ -76,6 +83,10 @@
 	left := e.callerConns.count()
 	e.logger("node").WithField("active", e.activeRequests.Load()).WithField("reading", left[connReading]).
 		WithField("serving", left[connServing]).Info("router has drained")
+	e.cancelRequests(errStopped)
+	for until := time.Now().Add(failureTime); e.callerConns.count()[connServing] > 0 && time.Now().Before(until); {
+		time.Sleep(drainCheckInterval)
+	}
 }
 
 // discardLogger drops the HTTP library's messages about connections that callers broke.
--- a/internal/router/edge/drain_test.go
+++ b/internal/router/edge/drain_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -118,3 +119,31 @@
 	_, err := net.Dial("tcp", address)
 	g.Expect(err).To(HaveOccurred())
 }
+
+func TestARequestWithoutAnAnswerAtTheEndOfTheGraceTimeIsAnswered(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	e, hook := newCallerSide(func(w http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})
+	e.cfg.Grace = lameDuck + time.Second
+	address := e.listen(g, t)
+	status := make(chan int, 1)
+	go func() {
+		res, err := http.Post("http://"+address, "text/plain", strings.NewReader("x"))
+		if err != nil {
+			status <- 0
+			return
+		}
+		_ = res.Body.Close()
+		status <- res.StatusCode
+	}()
+	g.Eventually(e.callerConns.count).Should(HaveKeyWithValue(connServing, 1))
+	start := time.Now()
+	e.drain(start)
+	g.Expect(time.Since(start)).To(BeNumerically("<", e.cfg.Grace))
+	_ = e.callerServer.Close()
+	g.Expect(<-status).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(logged(hook, "connection ended while its request was served")).To(BeEmpty())
+}
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -102,6 +102,7 @@
 	datagrams       atomic.Pointer[gossip.Datagrams]
 	callerServer    *http.Server
 	callerConns     *connections
+	cancelRequests  context.CancelCauseFunc // of the requests of callers
 	readinessServer *http.Server
 	peerServer      *http.Server
 	adminServer     *http.Server
@@ -170,6 +171,9 @@
 func (e *Edge) newCallerServer(h http.Handler) *http.Server {
 	s := e.newServer(e.observe(h))
 	s.ConnContext, s.ConnState = withConn, e.callerConns.stateChanged
+	var requests context.Context
+	requests, e.cancelRequests = context.WithCancelCause(context.Background())
+	s.BaseContext = func(net.Listener) context.Context { return requests }
 	return s
 }
 
--- a/internal/router/edge/observe.go
+++ b/internal/router/edge/observe.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"runtime/debug"
@@ -30,7 +31,7 @@
 		recorder := &headerRecorder{ResponseWriter: w}
 		defer func() {
 			p := recover()
-			callerLeft := r.Context().Err() != nil
+			callerLeft := r.Context().Err() != nil && context.Cause(r.Context()) != errStopped
 			if p == nil && !callerLeft {
 				return
 			}
