cli: a signal during the start does not end the router

What callers saw: a router that got SIGHUP (or SIGUSR1) while it started ended at once, and the platform started it again; its callers met a closed port meanwhile.

Cause: the signals were registered after the settings had been read, in a goroutine of its own. Until then their default action ends the process. They are registered first now, and handled once the router exists. The router of our own interface did the same with SIGUSR1.

--- a/internal/operator/cli/edge.go
+++ b/internal/operator/cli/edge.go
@@ -46,6 +46,10 @@
 	if path == "" {
 		path = os.Getenv(platform.SettingsVariable)
 	}
+	// A signal that arrives during the start must not end the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1)
+	defer signal.Stop(signals)
 	cfg, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -66,7 +70,7 @@
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go handleSignals(e, path, sink, log)
+	go handleSignals(signals, e, path, sink, log)
 	if err := e.Run(ctx); err != nil {
 		return fmt.Errorf("edge: %w", err)
 	}
@@ -75,9 +79,7 @@
 
 // handleSignals handles the signals that do not end the process: SIGHUP reloads and
 // validates the settings, SIGUSR1 prints the state.
-func handleSignals(e *edge.Edge, path string, out io.Writer, log *logrus.Logger) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGUSR1)
+func handleSignals(signals <-chan os.Signal, e *edge.Edge, path string, out io.Writer, log *logrus.Logger) {
 	for s := range signals {
 		if s == syscall.SIGUSR1 {
 			if err := json.NewEncoder(out).Encode(e.Dump()); err != nil {
--- a/internal/operator/cli/router.go
+++ b/internal/operator/cli/router.go
@@ -21,6 +21,10 @@
 
 // Execute runs a router until SIGTERM or SIGINT.
 func (c *routerCommand) Execute([]string) error {
+	// A signal that arrives during the start must not end the process.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGUSR1)
+	defer signal.Stop(signals)
 	cfg, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -30,7 +34,7 @@
 	n := node.New(cfg, log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go dumpOnSignal(n)
+	go dumpOnSignal(signals, n)
 	if err := n.Run(ctx); err != nil {
 		return fmt.Errorf("router: %w", err)
 	}
@@ -38,9 +42,7 @@
 }
 
 // dumpOnSignal prints the router's state to standard error at each SIGUSR1.
-func dumpOnSignal(n *node.Node) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGUSR1)
+func dumpOnSignal(signals <-chan os.Signal, n *node.Node) {
 	for range signals {
 		out := json.NewEncoder(os.Stderr)
 		out.SetIndent("", "  ")
