relay: a stream that has begun waits for the retry budget

Cause: the budget is a sliding window that is replenished all the time, but it was asked once, and the stream was given up. A caller who is cut may have used up its only retry.

A stream that has begun now asks again every 100 ms for at most 1.8 s, below the two seconds after which callers leave a silent stream; then it is cut, and its caller can reconnect at another router. A request without a part of its answer is told at once, as before.

TestABrokenStreamWaitsForTheRetryBudget (for a second) failed before: cut.

--- /dev/null
+++ b/internal/router/relay/retry.go
@@ -0,0 +1,38 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"wisteriafield/internal/base/loop"
+)
+
+const (
+	// retryBudgetInterval is the time between two questions for a retry.
+	retryBudgetInterval = 100 * time.Millisecond
+	// maxRetryBudgetWait is below the shortest gap after which callers leave a stream, so
+	// that those who can reconnect are told in time.
+	maxRetryBudgetWait = 1800 * time.Millisecond
+)
+
+// takeRetry reports whether another attempt is within the retry budget. A reserved retry is.
+// A stream that has begun waits for the budget, which is replenished all the time.
+func (s *stream) takeRetry(ctx context.Context) bool {
+	if s.retryReserved {
+		s.retryReserved = false
+		return true
+	}
+	start := time.Now()
+	for {
+		now := time.Now()
+		if s.relay.cfg.RetryBudget.Allow(s.service.Name, now) {
+			return true
+		}
+		if now.Equal(start) {
+			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).WithField("begun", s.headersSent).Info("retry budget exhausted")
+		}
+		if !s.headersSent || now.Sub(start) >= maxRetryBudgetWait || !loop.Sleep(ctx, retryBudgetInterval) {
+			return false
+		}
+	}
+}
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -30,15 +30,6 @@
 	return s.retryReserved
 }
 
-// takeRetry reports whether another attempt is within the retry budget. A reserved retry is.
-func (s *stream) takeRetry() bool {
-	if s.retryReserved {
-		s.retryReserved = false
-		return true
-	}
-	return s.relay.cfg.RetryBudget.Allow(s.service.Name, time.Now())
-}
-
 // otherEngineUsable reports whether another engine than the target could get the stream.
 // Once the stream has begun, the search for one includes engines that failed before.
 func (s *stream) otherEngineUsable(target *registry.Entry) bool {
--- a/internal/router/relay/silence_test.go
+++ b/internal/router/relay/silence_test.go
@@ -114,3 +114,26 @@
 		})
 	}
 }
+
+func TestABrokenStreamWaitsForTheRetryBudget(t *testing.T) {
+	for name, c := range map[string]struct {
+		exhausted time.Duration
+		cut       bool
+	}{
+		"for a second": {time.Second, false},
+		"for good":     {time.Minute, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.setFirstEngine(engineFaults{breakAfter: 7})
+				start := time.Now()
+				h.budget.exhaustedUntil = start.Add(c.exhausted)
+				res, cut := h.serve(h.newRequest(0))
+				h.Expect(cut).To(Equal(c.cut))
+				h.Expect(eventText(1, 20)).To(HavePrefix(res.Body.String()))
+				h.Expect(time.Since(start)).To(BeNumerically("<", 2500*time.Millisecond))
+			})
+		})
+	}
+}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -61,8 +61,7 @@
 			s.excluded = make(map[server.Key]bool) // they may be usable again
 			continue
 		}
-		if s.delivered > 0 && !s.takeRetry() {
-			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).Info("retry budget exhausted")
+		if s.delivered > 0 && !s.takeRetry(ctx) {
 			s.abandon(ctx)
 			return
 		}
