--- /dev/null
+++ b/internal/router/edge/connections.go
@@ -0,0 +1,204 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+)
+
+var endedWhileReadTotal = metrics.NewCounter("wisteriafield_connections_ended_while_read_total")
+
+// minIdle is how long a connection must have been idle to be closed. net/http may have read
+// the first byte of the next request before it reports the connection as idle.
+const minIdle = 200 * time.Millisecond
+
+// connPhase is what happens on a caller's connection.
+type connPhase string
+
+const (
+	connIdle    connPhase = "Idle"    // no byte of a request was read since the last answer
+	connReading connPhase = "Reading" // a request is being read
+	connServing connPhase = "Serving" // a request is being served, or its answer written
+)
+
+// connections are the connections of callers. net/http counts one as active only after it
+// has read a request's header; here it is in use from the request's first byte on.
+type connections struct {
+	log *logrus.Entry
+
+	mu       sync.Mutex
+	listener net.Listener
+	stopped  bool // no more connections are accepted
+	open     map[*callerConn]bool
+}
+
+func newConnections(log *logrus.Entry) *connections {
+	return &connections{log: log, open: make(map[*callerConn]bool)}
+}
+
+// callerListener accepts the connections of callers.
+type callerListener struct {
+	net.Listener
+	conns *connections
+}
+
+// Accept returns http.ErrServerClosed once no more connections are accepted. net/http must
+// not learn of the end in another way: it would drop requests that it has just read.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	l.conns.mu.Lock()
+	defer l.conns.mu.Unlock()
+	if l.conns.stopped && err == nil {
+		_ = conn.Close()
+	}
+	if l.conns.stopped {
+		return nil, http.ErrServerClosed
+	}
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConn{Conn: conn, phase: connIdle, idleSince: time.Now()}
+	l.conns.open[c] = true
+	return c, nil
+}
+
+// callerConn is the connection of a caller.
+type callerConn struct {
+	net.Conn
+
+	mu        sync.Mutex
+	phase     connPhase
+	idleSince time.Time
+	closed    bool // while idle, by closeIdle
+}
+
+// Read ends the connection if it was closed as idle before the first byte of a request
+// was read, so that no such request is served in part.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.beginReading() {
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// CloseWrite lets net/http end an answer whose request was not read completely without
+// resetting the connection.
+func (c *callerConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// beginReading records that a byte of a request was read. It reports whether the connection
+// is still in use.
+func (c *callerConn) beginReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == connIdle {
+		c.phase = connReading
+	}
+	return !c.closed
+}
+
+func (c *callerConn) setPhase(phase connPhase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase, c.idleSince = phase, time.Now()
+}
+
+// closeIfIdle closes the connection if no byte of a request was read for minIdle.
+func (c *callerConn) closeIfIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != connIdle || now.Sub(c.idleSince) < minIdle {
+		return
+	}
+	c.closed = true
+	_ = c.Close()
+}
+
+func (c *callerConn) currentPhase() connPhase {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase
+}
+
+type connKey struct{}
+
+// withConn is the ConnContext of the callers' server.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// markServing records that the handler of a request has begun.
+func markServing(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		c.setPhase(connServing)
+	}
+}
+
+// stateChanged is the ConnState hook of the callers' server.
+func (cs *connections) stateChanged(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		c.setPhase(connIdle)
+	case http.StateClosed, http.StateHijacked:
+		cs.mu.Lock()
+		delete(cs.open, c)
+		cs.mu.Unlock()
+		if c.currentPhase() == connReading {
+			endedWhileReadTotal.Inc()
+			cs.log.WithField("caller", c.RemoteAddr().String()).Info("connection ended while a request was read")
+		}
+	}
+}
+
+// listen makes a listener's connections the callers'.
+func (cs *connections) listen(ln net.Listener) net.Listener {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.listener = ln
+	return callerListener{ln, cs}
+}
+
+// stopAccepting closes the listener.
+func (cs *connections) stopAccepting() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.stopped = true
+	if cs.listener != nil {
+		_ = cs.listener.Close()
+	}
+}
+
+// closeIdle closes the idle connections.
+func (cs *connections) closeIdle(now time.Time) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.open {
+		c.closeIfIdle(now)
+	}
+}
+
+// count returns the number of connections by phase.
+func (cs *connections) count() map[connPhase]int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	n := make(map[connPhase]int)
+	for c := range cs.open {
+		n[c.currentPhase()]++
+	}
+	return n
+}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -31,6 +31,7 @@
 	promptEngine        *registry.Entry     // has the prompt cached, if it is still alive; may be nil
 	lostDomain          string              // failure domain of the last lost engine
 	choice              choice              // of the last attempt; empty if a backup or a cached prompt decided
+	retryReserved       bool                // the next attempt is within the retry budget
 	releaseBackupTokens func()              // ends the reservation at the backup's engine; may be nil
 
 	lastEventAt     time.Time     // when the caller got the last event
@@ -46,7 +47,7 @@
 func (s *stream) serve(ctx context.Context) {
 	defer s.releaseBackup()
 	for {
-		if s.executed > 0 && s.refusedByQuarantine() {
+		if s.executed > 0 && !s.retryReserved && s.refusedByQuarantine() {
 			return
 		}
 		target, restoreFrom := s.nextTarget(ctx)
@@ -62,8 +63,7 @@
 			s.excluded = make(map[server.Key]bool) // they may be usable again
 			continue
 		}
-		if s.delivered > 0 && !s.relay.cfg.RetryBudget.Allow(s.service.Name, time.Now()) {
-			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).Info("retry budget exhausted")
+		if s.delivered > 0 && !s.takeRetry(ctx) {
 			s.abandon(ctx)
 			return
 		}
@@ -154,7 +154,7 @@
 		if !r.callerDisconnected {
 			target.Load.RecordOutcome(true)
 		}
-		if r.began && !r.callerDisconnected {
+		if r.began && !r.callerDisconnected && !r.silent {
 			s.relay.cfg.Quarantine.ServerLost(s.req, &target.Server, r.events)
 		}
 		s.refusals = 0
@@ -170,14 +170,12 @@
 				s.backupAddress, s.backupRef = engine.Address, *ref
 			}
 		}
-		if !r.unresponsive && s.lastEventID > s.req.LastEventID {
+		if !r.unresponsive && !r.erred && s.lastEventID > s.req.LastEventID {
 			s.promptEngine = target
 		}
 		s.lostDomain = target.Domain
 		if r.unresponsive {
-			target.Load.MarkDownAndShare(now.Add(unresponsiveBackoff))
-			s.relay.listeners.notify(target.Domain, now)
-			s.relay.cfg.OnUnresponsive()
+			s.recordUnresponsive(target, now)
 		}
 		if !r.callerDisconnected {
 			s.checkDomain(target, now)
