--- a/internal/router/relay/silence_test.go
+++ b/internal/router/relay/silence_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/storehistory"
 )
 
 // pausing is an engine that is sound, but silent for a second and a half after 7 events.
@@ -84,7 +85,7 @@
 		h.route.MaxAttempts = 1
 		go func() {
 			time.Sleep(time.Second)
-			h.servers.Set(2, []server.Server{{ID: "i-9", Service: "engines", Address: engineAddress(0), Domain: "a", Slots: 64}})
+			h.servers.Set(storehistory.Position{Revision: 2}, []server.Server{{ID: "i-9", Service: "engines", Address: engineAddress(0), Domain: "a", Slots: 64}})
 		}()
 		start := time.Now()
 		_, cut := h.serve(h.newRequest(0))
