--- a/internal/operator/cli/apply.go
+++ b/internal/operator/cli/apply.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.checkExpected(base); err != nil {
+	if err := c.checkExpected(base, func() []routerStatus { return collectStatuses(ctx, cfg, trialEnvironment) }); err != nil {
 		return err
 	}
 	m, err := publish.CommitDocument(ctx, store, base, storeRevision, d, origin())
@@ -68,11 +68,14 @@
 
 // checkExpected returns an error if the --expect flag names another revision than
 // that of base.
-func (c *changeCommand) checkExpected(base manifest.Manifest) error {
-	if c.Expect >= 0 && base.Revision != c.Expect {
-		return fmt.Errorf("expected revision %d: %w", c.Expect, &publish.RaceError{Winner: base})
+func (c *changeCommand) checkExpected(base manifest.Manifest, routers func() []routerStatus) error {
+	if c.Expect < 0 || base.Revision == c.Expect {
+		return nil
+	}
+	if ahead := routersAhead(routers(), base.Position()); len(ahead) > 0 {
+		return fmt.Errorf("expected revision %d, found %d, routers %v run a later one: %w", c.Expect, base.Revision, ahead, errStoreBehind)
 	}
-	return nil
+	return fmt.Errorf("expected revision %d: %w", c.Expect, &publish.RaceError{Winner: base})
 }
 
 // reportAndWait prints the new revision and, with --wait, waits until all routers
--- a/internal/operator/cli/promote.go
+++ b/internal/operator/cli/promote.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.checkExpected(base); err != nil {
+	if err := c.checkExpected(base, func() []routerStatus { return collectStatuses(ctx, cfg, productionEnvironment) }); err != nil {
 		return err
 	}
 	m, err := publish.CommitManifest(ctx, store, base, storeRevision, trialManifest.Parts, origin())
--- a/internal/operator/cli/status.go
+++ b/internal/operator/cli/status.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"wisteriafield/internal/config/manifest"
 	"wisteriafield/internal/config/settings"
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/platform/hosts"
@@ -30,6 +31,7 @@
 	Host      hosts.Host
 	Status    node.Status
 	Confirmed bool   // the router runs the revision that is in the store
+	Ahead     bool   `json:",omitempty"` // the router runs a later one, which the store lost
 	Problem   string `json:",omitempty"`
 }
 
@@ -46,7 +48,9 @@
 		stored, _, err := publish.ReadManifest(ctx, newStore(cfg), environment)
 		known := err == nil
 		for _, r := range collectStatuses(ctx, cfg, environment) {
-			r.Confirmed = known && r.Problem == "" && r.Status.Position == stored.Position() && r.Status.Digest == stored.Digest
+			if known {
+				r.compare(&stored)
+			}
 			if !known && r.Problem == "" {
 				r.Problem = "the store does not answer"
 			}
@@ -72,24 +76,37 @@
 	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "ENVIRONMENT\tROUTER\tREVISION\tDIGEST\tSTATE")
 	for _, r := range all {
-		state := "in force"
-		switch {
-		case r.Problem != "":
-			state = "unconfirmed: " + r.Problem
-		case !r.Confirmed:
-			state = "unconfirmed: behind"
-		case r.Status.Stopping:
-			state = "in force, stopping"
-		}
 		digest := r.Status.Digest
 		if len(digest) > 12 {
 			digest = digest[:12]
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", r.Host.Environment, r.Host.Name, r.Status.Revision, digest, state)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", r.Host.Environment, r.Host.Name, r.Status.Revision, digest, r.state())
 	}
 	_ = w.Flush()
 }
 
+// compare sets whether the router runs the manifest in the store.
+func (r *routerStatus) compare(stored *manifest.Manifest) {
+	r.Confirmed = r.Problem == "" && r.Status.Position == stored.Position() && r.Status.Digest == stored.Digest
+	r.Ahead = r.Problem == "" && stored.Position().Before(r.Status.Position)
+}
+
+// state describes the router in the table.
+func (r *routerStatus) state() string {
+	switch {
+	case r.Problem != "":
+		return "unconfirmed: " + r.Problem
+	case r.Ahead:
+		return "unconfirmed: ahead of the store, which was restored"
+	case !r.Confirmed:
+		return "unconfirmed: behind"
+	case r.Status.Stopping:
+		return "in force, stopping"
+	default:
+		return "in force"
+	}
+}
+
 // collectStatuses requests the status of all listed routers of an environment. It
 // returns nil if the platform's host list can't be read.
 func collectStatuses(ctx context.Context, cfg settings.Settings, environment string) []routerStatus {
