edgesoak: a store that goes back to an older copy is one of the faults

The store makes a copy, goes on for 0.3 to 3.8 s and goes back; the operator then writes its newest configuration again if it is lost, and the servers their entries as they notice that their lease is gone.

--- a/internal/trial/edgesoak/faults.go
+++ b/internal/trial/edgesoak/faults.go
@@ -36,6 +36,13 @@
 	return func() { send(heal) }
 }
 
+// orderStore lets the stand-in store make a copy of itself or go back to it.
+func (s *soak) orderStore(order string) {
+	if res, err := probeClient.Post("http://"+s.storeAddress+"/v1/"+order, "", nil); err == nil {
+		_ = res.Body.Close()
+	}
+}
+
 // breakLink injects a random fault into a link and returns a function that ends it.
 func breakLink(l *link.Link, r *rand.Rand) func() {
 	switch r.IntN(4) {
@@ -138,6 +145,16 @@
 	{"store loses answers", false, func(s *soak, r *rand.Rand) func() {
 		return s.orderStoreFault(fmt.Sprintf(`{"LoseAnswers":%d}`, 1+r.IntN(5)), `{"LoseAnswers":0}`)
 	}},
+	{"store restored", false, func(s *soak, _ *rand.Rand) func() {
+		s.orderStore("copy")
+		return func() {
+			s.orderStore("restore")
+			// The operator writes again what the store lost, as the servers do.
+			ctx, cancel := context.WithTimeout(context.Background(), disturbanceTimeout)
+			defer cancel()
+			_ = s.ensureConfig(ctx, s.version.Load())
+		}
+	}},
 	{"store's connections silent", false, func(s *soak, _ *rand.Rand) func() {
 		return s.orderStoreFault(`{"Silence":true}`, `{}`)
 	}},
