--- a/internal/platform/hosts/list_test.go
+++ b/internal/platform/hosts/list_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,18 +27,18 @@
 // The answer was read into memory for as long as it went on.
 func TestAnAnswerWithoutEndIsAnError(t *testing.T) {
 	g := NewWithT(t)
-	written := 0
+	var written atomic.Int64
 	list := newList(t, func(w io.Writer) {
 		_, err := io.WriteString(w, `{"Revision":3,"Hosts":[`)
-		for err == nil && written < 256<<20 {
+		for err == nil && written.Load() < 256<<20 {
 			_, err = w.Write(bytes.Repeat([]byte(" "), 1<<20))
-			written += 1 << 20
+			written.Add(1 << 20)
 		}
 	})
 	startedAt := time.Now()
 	g.Expect(list.Fetch(context.Background(), time.Millisecond)).NotTo(Succeed())
 	g.Expect(time.Since(startedAt)).To(BeNumerically("<", 10*time.Second))
-	g.Expect(written).To(BeNumerically("<", 64<<20))
+	g.Expect(written.Load()).To(BeNumerically("<", 64<<20))
 }
 
 // The list was not followed any more because of one odd host in it.
