edgesoak: sound servers fall silent for up to 1.2 s

A planned fault suspends a backend server for 0.2 to 1.2 s; it must not disturb callers. A stream that is cut while only planned faults are active is a problem now, also without a stop of its router; before, only a cut beside a stop was one.

--- a/internal/trial/edgesoak/callers.go
+++ b/internal/trial/edgesoak/callers.go
@@ -108,19 +108,25 @@
 	}
 }
 
-// recordCut counts a stream that was cut. It reports a problem if the cut came with a
-// planned stop of the router, no other fault was active and the stream had started
-// before the stop.
+// recordCut counts a stream that was cut. It reports a problem if no unplanned fault was
+// active, unless the stream had started after the router's stop had begun.
 func (s *soak) recordCut(router *router, startedAt time.Time, session string) {
 	now := time.Now()
 	since, undisturbed := s.undisturbedSince()
 	s.mu.Lock()
 	stoppedAt, stopped := s.stoppedAt[router.name]
 	s.mu.Unlock()
-	if undisturbed && since.Before(startedAt) && stopped && startedAt.Before(stoppedAt) && now.Before(stoppedAt.Add(grace+time.Second)) {
+	s.count("streams cut")
+	if !undisturbed || !since.Before(startedAt) {
+		return
+	}
+	stopEnd := stoppedAt.Add(grace + time.Second)
+	switch {
+	case !stopped || stopEnd.Before(startedAt):
+		s.reportProblem("stream %s was cut by %s while only planned faults were active", session, router.name)
+	case startedAt.Before(stoppedAt) && now.Before(stopEnd):
 		s.reportProblem("stream %s was cut by the stop of %s, %s after the stop began", session, router.name, now.Sub(stoppedAt))
 	}
-	s.count("streams cut")
 }
 
 // serviceCaller returns a step that sends a booking or a lookup over keep-alive
--- a/internal/trial/edgesoak/faults.go
+++ b/internal/trial/edgesoak/faults.go
@@ -121,6 +121,16 @@
 		p.Pause()
 		return p.Continue
 	}},
+	{"sound server silent", true, func(s *soak, r *rand.Rand) func() {
+		p := pick(s.backends, r).process()
+		p.Pause()
+		done := make(chan struct{})
+		time.AfterFunc(time.Duration(200+r.IntN(int(maxSilence.Milliseconds())-200))*time.Millisecond, func() {
+			p.Continue()
+			close(done)
+		})
+		return func() { <-done }
+	}},
 	{"server leaves", true, func(s *soak, r *rand.Rand) func() {
 		b := pick(s.backends, r)
 		process := b.process()
@@ -143,6 +153,9 @@
 	}},
 }
 
+// maxSilence is how long a sound server may be silent.
+const maxSilence = 1200 * time.Millisecond
+
 // In the last plannedOnlyPeriod of each faultCycle only planned faults are injected, so
 // that time limits can be checked.
 const (
