front: a refusal reaches a caller who is still sending its body

What callers saw: a request with a long body that was refused (no configuration yet, no route, no key) could lose its refusal: the connection was reset while the body was being sent.

Cause: the refusal was written without reading the body. net/http reads at most 256 KB of the rest, waits half a second and closes the connection, which resets a caller who is still sending.

The body of a refused request is read now, up to the configuration's bound, and then refused. A declared length over the bound is refused at once as before, and so is a request that asks with Expect whether to send its body.

TestARefusalIsNotLostToACallerWhoIsStillSendingItsBody failed before in both cases ("broken pipe").

--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -84,6 +84,9 @@
 	if status != 0 {
 		h.cfg.Log.WithField("status", status).WithField("host", r.Host).WithField("path", r.URL.Path).
 			WithField("version", table.Version).Info("request rejected")
+		if status != http.StatusRequestEntityTooLarge {
+			discardBody(w, r, bodyLimit(table))
+		}
 		w.WriteHeader(status)
 		return
 	}
@@ -118,6 +121,7 @@
 		wait = min(max(req.Deadline.Sub(now)/noConfigRetryDivisor, minNoConfigRetryDelay), maxNoConfigRetryDelay)
 	}
 	h.cfg.Log.WithField("id", req.ID).WithField("retryAfter", wait.Seconds()).Info("request refused: no configuration")
+	discardBody(w, r, defaultMaxBody)
 	w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
@@ -175,14 +179,27 @@
 	return size
 }
 
+// bodyLimit returns the largest body, in bytes, that is read.
+func bodyLimit(table *routes.Table) int64 {
+	if table.Limits.MaxBody > 0 {
+		return table.Limits.MaxBody
+	}
+	return defaultMaxBody
+}
+
+// discardBody reads the body of a request that is refused. net/http reads only a part of
+// it and then resets the connection, and a caller who is still sending loses the answer.
+func discardBody(w http.ResponseWriter, r *http.Request, limit int64) {
+	if r.Header.Get("Expect") != "" {
+		return // the caller sends the body only if it is asked to
+	}
+	_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, limit))
+}
+
 // readBody reads the complete body, since a request may be sent more than once. It
 // returns 0, or the status that rejects the request.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, table *routes.Table, req *server.Request) int {
-	limit := table.Limits.MaxBody
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(table)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return http.StatusRequestEntityTooLarge
