relay: a replacement backup is not made at the attempt's own engine

With no third engine usable, the engine that runs an attempt was asked to copy the KV cache to itself, since it was only avoided, not excluded. After its loss the stream went to the same engine for a backup that was lost with it.

TestReplacementBackupIsNotMadeAtTheAttemptsOwnEngine failed before ("copy-of-r-1" at the address of the attempt's engine) and passes now.

--- a/internal/router/relay/replacement.go
+++ b/internal/router/relay/replacement.go
@@ -54,6 +54,7 @@
 // engine is lost, and again before that copy expires, until ctx ends.
 func (s *stream) maintainReplacement(ctx context.Context, target, backup *registry.Entry, excluded map[server.Key]bool, replacement *replacementBackup) {
 	lifetime := s.service.Engine.BackupTTL
+	excluded[target.Key()] = true
 	var engine *registry.Entry
 	var nextCopyAt time.Time
 	for failures := 0; failures < maxCopyFailures && loop.Sleep(ctx, backupCheckInterval); {
--- a/internal/router/relay/replacement_test.go
+++ b/internal/router/relay/replacement_test.go
@@ -33,6 +33,25 @@
 	})
 }
 
+// With no third engine left, the KV cache was copied to the engine that already had it.
+func TestReplacementBackupIsNotMadeAtTheAttemptsOwnEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.engines.eventCount = 60
+		h.setFirstEngine(engineFaults{breakAfter: 50})
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			h.servers.Get("i-1").Load.MarkDown(time.Now().Add(time.Minute))
+			h.servers.Get("i-2").Load.MarkDown(time.Now().Add(time.Minute))
+		}()
+		h.serve(h.newRequest(0))
+		h.Expect(len(h.engines.dispatched())).To(BeNumerically(">", 1))
+		for _, d := range h.engines.dispatched()[1:] {
+			h.Expect(d.RestoreFrom).To(BeNil())
+		}
+	})
+}
+
 func TestUnneededReplacementBackupIsDeleted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
