A server that says it leaves gets no more requests (DRAIN)

What callers saw: streams and bookings were sent to a server that had said `Server-Leaving: 1` in an answer, for as long as the store listed it as ready: during an outage of the store, or behind a cut, until the server was gone, which breaks them off.

Cause: the header was not read; only the store's entry kept requests away.

The limiter, which all ways to a server ask already, allows nothing there: first attempts, retries, hedges, backups, replacement backups, resumptions and cached prompts. Answers of another server (421, or to another request) don't count. Probes of engines go on for the streams that still run there.

Decided: the header passes on to callers like Server-Limit; peers are not told, since the rule binds the router that passed the answer on, and an outage costs each router one request a leaving server at most.

--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -128,6 +128,7 @@
 	RateLimit      float64 // requests a second that the server accepts from all routers together
 	Limited        bool    // the server named a RateLimit
 	CloseDelimited bool    // the body ends where the connection is closed
+	Leaving        bool    // the server drains: it takes no new requests
 }
 
 // RunningAttempt is an attempt that an engine is running.
--- a/internal/router/edge/admin.go
+++ b/internal/router/edge/admin.go
@@ -67,7 +67,7 @@
 	}
 	for _, s := range e.servers.All() {
 		d.Servers = append(d.Servers, ServerDump{
-			ID: s.ID, Service: s.Service, Address: s.Address, Domain: s.Domain, Leaving: s.Leaving, State: s.Load.State(now),
+			ID: s.ID, Service: s.Service, Address: s.Address, Domain: s.Domain, Leaving: s.Leaving || e.limits.Leaving(&s.Server), State: s.Load.State(now),
 		})
 	}
 	for _, l := range e.limits.Limits(now) {
--- a/internal/router/ratelimit/ratelimit.go
+++ b/internal/router/ratelimit/ratelimit.go
@@ -1,5 +1,6 @@
-// Package ratelimit keeps this router to its part of the limits that backend servers name.
-// It tells the decision what answers say, and logs what changes.
+// Package ratelimit keeps this router to what backend servers ask of it in their answers: its
+// part of the limits that they name, and no requests to those that leave. It tells the
+// decisions what answers say, and logs what changes.
 package ratelimit
 
 import (
@@ -10,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/availability"
 	"wisteriafield/internal/decision/ratelimit"
 )
 
@@ -17,21 +19,25 @@
 
 // Limiter is shared by all parts of a router that send requests to backend servers.
 type Limiter struct {
-	table *ratelimit.Table
-	log   *logrus.Entry
+	table        *ratelimit.Table
+	availability *availability.Table
+	log          *logrus.Entry
 }
 
 // New returns a limiter that knows no limits.
 func New(cfg ratelimit.Config, log *logrus.Entry) *Limiter {
-	return &Limiter{table: ratelimit.New(cfg, time.Now()), log: log}
+	return &Limiter{table: ratelimit.New(cfg, time.Now()), availability: availability.New(), log: log}
 }
 
-// ObserveAnswer records what an answer of a server says of its limit. The request was sent
-// at sentAt.
+// ObserveAnswer records what an answer of a server says of its limit and its availability.
+// The request was sent at sentAt.
 func (l *Limiter) ObserveAnswer(s *server.Server, a *server.Answer, sentAt time.Time) {
 	if a.Mismatched || a.Status == http.StatusMisdirectedRequest {
 		return // another server's answer
 	}
+	if a.Leaving && l.availability.ObserveLeaving(s.Key().String(), time.Now()) {
+		l.log.WithField("server", s.ID).WithField("listedAsLeaving", s.Leaving).Info("server says that it leaves")
+	}
 	if !l.table.ObserveAnswer(s.Key().String(), a.RateLimit, a.Limited, sentAt, time.Now()) {
 		return
 	}
@@ -39,9 +45,17 @@
 		Info("limit of a server has changed")
 }
 
+// Leaving reports whether a server has said that it leaves.
+func (l *Limiter) Leaving(s *server.Server) bool {
+	return !l.availability.Empty() && l.availability.Leaving(s.Key().String())
+}
+
 // Take takes one request to a server from this router's part of its limit, and reports
-// whether there was one left.
+// whether there was one left. There is none to a server that leaves.
 func (l *Limiter) Take(s *server.Server) bool {
+	if l.Leaving(s) {
+		return false
+	}
 	if l.table.Empty() || l.table.Take(s.Key().String(), s.Service, time.Now()) {
 		return true
 	}
@@ -50,8 +64,11 @@
 }
 
 // NextAt returns when this router may send a server its next request: now or before if it
-// may at once, and the zero time if it may not send it any.
+// may at once, and the zero time if it may not send it any, as to a server that leaves.
 func (l *Limiter) NextAt(s *server.Server, now time.Time) time.Time {
+	if l.Leaving(s) {
+		return time.Time{}
+	}
 	if l.table.Empty() {
 		return now
 	}
--- a/internal/router/relay/cachedprompt.go
+++ b/internal/router/relay/cachedprompt.go
@@ -25,7 +25,7 @@
 	now := time.Now()
 	var engines []*registry.Entry
 	for _, e := range r.cfg.Servers.Service(service) {
-		if !e.Leaving && !e.Load.State(now).Down {
+		if !e.Leaving && !e.Load.State(now).Down && r.cfg.Limits.Allows(&e.Server, now) {
 			engines = append(engines, e)
 		}
 	}
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -56,6 +56,7 @@
 	closesAfter     int     // closes the connection, as if the answer were whole, after this many events
 	cutsEvent       bool    // with closesAfter, within the next event
 	limit           float64 // that it names in its answers; 0 for none
+	leaving         bool    // says so in its answers
 	lostAttempt     bool    // does not have the attempt and sends nothing, but answers probes
 }
 
@@ -73,7 +74,7 @@
 		body := iotest.ErrReader(io.ErrUnexpectedEOF)
 		return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: io.NopCloser(body)}, nil
 	case f.refuses || !backupKnown:
-		return &server.Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Body: http.NoBody}, nil
+		return &server.Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Leaving: f.leaving, Body: http.NoBody}, nil
 	case f.replaced:
 		return &server.Answer{Status: http.StatusMisdirectedRequest, NotExecuted: true, ActualServerID: "i-other", Body: http.NoBody}, nil
 	case f.errorBytes > 0:
@@ -91,7 +92,7 @@
 	} else {
 		go e.generate(ctx, w, d, f)
 	}
-	return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: r, CloseDelimited: f.closeDelimited, Limited: f.limit > 0, RateLimit: f.limit}, nil
+	return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: r, CloseDelimited: f.closeDelimited, Limited: f.limit > 0, RateLimit: f.limit, Leaving: f.leaving}, nil
 }
 
 // drip writes a byte every 100 ms until ctx ends.
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -61,11 +61,13 @@
 	ServerFinished(req *server.Request)
 }
 
-// Limits are the limits that engines name.
+// Limits are what engines ask of routers: the limits that they name, and no requests if they
+// leave.
 type Limits interface {
 	ObserveAnswer(s *server.Server, a *server.Answer, sentAt time.Time)
 	Take(s *server.Server) bool
 	NextAt(s *server.Server, now time.Time) time.Time
+	Allows(s *server.Server, now time.Time) bool
 	Limited(s *server.Server, now time.Time) bool
 }
 
@@ -133,10 +135,7 @@
 	var entries []*registry.Entry
 	var candidates []balance.Engine
 	for _, e := range r.cfg.Servers.Service(service.Name) {
-		if e.Leaving || excluded[e.Key()] {
-			continue
-		}
-		if next := r.cfg.Limits.NextAt(&e.Server, now); next.IsZero() || next.After(now) {
+		if e.Leaving || excluded[e.Key()] || !r.cfg.Limits.Allows(&e.Server, now) {
 			continue
 		}
 		st := e.Load.State(now)
--- a/internal/router/relay/target.go
+++ b/internal/router/relay/target.go
@@ -38,8 +38,9 @@
 
 // usableEngineAt returns the engine at an address if it can get work, or nil.
 func (s *stream) usableEngineAt(address string) *registry.Entry {
+	now := time.Now()
 	engine := s.relay.cfg.Servers.ByAddress(address)
-	if engine == nil || engine.Service != s.service.Name || engine.Leaving || engine.Load.State(time.Now()).Down {
+	if engine == nil || engine.Service != s.service.Name || engine.Leaving || engine.Load.State(now).Down || !s.relay.cfg.Limits.Allows(&engine.Server, now) {
 		return nil
 	}
 	return engine
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -70,6 +70,8 @@
 mutant quarantine-two-servers $d/quarantine/quarantine.go 'minServers  = 3' 'minServers  = 2' "./$d/quarantine -run Blocks"
 mutant limit-for-each-router $d/ratelimit/ratelimit.go 'limit/float64(n)*min' 'limit*min' "./$d/ratelimit -run Fleet"
 mutant limit-for-ever $d/ratelimit/ratelimit.go 'e.Lifted || !sentAt.After(e.At)' 'true' "./$d/ratelimit -run LimitEnds"
+mutant leaving-not-heard internal/router/ratelimit/ratelimit.go 'if a.Leaving &&' 'if false &&' "./internal/router/forward -run SaysItLeaves"
+mutant leaving-without-bound $d/availability/availability.go 'maxServers = 1024' 'maxServers = 1 << 20' "./$d/availability -run Bounded"
 mutant not-run-after-a-start $d/resume/machine.go 'm.started = true }' '}' ./$d/resume
 mutant resume-on-the-lost $d/resume/machine.go 'm.avoid = e.Server' 'm.avoid = ""' ./$d/resume
 mutant change-without-draining $d/plan/plan.go 'if e.Running > 0 ||' 'if' ./$d/plan
