A server that wants nothing for a time gets no requests until then (BUDGET)

What callers saw: a server that had turned a request away with 503 and Retry-After got the next ones 30 ms (services) or 300 ms (engines) later. Where all servers of a service did, callers were told to come back after 0.05 or 0.5 s, were refused again and used up their retries.

Cause: the server's Retry-After was not read.

A refusal says when the first server of the service may get a request, whichever reason holds the others back. Before, forward had that time only from the last choice, which left out the servers that had just refused; relay capped it at 5 s and took only servers with limits into account.

--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -129,6 +129,9 @@
 	Limited        bool    // the server named a RateLimit
 	CloseDelimited bool    // the body ends where the connection is closed
 	Leaving        bool    // the server drains: it takes no new requests
+	// RetryAt is when a server that turned the request away accepts this router's requests
+	// again; zero if it did not say.
+	RetryAt time.Time
 }
 
 // RunningAttempt is an attempt that an engine is running.
--- a/internal/decision/availability/availability.go
+++ b/internal/decision/availability/availability.go
@@ -1,6 +1,7 @@
 // Package availability records what backend servers say in their answers of their own
-// availability: that they leave. The store may list them as ready for some time yet, and for
-// as long as it is unreachable.
+// availability: that they leave, or that they want nothing from this router until a time. The
+// store may list a leaving server as ready for some time yet, and for as long as it is
+// unreachable.
 package availability
 
 import (
@@ -13,6 +14,9 @@
 // maxServers bounds the servers whose availability is kept.
 const maxServers = 1024
 
+// maxPause bounds how long one answer keeps requests away from a server.
+const maxPause = 5 * time.Minute
+
 // Table is what one router was told. A server is named by its incarnation, so that nothing
 // is known of one that has restarted. Reading it never blocks.
 type Table struct {
@@ -22,8 +26,9 @@
 
 // state is what a server said last.
 type state struct {
-	leaving bool
-	toldAt  time.Time
+	leaving     bool
+	pausedUntil time.Time
+	toldAt      time.Time
 }
 
 // New returns an empty table.
@@ -47,6 +52,36 @@
 	return t.update(server, now, func(s *state) { s.leaving = true })
 }
 
+// ObservePause records that a server wants nothing from this router until a time, and
+// reports whether that is later than it said before.
+func (t *Table) ObservePause(server string, until, now time.Time) (changed bool) {
+	if latest := now.Add(maxPause); until.After(latest) {
+		until = latest
+	}
+	if !until.After(now) {
+		return false
+	}
+	return t.update(server, now, func(s *state) {
+		if until.After(s.pausedUntil) {
+			s.pausedUntil = until
+		}
+	})
+}
+
+// NextAt returns when a server accepts this router's next request: now if it does at once,
+// and the zero time if it leaves.
+func (t *Table) NextAt(server string, now time.Time) time.Time {
+	s := (*t.servers.Load())[server]
+	switch {
+	case s.leaving:
+		return time.Time{}
+	case s.pausedUntil.After(now):
+		return s.pausedUntil
+	default:
+		return now
+	}
+}
+
 // update changes the state of a server and reports whether that made a difference.
 func (t *Table) update(server string, now time.Time, change func(s *state)) (changed bool) {
 	t.mu.Lock()
--- a/internal/decision/availability/availability_test.go
+++ b/internal/decision/availability/availability_test.go
@@ -39,3 +39,27 @@
 	g.Expect(known).To(Equal(1024))
 	g.Expect(table.Leaving("2999")).To(BeTrue())
 }
+
+func TestAPauseEndsWhenTheServerSaid(t *testing.T) {
+	g := NewWithT(t)
+	table := availability.New()
+	g.Expect(table.NextAt("e1", at(0))).To(Equal(at(0)))
+	g.Expect(table.ObservePause("e1", at(4), at(0))).To(BeTrue())
+	g.Expect(table.ObservePause("e1", at(3), at(1))).To(BeFalse(), "a shorter one ends nothing")
+	g.Expect(table.NextAt("e1", at(1))).To(Equal(at(4)))
+	g.Expect(table.NextAt("e2", at(1))).To(Equal(at(1)))
+	g.Expect(table.NextAt("e1", at(4))).To(Equal(at(4)))
+	g.Expect(table.NextAt("e1", at(9))).To(Equal(at(9)))
+	g.Expect(table.ObservePause("e1", at(8), at(9))).To(BeFalse(), "it is over")
+	table.ObserveLeaving("e1", at(9))
+	g.Expect(table.NextAt("e1", at(9))).To(BeZero())
+}
+
+func TestNoAnswerPausesAServerForEver(t *testing.T) {
+	g := NewWithT(t)
+	table := availability.New()
+	table.ObservePause("e1", at(1e9), at(0))
+	g.Expect(table.NextAt("e1", at(0))).To(Equal(at(300)))
+	table.ObservePause("e1", at(1e9), at(10))
+	g.Expect(table.NextAt("e1", at(10))).To(Equal(at(310)))
+}
--- a/internal/router/forward/availability_test.go
+++ b/internal/router/forward/availability_test.go
@@ -61,3 +61,55 @@
 		g.Expect(s.sentTo).To(Equal([]string{"i-0", "i-1", "i-1", "i-1", "i-1"}))
 	})
 }
+
+// pausing turns requests away and wants nothing more for a time.
+func pausing(pause time.Duration) func(context.Context) (*server.Answer, error) {
+	return func(context.Context) (*server.Answer, error) {
+		return &server.Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, RetryAt: time.Now().Add(pause), Body: http.NoBody}, nil
+	}
+}
+
+// A server that had turned a request away for a time got the next ones at once.
+func TestServerThatWantsNothingForATimeGetsNothing(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Idempotent, routes.NonIdempotent} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			s := &fakeService{responses: map[string]func(context.Context) (*server.Answer, error){"i-0": pausing(4 * time.Second)}}
+			send := newForwarder(s, 2)
+			startedAt := time.Now()
+			for time.Since(startedAt) < 3900*time.Millisecond {
+				s.responses["i-1"] = s.respond(http.StatusOK, 60*time.Millisecond) // long enough for a hedge
+				g.Expect(send(kind, 2, "").Code).To(Equal(http.StatusOK), "the other server takes them")
+				s.responses["i-1"] = refuse
+				g.Expect(send(kind, 2, "").Code).To(Equal(http.StatusServiceUnavailable), "nor do retries go there")
+			}
+			g.Expect(s.sentTo[0]).To(Equal("i-0"))
+			g.Expect(s.sentTo[1:]).NotTo(ContainElement("i-0"))
+			time.Sleep(100 * time.Millisecond)
+			s.responses = map[string]func(context.Context) (*server.Answer, error){"i-1": refuse}
+			g.Expect(send(kind, 2, "").Code).To(Equal(http.StatusOK), "the time is over")
+			g.Expect(s.sentTo[len(s.sentTo)-1]).To(Equal("i-0"))
+		})
+	}
+}
+
+// Requests that no server wanted were sent all the same, and callers came back too early.
+func TestRequestThatNoServerWantsIsRefusedUntilOneDoes(t *testing.T) {
+	for _, kind := range []routes.Kind{routes.Idempotent, routes.NonIdempotent} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			s := &fakeService{responses: map[string]func(context.Context) (*server.Answer, error){"i-0": pausing(4 * time.Second), "i-1": pausing(2 * time.Second)}}
+			send := newForwarder(s, 2)
+			for range 5 {
+				res := send(kind, 2, "")
+				g.Expect(res.Code).To(Equal(http.StatusServiceUnavailable))
+				g.Expect(res.Header().Get("Retry-After")).To(Equal("2.00"))
+			}
+			g.Expect(s.sentTo).To(Equal([]string{"i-0", "i-1"}))
+			time.Sleep(2 * time.Second)
+			delete(s.responses, "i-1")
+			g.Expect(send(kind, 2, "").Code).To(Equal(http.StatusOK))
+			g.Expect(s.sentTo).To(Equal([]string{"i-0", "i-1", "i-1"}))
+		})
+	}
+}
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -24,7 +24,7 @@
 	refusals  int    // attempts that no server executed
 	best      result // the best result so far
 	attempted bool
-	retryAt   time.Time // when a refused request may be sent again; zero for soon
+	blocked   time.Time // until when the request's prompt is blocked; zero if it is not
 }
 
 // runNonIdempotent sends a request that may be executed at most once. It tries another
@@ -48,9 +48,7 @@
 
 // choose picks the server of the next attempt, or nil.
 func (c *call) choose() *registry.Entry {
-	e, retryAt := c.f.choose(c.service.Name, c.excluded)
-	c.retryAt = retryAt
-	return e
+	return c.f.choose(c.service.Name, c.excluded)
 }
 
 // recordResult counts an attempt and keeps its result if it is the best so far.
@@ -156,10 +154,12 @@
 		refusedTotal.Inc()
 		c.f.cfg.Log.WithField("id", c.req.ID).WithField("refusals", c.refusals).WithField("config", c.req.ConfigVersion).
 			WithField("servers", c.f.cfg.Servers.Revision()).Info("request refused")
-		wait := minRetryAfter
-		if !c.retryAt.IsZero() {
-			wait = max(wait, time.Until(c.retryAt))
+		now := time.Now()
+		retryAt := c.blocked
+		if retryAt.IsZero() {
+			retryAt = c.f.nextAt(c.service.Name, now)
 		}
+		wait := max(minRetryAfter, retryAt.Sub(now))
 		w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 2, 64))
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case ctx.Err() != nil:
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -103,7 +103,7 @@
 	c := &call{f: f, req: req, service: service, excluded: make(map[server.Key]bool)}
 	until, quarantined := f.cfg.Quarantine.Refuses(req)
 	if quarantined {
-		c.retryAt = until
+		c.blocked = until
 	} else if req.Route.Retryable() {
 		c.runIdempotent(ctx)
 	} else {
@@ -113,8 +113,7 @@
 }
 
 // choose picks a server that is neither leaving nor excluded and may get a request, or nil.
-// If only limits are in the way, it returns when the first of them allows a request.
-func (f *Forwarder) choose(service string, excluded map[server.Key]bool) (chosen *registry.Entry, retryAt time.Time) {
+func (f *Forwarder) choose(service string, excluded map[server.Key]bool) *registry.Entry {
 	now := time.Now()
 	var entries []*registry.Entry
 	var candidates []balance.Service
@@ -123,7 +122,6 @@
 			continue
 		}
 		if next := f.cfg.Limits.NextAt(&e.Server, now); next.IsZero() || next.After(now) {
-			retryAt = earlier(retryAt, next)
 			continue
 		}
 		st := e.Load.State(now)
@@ -136,22 +134,27 @@
 	for {
 		i := balance.PickService(candidates, rand.Float64())
 		if i < 0 {
-			return nil, retryAt
+			return nil
 		}
 		if f.cfg.Limits.Take(&entries[i].Server) {
-			return entries[i], time.Time{}
+			return entries[i]
 		}
 		// Another request has just taken this router's part of the limit.
 		entries, candidates = slices.Delete(entries, i, i+1), slices.Delete(candidates, i, i+1)
 	}
 }
 
-// earlier returns the earlier of two times, of which zero times do not count.
-func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
+// nextAt returns when the first server of a service may get a request, or the zero time if
+// none may. Servers that refused for lack of capacity may get one now.
+func (f *Forwarder) nextAt(service string, now time.Time) time.Time {
+	var first time.Time
+	for _, e := range f.cfg.Servers.Service(service) {
+		next := f.cfg.Limits.NextAt(&e.Server, now)
+		if !e.Leaving && !next.IsZero() && (first.IsZero() || next.Before(first)) {
+			first = next
+		}
 	}
-	return a
+	return first
 }
 
 // runAttempt sends the request to a server, reads the complete answer and updates
--- a/internal/router/ratelimit/ratelimit.go
+++ b/internal/router/ratelimit/ratelimit.go
@@ -1,6 +1,6 @@
 // Package ratelimit keeps this router to what backend servers ask of it in their answers: its
-// part of the limits that they name, and no requests to those that leave. It tells the
-// decisions what answers say, and logs what changes.
+// part of the limits that they name, and no requests to those that leave or want none for a
+// time. It tells the decisions what answers say, and logs what changes.
 package ratelimit
 
 import (
@@ -38,6 +38,10 @@
 	if a.Leaving && l.availability.ObserveLeaving(s.Key().String(), time.Now()) {
 		l.log.WithField("server", s.ID).WithField("listedAsLeaving", s.Leaving).Info("server says that it leaves")
 	}
+	if now := time.Now(); !a.RetryAt.IsZero() && l.availability.ObservePause(s.Key().String(), a.RetryAt, now) {
+		l.log.WithField("server", s.ID).WithField("pauseMs", a.RetryAt.Sub(now).Milliseconds()).WithField("status", a.Status).
+			Info("server wants no requests for a time")
+	}
 	if !l.table.ObserveAnswer(s.Key().String(), a.RateLimit, a.Limited, sentAt, time.Now()) {
 		return
 	}
@@ -50,10 +54,24 @@
 	return !l.availability.Empty() && l.availability.Leaving(s.Key().String())
 }
 
+// Paused reports whether a server wants no requests from this router now.
+func (l *Limiter) Paused(s *server.Server, now time.Time) bool {
+	return l.availableAt(s, now).After(now)
+}
+
+// availableAt returns when a server accepts this router's next request, apart from its
+// limit: now if it does at once, and the zero time if it leaves.
+func (l *Limiter) availableAt(s *server.Server, now time.Time) time.Time {
+	if l.availability.Empty() {
+		return now
+	}
+	return l.availability.NextAt(s.Key().String(), now)
+}
+
 // Take takes one request to a server from this router's part of its limit, and reports
-// whether there was one left. There is none to a server that leaves.
+// whether there was one left. There is none to a server that leaves or wants none now.
 func (l *Limiter) Take(s *server.Server) bool {
-	if l.Leaving(s) {
+	if now := time.Now(); !l.availableAt(s, now).Equal(now) {
 		return false
 	}
 	if l.table.Empty() || l.table.Take(s.Key().String(), s.Service, time.Now()) {
@@ -66,13 +84,15 @@
 // NextAt returns when this router may send a server its next request: now or before if it
 // may at once, and the zero time if it may not send it any, as to a server that leaves.
 func (l *Limiter) NextAt(s *server.Server, now time.Time) time.Time {
-	if l.Leaving(s) {
-		return time.Time{}
+	available := l.availableAt(s, now)
+	if available.IsZero() || l.table.Empty() {
+		return available
 	}
-	if l.table.Empty() {
-		return now
+	next := l.table.NextAt(s.Key().String(), s.Service, now)
+	if next.IsZero() || next.After(available) {
+		return next
 	}
-	return l.table.NextAt(s.Key().String(), s.Service, now)
+	return available
 }
 
 // Allows reports whether this router may send a server a request at once.
--- a/internal/router/relay/domaincheck.go
+++ b/internal/router/relay/domaincheck.go
@@ -51,7 +51,7 @@
 	domainChecksTotal.Inc()
 	var engines []*registry.Entry
 	for _, e := range r.cfg.Servers.Service(lostEngine.Service) {
-		if e.Domain == lostEngine.Domain && !e.Load.State(now).Down {
+		if e.Domain == lostEngine.Domain && !e.Load.State(now).Down && !r.cfg.Limits.Paused(&e.Server, now) {
 			engines = append(engines, e)
 		}
 	}
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -44,20 +44,21 @@
 
 // engineFaults says what goes wrong at an engine.
 type engineFaults struct {
-	breakAfter      int     // the connection breaks after this many events of an attempt
-	unresponsive    bool    // with breakAfter, the connection goes silent; probes are not answered
-	losesConnection bool    // the connection breaks at once
-	refuses         bool    // for lack of capacity
-	replaced        bool    // another incarnation has the address
-	waiting         int     // queued requests of other routers
-	errorBytes      int     // answers with a failure of that size
-	drips           bool    // sends a byte now and then, never a whole event
-	closeDelimited  bool    // answers have neither a length nor chunks
-	closesAfter     int     // closes the connection, as if the answer were whole, after this many events
-	cutsEvent       bool    // with closesAfter, within the next event
-	limit           float64 // that it names in its answers; 0 for none
-	leaving         bool    // says so in its answers
-	lostAttempt     bool    // does not have the attempt and sends nothing, but answers probes
+	breakAfter      int           // the connection breaks after this many events of an attempt
+	unresponsive    bool          // with breakAfter, the connection goes silent; probes are not answered
+	losesConnection bool          // the connection breaks at once
+	refuses         bool          // for lack of capacity
+	replaced        bool          // another incarnation has the address
+	waiting         int           // queued requests of other routers
+	errorBytes      int           // answers with a failure of that size
+	drips           bool          // sends a byte now and then, never a whole event
+	closeDelimited  bool          // answers have neither a length nor chunks
+	closesAfter     int           // closes the connection, as if the answer were whole, after this many events
+	cutsEvent       bool          // with closesAfter, within the next event
+	limit           float64       // that it names in its answers; 0 for none
+	leaving         bool          // says so in its answers
+	pause           time.Duration // with refuses, for which it wants nothing more
+	lostAttempt     bool          // does not have the attempt and sends nothing, but answers probes
 }
 
 func (e *fakeEngines) Send(ctx context.Context, d server.Dispatch) (*server.Answer, error) {
@@ -74,7 +75,11 @@
 		body := iotest.ErrReader(io.ErrUnexpectedEOF)
 		return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: io.NopCloser(body)}, nil
 	case f.refuses || !backupKnown:
-		return &server.Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Leaving: f.leaving, Body: http.NoBody}, nil
+		a := &server.Answer{Status: http.StatusServiceUnavailable, NotExecuted: true, Leaving: f.leaving, Body: http.NoBody}
+		if f.pause > 0 {
+			a.RetryAt = time.Now().Add(f.pause)
+		}
+		return a, nil
 	case f.replaced:
 		return &server.Answer{Status: http.StatusMisdirectedRequest, NotExecuted: true, ActualServerID: "i-other", Body: http.NoBody}, nil
 	case f.errorBytes > 0:
@@ -287,12 +292,3 @@
 	h.relay.Serve(res, context.Background(), req, &h.service)
 	return res, false
 }
-
-// eventText returns the text of events from..to.
-func eventText(from, to int) string {
-	text := ""
-	for i := from; i <= to; i++ {
-		text += fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
-	}
-	return text
-}
--- a/internal/router/relay/ratelimit.go
+++ b/internal/router/relay/ratelimit.go
@@ -5,23 +5,24 @@
 	"time"
 )
 
-// maxRetryAfter bounds the Retry-After header of a request that limits are in the way of.
-const maxRetryAfter = 5 * time.Second
-
-// retryAfter returns the Retry-After header of a request that no engine can get now. If the
-// engines' limits are in the way, that is when the first of them allows a request.
+// retryAfter returns the Retry-After header of a request that no engine can get now: when
+// the first of them accepts one again.
 func (r *Relay) retryAfter(service string, now time.Time) string {
 	var first time.Time
 	for _, e := range r.cfg.Servers.Service(service) {
-		if !r.cfg.Limits.Limited(&e.Server, now) {
+		next := r.cfg.Limits.NextAt(&e.Server, now)
+		if e.Leaving || next.IsZero() {
 			continue
 		}
-		if next := r.cfg.Limits.NextAt(&e.Server, now); !next.IsZero() && (first.IsZero() || next.Before(first)) {
+		if !next.After(now) {
+			next = now.Add(capacityDelay) // it has refused the request for lack of capacity
+		}
+		if first.IsZero() || next.Before(first) {
 			first = next
 		}
 	}
-	if !first.After(now) {
-		return retryAfterSeconds
+	if first.IsZero() {
+		first = now.Add(capacityDelay)
 	}
-	return strconv.FormatFloat(min(first.Sub(now), maxRetryAfter).Seconds(), 'f', 2, 64)
+	return strconv.FormatFloat(first.Sub(now).Seconds(), 'f', 2, 64)
 }
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -33,9 +33,10 @@
 	// midstreamRetryDelay is the time between two searches for an engine to resume a
 	// stream on, after a search that found none.
 	midstreamRetryDelay = 50 * time.Millisecond
-	// retryAfterSeconds is the Retry-After header of a refused request. An engine
-	// prefills a prompt in about a second, so capacity becomes free about then.
-	retryAfterSeconds = "0.5"
+	// capacityDelay is after which time a request that engines refused for lack of capacity
+	// may come back. An engine prefills a prompt in about a second, so capacity becomes
+	// free about then.
+	capacityDelay = 500 * time.Millisecond
 )
 
 // Client sends requests to backend servers and reads the state of engines.
@@ -62,12 +63,13 @@
 }
 
 // Limits are what engines ask of routers: the limits that they name, and no requests if they
-// leave.
+// leave or want none for a time.
 type Limits interface {
 	ObserveAnswer(s *server.Server, a *server.Answer, sentAt time.Time)
 	Take(s *server.Server) bool
 	NextAt(s *server.Server, now time.Time) time.Time
 	Allows(s *server.Server, now time.Time) bool
+	Paused(s *server.Server, now time.Time) bool
 	Limited(s *server.Server, now time.Time) bool
 }
 
--- a/internal/router/relay/relay_test.go
+++ b/internal/router/relay/relay_test.go
@@ -26,6 +26,15 @@
 	h.engines.faults["i-0"] = f
 }
 
+// eventText returns the text of events from..to.
+func eventText(from, to int) string {
+	text := ""
+	for i := from; i <= to; i++ {
+		text += fmt.Sprintf("id: %d\ndata: event %d\n\n", i, i)
+	}
+	return text
+}
+
 func TestStreamIsForwardedCompletely(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -72,6 +72,10 @@
 mutant limit-for-ever $d/ratelimit/ratelimit.go 'e.Lifted || !sentAt.After(e.At)' 'true' "./$d/ratelimit -run LimitEnds"
 mutant leaving-not-heard internal/router/ratelimit/ratelimit.go 'if a.Leaving &&' 'if false &&' "./internal/router/forward -run SaysItLeaves"
 mutant leaving-without-bound $d/availability/availability.go 'maxServers = 1024' 'maxServers = 1 << 20' "./$d/availability -run Bounded"
+mutant pause-not-heard internal/router/ratelimit/ratelimit.go '!a.RetryAt.IsZero() &&' 'false &&' "./internal/router/forward -run ForATime"
+mutant pause-for-ever $d/availability/availability.go 'until = latest' '_ = latest' "./$d/availability -run ForEver"
+mutant pause-shortened $d/availability/availability.go 'if until.After(s.pausedUntil) {' 'if true {' "./$d/availability -run Pause"
+mutant pause-probed internal/router/relay/domaincheck.go ' && !r.cfg.Limits.Paused(&e.Server, now)' '' "./internal/router/relay -run WantsNothingForATime"
 mutant not-run-after-a-start $d/resume/machine.go 'm.started = true }' '}' ./$d/resume
 mutant resume-on-the-lost $d/resume/machine.go 'm.avoid = e.Server' 'm.avoid = ""' ./$d/resume
 mutant change-without-draining $d/plan/plan.go 'if e.Running > 0 ||' 'if' ./$d/plan
