--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -33,9 +33,10 @@
 	// midstreamRetryDelay is the time between two searches for an engine to resume a
 	// stream on, after a search that found none.
 	midstreamRetryDelay = 50 * time.Millisecond
-	// retryAfterSeconds is the Retry-After header of a refused request. An engine
-	// prefills a prompt in about a second, so capacity becomes free about then.
-	retryAfterSeconds = "0.5"
+	// capacityDelay is after which time a request that engines refused for lack of capacity
+	// may come back. An engine prefills a prompt in about a second, so capacity becomes
+	// free about then.
+	capacityDelay = 500 * time.Millisecond
 )
 
 // Client sends requests to backend servers and reads the state of engines.
@@ -61,11 +62,14 @@
 	ServerFinished(req *server.Request)
 }
 
-// Limits are the limits that engines name.
+// Limits are what engines ask of routers: the limits that they name, and no requests if they
+// leave or want none for a time.
 type Limits interface {
 	ObserveAnswer(s *server.Server, a *server.Answer, sentAt time.Time)
 	Take(s *server.Server) bool
 	NextAt(s *server.Server, now time.Time) time.Time
+	Allows(s *server.Server, now time.Time) bool
+	Paused(s *server.Server, now time.Time) bool
 	Limited(s *server.Server, now time.Time) bool
 }
 
@@ -133,10 +137,7 @@
 	var entries []*registry.Entry
 	var candidates []balance.Engine
 	for _, e := range r.cfg.Servers.Service(service.Name) {
-		if e.Leaving || excluded[e.Key()] {
-			continue
-		}
-		if next := r.cfg.Limits.NextAt(&e.Server, now); next.IsZero() || next.After(now) {
+		if e.Leaving || excluded[e.Key()] || !r.cfg.Limits.Allows(&e.Server, now) {
 			continue
 		}
 		st := e.Load.State(now)
