registry: a draining server is not ready again because the store went back

A server that drains gets no new work within seconds. A store that is restored may list it as ready until it writes again, and routers that had known better sent it requests again (DRAIN). An incarnation that drained stays leaving; one without a known start can't be told from its successor and is taken as listed. TestADrainingServerIsNotReadyAgainWhenTheStoreGoesBack failed before.

--- a/internal/backend/registry/registry.go
+++ b/internal/backend/registry/registry.go
@@ -54,6 +54,8 @@
 		e := &Entry{Server: s}
 		if known := old.byID[s.ID]; known != nil && known.Key() == s.Key() {
 			e.Load = known.Load
+			// A restored store may list a draining server as ready until the server writes again.
+			e.Leaving = e.Leaving || known.Leaving && s.Started != 0
 		} else {
 			e.Load = &Load{}
 			if previous := old.byAddress[s.Address]; previous != nil && previous.Service == s.Service {
--- a/internal/backend/registry/registry_test.go
+++ b/internal/backend/registry/registry_test.go
@@ -40,6 +40,18 @@
 	g.Expect(st.Pace).To(BeNumerically("~", 40*time.Millisecond, time.Millisecond))
 }
 
+func TestADrainingServerIsNotReadyAgainWhenTheStoreGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	draining := newServer("i-1", 5)
+	draining.Leaving = true
+	r.Set(storehistory.Position{Era: 1, Revision: 9}, []server.Server{draining})
+	r.Set(storehistory.Position{Era: 2, Revision: 4}, []server.Server{newServer("i-1", 5)})
+	g.Expect(r.Get("i-1").Leaving).To(BeTrue())
+	r.Set(storehistory.Position{Era: 2, Revision: 5}, []server.Server{newServer("i-1", 6)})
+	g.Expect(r.Get("i-1").Leaving).To(BeFalse(), "another incarnation")
+}
+
 func TestByAddressReturnsTheNewestIncarnation(t *testing.T) {
 	g := NewWithT(t)
 	r := registry.New()
