gossip: direct notices of a restore go to few peers

A router sends each of its datagrams also to the readers whose list is of an earlier era than the store's. Who reads is known from a peer's last own message. In a large fleet that may be a minute old, and after a common start all peers were readers without a list then: each router sent to all of these in each round. The cost grew with the square of the fleet, on slow links.

Why it works: a peer without a list reads the store for itself and needs no notice. Of the others at most as many as the fan-out get one, those first that were heard from last: the readers send to all peers in each round while the store answers them. The rest are ordinary targets.

Ruled out: a bound on the age of the last message. Readers are silent as long as the store is away, so that the notice would not reach them after a long outage.

--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -254,24 +255,32 @@
 func (g *Gossip) targets(now time.Time) []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var addresses, readers []string
 	era := max(g.cfg.State.StoreEra(), g.cfg.State.ServerPosition().Era)
+	var peers, readers []*peer
 	for _, p := range g.peers {
 		if p.host.DatagramAddress == "" || now.Sub(p.lastHeartbeatAt) >= peerTTL {
 			continue
 		}
-		if p.readsStore && p.position.Era < era {
-			readers = append(readers, p.host.DatagramAddress)
+		if p.readsStore && p.position.Revision > 0 && p.position.Era < era {
+			readers = append(readers, p)
 			continue
 		}
-		addresses = append(addresses, p.host.DatagramAddress)
+		peers = append(peers, p)
 	}
+	// Some that read the store when last heard from no longer do.
+	slices.SortFunc(readers, func(p, q *peer) int { return q.lastMessageAt.Compare(p.lastMessageAt) })
+	n := min(len(readers), g.plan().FanOut)
+	readers, peers = readers[:n], append(peers, readers[n:]...)
 	if !g.announces(now) {
-		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-		addresses = addresses[:min(len(addresses), g.plan().FanOut)]
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		peers = peers[:min(len(peers), g.plan().FanOut)]
 	}
 	// Readers that do not know the store's era have to read it at once.
-	return append(readers, addresses...)
+	var addresses []string
+	for _, p := range append(readers, peers...) {
+		addresses = append(addresses, p.host.DatagramAddress)
+	}
+	return addresses
 }
 
 // Receive handles a datagram from a peer.
--- a/internal/router/gossip/restored_test.go
+++ b/internal/router/gossip/restored_test.go
@@ -58,3 +58,38 @@
 		})
 	}
 }
+
+// Each router once sent every datagram to all peers that read the store when last heard from.
+func TestDatagramsAreBoundedWhenManyPeersReadTheStoreWhenLastHeardFrom(t *testing.T) {
+	const (
+		routers = 40
+		rounds  = 10
+		fanOut  = 4
+	)
+	for name, c := range map[string]struct {
+		lastMessage string
+		maxTargets  int
+	}{
+		"at their start":   {`"Revision":0`, fanOut},
+		"before a restore": {`"Revision":30,"Era":1`, 2 * fanOut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			datagrams := 0
+			runRouters(t, routers, func(_ *WithT, _ *network, all []*router) {
+				for i := 1; i < routers; i++ {
+					all[0].gossip.Receive(fmt.Appendf(nil, `{"Host":{"Name":"router-%d","Address":"call-%d","Notices":"notice-%d"},"Reads":true,"AgeMs":-1,%s}`, i, i, i, c.lastMessage))
+				}
+				for _, r := range all {
+					r.ApplyServerList(storehistory.Position{}, discovery.ServerList{At: storehistory.Position{Era: 2, Revision: 40}, Full: true}, "store")
+				}
+				all[0].sent()
+				for range rounds {
+					all[0].gossip.Trigger()
+					time.Sleep(30 * time.Millisecond)
+				}
+				datagrams, _ = all[0].sent()
+			})
+			NewWithT(t).Expect(datagrams).To(BeNumerically("<=", (rounds+1)*c.maxTargets))
+		})
+	}
+}
