discovery: entries lost in a restore are kept anew when the store is restored again

Cause: the deadline of a kept entry was set when the entry vanished from the list. After the second restore it is missing already, so nothing set it again.

Evidence: the test restores the store again after 1.5 s; two seconds later both servers were gone. It failed before.

Why it works: each new era of the store gives all kept entries a new deadline. One that is not written again is removed after the last.

--- a/internal/router/discovery/list.go
+++ b/internal/router/discovery/list.go
@@ -74,6 +74,9 @@
 		f.cfg.Log.WithField("era", to.Era).WithField("revision", to.Revision).WithField("hadEra", f.position.Era).
 			WithField("had", f.position.Revision).Warn("store was restored from an older copy")
 		f.recoveredAt = now
+		for key := range f.keptUntil {
+			f.keptUntil[key] = now.Add(recoveryGrace)
+		}
 	}
 	f.position = storehistory.Later(f.position, to)
 }
--- a/internal/router/discovery/restored_test.go
+++ b/internal/router/discovery/restored_test.go
@@ -273,3 +273,20 @@
 		})
 	}
 }
+
+func TestEntriesLostInARestoreAreKeptAnewWhenTheStoreIsRestoredAgain(t *testing.T) {
+	runFollower(t, func(f *fixture) {
+		f.store.copy()
+		f.store.put("servers/c", "ready")
+		f.store.put("servers/d", "ready")
+		time.Sleep(maxChangeTime)
+		f.store.restore()
+		time.Sleep(1500 * time.Millisecond)
+		f.store.restore()
+		time.Sleep(maxChangeTime)
+		f.Expect(f.activeServers()).To(ConsistOf("a", "b", "c", "d"))
+		f.store.put("servers/c", "ready")
+		time.Sleep(maxChangeTime)
+		f.Expect(f.activeServers()).To(ConsistOf("a", "b", "c"), "entries that are still missing are removed")
+	})
+}
