discovery: a notice of a restore that comes with the end of a watch is not lost

A reader that heard of a restore while the answer to its watch was on its way paused as after any changes, as the secondary reader for a second, before it read the store. That second is half of the time in which a configuration has to take effect.

Cause: the notice ends the watch. If the watch ended by itself at that moment, nothing was left of the notice for the pause that follows.

Evidence: the test, which failed before: the new configuration was not read 200 ms later.

Why it works: a watch that was interrupted is followed by no pause, however it ended.

--- a/internal/router/discovery/fixture_test.go
+++ b/internal/router/discovery/fixture_test.go
@@ -40,6 +40,7 @@
 	seenEra       int64  // newest that an answer named
 	ranges        int
 	watches       int
+	beforeEvents  func() // called before a watch returns events
 }
 
 // copy makes the copy that the next restore goes back to.
@@ -135,9 +136,12 @@
 				events = append(events, v)
 			}
 		}
-		revision := s.revision
+		revision, beforeEvents := s.revision, s.beforeEvents
 		s.mu.Unlock()
 		if len(events) > 0 {
+			if beforeEvents != nil {
+				beforeEvents()
+			}
 			return events, storehistory.Position{Era: after.Era, Revision: revision}, nil
 		}
 		time.Sleep(5 * time.Millisecond)
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -196,7 +196,8 @@
 	f.mu.Unlock()
 	watchCtx, interrupted := f.interruptible(ctx)
 	values, next, err := f.cfg.Store.WatchPrefix(watchCtx, "", after, wait)
-	if interrupted() && err != nil {
+	isInterrupted := interrupted()
+	if isInterrupted && err != nil {
 		return after, nil
 	}
 	if err != nil {
@@ -211,6 +212,8 @@
 	f.mu.Unlock()
 	if len(values) > 0 {
 		f.cfg.OnChange()
+	}
+	if len(values) > 0 && !isInterrupted {
 		delay := batchDelay
 		if f.Role() == storereader.Secondary {
 			delay = secondaryBatchDelay
