discovery: a router that lists itself during a restore does so again

The entry and the lease of a router that listed itself just before the store was restored were lost, and the router did not notice until its next renewal, 20 s later. Routers that start meanwhile find their peers by these entries.

Cause: the era that belongs to the lease was read after the entry had been written. By then it could be the new one.

Evidence: the test failed before: two writes where four are due.

Why it works: the era is read before the lease is requested. If the request itself shows a new era, the router writes its entry once more than it has to.

--- a/internal/router/discovery/registrar.go
+++ b/internal/router/discovery/registrar.go
@@ -58,13 +58,14 @@
 			loop.Sleep(ctx, registerRetryDelay)
 			continue
 		}
+		era := r.Era()
 		lease, err := r.register(ctx)
 		if err != nil {
 			r.Log.WithError(err).Info("cannot register host in the store")
 			loop.Sleep(ctx, registerRetryDelay)
 			continue
 		}
-		r.renew(ctx, lease)
+		r.renew(ctx, lease, era)
 	}
 	return nil
 }
@@ -78,10 +79,9 @@
 	return lease, r.Store.SetWithLease(ctx, r.Key, r.Value, lease)
 }
 
-// renew keeps the lease alive until it is lost, the router need not be listed any more or
-// ctx ends.
-func (r *Registrar) renew(ctx context.Context, lease string) {
-	era := r.Era()
+// renew keeps the lease, which the store granted in an era, alive until it is lost, the router
+// need not be listed any more or ctx ends.
+func (r *Registrar) renew(ctx context.Context, lease string, era int64) {
 	renewal := time.Now().Add(hostRenewalInterval)
 	for loop.Sleep(ctx, hostEraCheckInterval) {
 		if r.Era() != era {
--- a/internal/router/discovery/registrar_test.go
+++ b/internal/router/discovery/registrar_test.go
@@ -21,6 +21,7 @@
 	mu               sync.Mutex
 	writes, renewals int
 	lapsed           bool
+	onSet            func() // called when the entry is written; may be nil
 }
 
 func (s *leaseStore) Grant(context.Context, time.Duration) (string, error) {
@@ -45,6 +46,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
+	if s.onSet != nil {
+		s.onSet()
+	}
 	return nil
 }
 
@@ -129,3 +133,27 @@
 		g.Expect(writes).To(Equal(4), "once")
 	})
 }
+
+// The entry of a router that wrote it during a restore was once missing until the next renewal.
+func TestARouterThatListedItselfWhileTheStoreWasRestoredDoesSoAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var era atomic.Int64
+		era.Store(1)
+		s := &leaseStore{onSet: func() { era.Store(2) }}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		r := &discovery.Registrar{Store: s, Key: "hosts/a", Log: log.WithField("part", "store"), ShouldList: func() bool { return true },
+			Era: era.Load, Turn: func() time.Duration { return 0 }}
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { _ = r.Run(ctx); close(done) }()
+		defer func() { stop(); <-done }()
+		time.Sleep(5 * time.Second)
+		writes, _ := s.counts()
+		g.Expect(writes).To(Equal(4))
+		time.Sleep(10 * time.Second)
+		writes, _ = s.counts()
+		g.Expect(writes).To(Equal(4), "once")
+	})
+}
