operator/cli: parts that a restore may have lost are not promoted

Promotion reads the manifest of trial, asks all its routers for their status, which takes up to seconds, and reads the manifest of production. A restore in between could lose the parts of trial: the manifest of production was then written and confirmed, though no router could fetch its parts.

Cause: the era was compared only from the start of the last write on. Parts are named by what was read before.

Why it works: both reads have to be of one era, and the commit compares the era from there on.

Ruled out: applying a document, which writes its parts itself and has one era for these and the manifest.

--- a/internal/operator/cli/promote.go
+++ b/internal/operator/cli/promote.go
@@ -23,14 +23,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
 	store := newStore(cfg)
-	trialManifest, _, err := publish.ReadManifest(ctx, store, trialEnvironment)
-	if err != nil {
-		return err
-	}
-	if err := checkPromotable(&trialManifest, c.Digest, collectStatuses(ctx, cfg, trialEnvironment)); err != nil {
-		return err
-	}
-	base, storeRevision, err := publish.ReadManifest(ctx, store, productionEnvironment)
+	trialManifest, base, storeRevision, err := readManifests(ctx, store, func(stored *manifest.Manifest) error {
+		return checkPromotable(stored, c.Digest, collectStatuses(ctx, cfg, trialEnvironment))
+	})
 	if err != nil {
 		return err
 	}
@@ -44,6 +39,24 @@
 	return c.reportAndWait(ctx, cfg, m)
 }
 
+// readManifests returns the manifest of trial, if it passes the check, that of production, and
+// the store's revision of the latter's key. All are of one era of the store.
+func readManifests(ctx context.Context, store publish.Store, check func(stored *manifest.Manifest) error) (trial, base manifest.Manifest, storeRevision int64, err error) {
+	trial, _, err = publish.ReadManifest(ctx, store, trialEnvironment)
+	if err != nil {
+		return trial, base, 0, err
+	}
+	era := store.Era()
+	if err := check(&trial); err != nil {
+		return trial, base, 0, err
+	}
+	base, storeRevision, err = publish.ReadManifest(ctx, store, productionEnvironment)
+	if err == nil && store.Era() != era {
+		err = publish.ErrRestored
+	}
+	return trial, base, storeRevision, err
+}
+
 // checkPromotable returns an error unless all routers of trial run the manifest that is
 // stored for trial. If one runs a later one, the store was restored and has not got it back.
 func checkPromotable(stored *manifest.Manifest, digest string, routers []routerStatus) error {
