discovery: the first watch after an outage shows at once that the store was restored

A reader that reached the store again continued its watch after the last revision of the lost history. If the store had given that revision out again meanwhile, the watch was accepted and waited for the next change, a second at most, before its answer named the new era. Together with the pause before the call (up to 1.5 s) that is more than the two seconds in which a configuration has to take effect.

Cause: a watch tells the store a revision only, so that the era is known by the answer.

Evidence: the test puts a configuration at the lost revision. It failed before: the configuration was not in effect 100 ms after the reader's first call.

Why it works: the first watch after a failed call or a time without calls waits for 10 ms. It costs a reader one call after each outage or election.

The tests' store refused a watch of an earlier era at once, which a store can't, and named its era before it answered. It now does both with the answer.

--- a/internal/router/discovery/era_test.go
+++ b/internal/router/discovery/era_test.go
@@ -29,3 +29,26 @@
 		f.Expect(f.currentConfig()).To(Equal("two"))
 	})
 }
+
+// The first call after an outage was once a watch that waited in the new history for changes
+// after the lost revision.
+func TestTheFirstCallAfterAnOutageShowsAtOnceThatTheStoreWasRestored(t *testing.T) {
+	runFollower(t, func(f *fixture) {
+		f.store.copy()
+		f.store.put("servers/c", "ready")
+		f.store.put("servers/d", "ready")
+		time.Sleep(maxChangeTime)
+		f.store.update(func() { f.store.unreachable = true })
+		time.Sleep(maxChangeTime)
+		f.store.restore()
+		f.store.put("servers/c", "ready")
+		f.store.put("config", "two") // at the lost revision
+		f.store.calls()
+		f.store.update(func() { f.store.unreachable = false })
+		for ranges, watches := 0, 0; ranges+watches == 0; ranges, watches = f.store.calls() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		f.Expect(f.currentConfig()).To(Equal("two"))
+	})
+}
--- a/internal/router/discovery/fixture_test.go
+++ b/internal/router/discovery/fixture_test.go
@@ -124,8 +124,8 @@
 			s.mu.Unlock()
 			return nil, storehistory.Position{}, kv.ErrUnavailable
 		}
-		s.seenEra = s.era
-		if after.Revision < s.oldest || after.Era != s.era || after.Revision > s.revision {
+		if after.Revision < s.oldest || after.Revision > s.revision {
+			s.seenEra = s.era
 			s.mu.Unlock()
 			return nil, storehistory.Position{}, kv.ErrCompacted
 		}
@@ -136,17 +136,35 @@
 				events = append(events, v)
 			}
 		}
-		revision, beforeEvents := s.revision, s.beforeEvents
+		revision, era, beforeEvents := s.revision, s.era, s.beforeEvents
 		s.mu.Unlock()
 		if len(events) > 0 {
 			if beforeEvents != nil {
 				beforeEvents()
 			}
-			return events, storehistory.Position{Era: after.Era, Revision: revision}, nil
+			return s.endWatch(after, era, events, revision)
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	return nil, after, ctx.Err()
+	if ctx.Err() != nil {
+		return nil, after, ctx.Err()
+	}
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
+	return s.endWatch(after, era, nil, after.Revision)
+}
+
+// endWatch answers a watch in an era. The store does not know in which era the watched position
+// is, so that only the answer shows that it is in another.
+func (s *store) endWatch(after storehistory.Position, era int64, events []kv.Value, revision int64) ([]kv.Value, storehistory.Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seenEra = max(s.seenEra, era)
+	if after.Era != era {
+		return nil, storehistory.Position{}, kv.ErrCompacted
+	}
+	return events, storehistory.Position{Era: era, Revision: revision}, nil
 }
 
 // fixture holds a follower, its store and what the follower passed on.
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -25,6 +25,10 @@
 	// around a compaction until the next watch starts, and a change must take effect
 	// within two seconds.
 	watchTimeout = time.Second
+	// probeWatchTimeout is the same for the first watch after a failed call or a time without
+	// calls: a restored store may wait for changes after a position of the lost history, and
+	// only its answer shows the new era.
+	probeWatchTimeout = 10 * time.Millisecond
 	// roleCheckInterval is how often a router that does not read the store checks
 	// whether it should.
 	roleCheckInterval = 200 * time.Millisecond
@@ -81,7 +85,8 @@
 type Follower struct {
 	cfg Config
 
-	wake chan struct{} // ends a pause or a watch
+	wake     chan struct{} // ends a pause or a watch
+	probeDue bool          // the next watch waits for probeWatchTimeout; used only by Run
 
 	mu               sync.Mutex
 	position         storehistory.Position // up to which the server list is known
@@ -124,18 +129,21 @@
 	for ctx.Err() == nil {
 		role := f.nextRole(time.Now())
 		if role == storereader.Idle {
+			f.probeDue = true
 			f.pause(ctx, roleCheckInterval)
 			continue
 		}
 		err := f.readOrWatch(ctx, &position)
 		switch {
 		case err == nil:
+			f.probeDue = false
 			delay = f.firstDelay()
 		case errors.Is(err, kv.ErrCompacted):
 			position = storehistory.Position{}
 			f.pause(ctx, time.Until(nextReread))
 			nextReread = time.Now().Add(minRereadInterval)
 		case ctx.Err() == nil:
+			f.probeDue = true
 			f.recordFailure(err)
 			// The jitter keeps routers that started together from calling together.
 			f.pause(ctx, delay/2+rand.N(delay))
@@ -193,6 +201,9 @@
 	if len(f.keptUntil) > 0 {
 		wait = recoveryGrace / 4
 	}
+	if f.probeDue {
+		wait = probeWatchTimeout
+	}
 	f.mu.Unlock()
 	watchCtx, interrupted := f.interruptible(ctx)
 	values, next, err := f.cfg.Store.WatchPrefix(watchCtx, "", after, wait)
