--- a/internal/router/discovery/list.go
+++ b/internal/router/discovery/list.go
@@ -74,6 +74,9 @@
 		f.cfg.Log.WithField("era", to.Era).WithField("revision", to.Revision).WithField("hadEra", f.position.Era).
 			WithField("had", f.position.Revision).Warn("store was restored from an older copy")
 		f.recoveredAt = now
+		for key := range f.keptUntil {
+			f.keptUntil[key] = now.Add(recoveryGrace)
+		}
 	}
 	f.position = storehistory.Later(f.position, to)
 }
@@ -147,6 +150,7 @@
 		f.removeServer(v.Key, time.Now())
 		return
 	}
+	had := f.raw[v.Key]
 	f.raw[v.Key] = v
 	delete(f.keptUntil, v.Key)
 	s, err := f.cfg.DecodeServer(v.Key, v.Body)
@@ -155,6 +159,11 @@
 		delete(f.entries, v.Key)
 		return
 	}
+	// A restored store may have lost that the server leaves.
+	isNewer := v.Era == had.Era && had.Revision < v.Revision
+	if old, ok := f.entries[v.Key]; ok && old.Leaving && old.Key() == s.Key() && !isNewer {
+		s.Leaving = true
+	}
 	f.entries[v.Key] = s
 }
 
