relay: a silent engine is kept after an event without an ID

Callers saw a stream cut after 1.5 s of silence although its engine was sound and the silence ended.

Cause: a stream whose last event has no ID can't be resumed, and mayRetry says so. mayLeave, which decides before whether the silent attempt may end, looked at the route only. It reserved a retry, the attempt was cancelled, and then no other one was allowed.

Evidence: TestASilentEngineIsNotLeftAfterAnEventWithoutAnID (events 1 and one without an ID, silence of 1.6 s, event 2) failed before: the stream was cut. Both places ask the same question now.

--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -48,8 +48,9 @@
 	limit           float64 // that it names in its answers; 0 for none
 	pauseAfter      int     // after this many events of an attempt, neither events nor replies for the pause
 	pause           time.Duration
-	hangsAfter      int  // sends no more events after this many, but answers probes
-	lostAttempt     bool // does not have the attempt and sends nothing, but answers probes
+	silentBetween   time.Duration // sends an event with an ID, one without, nothing for so long, and one with an ID
+	hangsAfter      int           // sends no more events after this many, but answers probes
+	lostAttempt     bool          // does not have the attempt and sends nothing, but answers probes
 }
 
 func (e *fakeEngines) Send(ctx context.Context, d server.Dispatch) (*server.Answer, error) {
@@ -85,6 +86,8 @@
 	r, w := io.Pipe()
 	if f.drips != "" {
 		go drip(ctx, w, f.drips)
+	} else if f.silentBetween > 0 {
+		go pauseAfterEventWithoutID(ctx, w, f.silentBetween)
 	} else {
 		go e.generate(ctx, w, d, f)
 	}
@@ -106,6 +109,17 @@
 	}
 }
 
+func pauseAfterEventWithoutID(ctx context.Context, w *io.PipeWriter, pause time.Duration) {
+	_, _ = io.WriteString(w, "id: 1\ndata: event 1\n\ndata: no ID\n\n")
+	select {
+	case <-ctx.Done():
+		_ = w.CloseWithError(ctx.Err())
+	case <-time.After(pause):
+		_, _ = io.WriteString(w, "id: 2\ndata: event 2\n\n")
+		_ = w.Close()
+	}
+}
+
 func (e *fakeEngines) generate(ctx context.Context, w *io.PipeWriter, d server.Dispatch, f engineFaults) {
 	for i := d.LastEventID + 1; i <= e.eventCount; i++ {
 		if f.closesAfter > 0 && i > d.LastEventID+f.closesAfter {
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -16,7 +16,7 @@
 	_, quarantined := s.relay.cfg.Quarantine.Refuses(s.req)
 	decision := suspicion.Alternative{
 		Replaced:     s.relay.replaced(target),
-		Retryable:    s.req.Route.Retryable(),
+		Retryable:    s.resumable(),
 		AttemptsLeft: s.req.Route.MaxAttempts - s.executed - 1,
 		Quarantined:  quarantined,
 		EngineUsable: s.otherEngineUsable(target),
--- a/internal/router/relay/silence_test.go
+++ b/internal/router/relay/silence_test.go
@@ -138,3 +138,16 @@
 		})
 	}
 }
+
+func TestASilentEngineIsNotLeftAfterAnEventWithoutAnID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		for i := range 3 {
+			h.engines.faults[fmt.Sprintf("i-%d", i)] = engineFaults{silentBetween: 1600 * time.Millisecond}
+		}
+		res, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal("id: 1\ndata: event 1\n\ndata: no ID\n\nid: 2\ndata: event 2\n\n"))
+		h.Expect(h.engines.sentTo()).To(HaveLen(1))
+	})
+}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -214,9 +214,12 @@
 	if r.outcome != lost {
 		return true
 	}
-	return !s.unresumable && s.req.Route.Retryable() && s.executed < s.req.Route.MaxAttempts
+	return s.resumable() && s.executed < s.req.Route.MaxAttempts
 }
 
+// resumable reports whether another attempt could continue the stream.
+func (s *stream) resumable() bool { return !s.unresumable && s.req.Route.Retryable() }
+
 // refuse answers 503, which tells the caller that no server executed the request. If
 // one may have, it answers 502.
 func (s *stream) refuse(reason string) {
