relay: a slow caller's engine does not count as silent

Callers who take no bytes for a while got their stream from another engine although the first was sound; each time used up an attempt and a retry of the route, after which a real loss cuts the stream.

Cause: the time of an event was taken before the event was written to the caller. After a write that took longer than MaxSilence, the detector found the engine silent for that long, before it looked at the events that were waiting.

Evidence: TestASlowCallersEngineDoesNotCountAsSilent (a write of 2 s) failed before: the stream was sent to i-0 and i-1. The silence now begins when the caller has taken the event. The time that the link's health is judged by stays that of the arrival.

--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -115,7 +115,6 @@
 				return s.classifyReadError(ctx, got.err, answer, target, backup)
 			}
 			now := time.Now()
-			detector.ObserveEvent(now)
 			arrivals.ObserveEvent(now)
 			attemptLoad.RecordEvent(now, s.eventTokens())
 			if got.event.ID == 0 && startEvent > 0 && s.lastEventID == startEvent {
@@ -125,6 +124,7 @@
 				r.backup = backup
 				return r
 			}
+			detector.ObserveEvent(time.Now()) // a slow caller is not the engine's silence
 			s.recordEvent(now, target)
 			s.relay.cfg.Quarantine.ServerAnswered(s.req, s.lastEventID-startEvent)
 			if replacement == nil {
--- a/internal/router/relay/silence_test.go
+++ b/internal/router/relay/silence_test.go
@@ -1,8 +1,10 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -151,3 +153,26 @@
 		h.Expect(h.engines.sentTo()).To(HaveLen(1))
 	})
 }
+
+// slowCaller takes no bytes for a while after its first event.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	pause time.Duration
+}
+
+func (w *slowCaller) Write(p []byte) (int, error) {
+	n, err := w.ResponseRecorder.Write(p)
+	time.Sleep(w.pause)
+	w.pause = 0
+	return n, err
+}
+
+func TestASlowCallersEngineDoesNotCountAsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		caller := &slowCaller{httptest.NewRecorder(), 2 * time.Second}
+		h.relay.Serve(caller, context.Background(), h.newRequest(0), &h.service)
+		h.Expect(caller.Body.String()).To(Equal(eventText(1, 20)))
+		h.Expect(h.engines.sentTo()).To(HaveLen(1))
+	})
+}
