front: a caller whose body stalls is answered at the route's timeout

Callers whose body stopped arriving got no answer at all: the handler waited for the rest without a bound, past the route's timeout and the caller's deadline, and during a drain until the process ended.

Cause: the deadline of a request began to count in the servers of its kind, which get it after the body. Nothing bounded the reading.

Evidence: TestACallerWhoseBodyStallsIsAnsweredAtTheRoutesTimeout (a length and chunks, timeout 1 s) failed before: no answer within 1.5 s. The connection's read deadline is now the request's while the body is read. The answer is 408, which promises that no server ran it, and the connection is closed, as after other bodies that were not read. TestABodysDeadlineEndsWithTheBody (held before) shows that a kept connection is not affected.

--- /dev/null
+++ b/internal/caller/front/body_test.go
@@ -0,0 +1,57 @@
+package front_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestACallerWhoseBodyStallsIsAnsweredAtTheRoutesTimeout(t *testing.T) {
+	for name, head := range map[string]string{
+		"with a length": "Content-Length: 4\r\n\r\nxx",
+		"in chunks":     "Transfer-Encoding: chunked\r\n\r\n2\r\nxx\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newTestHandler()
+			s := httptest.NewServer(h.handler)
+			defer s.Close()
+			conn, err := net.Dial("tcp", s.Listener.Addr().String())
+			g.Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			_, err = fmt.Fprint(conn, "POST /book/1 HTTP/1.1\r\nHost: h\r\nId: r-1\r\nKey: k\r\n"+head)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(conn.SetReadDeadline(time.Now().Add(1500 * time.Millisecond))).To(Succeed())
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
+			g.Expect(h.served).To(BeEmpty())
+		})
+	}
+}
+
+// The connection stays usable, and its next request has its own time.
+func TestABodysDeadlineEndsWithTheBody(t *testing.T) {
+	g := NewWithT(t)
+	h := newTestHandler()
+	s := httptest.NewServer(h.handler)
+	defer s.Close()
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	answers := bufio.NewReader(conn)
+	for range 2 {
+		_, err = fmt.Fprint(conn, "POST /book/1 HTTP/1.1\r\nHost: h\r\nId: r-1\r\nKey: k\r\nLeft: 100ms\r\nContent-Length: 1\r\n\r\nx")
+		g.Expect(err).NotTo(HaveOccurred())
+		res, err := http.ReadResponse(answers, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(res.StatusCode).To(Equal(http.StatusOK))
+		time.Sleep(200 * time.Millisecond)
+	}
+}
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -175,18 +176,27 @@
 	return size
 }
 
-// readBody reads the complete body, since a request may be sent more than once. It
-// returns 0, or the status that rejects the request.
+// readBody reads the complete body, since a request may be sent more than once, until the
+// request's deadline. It returns 0, or the status that rejects the request.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, table *routes.Table, req *server.Request) int {
 	limit := table.Limits.MaxBody
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
+	if r.ContentLength != 0 {
+		connection := http.NewResponseController(w)
+		_ = connection.SetReadDeadline(req.Deadline)
+		defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return http.StatusRequestEntityTooLarge
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		h.cfg.Log.WithField("id", req.ID).WithField("bytes", len(body)).Info("request rejected: body did not arrive in time")
+		return http.StatusRequestTimeout
+	}
 	if err != nil {
 		return http.StatusBadRequest
 	}
