edge: after the lame duck a stopping router accepts no stream that may be cut

Callers on connections that were kept while a stream of before the stop signal ran could send the next stream seconds after it. It was accepted if its estimated time fitted, and cut at the end of the drain if the engine was slower than the estimate, though another router was open.

Cause: FitsGeneration is an estimate of engines of typical speed without a queue. Until the end of the lame duck, callers can't know better; after it, a refusal costs them nothing but a connection.

After the lame duck, its deadline decides, as for calls, so that no accepted stream can be left at the end.

--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -38,14 +38,16 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// accepts reports whether a request can end before this process does.
+// accepts reports whether a request can end before this process does. The time that a
+// stream takes is an estimate, so after the lame duck its deadline counts.
 func (e *Edge) accepts(req *server.Request, now time.Time) bool {
 	stoppingSince := e.stoppingAt.Load()
 	if stoppingSince == 0 {
 		return true
 	}
-	left := time.Unix(0, stoppingSince).Add(e.cfg.Grace - killMargin).Sub(now)
-	if req.Route.Kind == routes.Streaming {
+	stoppingAt := time.Unix(0, stoppingSince)
+	left := stoppingAt.Add(e.cfg.Grace - killMargin).Sub(now)
+	if req.Route.Kind == routes.Streaming && now.Before(stoppingAt.Add(lameDuck)) {
 		return drain.FitsGeneration(left, req.PromptTokens, req.MaxOutputTokens)
 	}
 	return drain.FitsCall(left, req.Deadline.Sub(now))
--- a/internal/router/edge/drain_test.go
+++ b/internal/router/edge/drain_test.go
@@ -13,6 +13,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/config/routes"
 )
 
 // slowListener accepts connections on which each read and write takes a while, as on a host
@@ -147,3 +150,17 @@
 	g.Expect(<-status).To(Equal(http.StatusGatewayTimeout))
 	g.Expect(logged(hook, "connection ended while its request was served")).To(BeEmpty())
 }
+
+func TestAStreamThatMayBeCutIsNotAcceptedAfterTheLameDuck(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := newCallerSide(nil)
+	start := time.Now()
+	e.stoppingAt.Store(start.UnixNano())
+	stream := func(now time.Time, timeout time.Duration) *server.Request {
+		return &server.Request{Route: &routes.Route{Kind: routes.Streaming}, PromptTokens: 100, MaxOutputTokens: 50, Deadline: now.Add(timeout)}
+	}
+	before, after := start.Add(lameDuck-time.Millisecond), start.Add(lameDuck)
+	g.Expect(e.accepts(stream(before, 25*time.Second), before)).To(BeTrue())
+	g.Expect(e.accepts(stream(after, 25*time.Second), after)).To(BeFalse())
+	g.Expect(e.accepts(stream(after, 4*time.Second), after)).To(BeTrue())
+}
