front: a stopping router accepts a request by the time when its body is there

Callers whose body took a while while the router drained could be cut at its end: whether their request fits the rest of the grace time was decided with the time at which its head was read.

Evidence: TestARequestIsAcceptedByTheTimeWhenItsBodyIsThere failed before: the decision got a time 500 ms before the end of the body. Now it gets the time at which it is made.

--- a/internal/caller/front/body_test.go
+++ b/internal/caller/front/body_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -55,3 +57,24 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 }
+
+func TestARequestIsAcceptedByTheTimeWhenItsBodyIsThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newTestHandler()
+		r := httptest.NewRequest(http.MethodPost, "http://h/book/1", &slowBody{delay: 500 * time.Millisecond})
+		r.Header.Set("Id", "r-1")
+		r.Header.Set("Key", "k")
+		start := time.Now()
+		h.handler.ServeHTTP(httptest.NewRecorder(), r)
+		g.Expect(h.acceptedAt.Sub(start)).To(Equal(500 * time.Millisecond))
+	})
+}
+
+// slowBody is an empty body whose end arrives after a while.
+type slowBody struct{ delay time.Duration }
+
+func (b *slowBody) Read([]byte) (int, error) {
+	time.Sleep(b.delay)
+	return 0, io.EOF
+}
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -97,7 +97,7 @@
 	if service == nil {
 		service = &routes.Service{Name: req.Service}
 	}
-	if !h.cfg.Accepts(req, now) {
+	if !h.cfg.Accepts(req, time.Now()) {
 		h.cfg.Log.WithField("id", req.ID).Info("request refused: router is stopping")
 		w.Header().Set("Retry-After", stoppingRetryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/caller/front/handler_test.go
+++ b/internal/caller/front/handler_test.go
@@ -56,6 +56,7 @@
 	served       []string
 	nonStreaming *recordingServer
 	stopping     bool
+	acceptedAt   time.Time
 	draining     routes.Kind // kind of requests that are no longer accepted
 }
 
@@ -78,7 +79,10 @@
 	h.handler = front.New(front.Config{
 		Protocol: fakeProtocol{}, Table: func() *routes.Table { return h.table },
 		Streaming: &recordingServer{name: "stream", served: &h.served}, NonStreaming: h.nonStreaming, RetryBudget: noRetryBudget{},
-		Accepts:  func(req *server.Request, _ time.Time) bool { return h.draining == "" || req.Route.Kind != h.draining },
+		Accepts: func(req *server.Request, now time.Time) bool {
+			h.acceptedAt = now
+			return h.draining == "" || req.Route.Kind != h.draining
+		},
 		Stopping: func() bool { return h.stopping }, Log: log.WithField("part", "front"),
 	})
 	return h
