relay: a retry that the budget denies is logged again

What operators saw: 'stream abandoned' without the line 'retry budget exhausted' that tells why.

Two readings of the real clock differ; only the tests' clock stands still.

Evidence: TestARetryThatTheBudgetDeniesIsLogged, by the real clock, failed before: no line. The first denial is now found by counting.

--- a/internal/router/relay/harness_test.go
+++ b/internal/router/relay/harness_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
@@ -46,6 +47,7 @@
 	sessions sessionTable
 	limits   *ratelimit.Limiter
 	budget   *fakeBudget
+	hook     *logtest.Hook
 	service  routes.Service
 	route    routes.Route
 
@@ -65,6 +67,7 @@
 	h.setServers(nil)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	h.hook = logtest.NewLocal(log)
 	h.limits = ratelimit.New(decision.Config{Self: "router", Peers: func(time.Time) []string { return nil }, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
 	h.relay = relay.New(relay.Config{
 		Servers: h.servers, Client: h.engines, RetryBudget: h.budget, Links: link.New(), Domain: "a", Sessions: h.sessions, OnUnresponsive: func() {},
--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -23,12 +23,12 @@
 		return true
 	}
 	start := time.Now()
-	for {
+	for denied := 0; ; denied++ {
 		now := time.Now()
 		if s.relay.cfg.RetryBudget.Allow(s.service.Name, now) {
 			return true
 		}
-		if now.Equal(start) {
+		if denied == 0 {
 			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).WithField("begun", s.headersSent).Info("retry budget exhausted")
 		}
 		if !s.headersSent || now.Sub(start) >= maxRetryBudgetWait || !loop.Sleep(ctx, retryBudgetInterval) {
--- a/internal/router/relay/silence_test.go
+++ b/internal/router/relay/silence_test.go
@@ -176,3 +176,18 @@
 		h.Expect(h.engines.sentTo()).To(HaveLen(1))
 	})
 }
+
+// It runs by the real clock, whose readings differ.
+func TestARetryThatTheBudgetDeniesIsLogged(t *testing.T) {
+	h := newHarness(t)
+	h.setFirstEngine(engineFaults{losesConnection: true})
+	h.budget.exhaustedUntil = time.Now().Add(time.Minute)
+	h.serve(h.newRequest(0))
+	denied := 0
+	for _, entry := range h.hook.AllEntries() {
+		if entry.Message == "retry budget exhausted" {
+			denied++
+		}
+	}
+	h.Expect(denied).To(Equal(1))
+}
