relay: a caller who has all events gets the end of the stream

Callers who came back with the ID of the last event, since their router was lost before the end of the stream, got a 502 after MaxAttempts servers had answered rightly, with a signed 200 without events.

Cause: an answer that ended before the caller had headers counted as lost, since no event had come. That holds for a request from the start, not for one that names its last event. In the middle of a stream the same answer was taken for its end already.

Evidence: TestACallerWhoHasAllEventsGetsTheEndOfTheStream failed before: 502. Where the body ends with its connection, the engine is still probed; an end within an event or a chunk is still a loss.

Ruled out: passing on an empty answer to a request from the start; it stays lost. Not shown: that the users' servers answer so.

--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -217,14 +217,7 @@
 			return result{outcome: lost, reason: "event missing"}, false
 		}
 	}
-	if !s.headersSent {
-		for name, values := range answer.Header {
-			s.w.Header()[name] = values
-		}
-		s.w.WriteHeader(http.StatusOK)
-		s.headersSent = true
-		s.contentType = mediaType(answer)
-	}
+	s.sendHeaders(answer)
 	if _, err := s.w.Write(event.Raw); err != nil {
 		return result{outcome: lost, reason: "caller left", callerDisconnected: true}, false
 	}
@@ -260,11 +253,12 @@
 	switch {
 	case errors.Is(err, server.ErrNotSent):
 		return result{outcome: notSent, reason: err.Error(), unanswered: errors.Is(err, server.ErrConnectTimeout)}
-	case err != io.EOF || answer == nil || !s.headersSent:
+	case err != io.EOF || answer == nil || !s.headersSent && s.req.LastEventID == 0:
 		return result{outcome: lost, reason: err.Error(), backup: backup}
 	case answer.CloseDelimited && s.service.Engine != nil && !s.relay.answersProbes(ctx, target):
 		return result{outcome: lost, reason: "engine closed the connection and is gone", backup: backup}
 	default:
+		s.sendHeaders(answer) // a caller who has all events gets none
 		return result{outcome: finished}
 	}
 }
--- a/internal/router/relay/relay_test.go
+++ b/internal/router/relay/relay_test.go
@@ -258,3 +258,15 @@
 		})
 	}
 }
+
+func TestACallerWhoHasAllEventsGetsTheEndOfTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		res, cut := h.serve(h.newRequest(20))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Code).To(Equal(http.StatusOK))
+		h.Expect(res.Body.String()).To(BeEmpty())
+		h.Expect(res.Header()).To(HaveKey("Seal"))
+		h.Expect(h.engines.sentTo()).To(HaveLen(1))
+	})
+}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -220,6 +220,19 @@
 // resumable reports whether another attempt could continue the stream.
 func (s *stream) resumable() bool { return !s.unresumable && s.req.Route.Retryable() }
 
+// sendHeaders sends the headers of the first answer that is passed on.
+func (s *stream) sendHeaders(answer *server.Answer) {
+	if s.headersSent {
+		return
+	}
+	for name, values := range answer.Header {
+		s.w.Header()[name] = values
+	}
+	s.w.WriteHeader(http.StatusOK)
+	s.headersSent = true
+	s.contentType = mediaType(answer)
+}
+
 // refuse answers 503, which tells the caller that no server executed the request. If
 // one may have, it answers 502.
 func (s *stream) refuse(reason string) {
