forward: a retry that no server can get takes nothing from the retry budget

Callers whose request was lost at one server were answered 502, or a server's error, although the budget had not been used: hedges and retries of requests for which no other server was left had taken it, and nothing had been sent.

Cause: the budget was asked before a server was chosen, and what it gave was not given back.

Evidence: TestARetryThatNoServerCanGetTakesNothingFromTheBudget (a hedge, a retry after an error and one after a rejection, with a single server) failed before: one retry was taken each time. The budget is now asked only if there is a server that may get the request. The server itself is still chosen afterwards, so that a denied retry takes no part of a server's limit.

--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -119,9 +119,14 @@
 	}
 }
 
-// spendRetry takes a retry or a hedge from the retry budget, and reports whether the
-// budget allowed it.
+// spendRetry takes a retry or a hedge from the retry budget if a server could get it, and
+// reports whether the budget allowed it.
 func (c *call) spendRetry() bool {
+	entries, retryAt := c.f.candidates(c.service.Name, c.excluded)
+	if len(entries) == 0 {
+		c.retryAt = retryAt
+		return false
+	}
 	if _, quarantined := c.f.cfg.Quarantine.Refuses(c.req); quarantined {
 		return false
 	}
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -112,12 +112,10 @@
 	c.writeAnswer(w, ctx)
 }
 
-// choose picks a server that is neither leaving nor excluded and may get a request, or nil.
+// candidates returns the servers that are neither leaving nor excluded and may get a request.
 // If only limits are in the way, it returns when the first of them allows a request.
-func (f *Forwarder) choose(service string, excluded map[server.Key]bool) (chosen *registry.Entry, retryAt time.Time) {
+func (f *Forwarder) candidates(service string, excluded map[server.Key]bool) (entries []*registry.Entry, retryAt time.Time) {
 	now := time.Now()
-	var entries []*registry.Entry
-	var candidates []balance.Service
 	for _, e := range f.cfg.Servers.Service(service) {
 		if e.Leaving || excluded[e.Key()] {
 			continue
@@ -126,8 +124,18 @@
 			retryAt = earlier(retryAt, next)
 			continue
 		}
-		st := e.Load.State(now)
 		entries = append(entries, e)
+	}
+	return entries, retryAt
+}
+
+// choose picks one of the candidates, or nil if there is none.
+func (f *Forwarder) choose(service string, excluded map[server.Key]bool) (chosen *registry.Entry, retryAt time.Time) {
+	entries, retryAt := f.candidates(service, excluded)
+	now := time.Now()
+	var candidates []balance.Service
+	for _, e := range entries {
+		st := e.Load.State(now)
 		candidates = append(candidates, balance.Service{
 			InFlight: st.InFlight, Slots: e.Slots, Latency: st.Latency, ErrorRate: st.ErrorRate, Down: st.Down, Full: st.Full,
 			OtherDomain: e.Domain != f.cfg.Domain, StallRate: f.cfg.Links.StallRate(e.Domain, now),
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -32,6 +32,9 @@
 	responses map[string]func(ctx context.Context) (*server.Answer, error)
 	sentTo    []string
 	executed  int
+	budget    interface {
+		Allow(service string, now time.Time) bool
+	} // fixedBudget(true) if nil
 }
 
 func (s *fakeService) Send(ctx context.Context, dispatch server.Dispatch) (*server.Answer, error) {
@@ -113,7 +116,10 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	limits := ratelimit.New(decision.Config{Self: "router", Peers: func(time.Time) []string { return nil }, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
-	f := forward.New(forward.Config{Servers: servers, Client: s, RetryBudget: fixedBudget(true), Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")), Limits: limits, Links: link.New(), Log: log.WithField("part", "plain")})
+	if s.budget == nil {
+		s.budget = fixedBudget(true)
+	}
+	f := forward.New(forward.Config{Servers: servers, Client: s, RetryBudget: s.budget, Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")), Limits: limits, Links: link.New(), Log: log.WithField("part", "plain")})
 	sessions := 0
 	return func(kind routes.Kind, attempts int, part string) *httptest.ResponseRecorder {
 		res := httptest.NewRecorder()
--- /dev/null
+++ b/internal/router/forward/hedge_test.go
@@ -0,0 +1,52 @@
+package forward_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/config/routes"
+)
+
+// countingBudget is a retry budget that counts what it gives.
+type countingBudget struct {
+	exhaustedUntil time.Time
+	given          int
+}
+
+func (b *countingBudget) Allow(_ string, now time.Time) bool {
+	if now.Before(b.exhaustedUntil) {
+		return false
+	}
+	b.given++
+	return true
+}
+
+func TestARetryThatNoServerCanGetTakesNothingFromTheBudget(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind     routes.Kind
+		response func(s *fakeService) func(context.Context) (*server.Answer, error)
+	}{
+		"hedge": {routes.Idempotent, func(s *fakeService) func(context.Context) (*server.Answer, error) {
+			return s.respond(200, 90*time.Millisecond)
+		}},
+		"retry of an idempotent":  {routes.Idempotent, func(s *fakeService) func(context.Context) (*server.Answer, error) { return s.respond(500, 0) }},
+		"retry after a rejection": {routes.NonIdempotent, func(*fakeService) func(context.Context) (*server.Answer, error) { return refuse }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				budget := &countingBudget{}
+				s := &fakeService{budget: budget}
+				s.responses = map[string]func(context.Context) (*server.Answer, error){"i-0": c.response(s)}
+				newForwarder(s, 1)(c.kind, 2, "")
+				g.Expect(s.sentTo).To(HaveLen(1))
+				g.Expect(budget.given).To(BeZero())
+			})
+		})
+	}
+}
