relay: a retry that could not be sent stays the stream's

Callers saw a stream cut after 1.8 s without a retry although another engine could be reached: each attempt whose connection was refused or timed out took a retry from the budget, though nothing arrives at a service by it. Where a failure domain is lost, that uses up the part of a router in vain, for its other streams too.

Cause: the budget is asked before an attempt, and an attempt that was not sent gave nothing back.

Evidence: TestARetryThatCouldNotBeSentIsNotTakenFromTheBudgetAgain (the first resume can't connect, the budget has one retry) failed before: the stream was cut. The stream now keeps that retry for its next attempt.

--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -24,6 +24,7 @@
 	backups       map[string]bool         // by address/attempt ID
 	cachedPrompts map[string]string       // sessions by address
 	dispatches    []server.Dispatch
+	unreachable   int    // so many resumes can't be sent
 	deadlyPart    string // a part of prompts that crashes every engine after its header
 
 	probes      int                  // reports that were requested
@@ -58,11 +59,17 @@
 	e.dispatches = append(e.dispatches, d)
 	f := e.faults[d.Server.ID]
 	backupKnown := d.RestoreFrom == nil || e.backups[d.RestoreFrom.Address+"/"+d.RestoreFrom.ID]
+	unreachable := d.LastEventID > d.Request.LastEventID && e.unreachable > 0
+	if unreachable {
+		e.unreachable--
+	}
 	if d.BackupServer != nil {
 		e.backups[d.BackupServer.Address+"/"+d.Request.ID] = true
 	}
 	e.mu.Unlock()
 	switch {
+	case unreachable:
+		return nil, fmt.Errorf("dial: %w", server.ErrNotSent)
 	case e.deadlyPart != "" && slices.Contains(d.Request.SharedPartIDs(), e.deadlyPart):
 		body := iotest.ErrReader(io.ErrUnexpectedEOF)
 		return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: io.NopCloser(body)}, nil
--- a/internal/router/relay/harness_test.go
+++ b/internal/router/relay/harness_test.go
@@ -33,10 +33,20 @@
 	return t.Get(session, time.Now())
 }
 
-// fakeBudget is a retry budget that is exhausted until a time.
-type fakeBudget struct{ exhaustedUntil time.Time }
+// fakeBudget is a retry budget that is exhausted until a time. It counts what it gives and,
+// unless most is 0, gives no more than that.
+type fakeBudget struct {
+	exhaustedUntil time.Time
+	given, most    int
+}
 
-func (b *fakeBudget) Allow(_ string, now time.Time) bool { return !now.Before(b.exhaustedUntil) }
+func (b *fakeBudget) Allow(_ string, now time.Time) bool {
+	if now.Before(b.exhaustedUntil) || b.most > 0 && b.given >= b.most {
+		return false
+	}
+	b.given++
+	return true
+}
 
 // harness is a relay with three fake engines.
 type harness struct {
--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -15,11 +15,12 @@
 	maxRetryBudgetWait = 1800 * time.Millisecond
 )
 
-// takeRetry reports whether another attempt is within the retry budget. A reserved retry is.
+// takeRetry reports whether another attempt is within the retry budget. A reserved
+// retry is, and one that an attempt took that was not sent.
 // A stream that has begun waits for the budget, which is replenished all the time.
 func (s *stream) takeRetry(ctx context.Context) bool {
-	if s.retryReserved {
-		s.retryReserved = false
+	if s.retryReserved || s.retryUnused {
+		s.retryReserved, s.retryUnused = false, false
 		return true
 	}
 	start := time.Now()
--- /dev/null
+++ b/internal/router/relay/retry_test.go
@@ -0,0 +1,22 @@
+package relay_test
+
+import (
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestARetryThatCouldNotBeSentIsNotTakenFromTheBudgetAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{breakAfter: 7})
+		h.service.Engine.SupportsBackups = false
+		h.engines.unreachable = 1
+		h.budget.most = 1
+		res, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+		h.Expect(h.engines.sentTo()).To(HaveLen(3))
+	})
+}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -32,6 +32,7 @@
 	lostDomain          string              // failure domain of the last lost engine
 	choice              choice              // of the last attempt; empty if a backup or a cached prompt decided
 	retryReserved       bool                // the next attempt is within the retry budget
+	retryUnused         bool                // the last attempt took a retry from the budget and was not sent
 	releaseBackupTokens func()              // ends the reservation at the backup's engine; may be nil
 
 	lastEventAt     time.Time     // when the caller got the last event
@@ -68,7 +69,9 @@
 			return
 		}
 		result := s.runAttempt(ctx, target, restoreFrom)
-		if result.outcome != notSent {
+		if result.outcome == notSent {
+			s.retryUnused = s.delivered > 0
+		} else {
 			s.delivered++
 		}
 		s.recordResult(target, restoreFrom, result)
