forward: a retry that could not be sent stays the request's

Callers were answered 502 or a server's error without a retry, though the budget had not been used: each connection that was refused or timed out took a retry from it, though nothing arrives at a service by it.

Evidence: TestARetryThatCouldNotBeSentIsNotTakenFromTheBudgetAgain (one lost or rejected attempt, two servers that can't be reached) failed before: two retries were taken. A retry that was not sent is now used by the next attempt of the same request. Whether its prompt is in quarantine is still asked before each attempt.

--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -22,6 +22,7 @@
 	executed  int    // attempts that a server may have executed
 	delivered int    // attempts that may have reached a server
 	refusals  int    // attempts that no server executed
+	unused    int    // retries within the budget that were not sent
 	best      result // the best result so far
 	attempted bool
 	retryAt   time.Time // when a refused request may be sent again; zero for soon
@@ -58,6 +59,8 @@
 	c.attempted = true
 	if !errors.Is(r.err, server.ErrNotSent) {
 		c.delivered++
+	} else if r.retry {
+		c.unused++
 	}
 	if r.notExecuted || errors.Is(r.err, server.ErrNotSent) {
 		c.refusals++
@@ -130,6 +133,10 @@
 	if _, quarantined := c.f.cfg.Quarantine.Refuses(c.req); quarantined {
 		return false
 	}
+	if c.unused > 0 {
+		c.unused--
+		return true
+	}
 	if !c.f.cfg.RetryBudget.Allow(c.service.Name, time.Now()) {
 		return false
 	}
--- a/internal/router/forward/hedge_test.go
+++ b/internal/router/forward/hedge_test.go
@@ -50,3 +50,25 @@
 		})
 	}
 }
+
+func TestARetryThatCouldNotBeSentIsNotTakenFromTheBudgetAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind  routes.Kind
+		first func(s *fakeService) func(context.Context) (*server.Answer, error)
+	}{
+		"idempotent":     {routes.Idempotent, func(s *fakeService) func(context.Context) (*server.Answer, error) { return s.loseAnswer }},
+		"non-idempotent": {routes.NonIdempotent, func(*fakeService) func(context.Context) (*server.Answer, error) { return refuse }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				budget := &countingBudget{}
+				s := &fakeService{budget: budget}
+				s.responses = map[string]func(context.Context) (*server.Answer, error){"i-0": c.first(s), "i-1": unreachable, "i-2": unreachable}
+				newForwarder(s, 3)(c.kind, 3, "")
+				g.Expect(s.sentTo).To(ConsistOf("i-0", "i-1", "i-2"))
+				g.Expect(budget.given).To(BeNumerically("<=", 1))
+			})
+		})
+	}
+}
