edge: a cut answer without chunks does not look complete

Callers that speak HTTP/1.0 took a stream that the router cut for a complete one: its answer ends with its connection, which was closed regularly.

Evidence: TestACutAnswerWithoutChunksDoesNotLookComplete failed before: the caller read the end of the answer without an error. Such a connection is now reset. Answers of HTTP/1.1 are sent in chunks or with a length, also with Connection: close, so their end is told from a cut.

--- a/internal/router/edge/connections.go
+++ b/internal/router/edge/connections.go
@@ -145,6 +145,18 @@
 	}
 }
 
+// resetOnClose makes the connection of a request end with a reset, so that an answer that
+// ends with its connection, as for HTTP/1.0, does not look complete.
+func resetOnClose(r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*callerConn)
+	if !ok || r.ProtoAtLeast(1, 1) {
+		return
+	}
+	if conn, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = conn.SetLinger(0)
+	}
+}
+
 // stateChanged is the ConnState hook of the callers' server.
 func (cs *connections) stateChanged(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
--- a/internal/router/edge/observe.go
+++ b/internal/router/edge/observe.go
@@ -53,6 +53,7 @@
 				log.Info("answer cut")
 			}
 			if p != nil {
+				resetOnClose(r)
 				panic(http.ErrAbortHandler) // cuts the connection, so that the answer does not look complete
 			}
 		}()
--- a/internal/router/edge/observe_test.go
+++ b/internal/router/edge/observe_test.go
@@ -124,3 +124,19 @@
 	g.Eventually(func() []logrus.Fields { return logged(hook, "connection ended while its request was served") }).
 		Should(ConsistOf(HaveKeyWithValue("id", "r-2")))
 }
+
+func TestACutAnswerWithoutChunksDoesNotLookComplete(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := newCallerSide(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "id: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	conn, err := net.Dial("tcp", e.listen(g, t))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = fmt.Fprint(conn, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadAll(conn)
+	g.Expect(err).To(HaveOccurred())
+}
