edge: a connection that can't be accepted does not end the router

Callers of a router would have been cut, all at once, by a single failure of accept: net/http tries again only after EMFILE and ENFILE. Linux also reports a lack of memory for a socket (ENOBUFS, ENOMEM) and pending errors of the network there. Any of them ended Serve, and with it the process.

Evidence: TestAFailureToAcceptAConnectionDoesNotEndTheRouter (ENOBUFS three times) failed before: the next caller's connection was refused. All errors but the end of the listener are now temporary, for callers, peers and checks alike; net/http waits 5 ms to 1 s between two tries.

--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -251,7 +251,7 @@
 }
 
 func serve(s *http.Server, ln net.Listener) error {
-	if err := s.Serve(ln); err != http.ErrServerClosed {
+	if err := s.Serve(persistentListener{ln}); err != http.ErrServerClosed {
 		return fmt.Errorf("serve %s: %w", ln.Addr(), err)
 	}
 	return nil
