--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -26,6 +27,8 @@
 	noConfigRetryDivisor  = 3
 	minNoConfigRetryDelay = 100 * time.Millisecond
 	maxNoConfigRetryDelay = 2500 * time.Millisecond
+	// discardTimeout bounds the wait for the body of a request that is refused.
+	discardTimeout = time.Second
 	// stoppingRetryAfter, in seconds, lets the caller retry at another router at
 	// once.
 	stoppingRetryAfter = "0.01"
@@ -99,7 +102,7 @@
 	if service == nil {
 		service = &routes.Service{Name: req.Service}
 	}
-	if !h.cfg.Accepts(req, now) {
+	if !h.cfg.Accepts(req, time.Now()) {
 		h.cfg.Log.WithField("id", req.ID).Info("request refused: router is stopping")
 		w.Header().Set("Retry-After", stoppingRetryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -187,23 +190,42 @@
 	return defaultMaxBody
 }
 
+// limitReading bounds the reading of a request's body, which is not complete yet, until the
+// returned function is called.
+func limitReading(w http.ResponseWriter, r *http.Request, deadline time.Time) (end func()) {
+	if r.ContentLength == 0 {
+		return func() {}
+	}
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(deadline)
+	return func() { _ = connection.SetReadDeadline(time.Time{}) }
+}
+
 // discardBody reads the body of a request that is refused. net/http reads only a part of
 // it and then resets the connection, and a caller who is still sending loses the answer.
 func discardBody(w http.ResponseWriter, r *http.Request, limit int64) {
 	if r.Header.Get("Expect") != "" {
 		return // the caller sends the body only if it is asked to
 	}
-	_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, limit))
+	defer limitReading(w, r, time.Now().Add(discardTimeout))()
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, limit)); err != nil {
+		w.Header().Set("Connection", "close")
+	}
 }
 
-// readBody reads the complete body, since a request may be sent more than once. It
-// returns 0, or the status that rejects the request.
+// readBody reads the complete body, since a request may be sent more than once, until the
+// request's deadline. It returns 0, or the status that rejects the request.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, table *routes.Table, req *server.Request) int {
+	defer limitReading(w, r, req.Deadline)()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(table)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return http.StatusRequestEntityTooLarge
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		h.cfg.Log.WithField("id", req.ID).WithField("bytes", len(body)).Info("request rejected: body did not arrive in time")
+		return http.StatusRequestTimeout
+	}
 	if err != nil {
 		return http.StatusBadRequest
 	}
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -22,6 +22,7 @@
 	executed  int    // attempts that a server may have executed
 	delivered int    // attempts that may have reached a server
 	refusals  int    // attempts that no server executed
+	unused    int    // retries within the budget that were not sent
 	best      result // the best result so far
 	attempted bool
 	blocked   time.Time // until when the request's prompt is blocked; zero if it is not
@@ -56,6 +57,8 @@
 	c.attempted = true
 	if !errors.Is(r.err, server.ErrNotSent) {
 		c.delivered++
+	} else if r.retry {
+		c.unused++
 	}
 	if r.notExecuted || errors.Is(r.err, server.ErrNotSent) {
 		c.refusals++
@@ -117,12 +120,19 @@
 	}
 }
 
-// spendRetry takes a retry or a hedge from the retry budget, and reports whether the
-// budget allowed it.
+// spendRetry takes a retry or a hedge from the retry budget if a server could get it, and
+// reports whether the budget allowed it.
 func (c *call) spendRetry() bool {
+	if len(c.f.candidates(c.service.Name, c.excluded)) == 0 {
+		return false
+	}
 	if _, quarantined := c.f.cfg.Quarantine.Refuses(c.req); quarantined {
 		return false
 	}
+	if c.unused > 0 {
+		c.unused--
+		return true
+	}
 	if !c.f.cfg.RetryBudget.Allow(c.service.Name, time.Now()) {
 		return false
 	}
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -78,6 +78,7 @@
 // result is the result of one attempt.
 type result struct {
 	server      *registry.Entry
+	retry       bool // within the retry budget
 	status      int
 	header      http.Header
 	body        []byte
@@ -112,11 +113,10 @@
 	c.writeAnswer(w, ctx)
 }
 
-// choose picks a server that is neither leaving nor excluded and may get a request, or nil.
-func (f *Forwarder) choose(service string, excluded map[server.Key]bool) *registry.Entry {
-	now := time.Now()
+// candidates returns the servers that are neither leaving nor excluded and may get a request.
+func (f *Forwarder) candidates(service string, excluded map[server.Key]bool) []*registry.Entry {
 	var entries []*registry.Entry
-	var candidates []balance.Service
+	now := time.Now()
 	for _, e := range f.cfg.Servers.Service(service) {
 		if e.Leaving || excluded[e.Key()] {
 			continue
@@ -124,8 +124,18 @@
 		if next := f.cfg.Limits.NextAt(&e.Server, now); next.IsZero() || next.After(now) {
 			continue
 		}
-		st := e.Load.State(now)
 		entries = append(entries, e)
+	}
+	return entries
+}
+
+// choose picks one of the candidates, or nil if there is none.
+func (f *Forwarder) choose(service string, excluded map[server.Key]bool) *registry.Entry {
+	entries := f.candidates(service, excluded)
+	now := time.Now()
+	var candidates []balance.Service
+	for _, e := range entries {
+		st := e.Load.State(now)
 		candidates = append(candidates, balance.Service{
 			InFlight: st.InFlight, Slots: e.Slots, Latency: st.Latency, ErrorRate: st.ErrorRate, Down: st.Down, Full: st.Full,
 			OtherDomain: e.Domain != f.cfg.Domain, StallRate: f.cfg.Links.StallRate(e.Domain, now),
@@ -164,6 +174,7 @@
 	load := e.Load.State(startedAt)
 	e.Load.BeginRequest()
 	r := f.exchange(ctx, req, e)
+	r.retry = retry
 	latency := time.Since(startedAt)
 	if r.err != nil && ctx.Err() == nil && errors.Is(r.err, server.ErrNotSent) {
 		f.recordUnreachable(e, errors.Is(r.err, server.ErrConnectTimeout))
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -24,6 +24,7 @@
 	backups       map[string]bool         // by address/attempt ID
 	cachedPrompts map[string]string       // sessions by address
 	dispatches    []server.Dispatch
+	unreachable   int    // so many resumes can't be sent
 	deadlyPart    string // a part of prompts that crashes every engine after its header
 
 	probes      int                  // reports that were requested
@@ -48,6 +49,7 @@
 	limit           float64 // that it names in its answers; 0 for none
 	pauseAfter      int     // after this many events of an attempt, neither events nor replies for the pause
 	pause           time.Duration
+	silentBetween   time.Duration // sends an event with an ID, one without, nothing for so long, and one with an ID
 	hangsAfter      int           // sends no more events after this many, but answers probes
 	lostAttempt     bool          // does not have the attempt and sends nothing, but answers probes
 	leaving         bool          // says so in its answers
@@ -59,11 +61,17 @@
 	e.dispatches = append(e.dispatches, d)
 	f := e.faults[d.Server.ID]
 	backupKnown := d.RestoreFrom == nil || e.backups[d.RestoreFrom.Address+"/"+d.RestoreFrom.ID]
+	unreachable := d.LastEventID > d.Request.LastEventID && e.unreachable > 0
+	if unreachable {
+		e.unreachable--
+	}
 	if d.BackupServer != nil {
 		e.backups[d.BackupServer.Address+"/"+d.Request.ID] = true
 	}
 	e.mu.Unlock()
 	switch {
+	case unreachable:
+		return nil, fmt.Errorf("dial: %w", server.ErrNotSent)
 	case e.deadlyPart != "" && slices.Contains(d.Request.SharedPartIDs(), e.deadlyPart):
 		body := iotest.ErrReader(io.ErrUnexpectedEOF)
 		return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: io.NopCloser(body)}, nil
@@ -91,6 +99,8 @@
 	r, w := io.Pipe()
 	if f.drips != "" {
 		go drip(ctx, w, f.drips)
+	} else if f.silentBetween > 0 {
+		go pauseAfterEventWithoutID(ctx, w, f.silentBetween)
 	} else {
 		go e.generate(ctx, w, d, f)
 	}
@@ -112,6 +122,17 @@
 	}
 }
 
+func pauseAfterEventWithoutID(ctx context.Context, w *io.PipeWriter, pause time.Duration) {
+	_, _ = io.WriteString(w, "id: 1\ndata: event 1\n\ndata: no ID\n\n")
+	select {
+	case <-ctx.Done():
+		_ = w.CloseWithError(ctx.Err())
+	case <-time.After(pause):
+		_, _ = io.WriteString(w, "id: 2\ndata: event 2\n\n")
+		_ = w.Close()
+	}
+}
+
 func (e *fakeEngines) generate(ctx context.Context, w *io.PipeWriter, d server.Dispatch, f engineFaults) {
 	for i := d.LastEventID + 1; i <= e.eventCount; i++ {
 		if f.closesAfter > 0 && i > d.LastEventID+f.closesAfter {
--- a/internal/router/relay/harness_test.go
+++ b/internal/router/relay/harness_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
@@ -32,10 +33,20 @@
 	return t.Get(session, time.Now())
 }
 
-// fakeBudget is a retry budget that is exhausted until a time.
-type fakeBudget struct{ exhaustedUntil time.Time }
+// fakeBudget is a retry budget that is exhausted until a time. It counts what it gives and,
+// unless most is 0, gives no more than that.
+type fakeBudget struct {
+	exhaustedUntil time.Time
+	given, most    int
+}
 
-func (b *fakeBudget) Allow(_ string, now time.Time) bool { return !now.Before(b.exhaustedUntil) }
+func (b *fakeBudget) Allow(_ string, now time.Time) bool {
+	if now.Before(b.exhaustedUntil) || b.most > 0 && b.given >= b.most {
+		return false
+	}
+	b.given++
+	return true
+}
 
 // harness is a relay with three fake engines.
 type harness struct {
@@ -46,6 +57,7 @@
 	sessions sessionTable
 	limits   *ratelimit.Limiter
 	budget   *fakeBudget
+	hook     *logtest.Hook
 	service  routes.Service
 	route    routes.Route
 
@@ -65,6 +77,7 @@
 	h.setServers(nil)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	h.hook = logtest.NewLocal(log)
 	h.limits = ratelimit.New(decision.Config{Self: "router", Peers: func(time.Time) []string { return nil }, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
 	h.relay = relay.New(relay.Config{
 		Servers: h.servers, Client: h.engines, RetryBudget: h.budget, Links: link.New(), Domain: "a", Sessions: h.sessions, OnUnresponsive: func() {},
--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -15,20 +15,21 @@
 	maxRetryBudgetWait = 1800 * time.Millisecond
 )
 
-// takeRetry reports whether another attempt is within the retry budget. A reserved retry is.
+// takeRetry reports whether another attempt is within the retry budget. A reserved
+// retry is, and one that an attempt took that was not sent.
 // A stream that has begun waits for the budget, which is replenished all the time.
 func (s *stream) takeRetry(ctx context.Context) bool {
-	if s.retryReserved {
-		s.retryReserved = false
+	if s.retryReserved || s.retryUnused {
+		s.retryReserved, s.retryUnused = false, false
 		return true
 	}
 	start := time.Now()
-	for {
+	for denied := 0; ; denied++ {
 		now := time.Now()
 		if s.relay.cfg.RetryBudget.Allow(s.service.Name, now) {
 			return true
 		}
-		if now.Equal(start) {
+		if denied == 0 {
 			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).WithField("begun", s.headersSent).Info("retry budget exhausted")
 		}
 		if !s.headersSent || now.Sub(start) >= maxRetryBudgetWait || !loop.Sleep(ctx, retryBudgetInterval) {
--- a/internal/router/relay/silence_test.go
+++ b/internal/router/relay/silence_test.go
@@ -1,8 +1,10 @@
 package relay_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -138,3 +140,54 @@
 		})
 	}
 }
+
+func TestASilentEngineIsNotLeftAfterAnEventWithoutAnID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		for i := range 3 {
+			h.engines.faults[fmt.Sprintf("i-%d", i)] = engineFaults{silentBetween: 1600 * time.Millisecond}
+		}
+		res, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal("id: 1\ndata: event 1\n\ndata: no ID\n\nid: 2\ndata: event 2\n\n"))
+		h.Expect(h.engines.sentTo()).To(HaveLen(1))
+	})
+}
+
+// slowCaller takes no bytes for a while after its first event.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	pause time.Duration
+}
+
+func (w *slowCaller) Write(p []byte) (int, error) {
+	n, err := w.ResponseRecorder.Write(p)
+	time.Sleep(w.pause)
+	w.pause = 0
+	return n, err
+}
+
+func TestASlowCallersEngineDoesNotCountAsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		caller := &slowCaller{httptest.NewRecorder(), 2 * time.Second}
+		h.relay.Serve(caller, context.Background(), h.newRequest(0), &h.service)
+		h.Expect(caller.Body.String()).To(Equal(eventText(1, 20)))
+		h.Expect(h.engines.sentTo()).To(HaveLen(1))
+	})
+}
+
+// It runs by the real clock, whose readings differ.
+func TestARetryThatTheBudgetDeniesIsLogged(t *testing.T) {
+	h := newHarness(t)
+	h.setFirstEngine(engineFaults{losesConnection: true})
+	h.budget.exhaustedUntil = time.Now().Add(time.Minute)
+	h.serve(h.newRequest(0))
+	denied := 0
+	for _, entry := range h.hook.AllEntries() {
+		if entry.Message == "retry budget exhausted" {
+			denied++
+		}
+	}
+	h.Expect(denied).To(Equal(1))
+}
