--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -128,6 +128,10 @@
 	RateLimit      float64 // requests a second that the server accepts from all routers together
 	Limited        bool    // the server named a RateLimit
 	CloseDelimited bool    // the body ends where the connection is closed
+	Leaving        bool    // the server drains: it takes no new requests
+	// RetryAt is when a server that turned the request away accepts this router's requests
+	// again; zero if it did not say.
+	RetryAt time.Time
 }
 
 // Unproven reports whether the status would tell a caller that its request was not executed
--- a/internal/trial/edgesoak/faults.go
+++ b/internal/trial/edgesoak/faults.go
@@ -36,6 +36,13 @@
 	return func() { send(heal) }
 }
 
+// orderStore lets the stand-in store make a copy of itself or go back to it.
+func (s *soak) orderStore(order string) {
+	if res, err := probeClient.Post("http://"+s.storeAddress+"/v1/"+order, "", nil); err == nil {
+		_ = res.Body.Close()
+	}
+}
+
 // breakLink injects a random fault into a link and returns a function that ends it.
 func breakLink(l *link.Link, r *rand.Rand) func() {
 	switch r.IntN(4) {
@@ -121,6 +128,16 @@
 		p.Pause()
 		return p.Continue
 	}},
+	{"sound server silent", true, func(s *soak, r *rand.Rand) func() {
+		p := pick(s.backends, r).process()
+		p.Pause()
+		done := make(chan struct{})
+		time.AfterFunc(time.Duration(200+r.IntN(int(maxSilence.Milliseconds())-200))*time.Millisecond, func() {
+			p.Continue()
+			close(done)
+		})
+		return func() { <-done }
+	}},
 	{"server leaves", true, func(s *soak, r *rand.Rand) func() {
 		b := pick(s.backends, r)
 		process := b.process()
@@ -138,11 +155,24 @@
 	{"store loses answers", false, func(s *soak, r *rand.Rand) func() {
 		return s.orderStoreFault(fmt.Sprintf(`{"LoseAnswers":%d}`, 1+r.IntN(5)), `{"LoseAnswers":0}`)
 	}},
+	{"store restored", false, func(s *soak, _ *rand.Rand) func() {
+		s.orderStore("copy")
+		return func() {
+			s.orderStore("restore")
+			// The operator writes again what the store lost, as the servers do.
+			ctx, cancel := context.WithTimeout(context.Background(), disturbanceTimeout)
+			defer cancel()
+			_ = s.ensureConfig(ctx, s.version.Load())
+		}
+	}},
 	{"store's connections silent", false, func(s *soak, _ *rand.Rand) func() {
 		return s.orderStoreFault(`{"Silence":true}`, `{}`)
 	}},
 }
 
+// maxSilence is how long a sound server may be silent.
+const maxSilence = 1200 * time.Millisecond
+
 // In the last plannedOnlyPeriod of each faultCycle only planned faults are injected, so
 // that time limits can be checked.
 const (
