--- a/internal/router/discovery/list.go
+++ b/internal/router/discovery/list.go
@@ -150,7 +150,6 @@
 		f.removeServer(v.Key, time.Now())
 		return
 	}
-	had := f.raw[v.Key]
 	f.raw[v.Key] = v
 	delete(f.keptUntil, v.Key)
 	s, err := f.cfg.DecodeServer(v.Key, v.Body)
@@ -159,11 +158,6 @@
 		delete(f.entries, v.Key)
 		return
 	}
-	// A restored store may have lost that the server leaves.
-	isNewer := v.Era == had.Era && had.Revision < v.Revision
-	if old, ok := f.entries[v.Key]; ok && old.Leaving && old.Key() == s.Key() && !isNewer {
-		s.Leaving = true
-	}
 	f.entries[v.Key] = s
 }
 
--- a/internal/router/discovery/restored_test.go
+++ b/internal/router/discovery/restored_test.go
@@ -234,46 +234,6 @@
 	})
 }
 
-// Routers once sent requests to a leaving server until it wrote its state again.
-func TestALeavingServerGetsNoWorkAgainBecauseTheStoreLostThatItLeaves(t *testing.T) {
-	runFollower(t, func(f *fixture) {
-		f.store.copy()
-		f.store.put("servers/a", "leaving")
-		time.Sleep(maxChangeTime)
-		f.Expect(f.activeServers()).To(ConsistOf("b"))
-		f.store.restore()
-		f.store.put("servers/c", "ready")
-		time.Sleep(maxChangeTime)
-		f.Expect(f.activeServers()).To(ConsistOf("b", "c"))
-		f.store.restore()
-		time.Sleep(maxChangeTime)
-		f.Expect(f.activeServers()).NotTo(ContainElement("a"), "after a second restore")
-		f.store.put("servers/a", "ready")
-		time.Sleep(maxChangeTime)
-		f.Expect(f.activeServers()).To(ContainElement("a"), "it says otherwise in the new history")
-	})
-}
-
-func TestARouterThatDoesNotReadTheStoreKeepsALeavingServerWithoutWork(t *testing.T) {
-	for _, full := range []bool{true, false} {
-		runFollower(t, func(f *fixture) {
-			f.store.put("servers/a", "leaving")
-			time.Sleep(maxChangeTime)
-			f.decide(storereader.Decision{Role: storereader.Idle})
-			time.Sleep(maxChangeTime)
-			applied := f.follower.Position()
-			restored := storehistory.Position{Era: applied.Era + 1, Revision: applied.Revision - 1}
-			list := discovery.ServerList{At: restored, Full: full, Values: []kv.Value{
-				{Key: "servers/a", Body: []byte("ready"), Era: restored.Era, Revision: restored.Revision},
-				{Key: "servers/b", Body: []byte("ready"), Era: restored.Era, Revision: restored.Revision},
-			}}
-			f.follower.ApplyServerList(applied, list, "peer")
-			f.Expect(f.follower.Position()).To(Equal(restored))
-			f.Expect(f.activeServers()).To(ConsistOf("b"))
-		})
-	}
-}
-
 func TestEntriesLostInARestoreAreKeptAnewWhenTheStoreIsRestoredAgain(t *testing.T) {
 	runFollower(t, func(f *fixture) {
 		f.store.copy()
