edge: a request that was read while idle connections are closed is served

Callers whose request arrived as the idle connections were closed, at the end of the lame duck, got neither an answer nor a refusal, though the router had read the whole request. It was not passed on, but a booking can't be sent again after that.

Cause: the connection was closed by the drain's goroutine, and bytes that a read had got just before were dropped.

An idle connection now ends by its read deadline: a read that has no bytes fails, and net/http closes the connection; one that has them goes on, with the time for a head. What was not read stays unread, so that the caller learns by the reset that it was not.

--- a/internal/router/edge/connections.go
+++ b/internal/router/edge/connections.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -75,15 +74,13 @@
 	mu        sync.Mutex
 	phase     connPhase
 	idleSince time.Time
-	closed    bool // while idle, by closeIdle
+	ending    bool // while idle, by closeIdle
 }
 
-// Read ends the connection if it was closed as idle before the first byte of a request
-// was read, so that no such request is served in part.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.beginReading() {
-		return 0, io.EOF
+	if n > 0 {
+		c.beginReading()
 	}
 	return n, err
 }
@@ -97,32 +94,42 @@
 	return nil
 }
 
-// beginReading records that a byte of a request was read. It reports whether the connection
-// is still in use.
-func (c *callerConn) beginReading() bool {
+// beginReading records that a byte of a request was read. A connection that was about to
+// end as idle goes on.
+func (c *callerConn) beginReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == connIdle {
 		c.phase = connReading
 	}
-	return !c.closed
+	c.goOn(time.Now().Add(headerTimeout))
+}
+
+// goOn replaces the read deadline of a connection that was about to end. The caller holds mu.
+func (c *callerConn) goOn(deadline time.Time) {
+	if c.ending {
+		c.ending = false
+		_ = c.SetReadDeadline(deadline)
+	}
 }
 
 func (c *callerConn) setPhase(phase connPhase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.idleSince = phase, time.Now()
+	c.goOn(time.Time{})
 }
 
-// closeIfIdle closes the connection if no byte of a request was read for minIdle.
+// closeIfIdle lets the connection end if no byte of a request was read for minIdle: the read
+// that waits for one fails, unless it has got it already, and net/http closes the connection.
 func (c *callerConn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != connIdle || now.Sub(c.idleSince) < minIdle {
 		return
 	}
-	c.closed = true
-	_ = c.Close()
+	c.ending = true
+	_ = c.SetReadDeadline(time.Now())
 }
 
 func (c *callerConn) currentPhase() connPhase {
--- a/internal/router/edge/listener_test.go
+++ b/internal/router/edge/listener_test.go
@@ -1,12 +1,16 @@
 package edge
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -39,3 +43,52 @@
 	e.callerConns.stopAccepting()
 	g.Eventually(ended).Should(Receive(BeNil()))
 }
+
+// hookListener accepts connections that call afterRead when bytes of a request were read.
+type hookListener struct {
+	net.Listener
+	afterRead func()
+}
+
+func (l hookListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return hookConn{conn, l.afterRead}, err
+}
+
+type hookConn struct {
+	net.Conn
+	afterRead func()
+}
+
+func (c hookConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.afterRead()
+	}
+	return n, err
+}
+
+func TestARequestThatIsReadWhileIdleConnectionsAreClosedIsServed(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := newCallerSide(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	e.serveOn(hookListener{ln, func() { e.callerConns.closeIdle(time.Now().Add(minIdle)) }}, t)
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	answers := bufio.NewReader(conn)
+	for range 2 {
+		_, err = fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx")
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(20 * time.Millisecond)
+		_, err = fmt.Fprint(conn, "y")
+		g.Expect(err).NotTo(HaveOccurred())
+		res, err := http.ReadResponse(answers, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(io.ReadAll(res.Body)).To(Equal([]byte("xy")))
+	}
+	e.callerConns.closeIdle(time.Now().Add(minIdle))
+	_, err = answers.ReadByte()
+	g.Expect(err).To(Equal(io.EOF))
+}
