e2e: a fleet whose store is restored keeps its bookings and configuration

Real processes: a booking and a change of the configuration are made after the copy, the store is restored, the booking is sent again through all routers, and operators go on.

--- a/internal/trial/fleet/fleet.go
+++ b/internal/trial/fleet/fleet.go
@@ -214,6 +214,20 @@
 	return res.Body.Close()
 }
 
+// PostPlatform sends a request without a body to the platform's stand-in.
+func (f *Fleet) PostPlatform(path string) error {
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.PlatformAddress+path, nil)
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+platformCredential)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("post to platform: %w", err)
+	}
+	return res.Body.Close()
+}
+
 // InjectFault sends a fault order to a stand-in.
 func (f *Fleet) InjectFault(address, order string) error {
 	res, err := http.Post("http://"+address+"/faults", "application/json", strings.NewReader(order))
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -97,6 +97,8 @@
 mutant story-no-heartbeat internal/router/stream/client.go 'silenceTimeout = 500 * time.Millisecond' 'silenceTimeout = time.Hour' "$e2e 'pauses.until'"
 mutant story-no-reattach internal/router/entry/entry.go 'return e.join(req, lastEvent.Generation, sources, &lastEvent)' 'return nil, ErrGone' "$e2e 'crash.of.its.entry,'"
 mutant story-no-claim internal/caller/service/nonidempotent.go 'switch claim.Next(r.found, r.attemptID, req.Digest, mayBeLost) {' 'if runner.deps.Attempts.Dispatch(r.attemptID) { return r.dispatch(ctx) }; switch claim.Next(r.found, r.attemptID, req.Digest, false) {' "$e2e 'many.routers.get.it'"
+mutant story-run-a-lost-booking $d/claim/restore.go 'if m.SeenAt.IsZero() {' 'if true {' "$e2e 'restored.from'"
+mutant story-lose-a-configuration internal/router/node/node.go 'n.configure.RewriteLost, ' '' "$e2e 'restored.from'"
 mutant story-blind-after-lost-answer internal/caller/service/nonidempotent.go 'return r.resolveClaim(ctx)
 }
 
