--- a/internal/caller/front/refusal_test.go
+++ b/internal/caller/front/refusal_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -43,3 +44,20 @@
 		})
 	}
 }
+
+func TestARefusalDoesNotWaitForABodyThatStalls(t *testing.T) {
+	g := NewWithT(t)
+	h := newTestHandler()
+	h.table = nil
+	s := httptest.NewServer(h.handler)
+	defer s.Close()
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = fmt.Fprint(conn, "POST /book/1 HTTP/1.1\r\nHost: h\r\nId: r-1\r\nContent-Length: 400000\r\n\r\nxx")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(conn.SetReadDeadline(time.Now().Add(2 * time.Second))).To(Succeed())
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.StatusCode).To(Equal(http.StatusServiceUnavailable))
+}
