relay: a silent engine is not left for engines that have just refused

Callers saw a begun stream cut although its engine was sound and silent for 1.5 s: the attempt was ended for an engine that was known to be full. That refused, which takes a retry too, and the budget had no second one.

Cause: the question whether another engine could get the stream counted engines that had refused for lack of capacity within fullBackoff, since the choice only makes them dear.

What remains: an engine that is not known to be full may still refuse, and the stream has then left its engine with its only retry.

--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"wisteriafield/internal/backend/registry"
@@ -31,7 +32,8 @@
 }
 
 // otherEngineUsable reports whether another engine than the target could get the stream.
-// Once the stream has begun, the search for one includes engines that failed before.
+// Once the stream has begun, the search for one includes engines that failed before. One
+// that has just refused a request for lack of capacity would use up the retry.
 func (s *stream) otherEngineUsable(target *registry.Entry) bool {
 	excluded := map[server.Key]bool{target.Key(): true}
 	if !s.headersSent {
@@ -40,6 +42,7 @@
 		}
 	}
 	_, candidates := s.relay.candidates(s.service, excluded)
+	candidates = slices.DeleteFunc(candidates, func(c balance.Engine) bool { return c.Full })
 	return balance.PickEngine(candidates, s.req.PromptTokens, s.req.MaxOutputTokens, nil, 0) >= 0
 }
 
