ratelimit: what a limit left unused is there for a burst

Causes: a router could save up one request for each engine, though the limit is an average and most of what quiet seconds left was lost; the burst then went to the few engines without a limit. And a limited engine was preferred over all others for as long as its limit allowed a request, however much it was doing already.

The holders of a limit may now save up half of what it allows in four seconds and four more, together: less than the users' rule leaves (half of it and five). Only an idle limited engine is preferred. TestABurstGetsWhatALimitLeftUnused failed before (2 requests of 4.2 asked for), TestABusyEngineIsNotPreferredForTheLimitThatItNames too (8 of 9 streams).

--- a/internal/decision/balance/engine.go
+++ b/internal/decision/balance/engine.go
@@ -55,7 +55,7 @@
 	ErrorRate    float64 // fraction of recent generations whose answers were lost
 	Down         bool    // not to be used, since it failed
 	Full         bool    // refused a request for lack of capacity
-	// Reserved means that the engine limits its requests, and that this router's part of
+	// Reserved means that an idle engine limits its requests, and that this router's part of
 	// the limit allows one, which no other router can use.
 	Reserved bool
 }
--- a/internal/decision/ratelimit/ratelimit.go
+++ b/internal/decision/ratelimit/ratelimit.go
@@ -25,8 +25,11 @@
 	// minRate is the least rate at which a limited server gets requests: without any, the
 	// end of its limit would not be noticed.
 	minRate = 0.1
-	// burstTime is how much of its rate a router may save up beyond one request.
+	// burstTime is how much of its rate a router may save up at least.
 	burstTime = 250 * time.Millisecond
+	// maxSavedRequests is how many requests the routers may save up beyond what the limit
+	// allows in two seconds.
+	maxSavedRequests = 4.0
 	// maxDemand bounds the part of a busy router, in parts of the mean router.
 	maxDemand = 4.0
 	// membersTTL is how long a list of the live routers is used.
@@ -239,16 +242,17 @@
 	}
 	if e.share.computedAt.Before(t.peersAt) {
 		// The parts of a token differ, so that the routers' first requests do not come at once.
-		e.share.setRate(t.rate(e, service, now), placement.Fraction(e.Server, t.cfg.Self), now)
+		rate, burst := t.rate(e, service, now)
+		e.share.setRate(rate, burst, placement.Fraction(e.Server, t.cfg.Self), now)
 	}
 	e.share.refill(now)
 	return &e.share
 }
 
 // rate returns the requests a second that this router may send to a limited server: an
-// equal part among the holders of the limit, more for those that have more requests. The
-// caller holds mu.
-func (t *Table) rate(e *entry, service string, now time.Time) float64 {
+// equal part among the holders of the limit, more for those that have more requests. It also
+// returns how many requests the router may save up. The caller holds mu.
+func (t *Table) rate(e *entry, service string, now time.Time) (perSecond, burst float64) {
 	limit := max(e.PerSecond, minRate)
 	n := holders(limit)
 	if now.Sub(t.startedAt) > t.cfg.ContactTime {
@@ -256,7 +260,8 @@
 		n = min(n, len(t.peers)+1)
 	}
 	if placement.Rank(e.Server, t.cfg.Self, t.peers) >= n {
-		return 0
+		return 0, 0
 	}
-	return min(limit, limit/float64(n)*min(t.cfg.Demand(service, now), maxDemand))
+	parts := float64(n)
+	return min(limit, limit/parts*min(t.cfg.Demand(service, now), maxDemand)), totalBurst(limit) / parts
 }
--- a/internal/decision/ratelimit/ratelimit_test.go
+++ b/internal/decision/ratelimit/ratelimit_test.go
@@ -156,3 +156,15 @@
 	g.Expect(table.Report(16, true, at(6))).To(HaveLen(16))
 	g.Expect(table.Report(16, false, at(60))).To(BeEmpty(), "old news")
 }
+
+func TestABurstGetsWhatALimitLeftUnused(t *testing.T) {
+	for _, limit := range []float64{0.3, 1, 2.5, 10} {
+		g := NewWithT(t)
+		table := newTable(1)
+		table.ObserveAnswer("e1", limit, true, at(0), at(0))
+		sent(table, "e1", 0, 1)
+		burst := sent(table, "e1", 60, 64)
+		g.Expect(float64(burst)).To(BeNumerically(">", 4*limit+3), "%g a second", limit)
+		g.Expect(float64(burst)).To(BeNumerically("<=", 1.5*4*limit+5), "%g a second", limit)
+	}
+}
--- a/internal/decision/ratelimit/share.go
+++ b/internal/decision/ratelimit/share.go
@@ -8,6 +8,7 @@
 // share is one router's part of a limit, as a token bucket.
 type share struct {
 	rate       float64 // requests a second; 0 if others have all of it
+	burst      float64 // requests that may be saved up
 	tokens     float64
 	refilledAt time.Time
 	computedAt time.Time // when the rate was computed
@@ -18,17 +19,21 @@
 // half of the limit more and five.
 func holders(perSecond float64) int { return 1 + int(2*perSecond) }
 
-// setRate sets the rate. A new share has the initial tokens.
-func (s *share) setRate(rate, initial float64, now time.Time) {
+// totalBurst returns how many requests the holders of a limit may save up together, for a
+// burst: half of what the limit allows in four seconds, and most of five.
+func totalBurst(perSecond float64) float64 { return 2*perSecond + maxSavedRequests }
+
+// setRate sets the rate and the burst. A new share has the initial tokens.
+func (s *share) setRate(rate, burst, initial float64, now time.Time) {
 	if s.refilledAt.IsZero() {
 		s.tokens = initial
 	}
 	s.refill(now)
-	s.rate, s.computedAt = rate, now
+	s.rate, s.burst, s.computedAt = rate, burst, now
 	s.tokens = min(s.tokens, s.most())
 }
 
-func (s *share) most() float64 { return max(1, s.rate*burstTime.Seconds()) }
+func (s *share) most() float64 { return max(1, s.burst, s.rate*burstTime.Seconds()) }
 
 func (s *share) refill(now time.Time) {
 	if elapsed := now.Sub(s.refilledAt).Seconds(); elapsed > 0 && !s.refilledAt.IsZero() {
--- a/internal/router/relay/ratelimit_test.go
+++ b/internal/router/relay/ratelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,3 +84,29 @@
 		h.Expect(float64(atLimited)).To(BeNumerically(">=", 2*0.2*time.Since(startedAt).Seconds()-2))
 	})
 }
+
+func TestABusyEngineIsNotPreferredForTheLimitThatItNames(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.engines.faults["i-0"] = engineFaults{limit: 5}
+		h.limits.ObserveAnswer(&h.servers.Get("i-0").Server, &server.Answer{Limited: true, RateLimit: 5}, time.Now())
+		for i := range 2 { // the second one when the router knows its peers
+			h.serve(h.newRequestOf(fmt.Sprintf("first-%d", i), "system"))
+			time.Sleep(10 * time.Second)
+		}
+		before := len(h.engines.sentTo())
+		var streams sync.WaitGroup
+		for i := range 9 {
+			streams.Go(func() { h.serve(h.newRequestOf(fmt.Sprintf("own-%d", i), "system")) })
+			time.Sleep(20 * time.Millisecond)
+		}
+		streams.Wait()
+		atLimited := 0
+		for _, id := range h.engines.sentTo()[before:] {
+			if id == "i-0" {
+				atLimited++
+			}
+		}
+		h.Expect(atLimited).To(BeNumerically("<=", 6), "two thirds")
+	})
+}
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -144,7 +144,7 @@
 		c := balance.Engine{
 			Domain: e.Domain, Running: st.Running, Slots: e.Slots, QueuedTokens: st.QueuedTokens, UsedTokens: st.UsedTokens,
 			OtherDomain: e.Domain != r.cfg.Domain, StallRate: r.cfg.Links.StallRate(e.Domain, now), Pace: st.Pace, ErrorRate: st.ErrorRate, Down: st.Down, Full: st.Full,
-			Reserved: r.cfg.Limits.Limited(&e.Server, now),
+			Reserved: st.Running == 0 && r.cfg.Limits.Limited(&e.Server, now),
 		}
 		if service.Engine != nil {
 			c.Capacity = service.Engine.MemoryTokens
