discovery: a removed server that comes back with an older copy is not used at once

A server had left and its entry was removed, which all routers had acknowledged. A store that was restored from an older copy had the entry again, and routers sent the server requests until it was removed once more: DRAIN where the server still runs, a refused connection and a retry where not.

The copy is older than what the router knew, but an entry of the new history counted as newer. The registry forgets a server that it removes.

Why it works: a removal is remembered for a minute. If the same incarnation comes back in a new era, it is used when it writes its entry again, or at the end of the 2.2 s in which live servers are back, if the store still has it. So a live server that had been removed for its silence is used 2.2 s later at most.

Ruled out: marking such a server as leaving. The registry would keep that for good.

--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -95,6 +95,8 @@
 	changeLog        *storehistory.Log[kv.Value]
 	entries          map[string]server.Server // by key
 	keptUntil        map[string]time.Time     // when expired entries are removed, by key
+	removed          map[string]removal       // by key
+	heldUntil        map[string]time.Time     // when entries that came back with the store are used, by key
 	unreachableSince time.Time                // when the store stopped answering; zero while it answers
 	outage           bool                     // the store answers no known router
 	storeReachedAt   atomic.Int64             // Unix nanoseconds of the store's last answer
@@ -108,6 +110,7 @@
 	return &Follower{
 		cfg: cfg, wake: make(chan struct{}, 1), changeLog: storehistory.NewLog[kv.Value](maxLoggedChanges),
 		raw: make(map[string]kv.Value), entries: make(map[string]server.Server), keptUntil: make(map[string]time.Time),
+		removed: make(map[string]removal), heldUntil: make(map[string]time.Time),
 	}
 }
 
@@ -198,7 +201,7 @@
 func (f *Follower) watch(ctx context.Context, after storehistory.Position) (storehistory.Position, error) {
 	wait := watchTimeout
 	f.mu.Lock()
-	if len(f.keptUntil) > 0 {
+	if len(f.keptUntil)+len(f.heldUntil) > 0 {
 		wait = recoveryGrace / 4
 	}
 	if f.probeDue {
--- a/internal/router/discovery/list.go
+++ b/internal/router/discovery/list.go
@@ -150,22 +150,28 @@
 		f.removeServer(v.Key, time.Now())
 		return
 	}
+	had := f.raw[v.Key]
 	f.raw[v.Key] = v
 	delete(f.keptUntil, v.Key)
 	s, err := f.cfg.DecodeServer(v.Key, v.Body)
 	if err != nil {
 		f.cfg.Log.WithField("key", v.Key).WithError(err).Info("invalid server entry ignored")
 		delete(f.entries, v.Key)
+		delete(f.heldUntil, v.Key)
 		return
 	}
-	f.entries[v.Key] = s
+	if !f.hold(s, had, v, time.Now()) {
+		f.entries[v.Key] = s
+	}
 }
 
 // removeServer removes an entry, or keeps it for recoveryGrace if it may have expired
 // only because the store was unreachable, or was lost with the store's newest changes. The caller holds mu.
 func (f *Follower) removeServer(key string, now time.Time) {
 	delete(f.raw, key)
-	if _, ok := f.entries[key]; !ok {
+	delete(f.heldUntil, key)
+	s, ok := f.entries[key]
+	if !ok {
 		return
 	}
 	recoveredAt := f.recoveredAt
@@ -179,25 +185,29 @@
 		}
 		return
 	}
+	f.removed[key] = removal{s.Key(), f.position.Era, now.Add(removalTTL)}
 	delete(f.entries, key)
 	delete(f.keptUntil, key)
 }
 
-// publishDue publishes the server list if kept entries are due.
+// publishDue publishes the server list if kept or held entries are due.
 func (f *Follower) publishDue(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, until := range f.keptUntil {
-		if !now.Before(until) {
-			f.publish(now)
-			return
+	for _, deadlines := range []map[string]time.Time{f.keptUntil, f.heldUntil} {
+		for _, until := range deadlines {
+			if !now.Before(until) {
+				f.publish(now)
+				return
+			}
 		}
 	}
 }
 
-// publish removes the kept entries that are due and passes the server list on. The
-// caller holds mu.
+// publish removes the kept entries and uses the held ones that are due, and passes the server
+// list on. The caller holds mu.
 func (f *Follower) publish(now time.Time) {
+	f.release(now)
 	for key, until := range f.keptUntil {
 		if !now.Before(until) {
 			delete(f.entries, key)
