--- a/internal/decision/claim/model_test.go
+++ b/internal/decision/claim/model_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"wisteriafield/internal/decision/claim"
