quarantine: a request without a prompt that crashes servers is blocked too

Cause: evidence about a request was kept only for the parts of its prompt. The guard returned at once for a request without parts, and a loss before the head of the answer was never recorded.

What may be to blame is now one notion, Suspects: the shared parts of the prompt, the session, and the whole request by the digest of its method, path, caller and body. A server that breaks off an answer counts as crashed if its address refuses a connection then; a lost connection to a server that is there says nothing, as with answers that are lost on the way. Crashes of several servers at the same moment have a common cause and do not block a request that runs at each of them.

Ruled out: the digest as the last suspect of a prompt. Requests with the same path and body and other prompts would be blocked for a part of one of them (a test of two routers failed), so it is the first, and is blamed only if nothing else explains as many crashes.

Tests of the decision only follow its new types.

--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -3,6 +3,8 @@
 package server
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"io"
 	"net/http"
 	"strconv"
@@ -47,6 +49,9 @@
 // String returns the key as text, which identifies the incarnation among routers.
 func (k Key) String() string { return k.ID + "/" + strconv.FormatInt(k.Started, 10) }
 
+// digestBytes is how much of its SHA-256 digest identifies a request.
+const digestBytes = 16
+
 // PromptPart is a part of a prompt, which several requests may share.
 type PromptPart struct {
 	ID     string
@@ -74,6 +79,21 @@
 	MaxOutputTokens int
 	PromptParts     []PromptPart
 	LastEventID     int // last event that the caller has received, 0 for none
+
+	// Digest identifies the request when it comes again: its method, path, caller and body.
+	Digest string
+}
+
+// SetDigest sets the digest of a request that is complete otherwise. It has a colon, which
+// the IDs of prompt parts have not.
+func (r *Request) SetDigest() {
+	h := sha256.New()
+	for _, field := range []string{r.Method, r.Target, r.Organisation} {
+		_, _ = io.WriteString(h, field)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Body)
+	r.Digest = "sha256:" + hex.EncodeToString(h.Sum(nil)[:digestBytes])
 }
 
 // SessionID returns the ID of the session: that of the last part of the prompt, which
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -98,6 +98,7 @@
 		w.WriteHeader(status)
 		return
 	}
+	req.SetDigest()
 	service := table.Service(req.Service)
 	if service == nil {
 		service = &routes.Service{Name: req.Service}
--- a/internal/decision/quarantine/explain.go
+++ b/internal/decision/quarantine/explain.go
@@ -6,31 +6,31 @@
 	"time"
 )
 
-// candidate is a part that may explain crashes.
+// candidate is a suspect that may explain crashes.
 type candidate struct {
-	part     string
+	suspect  string
 	servers  map[string]bool
-	sessions map[string]bool
-	position int  // the largest in a prompt
-	own      bool // it is the part of a session
+	origins  map[string]bool // sessions, or requests without one
+	position int             // the largest in a crash
+	own      bool            // it is not shared with other sessions
+	request  bool            // it is a whole request
+	oldest   time.Time
 	newest   time.Time
 }
 
-// qualifies reports whether there are enough crashes to block the part.
+// qualifies reports whether there are enough crashes to block the suspect. Whatever takes
+// several servers at once takes those that run the same popular request.
 func (c *candidate) qualifies() bool {
-	return len(c.servers) >= minServers && (c.own || len(c.sessions) >= minSessions)
+	return len(c.servers) >= minServers && (c.own || len(c.origins) >= minSessions) && (!c.request || c.newest.Sub(c.oldest) > sameMoment)
 }
 
-// explain returns the fewest parts that explain the crashes: the one with the most crashes
-// first, then the one with the most among those that it does not explain, and so on. Of
-// two parts that always occur together, the later one is blocked, since more requests
+// explain returns the fewest suspects that explain the crashes: the one with the most
+// crashes first, then the one with the most among those that it does not explain, and so
+// on. Of two that always occur together, the later one is blocked, since more requests
 // share the earlier one. The caller holds mu.
 func (t *Table) explain(now time.Time) map[string]Block {
 	var blocks map[string]Block
-	unexplained := make([]Crash, 0, len(t.crashes.list))
-	for _, c := range t.crashes.list {
-		unexplained = append(unexplained, c.Crash)
-	}
+	unexplained := t.crashes.list
 	t.reviewAt = time.Time{}
 	for len(unexplained) >= minServers && t.crashes.maxCount >= minServers {
 		best := t.strongest(unexplained, now)
@@ -40,8 +40,8 @@
 		if blocks == nil {
 			blocks = make(map[string]Block)
 		}
-		blocks[best.part] = Block{Part: best.part, Until: best.newest.Add(blockTime), Crashes: len(best.servers)}
-		var rest []Crash
+		blocks[best.suspect] = Block{Suspect: best.suspect, Until: best.newest.Add(blockTime), Crashes: len(best.servers)}
+		var rest []knownCrash
 		for _, c := range unexplained {
 			if !best.servers[c.Server] {
 				rest = append(rest, c)
@@ -52,31 +52,34 @@
 	return blocks
 }
 
-// strongest returns the part with the most crashes that qualifies, or nil. The caller
+// strongest returns the suspect with the most crashes that qualifies, or nil. The caller
 // holds mu.
-func (t *Table) strongest(crashes []Crash, now time.Time) *candidate {
+func (t *Table) strongest(crashes []knownCrash, now time.Time) *candidate {
 	candidates := make(map[string]*candidate)
 	for _, c := range crashes {
-		for i, p := range t.suspects(c) {
-			if t.crashes.count(p) < minServers {
+		for i, s := range t.suspects(c.Crash) {
+			if t.crashes.count(s) < minServers {
 				continue
 			}
-			k := candidates[p]
+			k := candidates[s]
 			if k == nil {
-				k = &candidate{part: p, servers: make(map[string]bool), sessions: make(map[string]bool)}
-				candidates[p] = k
+				k = &candidate{suspect: s, servers: make(map[string]bool), origins: make(map[string]bool), oldest: c.At}
+				candidates[s] = k
 			}
-			k.servers[c.Server], k.sessions[c.Session] = true, true
+			k.servers[c.Server], k.origins[c.origin()] = true, true
 			k.position = max(k.position, i)
-			k.own = k.own || p == c.Session
+			k.own, k.request = k.own || c.owns(s), k.request || s == c.Request
 			if c.At.After(k.newest) {
 				k.newest = c.At
 			}
+			if c.At.Before(k.oldest) {
+				k.oldest = c.At
+			}
 		}
 	}
 	var best *candidate
 	for _, k := range candidates {
-		if !k.qualifies() || t.survivedLately(k.part, now) {
+		if !k.qualifies() || t.survivedLately(k.suspect, now) {
 			continue
 		}
 		if best == nil || k.compare(best) > 0 {
@@ -86,11 +89,11 @@
 	return best
 }
 
-// survivedLately reports whether it is too early to block a part, and sets when to review
-// it. After the start of the router, and after a survival of the part, it may have heard of
-// the crashes but not yet of the survivals that refute them.
-func (t *Table) survivedLately(part string, now time.Time) bool {
-	at := t.survivals.last(part)
+// survivedLately reports whether it is too early to block a suspect, and sets when to review
+// it. After the start of the router, and after a survival of the suspect, it may have heard
+// of the crashes but not yet of the survivals that refute them.
+func (t *Table) survivedLately(suspect string, now time.Time) bool {
+	at := t.survivals.last(suspect)
 	if t.startedAt.After(at) {
 		at = t.startedAt
 	}
@@ -107,8 +110,8 @@
 func (c *candidate) compare(other *candidate) int {
 	return cmp.Or(
 		cmp.Compare(len(c.servers), len(other.servers)),
-		cmp.Compare(len(c.sessions), len(other.sessions)),
+		cmp.Compare(len(c.origins), len(other.origins)),
 		cmp.Compare(c.position, other.position),
-		strings.Compare(c.part, other.part),
+		strings.Compare(c.suspect, other.suspect),
 	)
 }
--- a/internal/decision/quarantine/fleet_test.go
+++ b/internal/decision/quarantine/fleet_test.go
@@ -66,7 +66,7 @@
 
 // deadlyRequest sends a request that crashes each server, again after each crash.
 func (f *fleet) deadlyRequest(now time.Time, router int, session string, attempt int) {
-	if _, blocked := f.tables[router].Blocked([]string{"first", "deadly", session}, now); blocked || attempt > maxAttempts {
+	if _, blocked := f.tables[router].Blocked(prompt("first", "deadly", session), now); blocked || attempt > maxAttempts {
 		return
 	}
 	if !f.fifthAt.IsZero() && now.Sub(f.fifthAt) > f.contact && now.Sub(f.startedAt[router]) > f.contact {
@@ -78,7 +78,7 @@
 			f.fifthAt = now
 		}
 		f.servers++
-		f.tables[router].RecordCrash(quarantine.Crash{Server: fmt.Sprintf("e%d", f.servers), Session: session, Parts: []string{"first", "deadly"}, At: now}, now)
+		f.tables[router].RecordCrash(quarantine.Crash{Suspects: quarantine.Suspects{Session: session, Parts: []string{"first", "deadly"}}, Server: fmt.Sprintf("e%d", f.servers), At: now}, now)
 		f.due[router] = now
 		f.deadlyRequest(now, router, session, attempt+1)
 	})
@@ -92,20 +92,20 @@
 		first = "first"
 	}
 	f.out.sound++
-	if _, blocked := f.tables[router].Blocked([]string{first, session}, now); blocked {
+	if _, blocked := f.tables[router].Blocked(prompt(first, session), now); blocked {
 		f.out.refused++
 		return
 	}
 	if f.rand.Float64() < f.earlyLoss {
 		f.after(now, prefillTime, router, func(now time.Time) {
 			f.servers++
-			f.tables[router].RecordCrash(quarantine.Crash{Server: fmt.Sprintf("e%d", f.servers), Session: session, Parts: []string{first}, At: now}, now)
+			f.tables[router].RecordCrash(quarantine.Crash{Suspects: quarantine.Suspects{Session: session, Parts: []string{first}}, Server: fmt.Sprintf("e%d", f.servers), At: now}, now)
 			f.soundRequest(now, router, session, attempt+1)
 		})
 		return
 	}
 	f.after(now, prefillTime+survivalTime, router, func(now time.Time) {
-		f.tables[router].RecordSurvival([]string{first, session}, now)
+		f.tables[router].RecordSurvival(prompt(first, session), now)
 	})
 }
 
@@ -126,7 +126,7 @@
 			delay = 4 * time.Second
 		}
 		f.after(now, delay, to, func(now time.Time) {
-			if f.tables[to].Merge(report, now) {
+			if f.tables[to].Merge(report, now).Blocks {
 				f.due[to] = now
 			}
 		})
--- a/internal/decision/quarantine/quarantine_test.go
+++ b/internal/decision/quarantine/quarantine_test.go
@@ -17,13 +17,18 @@
 
 // crash returns a crash of a server by a session whose prompt begins with the given parts.
 func crash(server, session string, seconds float64, parts ...string) quarantine.Crash {
-	return quarantine.Crash{Server: server, Session: session, Parts: parts, At: at(seconds)}
+	return quarantine.Crash{Suspects: quarantine.Suspects{Session: session, Parts: parts}, Server: server, At: at(seconds)}
+}
+
+// prompt returns the suspects of a session, the last one given, with shared parts.
+func prompt(ids ...string) quarantine.Suspects {
+	return quarantine.Suspects{Parts: ids[:len(ids)-1], Session: ids[len(ids)-1]}
 }
 
 func blockedParts(t *quarantine.Table, now time.Time) []string {
 	var parts []string
 	for _, b := range t.Blocks(now) {
-		parts = append(parts, b.Part)
+		parts = append(parts, b.Suspect)
 	}
 	return parts
 }
@@ -77,7 +82,7 @@
 			table := quarantine.New(start.Add(-time.Minute), 3*time.Second)
 			for _, s := range c.survivals {
 				if s.seconds == 0 {
-					table.RecordSurvival(s.parts, at(0))
+					table.RecordSurvival(prompt(s.parts...), at(0))
 				}
 			}
 			for _, k := range c.crashes {
@@ -85,7 +90,7 @@
 			}
 			for _, s := range c.survivals {
 				if s.seconds > 0 {
-					table.RecordSurvival(s.parts, at(s.seconds))
+					table.RecordSurvival(prompt(s.parts...), at(s.seconds))
 				}
 			}
 			g.Expect(blockedParts(table, at(10))).To(Equal(c.blocked))
@@ -100,14 +105,14 @@
 	for i := range 3 {
 		table.RecordCrash(crash(fmt.Sprintf("e%d", i), fmt.Sprintf("s%d", i), float64(i), "doc"), at(float64(i)))
 	}
-	_, blocked := table.Blocked([]string{"doc", "s9"}, at(300))
+	_, blocked := table.Blocked(prompt("doc", "s9"), at(300))
 	g.Expect(blocked).To(BeTrue())
-	_, blocked = table.Blocked([]string{"doc", "s9"}, at(303))
+	_, blocked = table.Blocked(prompt("doc", "s9"), at(303))
 	g.Expect(blocked).To(BeFalse())
-	g.Expect(table.RecordCrash(crash("e9", "s9", 304, "doc"), at(304))).To(BeFalse(), "the block has only been extended")
-	block, blocked := table.Blocked([]string{"doc", "s10"}, at(305))
+	g.Expect(table.RecordCrash(crash("e9", "s9", 304, "doc"), at(304)).Blocks).To(BeFalse(), "the block has only been extended")
+	block, blocked := table.Blocked(prompt("doc", "s10"), at(305))
 	g.Expect(blocked).To(BeTrue())
-	g.Expect(block).To(Equal(quarantine.Block{Part: "doc", Until: at(604), Crashes: 4}))
+	g.Expect(block).To(Equal(quarantine.Block{Suspect: "doc", Until: at(604), Crashes: 4}))
 }
 
 // Any host may send datagrams, and callers choose the IDs of their parts.
@@ -122,7 +127,7 @@
 		}
 		c.Parts[99] = long
 		table.Merge(quarantine.Report{Crashes: []quarantine.Crash{c, crash(long, "s", 1), crash("e", long, 1), crash("e", "s", 1e9, "future")}}, at(6))
-		table.RecordSurvival([]string{fmt.Sprintf("alive-%d", i), long}, at(6))
+		table.RecordSurvival(prompt(fmt.Sprintf("alive-%d", i), long), at(6))
 	}
 	report := table.Report(24, true, at(6))
 	g.Expect(report.Crashes).To(HaveLen(24))
@@ -157,13 +162,13 @@
 func TestASurvivalElsewhereRefutesACrash(t *testing.T) {
 	g := NewWithT(t)
 	accuser, witness := quarantine.New(start.Add(-time.Minute), 3*time.Second), quarantine.New(start.Add(-time.Minute), 3*time.Second)
-	witness.RecordSurvival([]string{"hot", "s9"}, at(4))
+	witness.RecordSurvival(prompt("hot", "s9"), at(4))
 	for i := range 3 {
 		accuser.RecordCrash(crash(fmt.Sprintf("e%d", i), fmt.Sprintf("s%d", i), float64(i), "hot"), at(float64(i)))
 	}
 	g.Expect(blockedParts(accuser, at(4))).To(Equal([]string{"hot"}))
-	g.Expect(witness.Merge(accuser.Report(24, false, at(4.1)), at(4.1))).To(BeFalse())
-	g.Expect(accuser.Merge(witness.Report(24, false, at(4.2)), at(4.2))).To(BeTrue())
+	g.Expect(witness.Merge(accuser.Report(24, false, at(4.1)), at(4.1)).Blocks).To(BeFalse())
+	g.Expect(accuser.Merge(witness.Report(24, false, at(4.2)), at(4.2)).Blocks).To(BeTrue())
 	g.Expect(blockedParts(accuser, at(4.3))).To(BeEmpty())
 }
 
@@ -173,7 +178,7 @@
 	for i := range 5 {
 		old.RecordCrash(crash(fmt.Sprintf("e%d", i), fmt.Sprintf("s%d", i), float64(i), "system", "doc"), at(float64(i)))
 	}
-	old.RecordSurvival([]string{"system", "s9"}, at(6))
+	old.RecordSurvival(prompt("system", "s9"), at(6))
 	restarted.Merge(old.Report(24, false, at(100)), at(100))
 	g.Expect(blockedParts(restarted, at(100))).To(BeEmpty(), "a short message has no old crashes")
 	restarted.Merge(old.Report(24, true, at(100)), at(100))
--- /dev/null
+++ b/internal/decision/quarantine/suspects.go
@@ -0,0 +1,43 @@
+package quarantine
+
+import "slices"
+
+// Suspects are what may be to blame for the loss of a server that ran a request.
+type Suspects struct {
+	Request string   // digest of the request: its path, its caller and its body
+	Parts   []string // of the prompt, in order, but for the last one
+	Session string   // the last part of the prompt, which no other session has
+}
+
+// all returns the suspects, the most general first. Requests that differ only in their
+// prompts have the same digest.
+func (s *Suspects) all() []string {
+	all := make([]string, 0, len(s.Parts)+2)
+	if s.Request != "" {
+		all = append(all, s.Request)
+	}
+	all = append(all, s.Parts...)
+	if s.Session != "" {
+		all = append(all, s.Session)
+	}
+	return all
+}
+
+// owns reports whether a suspect is not shared with other sessions.
+func (s *Suspects) owns(suspect string) bool { return suspect == s.Session || suspect == s.Request }
+
+// origin identifies the session, or the request if it has none.
+func (s *Suspects) origin() string {
+	if s.Session != "" {
+		return s.Session
+	}
+	return s.Request
+}
+
+// bounded returns the suspects with at most the last maxParts shared parts.
+func (s Suspects) bounded() Suspects {
+	s.Parts = slices.DeleteFunc(slices.Clone(s.Parts[max(len(s.Parts)-maxParts, 0):]), func(p string) bool {
+		return p == "" || len(p) > maxIDBytes
+	})
+	return s
+}
--- a/internal/router/edge/admin.go
+++ b/internal/router/edge/admin.go
@@ -28,7 +28,7 @@
 	Peers          []gossip.Host
 	Servers        []ServerDump
 	Limits         []ServerLimit // that backend servers named
-	BlockedParts   []BlockedPart // parts of prompts that crash servers
+	BlockedParts   []BlockedPart // what crashes servers: parts of prompts and digests of requests
 }
 
 // ServerLimit is the limit that a backend server named.
@@ -38,11 +38,11 @@
 	At        time.Time
 }
 
-// BlockedPart is a part of prompts that is not sent to servers.
+// BlockedPart is a part of prompts, or the digest of a request, that is not sent to servers.
 type BlockedPart struct {
 	Part    string
 	Until   time.Time
-	Crashes int // servers that the part crashed
+	Crashes int // servers that it crashed
 }
 
 // ServerDump is the state of one backend server as this router knows it.
@@ -76,7 +76,7 @@
 		d.Limits = append(d.Limits, ServerLimit{l.Server, l.PerSecond, l.At})
 	}
 	for _, b := range e.quarantine.Blocks(now) {
-		d.BlockedParts = append(d.BlockedParts, BlockedPart(b))
+		d.BlockedParts = append(d.BlockedParts, BlockedPart{Part: b.Suspect, Until: b.Until, Crashes: b.Crashes})
 	}
 	sort.Slice(d.Servers, func(i, j int) bool { return d.Servers[i].ID < d.Servers[j].ID })
 	sort.Slice(d.Peers, func(i, j int) bool { return d.Peers[i].Name < d.Peers[j].Name })
--- /dev/null
+++ b/internal/router/forward/deadly_test.go
@@ -0,0 +1,61 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/config/routes"
+)
+
+// crash breaks off before an answer, as a server does that ends.
+func crash(context.Context) (*server.Answer, error) {
+	time.Sleep(60 * time.Millisecond)
+	return nil, fmt.Errorf("read: %w: %w", fmt.Errorf("EOF"), server.ErrLost)
+}
+
+// newCrashingService returns a service whose n servers all crash.
+func newCrashingService(n int) *fakeService {
+	s := &fakeService{responses: make(map[string]func(context.Context) (*server.Answer, error))}
+	for i := range n {
+		s.responses[fmt.Sprintf("i-%d", i)] = crash
+	}
+	return s
+}
+
+func TestACallThatCrashesServersIsNotSentToAllOfThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newCrashingService(8)
+		send := newForwarder(s, 8)
+		for range 8 {
+			send(routes.NonIdempotent, 1, "")
+			time.Sleep(time.Second)
+		}
+		g.Expect(s.sentTo).To(HaveLen(3))
+		res := send(routes.Idempotent, 3, "")
+		g.Expect(res.Code).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(s.sentTo).To(HaveLen(3))
+	})
+}
+
+func TestLostConnectionsToServersThatAreThereBlockNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newCrashingService(8)
+		s.connectionsOnly = true
+		send := newForwarder(s, 8)
+		for range 4 {
+			send(routes.NonIdempotent, 1, "")
+			time.Sleep(time.Second)
+		}
+		s.responses = nil
+		g.Expect(send(routes.NonIdempotent, 1, "").Code).To(Equal(http.StatusOK))
+	})
+}
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -40,11 +40,17 @@
 	hedgeDelayFactor = 0.45
 	// minRetryAfter is the least Retry-After of a refused request.
 	minRetryAfter = 50 * time.Millisecond
+	// crashCheckTimeout bounds the check whether a server that broke off an answer is lost.
+	// A host whose process is gone refuses a connection within a round trip.
+	crashCheckTimeout = 50 * time.Millisecond
 )
 
 // Client sends requests to backend servers.
 type Client interface {
 	Send(ctx context.Context, d server.Dispatch) (*server.Answer, error)
+	// Listens reports whether a process accepts connections at an address. The error says
+	// that this is not known.
+	Listens(ctx context.Context, address string) (bool, error)
 }
 
 // Config holds the dependencies of a Forwarder.
@@ -85,6 +91,7 @@
 	notExecuted bool
 	rateLimit   float64
 	limited     bool // the server named a rateLimit
+	crashed     bool // the server is gone
 	err         error
 }
 
@@ -191,7 +198,7 @@
 	attemptsTotal(&r).Inc()
 	f.cfg.Log.WithField("id", req.ID).WithField("server", e.ID).WithField("status", r.status).
 		WithField("notRun", r.notExecuted).WithField("ms", time.Since(startedAt).Milliseconds()).WithField("config", req.ConfigVersion).WithField("servers", f.cfg.Servers.Position().Revision).WithField("era", f.cfg.Servers.Position().Era).
-		WithField("inFlight", load.InFlight).WithField("errors", load.ErrorRate).WithField("limited", r.limited).WithField("limit", r.rateLimit).WithField("retry", retry).WithError(r.err).Info("attempt ended")
+		WithField("inFlight", load.InFlight).WithField("errors", load.ErrorRate).WithField("limited", r.limited).WithField("limit", r.rateLimit).WithField("retry", retry).WithField("crashed", r.crashed).WithError(r.err).Info("attempt ended")
 	return r
 }
 
@@ -212,7 +219,8 @@
 	sentAt := time.Now()
 	answer, err := f.cfg.Client.Send(ctx, server.Dispatch{Request: req, Server: &e.Server, LastEventID: req.LastEventID})
 	if err != nil {
-		return result{server: e, err: err}
+		crashed := errors.Is(err, server.ErrLost) && ctx.Err() == nil && f.crashed(ctx, req, e)
+		return result{server: e, err: err, crashed: crashed}
 	}
 	f.cfg.Limits.ObserveAnswer(&e.Server, answer, sentAt)
 	defer answer.Body.Close()
@@ -231,7 +239,7 @@
 	r.body, err = io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	switch {
 	case err != nil && ctx.Err() == nil:
-		f.cfg.Quarantine.ServerLost(req, &e.Server, 0)
+		r.crashed = f.crashed(ctx, req, e)
 	case err == nil:
 		f.cfg.Quarantine.ServerFinished(req)
 	}
@@ -240,3 +248,17 @@
 	}
 	return r
 }
+
+// crashed reports whether the server that broke off an answer is gone, which may be the
+// request's doing, and not only its connection.
+func (f *Forwarder) crashed(ctx context.Context, req *server.Request, e *registry.Entry) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	listens, err := f.cfg.Client.Listens(ctx, e.Address)
+	if err != nil || listens {
+		return false
+	}
+	f.recordUnreachable(e, false)
+	f.cfg.Quarantine.ServerLost(req, &e.Server, 0)
+	return true
+}
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -32,7 +32,9 @@
 	responses map[string]func(ctx context.Context) (*server.Answer, error)
 	sentTo    []string
 	executed  int
-	budget    interface {
+	// connectionsOnly means that a server that breaks off an answer is still there.
+	connectionsOnly bool
+	budget          interface {
 		Allow(service string, now time.Time) bool
 	} // fixedBudget(true) if nil
 }
@@ -48,6 +50,11 @@
 	return respond(ctx)
 }
 
+// Listens says that a server that broke off an answer is gone, unless it is to have survived.
+func (s *fakeService) Listens(context.Context, string) (bool, error) {
+	return s.connectionsOnly, nil
+}
+
 func (s *fakeService) respond(status int, after time.Duration) func(context.Context) (*server.Answer, error) {
 	return func(ctx context.Context) (*server.Answer, error) {
 		s.mu.Lock()
@@ -131,6 +138,7 @@
 			sessions++
 			req.PromptParts = []server.PromptPart{{ID: part}, {ID: fmt.Sprintf("own-%d", sessions)}}
 		}
+		req.SetDigest()
 		f.Serve(res, context.Background(), req, &routes.Service{Name: "desk"})
 		return res
 	}
--- a/internal/router/gossip/crashes.go
+++ b/internal/router/gossip/crashes.go
@@ -12,13 +12,14 @@
 	Server  string
 	Session string   `json:",omitempty"`
 	Parts   []string `json:",omitempty"`
+	Request string   `json:",omitempty"` // digest
 	AgeMs   int64
 }
 
 // encodeCrashes returns the crashes of a report and the ages of its survivals.
 func encodeCrashes(r quarantine.Report, now time.Time) (crashes []crashRecord, survived map[string]int64) {
 	for _, c := range r.Crashes {
-		crashes = append(crashes, crashRecord{c.Server, c.Session, c.Parts, now.Sub(c.At).Milliseconds()})
+		crashes = append(crashes, crashRecord{c.Server, c.Session, c.Parts, c.Request, now.Sub(c.At).Milliseconds()})
 	}
 	if len(r.Survived) > 0 {
 		survived = make(map[string]int64, len(r.Survived))
@@ -33,7 +34,9 @@
 func decodeCrashes(m message, now time.Time) quarantine.Report {
 	r := quarantine.Report{Survived: make(map[string]time.Time, len(m.Survived))}
 	for _, c := range m.Crashes {
-		r.Crashes = append(r.Crashes, quarantine.Crash{Server: c.Server, Session: c.Session, Parts: c.Parts, At: now.Add(-millis(c.AgeMs))})
+		r.Crashes = append(r.Crashes, quarantine.Crash{
+			Suspects: quarantine.Suspects{Parts: c.Parts, Session: c.Session, Request: c.Request}, Server: c.Server, At: now.Add(-millis(c.AgeMs)),
+		})
 	}
 	for part, age := range m.Survived {
 		r.Survived[part] = now.Add(-millis(age))
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -51,8 +51,8 @@
 	Heartbeats map[string]int64 `json:"Signs,omitempty"`
 	// Attempts counts the sender's attempts in the last window, by service.
 	Attempts map[string]retrybudget.Counts `json:"Sends,omitempty"`
-	// Crashes are those of servers that had just begun to answer, and Survived the age in
-	// ms of the last survival of prompt parts.
+	// Crashes are those of servers that had just begun to answer, and Survived is the age in ms
+	// of the last survival of what may be to blame.
 	Crashes  []crashRecord    `json:",omitempty"`
 	Survived map[string]int64 `json:",omitempty"`
 	// Limits are those that backend servers named.
@@ -145,7 +145,7 @@
 	MergePeerCounts(counts map[string]retrybudget.Counts, now time.Time)
 }
 
-// Quarantine is what the routers know of prompts that crash servers.
+// Quarantine is what the routers know of requests that crash servers.
 type Quarantine interface {
 	Report(n int, all bool, now time.Time) quarantine.Report
 	Merge(r quarantine.Report, peer string, now time.Time) (changed bool)
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -1,5 +1,5 @@
-// Package quarantine keeps requests away from backend servers whose prompts crash them.
-// It tells the decision what this router sees of servers, and logs what it decides.
+// Package quarantine keeps requests away from backend servers that they crash. It tells
+// the decision what this router sees of servers, and logs what it decides.
 package quarantine
 
 import (
@@ -35,32 +35,34 @@
 	return &Guard{table: quarantine.New(time.Now(), contactTime), onCrash: onCrash, log: log}
 }
 
+// suspectsOf returns what may be to blame if a request crashes its server.
+func suspectsOf(req *server.Request) quarantine.Suspects {
+	return quarantine.Suspects{Parts: req.SharedPartIDs(), Session: req.SessionID(), Request: req.Digest}
+}
+
 // Refuses reports whether a request must not be sent to a server, and until when.
 func (g *Guard) Refuses(req *server.Request) (until time.Time, refused bool) {
-	if len(req.PromptParts) == 0 {
-		return time.Time{}, false
-	}
-	block, refused := g.table.Blocked(req.PartIDs(), time.Now())
+	block, refused := g.table.Blocked(suspectsOf(req), time.Now())
 	if refused {
 		refusedTotal.Inc()
-		g.log.WithField("id", req.ID).WithField("promptPart", block.Part).WithField("crashes", block.Crashes).
-			WithField("until", block.Until).Info("request not sent: its prompt crashes servers")
+		g.log.WithField("id", req.ID).WithField("suspect", block.Suspect).WithField("crashes", block.Crashes).
+			WithField("until", block.Until).Info("request not sent: it crashes servers")
 	}
 	return block.Until, refused
 }
 
-// ServerLost records that the answer to an attempt was lost after it had begun and the
-// given number of events had arrived.
+// ServerLost records that the answer to an attempt was lost after the given number of events
+// had arrived, and that the server is lost too.
 func (g *Guard) ServerLost(req *server.Request, s *server.Server, events int) {
-	if events >= earlyEvents || len(req.PromptParts) == 0 {
+	if events >= earlyEvents {
 		return
 	}
 	now := time.Now()
 	crashesTotal.Inc()
-	crash := quarantine.Crash{Server: s.Key().String(), Session: req.SessionID(), Parts: req.SharedPartIDs(), At: now}
-	g.log.WithField("id", req.ID).WithField("server", s.ID).WithField("parts", crash.Parts).WithField("events", events).
-		Info("server was lost at the start of an answer")
-	if g.table.RecordCrash(crash, now) {
+	crash := quarantine.Crash{Suspects: suspectsOf(req), Server: s.Key().String(), At: now}
+	g.log.WithField("id", req.ID).WithField("server", s.ID).WithField("parts", crash.Parts).WithField("digest", crash.Request).
+		WithField("events", events).Info("server was lost at the start of an answer")
+	if g.table.RecordCrash(crash, now).Blocks {
 		g.logBlocks(now, "this router")
 	}
 	g.onCrash()
@@ -77,11 +79,8 @@
 func (g *Guard) ServerFinished(req *server.Request) { g.recordSurvival(req) }
 
 func (g *Guard) recordSurvival(req *server.Request) {
-	if len(req.PromptParts) == 0 {
-		return
-	}
 	now := time.Now()
-	if g.table.RecordSurvival(req.PartIDs(), now) {
+	if g.table.RecordSurvival(suspectsOf(req), now).Blocks {
 		g.logBlocks(now, "this router")
 	}
 }
@@ -92,23 +91,23 @@
 	return g.table.Report(n, all, now)
 }
 
-// Merge records what a peer told, and reports whether the blocked parts have changed.
+// Merge records what a peer told, and reports whether the blocks have changed.
 func (g *Guard) Merge(r quarantine.Report, peer string, now time.Time) (changed bool) {
-	changed = g.table.Merge(r, now)
+	changed = g.table.Merge(r, now).Blocks
 	if changed {
 		g.logBlocks(now, peer)
 	}
 	return changed
 }
 
-// Blocks returns the blocked parts.
+// Blocks returns the blocks in force.
 func (g *Guard) Blocks(now time.Time) []quarantine.Block { return g.table.Blocks(now) }
 
 func (g *Guard) logBlocks(now time.Time, source string) {
 	blocks := g.table.Blocks(now)
-	parts := make([]string, len(blocks))
+	suspects := make([]string, len(blocks))
 	for i, b := range blocks {
-		parts[i] = b.Part
+		suspects[i] = b.Suspect
 	}
-	g.log.WithField("source", source).WithField("blocked", parts).Info("blocked prompt parts changed")
+	g.log.WithField("source", source).WithField("blocked", suspects).Info("blocks of requests that crash servers changed")
 }
