quarantine: a popular call is not blocked while its survivals are on their way

Callers of a sound request that many send, such as a lookup of one rate, would have been refused for seconds wherever servers crash twice for other causes: the request runs at each server that is lost.

Cause: a suspect that had survived before was blocked as soon as its last known survival was as old as the contact time, though the crashes themselves might be newer than any survival that could have been heard of. A router that gets few of these requests knows few survivals of its own.

Now a suspect that has ever survived is blocked no sooner than the contact time after the crash that made it one too many. One that never survived is blocked at once, as before.

All other refusals keep their bound.

--- a/internal/decision/quarantine/explain.go
+++ b/internal/decision/quarantine/explain.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -9,19 +11,34 @@
 // candidate is a suspect that may explain crashes.
 type candidate struct {
 	suspect  string
-	servers  map[string]bool
-	origins  map[string]bool // sessions, or requests without one
-	position int             // the largest in a crash
-	own      bool            // it is not shared with other sessions
-	request  bool            // it is a whole request
-	oldest   time.Time
+	servers  map[string]time.Time // when each crashed
+	origins  map[string]bool      // sessions, or requests without one
+	position int                  // the largest in a crash
+	own      bool                 // it is not shared with other sessions
+	request  bool                 // it is a whole request
 	newest   time.Time
 }
 
-// qualifies reports whether there are enough crashes to block the suspect. Whatever takes
-// several servers at once takes those that run the same popular request.
-func (c *candidate) qualifies() bool {
-	return len(c.servers) >= minServers && (c.own || len(c.origins) >= minSessions) && (!c.request || c.newest.Sub(c.oldest) > sameMoment)
+// qualified returns when there were enough crashes to block the suspect, or false if there
+// are not. Whatever takes several servers at once takes those that run the same popular
+// request.
+func (c *candidate) qualified() (at time.Time, ok bool) {
+	if len(c.servers) < minServers || !c.own && len(c.origins) < minSessions {
+		return time.Time{}, false
+	}
+	times := slices.SortedFunc(maps.Values(c.servers), time.Time.Compare)
+	at = times[minServers-1]
+	if !c.request {
+		return at, true
+	}
+	i := slices.IndexFunc(times, func(t time.Time) bool { return t.Sub(times[0]) > sameMoment })
+	if i < 0 {
+		return time.Time{}, false
+	}
+	if times[i].After(at) {
+		at = times[i]
+	}
+	return at, true
 }
 
 // explain returns the fewest suspects that explain the crashes: the one with the most
@@ -43,7 +60,7 @@
 		blocks[best.suspect] = Block{Suspect: best.suspect, Until: best.newest.Add(blockTime), Crashes: len(best.servers)}
 		var rest []knownCrash
 		for _, c := range unexplained {
-			if !best.servers[c.Server] {
+			if best.servers[c.Server].IsZero() {
 				rest = append(rest, c)
 			}
 		}
@@ -63,23 +80,21 @@
 			}
 			k := candidates[s]
 			if k == nil {
-				k = &candidate{suspect: s, servers: make(map[string]bool), origins: make(map[string]bool), oldest: c.At}
+				k = &candidate{suspect: s, servers: make(map[string]time.Time), origins: make(map[string]bool)}
 				candidates[s] = k
 			}
-			k.servers[c.Server], k.origins[c.origin()] = true, true
+			k.servers[c.Server], k.origins[c.origin()] = c.At, true
 			k.position = max(k.position, i)
 			k.own, k.request = k.own || c.owns(s), k.request || s == c.Request
 			if c.At.After(k.newest) {
 				k.newest = c.At
 			}
-			if c.At.Before(k.oldest) {
-				k.oldest = c.At
-			}
 		}
 	}
 	var best *candidate
 	for _, k := range candidates {
-		if !k.qualifies() || t.survivedLately(k.suspect, now) {
+		at, ok := k.qualified()
+		if !ok || t.survivedLately(k.suspect, at, now) {
 			continue
 		}
 		if best == nil || k.compare(best) > 0 {
@@ -90,10 +105,13 @@
 }
 
 // survivedLately reports whether it is too early to block a suspect, and sets when to review
-// it. After the start of the router, and after a survival of the suspect, it may have heard
+// it. After the start of the router, and if the suspect has ever survived, it may have heard
 // of the crashes but not yet of the survivals that refute them.
-func (t *Table) survivedLately(suspect string, now time.Time) bool {
+func (t *Table) survivedLately(suspect string, qualifiedAt, now time.Time) bool {
 	at := t.survivals.last(suspect)
+	if !at.IsZero() && qualifiedAt.After(at) {
+		at = qualifiedAt
+	}
 	if t.startedAt.After(at) {
 		at = t.startedAt
 	}
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -116,9 +116,7 @@
 func (t *Table) Blocked(s Suspects, now time.Time) (Block, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.reviewAt.IsZero() && !now.Before(t.reviewAt) {
-		t.review(now)
-	}
+	t.reviewIfDue(now)
 	for _, suspect := range s.all() {
 		if b, ok := t.blocks[suspect]; ok && now.Before(b.Until) {
 			return b, true
@@ -131,6 +129,7 @@
 func (t *Table) Blocks(now time.Time) []Block {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.reviewIfDue(now)
 	var blocks []Block
 	for _, b := range t.blocks {
 		if now.Before(b.Until) {
@@ -235,6 +234,13 @@
 	return false
 }
 
+// reviewIfDue reviews the blocks if one had to wait. The caller holds mu.
+func (t *Table) reviewIfDue(now time.Time) {
+	if !t.reviewAt.IsZero() && !now.Before(t.reviewAt) {
+		t.review(now)
+	}
+}
+
 // announce makes the survival of a suspect news for peers. A shared part in a single crash
 // matters less, and a session or request in a single crash does not. The caller holds mu.
 func (t *Table) announce(suspect string, shared bool, now time.Time) {
