quarantine: the evidence against one suspect does not crowd out that against another

Cause: crashes were sent and kept by how many of them shared a suspect. A session with 35 crashes filled the 16 places of each message, so the part's crashes were never told; and once the table's 64 places were full, the weaker suspect's evidence was forgotten, its block was lifted, and more crashes brought it back.

A block now keeps at most eight crashes that show it (the newest, and some for each suspect that follows it, so that a narrower block would not explain them), and what it explains beyond is not kept or told again. Messages and the table take the evidence of each suspect in turn. The table has 128 places.

--- a/internal/decision/quarantine/crashes.go
+++ b/internal/decision/quarantine/crashes.go
@@ -8,7 +8,7 @@
 const (
 	// maxCrashes bounds the crashes that are kept, maxParts the shared parts of each, of
 	// which the last ones are kept, and maxIDBytes their IDs.
-	maxCrashes = 64
+	maxCrashes = 128
 	maxParts   = 8
 	maxIDBytes = 64
 	// maxServerBytes bounds the names of incarnations.
--- a/internal/decision/quarantine/explain.go
+++ b/internal/decision/quarantine/explain.go
@@ -41,12 +41,18 @@
 	return at, true
 }
 
+// explanation is a block with the crashes that it explains.
+type explanation struct {
+	Block
+	evidence []knownCrash // one of each server
+}
+
 // explain returns the fewest suspects that explain the crashes: the one with the most
 // crashes first, then the one with the most among those that it does not explain, and so
 // on. Of two that always occur together, the later one is blocked, since more requests
 // share the earlier one. The caller holds mu.
-func (t *Table) explain(now time.Time) map[string]Block {
-	var blocks map[string]Block
+func (t *Table) explain(now time.Time) []explanation {
+	var found []explanation
 	unexplained := t.crashes.list
 	t.reviewAt = time.Time{}
 	for len(unexplained) >= minServers && t.crashes.maxCount >= minServers {
@@ -54,19 +60,22 @@
 		if best == nil {
 			break
 		}
-		if blocks == nil {
-			blocks = make(map[string]Block)
-		}
-		blocks[best.suspect] = Block{Suspect: best.suspect, Until: best.newest.Add(blockTime), Crashes: len(best.servers)}
+		e := explanation{Block: Block{Suspect: best.suspect, Until: best.newest.Add(blockTime), Crashes: len(best.servers)}}
+		seen := make(map[string]bool, len(best.servers))
 		var rest []knownCrash
 		for _, c := range unexplained {
-			if best.servers[c.Server].IsZero() {
+			switch {
+			case best.servers[c.Server].IsZero():
 				rest = append(rest, c)
+			case !seen[c.Server] && slices.Contains(t.suspects(c.Crash), best.suspect):
+				seen[c.Server] = true
+				e.evidence = append(e.evidence, c)
 			}
 		}
+		found = append(found, e)
 		unexplained = rest
 	}
-	return blocks
+	return found
 }
 
 // strongest returns the suspect with the most crashes that qualifies, or nil. The caller
@@ -133,3 +142,35 @@
 		strings.Compare(c.suspect, other.suspect),
 	)
 }
+
+// keepEvidence reduces the evidence of a block to what shows it, the most telling first, and
+// returns the servers whose crashes are left out. Crashes that agree in the suspect
+// that follows the blocked one would show that one as well, so the others go first.
+func (e *explanation) keepEvidence() (dropped []string) {
+	slices.SortStableFunc(e.evidence, func(a, b knownCrash) int { return b.At.Compare(a.At) })
+	rank := make(map[string]int, len(e.evidence)) // of a server, among the crashes with the same next suspect
+	perNext := make(map[string]int)
+	kept := e.evidence[:0]
+	for _, c := range e.evidence {
+		next := c.following(e.Suspect)
+		if len(kept) == maxEvidence || perNext[next] == maxSimilarEvidence {
+			dropped = append(dropped, c.Server)
+			continue
+		}
+		rank[c.Server] = perNext[next]
+		perNext[next]++
+		kept = append(kept, c)
+	}
+	e.evidence = kept
+	slices.SortStableFunc(e.evidence, func(a, b knownCrash) int { return rank[a.Server] - rank[b.Server] })
+	return dropped
+}
+
+// following returns the suspect of a crash that follows the given one, or an empty string.
+func (c *Crash) following(suspect string) string {
+	all := c.all()
+	if i := slices.Index(all, suspect); i >= 0 && i+1 < len(all) {
+		return all[i+1]
+	}
+	return ""
+}
--- a/internal/decision/quarantine/fleet_test.go
+++ b/internal/decision/quarantine/fleet_test.go
@@ -361,6 +361,39 @@
 	}
 }
 
+// Evidence of one deadly thing crowded out that of another.
+func TestFleetStopsSendingEachOfSeveralDeadlyRequests(t *testing.T) {
+	for _, size := range sizes {
+		s := size
+		s.earlyLoss, s.seeds, s.length = 0.03, min(s.seeds, 4), 30*time.Second
+		if s.routers == 1000 {
+			s.length = 20 * time.Second // a long play
+		}
+		rate := min(0.02*float64(s.routers), 2)
+		s.repeated = []deadly{
+			{Suspects: prompt("first", "session"), perSecond: rate, prefill: prefillTime},
+			{Suspects: quarantine.Suspects{Request: "sha256:call"}, perSecond: rate, prefill: step},
+			{Suspects: quarantine.Suspects{Request: "sha256:draft", Parts: []string{"first", "doc"}, Session: "other"}, perSecond: rate, prefill: prefillTime},
+			{Suspects: quarantine.Suspects{Request: "sha256:booking"}, perSecond: 0.5, prefill: step},
+		}
+		t.Run(fmt.Sprintf("%d routers", s.routers), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			for seed := range s.seeds {
+				out := s.play(seed)
+				t.Logf("seed %d: refused %d of %d, %d changes of blocks", seed, out.refused, out.sound, out.changes)
+				for _, d := range out.deadly {
+					t.Logf("%v: %d crashes, %d late, %d after the kill", d.Suspects, d.crashes, d.late, d.killed)
+					g.Expect(d.late).To(BeNumerically("<=", 3), "seed %d, %v", seed, d.Suspects)
+					g.Expect(d.killed).To(BeNumerically("<=", 3), "seed %d, %v after the kill", seed, d.Suspects)
+				}
+				g.Expect(out.refused).To(BeNumerically("<=", out.sound/500), "seed %d: of %d sound requests", seed, out.sound)
+				g.Expect(out.changes).To(BeNumerically("<=", 4*len(out.deadly)*s.routers), "seed %d: blocks flap", seed)
+			}
+		})
+	}
+}
+
 // A request that half of the callers send is in progress at each server that is lost.
 func TestPopularCallsAreNotBlockedByOutagesOfAllServers(t *testing.T) {
 	for _, size := range sizes {
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -27,6 +27,10 @@
 	// through, and one crash within crashTTL blocks it again.
 	blockTime = 5 * time.Minute
 	crashTTL  = 15 * time.Minute
+	// maxEvidence bounds the crashes that are kept for a block, and maxSimilarEvidence those
+	// that agree in the next suspect too.
+	maxEvidence        = 8
+	maxSimilarEvidence = 4
 
 	// newsTime is how long news is sent with every message: about eight exchanges in a
 	// fleet that relays it from peer to peer. maxNewsAge is how old a crash may be as news.
@@ -47,7 +51,7 @@
 type Block struct {
 	Suspect string
 	Until   time.Time
-	Crashes int // servers that it crashed
+	Crashes int // servers that it is known to have crashed, of which not all are kept
 }
 
 // Report is what a router tells its peers: crashes, and when suspects last survived.
@@ -69,7 +73,9 @@
 	mu        sync.Mutex
 	crashes   crashes
 	survivals survivals
-	blocks    map[string]Block
+	blocks    []explanation
+	// explained are servers whose crashes are explained by a block and not kept.
+	explained recentSet
 	// reviewAt is when a suspect that survived lately may have to be blocked; zero for never.
 	reviewAt time.Time
 	// forgottenAt is the time of the newest crash that was forgotten for lack of space.
@@ -117,8 +123,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reviewIfDue(now)
+	if len(t.blocks) == 0 {
+		return Block{}, false
+	}
 	for _, suspect := range s.all() {
-		if b, ok := t.blocks[suspect]; ok && now.Before(b.Until) {
+		if b, ok := t.block(suspect, now); ok {
+			return b, true
+		}
+	}
+	return Block{}, false
+}
+
+// block returns the block of a suspect. The caller holds mu.
+func (t *Table) block(suspect string, now time.Time) (Block, bool) {
+	for i := range t.blocks {
+		if b := t.blocks[i].Block; b.Suspect == suspect && now.Before(b.Until) {
 			return b, true
 		}
 	}
@@ -133,33 +152,13 @@
 	var blocks []Block
 	for _, b := range t.blocks {
 		if now.Before(b.Until) {
-			blocks = append(blocks, b)
+			blocks = append(blocks, b.Block)
 		}
 	}
 	slices.SortFunc(blocks, func(a, b Block) int { return strings.Compare(a.Suspect, b.Suspect) })
 	return blocks
 }
 
-// Report returns the news for a message to peers, with at most n crashes, the strongest
-// evidence first. With all, the crashes behind the current blocks are among them, for
-// routers that have started since or missed the news.
-func (t *Table) Report(n int, all bool, now time.Time) Report {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var crashes []knownCrash
-	for _, c := range t.crashes.list {
-		if c.isNews(now) || all && t.explained(c.Crash, now) {
-			crashes = append(crashes, c)
-		}
-	}
-	t.sortByEvidence(crashes, now)
-	r := Report{Survived: t.survivals.recent(now)}
-	for _, c := range crashes[:min(len(crashes), n)] {
-		r.Crashes = append(r.Crashes, c.Crash)
-	}
-	return r
-}
-
 // Merge records what a peer reports.
 func (t *Table) Merge(r Report, now time.Time) Change {
 	t.mu.Lock()
@@ -176,9 +175,10 @@
 	return Change{Blocks: news && t.review(now)}
 }
 
-// add records a crash unless it is known, malformed or refuted. The caller holds mu.
+// add records a crash unless it is known, malformed, refuted or explained. The caller holds
+// mu.
 func (t *Table) add(c Crash, now time.Time) (added bool) {
-	if t.crashes.has(c) || !c.valid(now) {
+	if t.crashes.has(c) || !c.valid(now) || t.explained.has(c.Server) {
 		return false
 	}
 	c.Suspects = c.Suspects.bounded()
@@ -204,34 +204,30 @@
 // still tell them, so crashes as old as these are not recorded again without other
 // evidence against their suspects. The caller holds mu.
 func (t *Table) forgetWeakest(now time.Time) {
-	t.sortByEvidence(t.crashes.list, now)
+	evidence, others := t.byEvidence(now)
+	list := append(evidence, others...)
 	kept := maxCrashes - maxCrashes/4
-	for _, c := range t.crashes.list[kept:] {
+	for _, c := range list[kept:] {
 		if c.At.After(t.forgottenAt) {
 			t.forgottenAt = c.At
 		}
 	}
-	t.crashes.set(slices.Clone(t.crashes.list[:kept]))
+	t.crashes.set(list[:kept])
 }
 
-// review removes crashes that are too old or refuted, and decides anew which suspects are
-// blocked. It reports whether they have changed. The caller holds mu.
+// review removes crashes that are too old, refuted or not needed any more, and decides anew
+// which suspects are blocked. It reports whether they have changed. The caller holds mu.
 func (t *Table) review(now time.Time) (changed bool) {
-	stale := func(c knownCrash) bool { return now.Sub(c.At) > crashTTL || !t.hasSuspect(c.Crash) }
-	if slices.ContainsFunc(t.crashes.list, stale) {
-		t.crashes.set(slices.DeleteFunc(t.crashes.list, stale))
-	}
+	t.remove(func(c knownCrash) bool { return now.Sub(c.At) > crashTTL || !t.hasSuspect(c.Crash) })
 	old := t.blocks
 	t.blocks = t.explain(now)
-	if len(old) != len(t.blocks) {
-		return true
-	}
-	for s := range t.blocks {
-		if _, ok := old[s]; !ok {
-			return true
+	for i := range t.blocks {
+		for _, s := range t.blocks[i].keepEvidence() {
+			t.explained.add(s)
 		}
 	}
-	return false
+	t.remove(func(c knownCrash) bool { return t.explained.has(c.Server) })
+	return !slices.Equal(sortedSuspects(old), sortedSuspects(t.blocks))
 }
 
 // reviewIfDue reviews the blocks if one had to wait. The caller holds mu.
@@ -241,6 +237,22 @@
 	}
 }
 
+func sortedSuspects(blocks []explanation) []string {
+	suspects := make([]string, len(blocks))
+	for i, b := range blocks {
+		suspects[i] = b.Suspect
+	}
+	slices.Sort(suspects)
+	return suspects
+}
+
+// remove removes crashes. The caller holds mu.
+func (t *Table) remove(obsolete func(knownCrash) bool) {
+	if slices.ContainsFunc(t.crashes.list, obsolete) {
+		t.crashes.set(slices.DeleteFunc(t.crashes.list, obsolete))
+	}
+}
+
 // announce makes the survival of a suspect news for peers. A shared part in a single crash
 // matters less, and a session or request in a single crash does not. The caller holds mu.
 func (t *Table) announce(suspect string, shared bool, now time.Time) {
@@ -266,32 +278,3 @@
 	newest, ok := t.crashes.newest(suspect)
 	return ok && !t.survivals.last(suspect).After(newest)
 }
-
-// explained reports whether a crash has a suspect that is blocked. The caller holds mu.
-func (t *Table) explained(c Crash, now time.Time) bool {
-	for _, s := range t.suspects(c) {
-		if b, ok := t.blocks[s]; ok && now.Before(b.Until) {
-			return true
-		}
-	}
-	return false
-}
-
-// sortByEvidence sorts crashes by how many others share a suspect that has not survived
-// lately, and then by age, the newest first. The caller holds mu.
-func (t *Table) sortByEvidence(crashes []knownCrash, now time.Time) {
-	evidence := make(map[crashKey]int, len(crashes))
-	for _, c := range crashes {
-		for _, s := range c.all() {
-			if now.Sub(t.survivals.last(s)) > t.contactTime {
-				evidence[c.key()] = max(evidence[c.key()], t.crashes.count(s))
-			}
-		}
-	}
-	slices.SortStableFunc(crashes, func(a, b knownCrash) int {
-		if d := evidence[b.key()] - evidence[a.key()]; d != 0 {
-			return d
-		}
-		return b.At.Compare(a.At)
-	})
-}
