gossip: a router that starts knows the fleet's blocks before it serves

Cause: a router that starts served callers as soon as it had a configuration, which may come from the store before any peer has answered; and it blocked nothing for the contact time, since it might not have heard yet of survivals. Its first exchange carried the fleet's crashes, at most 16 or, from a router that reads the store, 4.

A router now calls its seeds at once and the peers that they name next, and serves nobody before one that knows the fleet has replied, or 400 ms after its start if none does, as when all start at once. The reply carries up to 48 crashes and what its sender blocks; a peer that blocks a suspect has heard of its survivals, so a router that has just started blocks it on the same evidence at once.

The in-memory network of the gossip tests can start one more router now; its checks are as before.

--- a/internal/decision/quarantine/explain.go
+++ b/internal/decision/quarantine/explain.go
@@ -115,13 +115,14 @@
 
 // survivedLately reports whether it is too early to block a suspect, and sets when to review
 // it. After the start of the router, and if the suspect has ever survived, it may have heard
-// of the crashes but not yet of the survivals that refute them.
+// of the crashes but not yet of the survivals that refute them. A peer that blocks the
+// suspect has heard of them.
 func (t *Table) survivedLately(suspect string, qualifiedAt, now time.Time) bool {
 	at := t.survivals.last(suspect)
 	if !at.IsZero() && qualifiedAt.After(at) {
 		at = qualifiedAt
 	}
-	if t.startedAt.After(at) {
+	if t.startedAt.After(at) && !t.confirmed[suspect] {
 		at = t.startedAt
 	}
 	at = at.Add(t.contactTime)
--- a/internal/decision/quarantine/fleet_test.go
+++ b/internal/decision/quarantine/fleet_test.go
@@ -361,13 +361,13 @@
 	}
 }
 
-// Evidence of one deadly thing crowded out that of another.
+// Evidence of one deadly thing crowded out that of another, and routers that started waited.
 func TestFleetStopsSendingEachOfSeveralDeadlyRequests(t *testing.T) {
 	for _, size := range sizes {
 		s := size
-		s.earlyLoss, s.seeds, s.length = 0.03, min(s.seeds, 4), 30*time.Second
+		s.earlyLoss, s.seeds, s.killAt, s.length = 0.03, min(s.seeds, 4), 14*time.Second, 30*time.Second
 		if s.routers == 1000 {
-			s.length = 20 * time.Second // a long play
+			s.killAt, s.length = 8*time.Second, 20*time.Second // a long play
 		}
 		rate := min(0.02*float64(s.routers), 2)
 		s.repeated = []deadly{
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -36,8 +36,10 @@
 	// fleet that relays it from peer to peer. maxNewsAge is how old a crash may be as news.
 	newsTime   = 5 * time.Second
 	maxNewsAge = 15 * time.Second
-	// maxSurvived bounds the suspects in a message that are said to have survived.
+	// maxSurvived bounds the suspects in a message that are said to have survived, and
+	// maxBlocked those that are said to be blocked.
 	maxSurvived = 16
+	maxBlocked  = 16
 )
 
 // Crash is the loss of a server that had just begun to run a request.
@@ -54,10 +56,12 @@
 	Crashes int // servers that it is known to have crashed, of which not all are kept
 }
 
-// Report is what a router tells its peers: crashes, and when suspects last survived.
+// Report is what a router tells its peers: crashes, when suspects last survived, and which
+// ones it blocks.
 type Report struct {
 	Crashes  []Crash
 	Survived map[string]time.Time
+	Blocked  []string
 }
 
 // Change is what a router has learned.
@@ -74,6 +78,8 @@
 	crashes   crashes
 	survivals survivals
 	blocks    []explanation
+	// confirmed are suspects that peers blocked when this router had just started.
+	confirmed map[string]bool
 	// explained are servers whose crashes are explained by a block and not kept.
 	explained recentSet
 	// reviewAt is when a suspect that survived lately may have to be blocked; zero for never.
@@ -163,7 +169,7 @@
 func (t *Table) Merge(r Report, now time.Time) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	news := false
+	news := t.confirm(r.Blocked, now)
 	for s, at := range r.Survived {
 		if !at.After(now) {
 			news = t.recordSurvival(s, at, now) || news
@@ -175,6 +181,24 @@
 	return Change{Blocks: news && t.review(now)}
 }
 
+// confirm records the suspects that a peer blocks, while this router may not have heard yet
+// of what refutes them. The caller holds mu.
+func (t *Table) confirm(blocked []string, now time.Time) (news bool) {
+	if now.Sub(t.startedAt) >= t.contactTime {
+		return false
+	}
+	for _, s := range blocked {
+		if len(s) > maxIDBytes || t.confirmed[s] || len(t.confirmed) >= maxCrashes {
+			continue
+		}
+		if t.confirmed == nil {
+			t.confirmed = make(map[string]bool)
+		}
+		t.confirmed[s], news = true, true
+	}
+	return news
+}
+
 // add records a crash unless it is known, malformed, refuted or explained. The caller holds
 // mu.
 func (t *Table) add(c Crash, now time.Time) (added bool) {
--- a/internal/decision/quarantine/report.go
+++ b/internal/decision/quarantine/report.go
@@ -7,8 +7,8 @@
 )
 
 // Report returns the news for a message to peers, with at most n crashes. With all, the
-// crashes behind the blocks are in it, for routers that have started since or missed the
-// news.
+// blocks and the crashes behind them are in it, for routers that have started since or
+// missed the news.
 func (t *Table) Report(n int, all bool, now time.Time) Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -25,6 +25,14 @@
 			}
 		}
 	}
+	if !all || now.Sub(t.startedAt) < t.contactTime {
+		return r
+	}
+	for _, b := range t.blocks {
+		if now.Before(b.Until) && len(r.Blocked) < maxBlocked {
+			r.Blocked = append(r.Blocked, b.Suspect)
+		}
+	}
 	return r
 }
 
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -137,7 +137,7 @@
 	})
 	handler := front.New(front.Config{
 		Protocol:     cfg.Protocol,
-		Table:        e.routeTable.Load,
+		Table:        e.callersTable,
 		Streaming:    streams,
 		NonStreaming: forward.New(forward.Config{Servers: e.servers, Client: cfg.Client, RetryBudget: retryBudget, Quarantine: e.quarantine, Limits: e.limits, Links: links, Domain: cfg.Domain, Log: e.logger("plain")}),
 		RetryBudget:  retryBudget,
--- /dev/null
+++ b/internal/router/edge/join_test.go
@@ -0,0 +1,35 @@
+package edge
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/config/routes"
+	"wisteriafield/internal/router/gossip"
+)
+
+func TestARouterThatStartsServesNobodyBeforeItKnowsTheFleetsBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		e, _ := newCallerSide(nil)
+		e.cfg.PeerAddress = "10.0.0.1:1"
+		e.gossip = gossip.New(gossip.Config{})
+		e.routeTable.Store(routes.NewTable(routes.Config{Version: 1}))
+		e.serversLoaded.Store(true)
+		ready := func() int {
+			res := httptest.NewRecorder()
+			e.handleReadiness(res, nil)
+			return res.Code
+		}
+		g.Expect(e.callersTable()).To(BeNil())
+		g.Expect(ready()).To(Equal(http.StatusServiceUnavailable))
+		time.Sleep(time.Second) // no peer answers
+		g.Expect(e.callersTable()).NotTo(BeNil())
+		g.Expect(ready()).To(Equal(http.StatusOK))
+	})
+}
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -37,6 +37,14 @@
 	e.gossip.Trigger()
 }
 
+// callersTable returns the routes of callers' requests, nil until this router may serve them.
+func (e *Edge) callersTable() *routes.Table {
+	if e.cfg.PeerAddress != "" && !e.gossip.Joined(time.Now()) {
+		return nil
+	}
+	return e.routeTable.Load()
+}
+
 // ConfigVersion returns the version of the configuration in effect, 0 if there is none.
 func (e *Edge) ConfigVersion() int64 {
 	if t := e.routeTable.Load(); t != nil {
--- a/internal/router/gossip/contact.go
+++ b/internal/router/gossip/contact.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply message
-	err := g.cfg.Caller.Call(ctx, address, methodExchange, g.buildMessage(true), &reply)
+	err := g.cfg.Caller.Call(ctx, address, methodExchange, g.buildMessage(true, maxCallNews), &reply)
 	g.mu.Lock()
 	if p := g.peers[address]; p != nil {
 		p.calling = false
@@ -60,5 +60,6 @@
 	g.mu.Unlock()
 	if err == nil {
 		g.handle(reply)
+		g.join(reply, time.Now())
 	}
 }
--- a/internal/router/gossip/crashes.go
+++ b/internal/router/gossip/crashes.go
@@ -32,7 +32,7 @@
 
 // decodeCrashes returns the report in a message.
 func decodeCrashes(m message, now time.Time) quarantine.Report {
-	r := quarantine.Report{Survived: make(map[string]time.Time, len(m.Survived))}
+	r := quarantine.Report{Survived: make(map[string]time.Time, len(m.Survived)), Blocked: m.Blocked}
 	for _, c := range m.Crashes {
 		r.Crashes = append(r.Crashes, quarantine.Crash{
 			Suspects: quarantine.Suspects{Parts: c.Parts, Session: c.Session, Request: c.Request}, Server: c.Server, At: now.Add(-millis(c.AgeMs)),
--- a/internal/router/gossip/crashes_test.go
+++ b/internal/router/gossip/crashes_test.go
@@ -1,6 +1,7 @@
 package gossip_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -44,3 +45,34 @@
 		})
 	}
 }
+
+func TestARouterThatStartsKnowsTheFleetsBlocksBeforeItServes(t *testing.T) {
+	for _, n := range []int{6, 30} {
+		runRouters(t, n, func(g *WithT, net *network, all []*router) {
+			deadly, many := promptOf("own", "system"), promptOf("other", "system")
+			call := &server.Request{ID: "c", Target: "/rate"}
+			call.SetDigest()
+			for i := range 40 {
+				all[1].quarantine.ServerLost(many, &server.Server{ID: fmt.Sprintf("m-%d", i)}, 0)
+			}
+			for i := range 3 {
+				all[2].quarantine.ServerLost(deadly, &server.Server{ID: fmt.Sprintf("e-%d", i)}, 0)
+				all[3].quarantine.ServerLost(call, &server.Server{ID: fmt.Sprintf("c-%d", i)}, 0)
+				time.Sleep(100 * time.Millisecond)
+			}
+			time.Sleep(20 * time.Second)
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			net.contactTime = 4 * time.Second
+			r := net.start(n, n+1)
+			go func() { _ = r.gossip.Run(ctx) }()
+			for !r.gossip.Joined(time.Now()) {
+				time.Sleep(time.Millisecond)
+			}
+			for _, req := range []*server.Request{deadly, many, call} {
+				_, refused := r.quarantine.Refuses(req)
+				g.Expect(refused).To(BeTrue(), "%s at the last of %d routers", req.ID, n+1)
+			}
+		})
+	}
+}
--- a/internal/router/gossip/fixture_test.go
+++ b/internal/router/gossip/fixture_test.go
@@ -34,6 +34,7 @@
 	receive     map[string]func([]byte)
 	unreachable map[string]bool
 	slowMethod  string // takes 1.5 s
+	contactTime time.Duration
 	inboxes     map[string]chan struct{}
 }
 
@@ -186,26 +187,8 @@
 		ctx, stop := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
 		var all []*router
-		log := logrus.New()
-		log.SetOutput(io.Discard)
 		for i := range n {
-			r := &router{servers: registry.New(), role: storereader.Idle}
-			r.limits = ratelimit.New(decision.Config{Self: fmt.Sprintf("router-%d", i), Peers: r.peerNames, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
-			r.quarantine = quarantine.New(0, func() { r.gossip.Trigger() }, log.WithField("part", "quarantine"))
-			r.servers.Set(storehistory.Position{Revision: 1}, []server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
-			self := gossip.Host{Name: fmt.Sprintf("router-%d", i), Address: fmt.Sprintf("call-%d", i), DatagramAddress: fmt.Sprintf("notice-%d", i)}
-			r.gossip = gossip.New(gossip.Config{
-				Self: self, Seeds: []string{"call-0"}, Caller: net, Datagrams: sender{net, r}, State: r, Servers: r.servers, Sessions: sessions.NewTable(), RetryBudget: retrybudget.New(retrybudget.Config{Window: time.Second, Routers: func() int { return n }}, time.Now()),
-				Quarantine:         r.quarantine,
-				Limits:             r.limits,
-				EngineUnresponsive: func(e *registry.Entry) { r.mu.Lock(); r.unresponsive = append(r.unresponsive, e.ID); r.mu.Unlock() },
-				Log:                log.WithField("part", "gossip"),
-			})
-			s := control.NewServer()
-			r.gossip.Register(s)
-			net.mu.Lock()
-			net.servers[self.Address], net.receive[self.DatagramAddress] = s, r.gossip.Receive
-			net.mu.Unlock()
+			r := net.start(i, n)
 			all = append(all, r)
 			wg.Go(func() { _ = r.gossip.Run(ctx) })
 		}
@@ -217,6 +200,30 @@
 	})
 }
 
+// start adds the i-th router of a number of them to the network.
+func (net *network) start(i, routers int) *router {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &router{servers: registry.New(), role: storereader.Idle}
+	r.limits = ratelimit.New(decision.Config{Self: fmt.Sprintf("router-%d", i), Peers: r.peerNames, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
+	r.quarantine = quarantine.New(net.contactTime, func() { r.gossip.Trigger() }, log.WithField("part", "quarantine"))
+	r.servers.Set(storehistory.Position{Revision: 1}, []server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
+	self := gossip.Host{Name: fmt.Sprintf("router-%d", i), Address: fmt.Sprintf("call-%d", i), DatagramAddress: fmt.Sprintf("notice-%d", i)}
+	r.gossip = gossip.New(gossip.Config{
+		Self: self, Seeds: []string{"call-0"}, Caller: net, Datagrams: sender{net, r}, State: r, Servers: r.servers, Sessions: sessions.NewTable(), RetryBudget: retrybudget.New(retrybudget.Config{Window: time.Second, Routers: func() int { return routers }}, time.Now()),
+		Quarantine:         r.quarantine,
+		Limits:             r.limits,
+		EngineUnresponsive: func(e *registry.Entry) { r.mu.Lock(); r.unresponsive = append(r.unresponsive, e.ID); r.mu.Unlock() },
+		Log:                log.WithField("part", "gossip"),
+	})
+	s := control.NewServer()
+	r.gossip.Register(s)
+	net.mu.Lock()
+	net.servers[self.Address], net.receive[self.DatagramAddress] = s, r.gossip.Receive
+	net.mu.Unlock()
+	return r
+}
+
 // seeStoreEra lets the store name an era to the router.
 func (r *router) seeStoreEra(era int64) {
 	r.mu.Lock()
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -54,6 +54,7 @@
 
 	pullingConfig, pullingServerList atomic.Bool // a fetch is in progress
 
+	joined       atomic.Bool // a peer has told what the fleet knew before this router started
 	sendRounds   atomic.Int64
 	peersChanged atomic.Bool // a peer became known since the last message that lists peers
 	uplink       *uplink.Uplink
@@ -99,7 +100,7 @@
 			return nil, err
 		}
 		go g.handle(m)
-		return g.buildMessage(true), nil
+		return g.buildMessage(true, maxCallNews), nil
 	})
 	s.Handle(methodConfig, func(context.Context, json.RawMessage) (any, error) { return g.serveConfig() })
 	s.Handle(methodServers, func(_ context.Context, params json.RawMessage) (any, error) {
@@ -198,6 +199,7 @@
 func (g *Gossip) Run(ctx context.Context) error {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
+	g.Trigger()
 	var lastSent time.Time
 	var sentChanges uint64
 	for {
@@ -227,7 +229,7 @@
 // sendDatagrams sends this router's state to the current targets.
 func (g *Gossip) sendDatagrams(now time.Time) {
 	listDue := g.sendRounds.Add(1)%datagramsPerPeerList == 1
-	m := g.buildMessage(g.peersChanged.Swap(false) || listDue)
+	m := g.buildMessage(g.peersChanged.Swap(false) || listDue, g.maxNews(now))
 	encoded, err := json.Marshal(m)
 	if err == nil && len(encoded) > maxDatagramBytes {
 		m.Loads = nil
--- /dev/null
+++ b/internal/router/gossip/join.go
@@ -0,0 +1,40 @@
+package gossip
+
+import "time"
+
+const (
+	// joinTimeout bounds how long a router that starts waits for a peer that knows which
+	// requests crash servers. If all routers start at once, there is none.
+	joinTimeout = 400 * time.Millisecond
+	// settledTime is how long after its start a router knows what the fleet knows, even
+	// if it was told nothing then.
+	settledTime = 5 * time.Second
+)
+
+// Joined reports whether this router may serve callers: it knows which requests crash
+// servers, as far as a peer could tell it.
+func (g *Gossip) Joined(now time.Time) bool {
+	return g.joined.Load() || now.Sub(g.started) >= joinTimeout
+}
+
+// informed reports whether this router knows what the fleet knew before it started.
+func (g *Gossip) informed(now time.Time) bool {
+	return g.joined.Load() || now.Sub(g.started) >= settledTime
+}
+
+// join handles the reply to a call of this router's, which carries all that its sender
+// knows.
+func (g *Gossip) join(reply message, now time.Time) {
+	if g.joined.Load() {
+		return
+	}
+	if reply.Informed {
+		g.joined.Store(true)
+		g.cfg.Log.WithField("peer", reply.Host.Name).WithField("blocked", reply.Blocked).
+			WithField("ms", now.Sub(g.started).Milliseconds()).Info("joined the fleet")
+		return
+	}
+	if now.Sub(g.started) < joinTimeout {
+		g.Trigger() // to call the peers that it named
+	}
+}
--- a/internal/router/gossip/message.go
+++ b/internal/router/gossip/message.go
@@ -10,9 +10,10 @@
 	"wisteriafield/internal/decision/storereader"
 )
 
-// buildMessage returns this router's state as a message. With listPeers, the message
-// also lists up to maxListedPeers live peers.
-func (g *Gossip) buildMessage(listPeers bool) message {
+// buildMessage returns this router's state as a message with at most the given number of
+// crashes and of limits. With listPeers, the message also lists up to maxListedPeers live
+// peers, and older news that still matters.
+func (g *Gossip) buildMessage(listPeers bool, news int) message {
 	position := g.cfg.State.ServerPosition()
 	m := message{
 		Host:         g.cfg.Self,
@@ -32,8 +33,10 @@
 		m.StoreAgeMs = now.Sub(at).Milliseconds()
 	}
 	m.Attempts = g.cfg.RetryBudget.OwnCounts(now)
-	news := g.maxNews(now)
-	m.Crashes, m.Survived = encodeCrashes(g.cfg.Quarantine.Report(news, listPeers, now), now)
+	m.Informed = g.informed(now)
+	report := g.cfg.Quarantine.Report(news, listPeers, now)
+	m.Crashes, m.Survived = encodeCrashes(report, now)
+	m.Blocked = report.Blocked
 	m.Limits = encodeLimits(g.cfg.Limits.Report(news, listPeers, now), now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -68,7 +71,7 @@
 	return storehistory.Position{Era: era, Revision: revision}
 }
 
-// maxNews returns how much news a message may carry now.
+// maxNews returns how much news a datagram may carry now.
 func (g *Gossip) maxNews(now time.Time) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/router/gossip/receive.go
+++ b/internal/router/gossip/receive.go
@@ -17,7 +17,7 @@
 	}
 	g.updatePeer(m, now)
 	g.cfg.RetryBudget.MergePeerCounts(m.Attempts, now)
-	if len(m.Crashes)+len(m.Survived) > 0 && g.cfg.Quarantine.Merge(decodeCrashes(m, now), m.Host.Name, now) {
+	if len(m.Crashes)+len(m.Survived)+len(m.Blocked) > 0 && g.cfg.Quarantine.Merge(decodeCrashes(m, now), m.Host.Name, now) {
 		g.Trigger()
 	}
 	if len(m.Limits) > 0 {
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -38,6 +38,7 @@
 	Era        int64                     `json:",omitempty"` // of the server list; 0 if the sender knows none
 	Loads      map[string]registry.Share `json:",omitempty"` // by server
 	Stopping   bool                      `json:",omitempty"`
+	Informed   bool                      `json:",omitempty"`      // the sender knows what the fleet knows
 	ReadsStore bool                      `json:"Reads,omitempty"` // the sender reads the store
 	// StoreFailing means that the store did not answer the sender's last call.
 	StoreFailing bool `json:",omitempty"`
@@ -51,10 +52,12 @@
 	Heartbeats map[string]int64 `json:"Signs,omitempty"`
 	// Attempts counts the sender's attempts in the last window, by service.
 	Attempts map[string]retrybudget.Counts `json:"Sends,omitempty"`
-	// Crashes are those of servers that had just begun to answer, and Survived is the age in ms
-	// of the last survival of what may be to blame.
+	// Crashes are those of servers that had just begun to answer, Survived is the age in ms
+	// of the last survival of what may be to blame, and Blocked what the sender does not send
+	// to servers.
 	Crashes  []crashRecord    `json:",omitempty"`
 	Survived map[string]int64 `json:",omitempty"`
+	Blocked  []string         `json:",omitempty"`
 	// Limits are those that backend servers named.
 	Limits []limitRecord `json:",omitempty"`
 	// SessionRecord is a record for one of its owners. A message that has one
@@ -121,9 +124,10 @@
 	maxDownTime = 10 * time.Second
 	// maxPaces bounds the engines whose pace one message of a large fleet holds.
 	maxPaces = 12
-	// maxNews bounds the crashes and the limits in one message, and maxAnnouncedNews those
-	// in a message to all peers of a large fleet.
+	// maxNews bounds the crashes and the limits in one datagram, maxAnnouncedNews those
+	// in a datagram to all peers of a large fleet, and maxCallNews those in a call.
 	maxNews          = 16
+	maxCallNews      = 48
 	maxAnnouncedNews = 4
 	// maxListedPeers bounds the peers listed in one message. One in
 	// datagramsPerPeerList datagrams lists peers; exchange calls, by which routers
