forward, relay: a request that may have crashed servers is not sent to the last one

Cause: a block needs three servers, which is all of them. A lost idempotent call was retried at once, and a hedge of it ran beside, so the third server was gone before anybody knew of the second.

What protects the last server: a request that may have crashed two servers, by what any router knows and as long as it has not survived, is not sent while one usable server is left; it is refused, with 503 if it has not run. Routers tell each other at once that a request has come so far. A call under which a server crashed is at one server at a time: no hedge, and no retry before the answers of its other attempts.

Evidence: TestACallThatCrashedServersIsNotSentToTheLastOne failed before (all three servers), TestARequestThatMayHaveCrashedServersSparesTheLastOne. A service of two servers is not protected: one crash says too little about a request.

--- a/internal/backend/registry/registry.go
+++ b/internal/backend/registry/registry.go
@@ -6,6 +6,7 @@
 	"sort"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/decision/storehistory"
@@ -81,6 +82,17 @@
 // the result.
 func (r *Registry) Service(name string) []*Entry { return r.snapshot.Load().byService[name] }
 
+// Usable returns how many servers of a service are neither leaving nor down.
+func (r *Registry) Usable(service string, now time.Time) int {
+	n := 0
+	for _, e := range r.Service(service) {
+		if !e.Leaving && !e.Load.State(now).Down {
+			n++
+		}
+	}
+	return n
+}
+
 // Get returns the server with an ID, or nil.
 func (r *Registry) Get(id string) *Entry { return r.snapshot.Load().byID[id] }
 
--- a/internal/decision/quarantine/fleet_test.go
+++ b/internal/decision/quarantine/fleet_test.go
@@ -162,7 +162,7 @@
 
 func (f *fleet) merge(to int, report quarantine.Report, now time.Time) {
 	change := f.tables[to].Merge(report, now)
-	if change.Blocks {
+	if change.Any() {
 		f.due[to] = now
 	}
 	if change.Blocks {
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -23,6 +23,9 @@
 	// sameMoment is how far apart the crashes of servers are that a common cause, such as a
 	// power cut, takes at once.
 	sameMoment = 50 * time.Millisecond
+	// lastServerCrashes is how many servers a request may have crashed and still be sent to
+	// the last usable server of its service.
+	lastServerCrashes = 1
 	// blockTime is how long a suspect is blocked after its last crash. Then requests are let
 	// through, and one crash within crashTTL blocks it again.
 	blockTime = 5 * time.Minute
@@ -66,9 +69,13 @@
 
 // Change is what a router has learned.
 type Change struct {
-	Blocks bool // other suspects are blocked now
+	Blocks    bool // other suspects are blocked now
+	Suspected bool // a request must not be sent to the last server of its service any more
 }
 
+// Any reports whether peers should know at once.
+func (c Change) Any() bool { return c.Blocks || c.Suspected }
+
 // Table is one router's view of the crashes of the fleet.
 type Table struct {
 	startedAt   time.Time
@@ -98,7 +105,8 @@
 func (t *Table) RecordCrash(c Crash, now time.Time) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Change{Blocks: t.add(c, now) && t.review(now)}
+	added, suspected := t.add(c, now)
+	return Change{Blocks: added && t.review(now), Suspected: suspected}
 }
 
 // RecordSurvival records that a server got well into an answer to a request with the given
@@ -150,6 +158,31 @@
 	return Block{}, false
 }
 
+// SparesLastServer reports whether a request has crashed so many servers that it must not be
+// sent to the last usable one of its service. They come back, but not while it takes each
+// that is left.
+func (t *Table) SparesLastServer(s Suspects) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.crashedBy(s) > lastServerCrashes
+}
+
+// crashedBy returns how many servers a session or a request without one has crashed, as far
+// as is known and not refuted. The caller holds mu.
+func (t *Table) crashedBy(s Suspects) int {
+	own := s.origin()
+	if own == "" || t.crashes.count(own) == 0 {
+		return 0
+	}
+	servers := make(map[string]bool)
+	for _, c := range t.crashes.list {
+		if c.origin() == own && !t.survivals.last(own).After(c.At) {
+			servers[c.Server] = true
+		}
+	}
+	return len(servers)
+}
+
 // Blocks returns the blocks, sorted by their suspects.
 func (t *Table) Blocks(now time.Time) []Block {
 	t.mu.Lock()
@@ -170,15 +203,18 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	news := t.confirm(r.Blocked, now)
+	var change Change
 	for s, at := range r.Survived {
 		if !at.After(now) {
 			news = t.recordSurvival(s, at, now) || news
 		}
 	}
 	for _, c := range r.Crashes {
-		news = t.add(c, now) || news
+		added, suspected := t.add(c, now)
+		news, change.Suspected = added || news, suspected || change.Suspected
 	}
-	return Change{Blocks: news && t.review(now)}
+	change.Blocks = news && t.review(now)
+	return change
 }
 
 // confirm records the suspects that a peer blocks, while this router may not have heard yet
@@ -199,11 +235,11 @@
 	return news
 }
 
-// add records a crash unless it is known, malformed, refuted or explained. The caller holds
-// mu.
-func (t *Table) add(c Crash, now time.Time) (added bool) {
+// add records a crash unless it is known, malformed, refuted or explained. It also reports
+// whether that makes its request one that spares the last server. The caller holds mu.
+func (t *Table) add(c Crash, now time.Time) (added, suspected bool) {
 	if t.crashes.has(c) || !c.valid(now) || t.explained.has(c.Server) {
-		return false
+		return false, false
 	}
 	c.Suspects = c.Suspects.bounded()
 	for _, s := range c.all() {
@@ -212,16 +248,16 @@
 		}
 	}
 	if !t.hasSuspect(c) {
-		return false
+		return false, false
 	}
 	if !c.At.After(t.forgottenAt) && !t.crashes.related(c) {
-		return false
+		return false, false
 	}
 	t.crashes.add(c, now)
 	if len(t.crashes.list) > maxCrashes {
 		t.forgetWeakest(now)
 	}
-	return true
+	return true, t.crashedBy(c.Suspects) == lastServerCrashes+1
 }
 
 // forgetWeakest removes a quarter of the crashes, those with the least evidence. Peers may
--- a/internal/decision/quarantine/quarantine_test.go
+++ b/internal/decision/quarantine/quarantine_test.go
@@ -184,3 +184,18 @@
 	restarted.Merge(old.Report(24, true, at(100)), at(100))
 	g.Expect(blockedParts(restarted, at(100))).To(Equal([]string{"doc"}))
 }
+
+func TestARequestThatMayHaveCrashedServersSparesTheLastOne(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.New(start.Add(-time.Minute), 3*time.Second)
+	call := quarantine.Suspects{Request: "sha256:call"}
+	g.Expect(table.RecordCrash(quarantine.Crash{Suspects: call, Server: "e1", At: at(1)}, at(1)).Suspected).To(BeFalse())
+	g.Expect(table.SparesLastServer(call)).To(BeFalse(), "one server may be lost for any reason")
+	news := quarantine.Report{Crashes: []quarantine.Crash{{Suspects: call, Server: "e2", At: at(2)}}}
+	g.Expect(table.Merge(news, at(2)).Suspected).To(BeTrue(), "peers should know at once")
+	g.Expect(table.Merge(news, at(2)).Any()).To(BeFalse(), "but only once")
+	g.Expect(table.SparesLastServer(call)).To(BeTrue())
+	g.Expect(table.SparesLastServer(quarantine.Suspects{Request: "sha256:other"})).To(BeFalse())
+	table.RecordSurvival(call, at(3))
+	g.Expect(table.SparesLastServer(call)).To(BeFalse())
+}
--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -23,6 +23,7 @@
 	delivered int    // attempts that may have reached a server
 	refusals  int    // attempts that no server executed
 	unused    int    // retries within the budget that were not sent
+	crashes   int    // servers that were lost while they ran it
 	best      result // the best result so far
 	attempted bool
 	blocked   time.Time // until when the request's prompt is blocked; zero if it is not
@@ -49,12 +50,15 @@
 
 // choose picks the server of the next attempt, or nil.
 func (c *call) choose() *registry.Entry {
-	return c.f.choose(c.service.Name, c.excluded)
+	return c.f.choose(c.req, c.service.Name, c.excluded)
 }
 
 // recordResult counts an attempt and keeps its result if it is the best so far.
 func (c *call) recordResult(r result) {
 	c.attempted = true
+	if r.crashed {
+		c.crashes++
+	}
 	if !errors.Is(r.err, server.ErrNotSent) {
 		c.delivered++
 	} else if r.retry {
@@ -74,7 +78,8 @@
 }
 
 // runIdempotent sends a request until a server answers without an error. If the first
-// answer takes long, the request is hedged at a second server.
+// answer takes long, the request is hedged at a second server. Once a server has crashed, it
+// is at one server at a time: it may crash each.
 func (c *call) runIdempotent(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -106,11 +111,12 @@
 			if !c.best.failed() {
 				return
 			}
-			if c.refusals < maxRefusals && c.executed+inFlight < c.req.Route.MaxAttempts {
+			mayCrash := c.crashes > 0 && inFlight > 0
+			if !mayCrash && c.refusals < maxRefusals && c.executed+inFlight < c.req.Route.MaxAttempts {
 				start(c.delivered+inFlight > 0)
 			}
 		case <-hedge.C:
-			if c.executed+inFlight < c.req.Route.MaxAttempts {
+			if c.crashes == 0 && c.executed+inFlight < c.req.Route.MaxAttempts {
 				start(true)
 			}
 		case <-ctx.Done():
--- a/internal/router/forward/deadly_test.go
+++ b/internal/router/forward/deadly_test.go
@@ -59,3 +59,17 @@
 		g.Expect(send(routes.NonIdempotent, 1, "").Code).To(Equal(http.StatusOK))
 	})
 }
+
+func TestACallThatCrashedServersIsNotSentToTheLastOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newCrashingService(3)
+		send := newForwarder(s, 3)
+		g.Expect(send(routes.Idempotent, 3, "").Code).To(Equal(http.StatusBadGateway))
+		g.Expect(s.sentTo).To(HaveLen(2), "one server is left")
+		g.Expect(send(routes.Idempotent, 3, "").Code).To(Equal(http.StatusServiceUnavailable), "it has not run")
+		time.Sleep(2 * time.Second) // the servers are back
+		s.responses = nil
+		g.Expect(send(routes.Idempotent, 3, "").Code).To(Equal(http.StatusOK))
+	})
+}
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -62,6 +62,7 @@
 	}
 	Quarantine interface {
 		Refuses(req *server.Request) (until time.Time, refused bool)
+		SparesLastServer(req *server.Request, usable func() int) bool
 		ServerLost(req *server.Request, s *server.Server, events int)
 		ServerFinished(req *server.Request)
 	}
@@ -136,10 +137,13 @@
 	return entries
 }
 
-// choose picks one of the candidates, or nil if there is none.
-func (f *Forwarder) choose(service string, excluded map[server.Key]bool) *registry.Entry {
+// choose picks one of the candidates, or nil if there is none for the request.
+func (f *Forwarder) choose(req *server.Request, service string, excluded map[server.Key]bool) *registry.Entry {
 	entries := f.candidates(service, excluded)
 	now := time.Now()
+	if len(entries) > 0 && f.cfg.Quarantine.SparesLastServer(req, func() int { return f.cfg.Servers.Usable(service, now) }) {
+		return nil
+	}
 	var candidates []balance.Service
 	for _, e := range entries {
 		st := e.Load.State(now)
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -152,7 +152,7 @@
 // Quarantine is what the routers know of requests that crash servers.
 type Quarantine interface {
 	Report(n int, all bool, now time.Time) quarantine.Report
-	Merge(r quarantine.Report, peer string, now time.Time) (changed bool)
+	Merge(r quarantine.Report, peer string, now time.Time) (urgent bool)
 }
 
 // Limits are the limits that backend servers named.
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -19,6 +19,7 @@
 var (
 	crashesTotal = metrics.GetOrCreateCounter("wisteriafield_early_crashes_total")
 	refusedTotal = metrics.GetOrCreateCounter("wisteriafield_quarantined_requests_total")
+	sparedTotal  = metrics.GetOrCreateCounter("wisteriafield_last_servers_spared_total")
 )
 
 // Guard is shared by all parts of a router that send requests to backend servers.
@@ -51,6 +52,17 @@
 	return block.Until, refused
 }
 
+// SparesLastServer reports whether a request must not be sent to the last usable server of
+// its service, because it may have crashed the others.
+func (g *Guard) SparesLastServer(req *server.Request, usable func() int) bool {
+	if !g.table.SparesLastServer(suspectsOf(req)) || usable() > 1 {
+		return false
+	}
+	sparedTotal.Inc()
+	g.log.WithField("id", req.ID).Info("request not sent to the last server: it may have crashed the others")
+	return true
+}
+
 // ServerLost records that the answer to an attempt was lost after the given number of events
 // had arrived, and that the server is lost too.
 func (g *Guard) ServerLost(req *server.Request, s *server.Server, events int) {
@@ -91,13 +103,13 @@
 	return g.table.Report(n, all, now)
 }
 
-// Merge records what a peer told, and reports whether the blocks have changed.
-func (g *Guard) Merge(r quarantine.Report, peer string, now time.Time) (changed bool) {
-	changed = g.table.Merge(r, now).Blocks
-	if changed {
+// Merge records what a peer told, and reports whether other peers should know at once.
+func (g *Guard) Merge(r quarantine.Report, peer string, now time.Time) (urgent bool) {
+	change := g.table.Merge(r, now)
+	if change.Blocks {
 		g.logBlocks(now, peer)
 	}
-	return changed
+	return change.Any()
 }
 
 // Blocks returns the blocks in force.
--- a/internal/router/relay/target.go
+++ b/internal/router/relay/target.go
@@ -12,6 +12,9 @@
 // any. An engine that has the backup comes first, then one that has the prompt cached.
 func (s *stream) nextTarget(ctx context.Context) (*registry.Entry, *server.KVBackup) {
 	s.choice = choice{}
+	if s.relay.cfg.Quarantine.SparesLastServer(s.req, func() int { return s.relay.cfg.Servers.Usable(s.service.Name, time.Now()) }) {
+		return nil, nil
+	}
 	if address := s.backupAddress; address != "" {
 		s.backupAddress = ""
 		// The engine is looked up by address: it may be leaving or gone by now, or have
