edge: log requests that cross the end of their connections

A stopping router closes its callers' idle connections. Callers who had just sent a request saw their connection end without an answer, and no log line told of it. The router now closes its side first and looks for half a second what still arrives.

--- a/internal/router/edge/connections.go
+++ b/internal/router/edge/connections.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -62,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: conn, phase: connIdle, idleSince: time.Now()}
+	c := &callerConn{Conn: conn, log: l.conns.log, phase: connIdle, idleSince: time.Now()}
 	l.conns.open[c] = true
 	return c, nil
 }
@@ -70,21 +72,34 @@
 // callerConn is the connection of a caller.
 type callerConn struct {
 	net.Conn
+	log *logrus.Entry
 
 	mu        sync.Mutex
 	phase     connPhase
 	idleSince time.Time
 	ending    bool // while idle, by closeIdle
+	ended     bool // no request is read any more
 }
 
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.beginReading()
+	} else if errors.Is(err, os.ErrDeadlineExceeded) && c.end() {
+		c.linger()
 	}
 	return n, err
 }
 
+// end records that no request arrived in time. It returns false while a request is served,
+// for which the deadline has another meaning.
+func (c *callerConn) end() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = c.ended || c.phase != connServing
+	return c.ended
+}
+
 // CloseWrite lets net/http end an answer whose request was not read completely without
 // resetting the connection.
 func (c *callerConn) CloseWrite() error {
@@ -125,7 +140,7 @@
 func (c *callerConn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != connIdle || now.Sub(c.idleSince) < minIdle {
+	if c.ended || c.phase != connIdle || now.Sub(c.idleSince) < minIdle {
 		return
 	}
 	c.ending = true
--- a/internal/router/edge/observe_test.go
+++ b/internal/router/edge/observe_test.go
@@ -140,3 +140,18 @@
 	_, err = io.ReadAll(conn)
 	g.Expect(err).To(HaveOccurred())
 }
+
+func TestARequestThatCrossesTheEndOfItsConnectionIsLogged(t *testing.T) {
+	g := NewWithT(t)
+	e, hook := newCallerSide(func(http.ResponseWriter, *http.Request) {})
+	conn, err := net.Dial("tcp", e.listen(g, t))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	g.Eventually(e.callerConns.count).Should(Equal(map[connPhase]int{connIdle: 1}))
+	e.callerConns.closeIdle(time.Now().Add(minIdle))
+	time.Sleep(20 * time.Millisecond)
+	_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(func() []logrus.Fields { return logged(hook, "request crossed the end of its connection") }).
+		Should(ConsistOf(HaveKeyWithValue("bytes", int64(27))))
+}
