edge: a request that crosses the end of its idle connection is refused

Callers of a stopping router saw a request end without an answer ("cut, no answer"): three seconds after SIGTERM the router closes idle connections, and what a caller had just sent on one met a closed socket.

Cause: an idle connection was closed without a word, and requests under way were reset.

The router now answers 408 (RFC 9110, 15.5.9) before it ends such a connection, closes its side, and discards what arrives for half a second, so that no reset overtakes the answer. 408 promises that the request was not run, which is true, as it is not read. The same holds for a header that stalls.

Before: TestARequestThatCrossesTheClosingOfItsIdleConnectionIsRefused and TestARequestWhoseHeaderStallsIsRefused fail with an unexpected EOF.

TestARequestThatIsReadWhileIdleConnectionsAreClosedIsServed expected the end of the connection at once; it now expects the 408, then the end.

--- a/internal/router/edge/linger.go
+++ b/internal/router/edge/linger.go
@@ -7,14 +7,22 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// lingerTime is above the time that the end of a connection takes to reach its caller.
-const lingerTime = 500 * time.Millisecond
+const (
+	// lingerTime is above the time that the end of a connection takes to reach its caller.
+	lingerTime = 500 * time.Millisecond
+	// timeoutAnswer (RFC 9110, 15.5.9) tells a caller whose request is under way that it
+	// was not read. Clients drop an idle connection on which it arrives.
+	timeoutAnswer = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 var requestsCrossedTotal = metrics.NewCounter("wisteriafield_requests_crossed_connection_end_total")
 
 // linger ends a connection on which no request arrived in time. What the caller sends until
-// it sees the end is discarded: closing with unread bytes would reset the connection.
+// it sees the end is discarded: closing with unread bytes would reset the connection, and
+// the answer would be lost.
 func (c *callerConn) linger() {
+	_ = c.SetWriteDeadline(time.Now().Add(lingerTime))
+	_, _ = io.WriteString(c.Conn, timeoutAnswer)
 	_ = c.CloseWrite()
 	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 	if n, _ := io.Copy(io.Discard, c.Conn); n > 0 {
--- /dev/null
+++ b/internal/router/edge/linger_test.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// endIdle closes the idle connection of a test and waits until it lingers.
+func (e *Edge) endIdle(g *WithT) {
+	g.Eventually(func() bool {
+		e.callerConns.closeIdle(time.Now().Add(minIdle))
+		e.callerConns.mu.Lock()
+		defer e.callerConns.mu.Unlock()
+		for c := range e.callerConns.open {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.ended
+		}
+		return false
+	}, time.Second, time.Millisecond).Should(BeTrue())
+}
+
+func TestARequestThatCrossesTheClosingOfItsIdleConnectionIsRefused(t *testing.T) {
+	for _, requests := range []int{0, 1} {
+		t.Run(fmt.Sprint("after ", requests), func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			served := make(chan bool, 2)
+			e, hook := newCallerSide(func(http.ResponseWriter, *http.Request) { served <- true })
+			conn, err := net.Dial("tcp", e.listen(g, t))
+			g.Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			answers := bufio.NewReader(conn)
+			const request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"
+			for range requests {
+				_, _ = fmt.Fprint(conn, request)
+				_, err = http.ReadResponse(answers, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				<-served
+			}
+			g.Eventually(e.callerConns.count).Should(Equal(map[connPhase]int{connIdle: 1}))
+			e.endIdle(g)
+			_, err = fmt.Fprint(conn, request)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Eventually(func() int { return len(logged(hook, "request crossed the end of its connection")) }, lingerTime*2).Should(Equal(1))
+			res, err := http.ReadResponse(answers, nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
+			g.Expect(res.Close).To(BeTrue())
+			_, err = answers.ReadByte()
+			g.Expect(err).To(Equal(io.EOF))
+			g.Expect(served).To(BeEmpty())
+		})
+	}
+}
+
+func TestARequestWhoseHeaderStallsIsRefused(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	e, _ := newCallerSide(func(http.ResponseWriter, *http.Request) {})
+	e.callerServer.ReadHeaderTimeout = 50 * time.Millisecond
+	conn, err := net.Dial("tcp", e.listen(g, t))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost:")
+	g.Expect(err).NotTo(HaveOccurred())
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
+}
--- a/internal/router/edge/listener_test.go
+++ b/internal/router/edge/listener_test.go
@@ -89,6 +89,9 @@
 		g.Expect(io.ReadAll(res.Body)).To(Equal([]byte("xy")))
 	}
 	e.callerConns.closeIdle(time.Now().Add(minIdle))
+	res, err := http.ReadResponse(answers, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
 	_, err = answers.ReadByte()
 	g.Expect(err).To(Equal(io.EOF))
 }
--- a/internal/router/edge/observe_test.go
+++ b/internal/router/edge/observe_test.go
@@ -148,8 +148,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	defer conn.Close()
 	g.Eventually(e.callerConns.count).Should(Equal(map[connPhase]int{connIdle: 1}))
-	e.callerConns.closeIdle(time.Now().Add(minIdle))
-	time.Sleep(20 * time.Millisecond)
+	e.endIdle(g)
 	_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Eventually(func() []logrus.Fields { return logged(hook, "request crossed the end of its connection") }).
