--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -78,6 +78,7 @@
 		if accepting && (left[connReading]+left[connServing] == 0 || now.After(end.Add(-refusalTime))) {
 			e.callerConns.stopAccepting()
 			accepting = false
+			e.logger("node").WithField("idle", left[connIdle]).Info("router accepts no more connections")
 		} else if !accepting && len(left) == 0 {
 			break
 		}
