edge: a stopping router accepts connections until its callers are quiet

Callers saw "cut, no answer" and "no connection" at a router that was stopping. Cause: the router closed its listener within 20 ms of its last answer, which is when the caller of that answer, told to close its connection, connects again. Connections that were being established were reset.

The listener is now closed when no connection was in use for half a second, or as before half a second before the end.

Before: TestACallerWhoConnectsAgainAfterItsAnswerIsAnsweredWhileTheRouterDrains fails with a refused connection.

--- a/internal/router/edge/connections.go
+++ b/internal/router/edge/connections.go
@@ -37,6 +37,7 @@
 	listener net.Listener
 	stopped  bool // no more connections are accepted
 	open     map[*callerConn]bool
+	usedAt   time.Time // when a connection last began or ended to be in use
 }
 
 func newConnections(log *logrus.Entry) *connections {
@@ -185,6 +186,7 @@
 	if !ok {
 		return
 	}
+	cs.used(c)
 	switch state {
 	case http.StateIdle:
 		c.setPhase(connIdle)
@@ -199,6 +201,31 @@
 	}
 }
 
+// used records that a connection begins or ends to be in use.
+func (cs *connections) used(c *callerConn) {
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	if ended {
+		return
+	}
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.usedAt = time.Now()
+}
+
+// quietFor returns how long no connection has been in use.
+func (cs *connections) quietFor(now time.Time) time.Duration {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.open {
+		if c.currentPhase() != connIdle {
+			return 0
+		}
+	}
+	return now.Sub(cs.usedAt)
+}
+
 // listen makes a listener's connections the callers'.
 func (cs *connections) listen(ln net.Listener) net.Listener {
 	cs.mu.Lock()
--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -21,6 +21,8 @@
 	drainCheckInterval = 20 * time.Millisecond
 	// refusalTime is enough to read and refuse a request of the last new connection.
 	refusalTime = 500 * time.Millisecond
+	// quietTime is above the time that a caller takes to connect again after an answer.
+	quietTime = 500 * time.Millisecond
 	// failureTime is enough to answer the requests that could not be completed.
 	failureTime = 150 * time.Millisecond
 )
@@ -55,9 +57,9 @@
 
 // drain waits until the callers' connections have ended, at most until killMargin before the
 // end of the grace time. Answers tell callers to close their connections. After the lame
-// duck, idle connections are closed, and once no request is left, or refusalTime before the
-// end, new ones are not accepted. Requests that are left at the end are answered with a
-// failure, or cut if their answers have begun.
+// duck, idle connections are closed, and once none was in use for quietTime, or
+// refusalTime before the end, new ones are not accepted. Requests that are left at the end
+// are answered with a failure, or cut if their answers have begun.
 func (e *Edge) drain(now time.Time) {
 	e.stoppingAt.Store(now.UnixNano())
 	e.logger("node").WithField("active", e.activeRequests.Load()).Info("router is stopping")
@@ -75,7 +77,7 @@
 		}
 		e.callerConns.closeIdle(now)
 		left := e.callerConns.count()
-		if accepting && (left[connReading]+left[connServing] == 0 || now.After(end.Add(-refusalTime))) {
+		if accepting && (e.callerConns.quietFor(now) > quietTime || now.After(end.Add(-refusalTime))) {
 			e.callerConns.stopAccepting()
 			accepting = false
 			e.logger("node").WithField("idle", left[connIdle]).Info("router accepts no more connections")
--- a/internal/router/edge/drain_test.go
+++ b/internal/router/edge/drain_test.go
@@ -164,3 +164,33 @@
 	g.Expect(e.accepts(stream(after, 25*time.Second), after)).To(BeFalse())
 	g.Expect(e.accepts(stream(after, 4*time.Second), after)).To(BeTrue())
 }
+
+func TestACallerWhoConnectsAgainAfterItsAnswerIsAnsweredWhileTheRouterDrains(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	lameDuckEnd := time.Now().Add(lameDuck)
+	e, _ := newCallerSide(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close")
+		if r.Method == http.MethodPost {
+			time.Sleep(time.Until(lameDuckEnd.Add(quietTime)))
+		}
+	})
+	address := e.listen(g, t)
+	results := make(chan error, 1)
+	go func() {
+		if res, err := http.Post("http://"+address, "text/plain", nil); err == nil {
+			_ = res.Body.Close()
+		}
+		time.Sleep(quietTime / 2)
+		res, err := http.Get("http://" + address)
+		if err == nil {
+			_ = res.Body.Close()
+		}
+		results <- err
+	}()
+	g.Eventually(e.callerConns.count).Should(HaveKeyWithValue(connServing, 1))
+	start := time.Now()
+	e.drain(start)
+	g.Expect(time.Since(start)).To(BeNumerically("<", lameDuck+4*quietTime))
+	g.Expect(<-results).NotTo(HaveOccurred())
+}
