edge: connections in the kernel's queue are served when a router stops accepting

A caller whose connection the kernel had accepted, but not yet the process, saw it reset without an answer when a stopping router closed its listener; one that the process accepted in that moment was closed. On a busy host the queue is longest.

The accept loop now ends by a deadline, takes what the queue still holds, and then closes the listener. The drain waits for the end of the loop.

Before: TestAConnectionInTheKernelsQueueIsServedWhenAcceptingEnds fails with an unexpected EOF.

--- a/internal/router/edge/connections.go
+++ b/internal/router/edge/connections.go
@@ -35,7 +35,8 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	stopped  bool // no more connections are accepted
+	stopped  bool // only connections that the kernel has accepted are accepted
+	accepts  bool // the listener is open
 	open     map[*callerConn]bool
 	usedAt   time.Time // when a connection last began or ended to be in use
 }
@@ -44,32 +45,6 @@
 	return &connections{log: log, open: make(map[*callerConn]bool)}
 }
 
-// callerListener accepts the connections of callers.
-type callerListener struct {
-	net.Listener
-	conns *connections
-}
-
-// Accept returns http.ErrServerClosed once no more connections are accepted. net/http must
-// not learn of the end in another way: it would drop requests that it has just read.
-func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	l.conns.mu.Lock()
-	defer l.conns.mu.Unlock()
-	if l.conns.stopped && err == nil {
-		_ = conn.Close()
-	}
-	if l.conns.stopped {
-		return nil, http.ErrServerClosed
-	}
-	if err != nil {
-		return nil, err
-	}
-	c := &callerConn{Conn: conn, log: l.conns.log, phase: connIdle, idleSince: time.Now()}
-	l.conns.open[c] = true
-	return c, nil
-}
-
 // callerConn is the connection of a caller.
 type callerConn struct {
 	net.Conn
@@ -226,24 +201,6 @@
 	return now.Sub(cs.usedAt)
 }
 
-// listen makes a listener's connections the callers'.
-func (cs *connections) listen(ln net.Listener) net.Listener {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	cs.listener = ln
-	return callerListener{ln, cs}
-}
-
-// stopAccepting closes the listener.
-func (cs *connections) stopAccepting() {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	cs.stopped = true
-	if cs.listener != nil {
-		_ = cs.listener.Close()
-	}
-}
-
 // closeIdle closes the idle connections.
 func (cs *connections) closeIdle(now time.Time) {
 	cs.mu.Lock()
--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -81,7 +81,7 @@
 			e.callerConns.stopAccepting()
 			accepting = false
 			e.logger("node").WithField("idle", left[connIdle]).Info("router accepts no more connections")
-		} else if !accepting && len(left) == 0 {
+		} else if !accepting && e.callerConns.ended() {
 			break
 		}
 	}
--- a/internal/router/edge/listener.go
+++ b/internal/router/edge/listener.go
@@ -4,8 +4,99 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 )
 
+// queueCheckTime is enough to take a connection from the kernel's queue.
+const queueCheckTime = 5 * time.Millisecond
+
+// callerListener accepts the connections of callers.
+type callerListener struct {
+	net.Listener
+	conns *connections
+}
+
+// Accept returns http.ErrServerClosed once no more connections are accepted. net/http must
+// not learn of the end in another way: it would drop requests that it has just read.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil && l.conns.isStopped() {
+		conn, err = l.acceptQueued()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return l.conns.add(conn), nil
+}
+
+// acceptQueued returns a connection that the kernel had accepted before the end of
+// accepting. Without one it closes the listener.
+func (l callerListener) acceptQueued() (net.Conn, error) {
+	if ln, ok := l.Listener.(deadlineListener); ok {
+		_ = ln.SetDeadline(time.Now().Add(queueCheckTime))
+		if conn, err := ln.Accept(); err == nil {
+			return conn, nil
+		}
+	}
+	l.conns.close(l.Listener)
+	return nil, http.ErrServerClosed
+}
+
+// deadlineListener is a listener whose Accept can be ended without closing it.
+type deadlineListener interface {
+	net.Listener
+	SetDeadline(t time.Time) error
+}
+
+// listen makes a listener's connections the callers'.
+func (cs *connections) listen(ln net.Listener) net.Listener {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.listener, cs.accepts = ln, true
+	return callerListener{ln, cs}
+}
+
+func (cs *connections) add(conn net.Conn) *callerConn {
+	c := &callerConn{Conn: conn, log: cs.log, phase: connIdle, idleSince: time.Now()}
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.open[c] = true
+	return c
+}
+
+// stopAccepting ends the listener after the connections that the kernel has accepted, which
+// closing it would reset.
+func (cs *connections) stopAccepting() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.stopped = true
+	if ln, ok := cs.listener.(deadlineListener); ok {
+		_ = ln.SetDeadline(time.Now())
+	} else if cs.listener != nil {
+		_ = cs.listener.Close()
+	}
+}
+
+func (cs *connections) close(ln net.Listener) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.accepts = false
+	_ = ln.Close()
+}
+
+func (cs *connections) isStopped() bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.stopped
+}
+
+// ended reports whether all connections have ended and no more are accepted.
+func (cs *connections) ended() bool {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return !cs.accepts && len(cs.open) == 0
+}
+
 // persistentListener accepts connections until it is closed. Linux reports pending errors
 // of the network and a lack of memory as errors of accept.
 type persistentListener struct{ net.Listener }
--- a/internal/router/edge/listener_test.go
+++ b/internal/router/edge/listener_test.go
@@ -88,10 +88,54 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(io.ReadAll(res.Body)).To(Equal([]byte("xy")))
 	}
-	e.callerConns.closeIdle(time.Now().Add(minIdle))
+	e.endIdle(g)
 	res, err := http.ReadResponse(answers, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
 	_, err = answers.ReadByte()
 	g.Expect(err).To(Equal(io.EOF))
 }
+
+// gatedListener accepts connections once its gate is open.
+type gatedListener struct {
+	*net.TCPListener
+	gate chan bool
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
+
+func TestAConnectionInTheKernelsQueueIsServedWhenAcceptingEnds(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := newCallerSide(func(http.ResponseWriter, *http.Request) {})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	gated := gatedListener{ln.(*net.TCPListener), make(chan bool)}
+	e.serveOn(gated, t)
+	const callers = 3
+	results := make(chan error, callers)
+	for range callers {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		go func() {
+			_, _ = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			_, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			results <- err
+		}()
+	}
+	e.callerConns.stopAccepting()
+	close(gated.gate)
+	for range callers {
+		g.Expect(<-results).NotTo(HaveOccurred())
+	}
+	g.Eventually(func() error {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	}).Should(HaveOccurred())
+}
