front: answers leave before the caller's deadline, not at it

The cause: the router counted X-Deadline-Ms from when it had read the head, the caller from when it began to connect, and both stopped at the same time, the router later by the way there; its answer had the way back before it. Now 20 ms of the time that a caller names, at most a tenth, are left for the ways. Servers are told the shorter time too.

TestAnAnswerAtTheDeadlineStillReachesItsCaller failed before: the deadline that the router works to was the caller's.

--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -32,6 +32,11 @@
 	// stoppingRetryAfter, in seconds, lets the caller retry at another router at
 	// once.
 	stoppingRetryAfter = "0.01"
+	// answerMargin is what is left of the time that a caller waits, for the answer to reach
+	// it and for what went by until its request was read. It is at most that time divided
+	// by answerMarginDivisor.
+	answerMargin        = 20 * time.Millisecond
+	answerMarginDivisor = 10
 )
 
 // Protocol decodes the headers of requests.
@@ -160,6 +165,9 @@
 	if table.Limits.MaxHeader > 0 && headerSize(r) > table.Limits.MaxHeader {
 		return nil, http.StatusRequestHeaderFieldsTooLarge
 	}
+	if wait := req.Deadline.Sub(now); !req.Deadline.IsZero() {
+		req.Deadline = req.Deadline.Add(-min(answerMargin, wait/answerMarginDivisor))
+	}
 	if end := now.Add(route.Timeout); route.Timeout > 0 && (req.Deadline.IsZero() || end.Before(req.Deadline)) {
 		req.Deadline = end
 	}
--- a/internal/caller/front/handler_test.go
+++ b/internal/caller/front/handler_test.go
@@ -137,6 +137,16 @@
 	g.Expect(time.Until(h.nonStreaming.last.Deadline)).To(BeNumerically("~", 300*time.Millisecond, 100*time.Millisecond))
 }
 
+func TestAnAnswerAtTheDeadlineStillReachesItsCaller(t *testing.T) {
+	for left, margin := range map[time.Duration]time.Duration{25 * time.Second: 20 * time.Millisecond, 100 * time.Millisecond: 10 * time.Millisecond} {
+		g := NewWithT(t)
+		h := newTestHandler()
+		h.table.Match("h", "/book/1").Timeout = time.Minute
+		h.post("/book/1", "k", "", "Left", left.String())
+		g.Expect(h.nonStreaming.last.Deadline).To(BeTemporally("<=", time.Now().Add(left-margin)))
+	}
+}
+
 // Without a configuration, callers that are told to reconnect too early have no
 // retry left when it arrives. Seen in scenario Qalamdaan trouble-3.
 func TestRetryAfterWithoutConfigurationFitsTheRemainingTime(t *testing.T) {
