relay: leave a silent engine only once another one may have the stream

A stream whose sound engine fell silent for a second was cut in mid-answer, or refused with 502 before its first event, when the engine that it was moved to turned it down: the silent attempt had been ended before, and no retry was left for a third engine.

The cause: a retry was reserved, but whether another engine accepts the stream was not known when the attempt ended. A retry that is reserved and not sent is not taken from the budget again.

The loop over attempts moves to serve.go and one attempt to run.go, as an attempt outlives its turn now.

TestASilentSoundEngineIsNotLeftBeforeAnotherOneAccepts (refusing, unreachable, replaced engines) and TestARequestIsNotRefusedWhileASilentSoundEngineHasIt failed before: connection cut, 502. TestTwoEnginesDoNotWorkOnAStreamForLong held before and bounds the overlap.

--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -38,6 +37,7 @@
 	events       int                // forwarded to the caller by this attempt
 	unresponsive bool               // the engine did not answer the last probes
 	silent       bool               // the connection did not end
+	goesOn       bool               // until another engine accepts the stream
 	erred        bool               // the engine answered with an error instead of the rest of the stream
 	replaced     bool               // another incarnation has the address
 
@@ -52,110 +52,7 @@
 	body   []byte
 }
 
-const (
-	maxErrorBytes  = 1 << 20 // of a buffered error answer
-	maxEventsAhead = 16      // read from the engine but not yet forwarded
-)
-
-// readResult is sent by the goroutine that reads an answer: the answer's head first,
-// then its events, and last an error.
-type readResult struct {
-	answer *server.Answer
-	event  sse.Event
-	err    error
-}
-
-// runAttempt sends the request to an engine and forwards its events, until the stream
-// is complete or the attempt has failed.
-func (s *stream) runAttempt(ctx context.Context, target *registry.Entry, restoreFrom *server.KVBackup) (r result) {
-	var replacement *replacementBackup
-	startEvent := s.lastEventID
-	var answer *server.Answer
-	defer func() {
-		r.replacement, r.events, r.began = replacement, s.lastEventID-startEvent, answer != nil
-	}()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	dispatch := server.Dispatch{Request: s.req, Server: &target.Server, LastEventID: s.lastEventID, RestoreFrom: restoreFrom}
-	backup := s.chooseBackup(ctx, target)
-	if backup != nil {
-		dispatch.BackupServer = &backup.Server
-	}
-	s.logDispatch(target, backup, restoreFrom)
-	s.publishSession(target, backup)
-	queuedTokens := s.req.PromptTokens
-	if restoreFrom != nil {
-		queuedTokens = 0
-	}
-	attemptLoad := target.Load.BeginAttempt(queuedTokens, s.req.PromptTokens)
-	defer attemptLoad.End()
-	reads := make(chan readResult, maxEventsAhead)
-	go s.readAnswer(ctx, dispatch, reads)
-
-	domainAlert := make(chan time.Time, 1)
-	defer s.relay.listeners.add(target.Domain, domainAlert)()
-	sentAt := time.Now()
-	detector := suspicion.NewDetector(s.timeouts(), sentAt)
-	arrivals := s.relay.cfg.Links.ObserveStream(target.Domain)
-	reports := make(chan server.Report, 4)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case got := <-reads:
-			if got.answer != nil {
-				s.relay.cfg.Limits.ObserveAnswer(&target.Server, got.answer, sentAt)
-				if got.answer.Status != http.StatusOK || !got.answer.Signed || got.answer.Mismatched || !s.continues(got.answer) {
-					return s.classifyAnswer(got.answer, backup)
-				}
-				answer = got.answer
-				continue
-			}
-			if got.err != nil {
-				return s.classifyReadError(ctx, got.err, answer, target, backup)
-			}
-			now := time.Now()
-			arrivals.ObserveEvent(now)
-			attemptLoad.RecordEvent(now, s.eventTokens())
-			if got.event.ID == 0 && startEvent > 0 && s.lastEventID == startEvent {
-				return result{outcome: lost, reason: "resumed stream begins without an ID", backup: backup}
-			}
-			if r, ok := s.forwardEvent(got.event, answer, len(reads) == 0); !ok {
-				r.backup = backup
-				return r
-			}
-			detector.ObserveEvent(time.Now()) // a slow caller is not the engine's silence
-			s.recordEvent(now, target)
-			s.relay.cfg.Quarantine.ServerAnswered(s.req, s.lastEventID-startEvent)
-			if replacement == nil {
-				replacement = s.monitorBackup(ctx, target, backup)
-			}
-		case report := <-reports:
-			detector.ObserveReply(time.Now(), s.classifyReport(report))
-		case now := <-domainAlert:
-			detector.ProbeNow(now)
-		case <-timer.C:
-		case <-ctx.Done():
-			return result{outcome: lost, reason: "caller left or time is up", backup: backup, callerDisconnected: true}
-		}
-		verdict, at := detector.Evaluate(time.Now())
-		switch verdict {
-		case suspicion.Probe:
-			go s.probe(ctx, target, reports)
-		case suspicion.Lost:
-			unresponsive := detector.ProbePending()
-			if s.mayLeave(target, detector.Silence(time.Now())) {
-				return result{outcome: lost, reason: "silent", backup: backup, silent: true, unresponsive: unresponsive}
-			}
-			if unresponsive {
-				s.recordUnresponsive(target, time.Now())
-			}
-			detector.Hold(time.Now())
-			_, at = detector.Evaluate(time.Now())
-		}
-		timer.Reset(time.Until(at))
-	}
-}
+const maxErrorBytes = 1 << 20 // of a buffered error answer
 
 // timeouts returns the timeouts after which the stream's server is probed, and after
 // which the attempt counts as lost.
@@ -175,37 +72,6 @@
 	return s.service.Engine.TokensPerEvent
 }
 
-// readAnswer sends the request and reads the answer until it ends.
-func (s *stream) readAnswer(ctx context.Context, dispatch server.Dispatch, reads chan<- readResult) {
-	send := func(r readResult) bool {
-		select {
-		case reads <- r:
-			return true
-		case <-ctx.Done():
-			return false
-		}
-	}
-	answer, err := s.relay.cfg.Client.Send(ctx, dispatch)
-	if err != nil {
-		send(readResult{err: err})
-		return
-	}
-	if !send(readResult{answer: answer}) || answer.Status != http.StatusOK {
-		if ctx.Err() != nil {
-			answer.Body.Close()
-		}
-		return
-	}
-	defer answer.Body.Close()
-	events := sse.NewReader(answer.Body)
-	for {
-		event, err := events.Next()
-		if !send(readResult{event: event, err: err}) || err != nil {
-			return
-		}
-	}
-}
-
 // forwardEvent forwards one event to the caller, unless the caller has it already. It
 // returns false and the attempt's result if the attempt cannot go on.
 func (s *stream) forwardEvent(event sse.Event, answer *server.Answer, flush bool) (result, bool) {
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -29,6 +30,8 @@
 
 	probes      int                  // reports that were requested
 	pausedUntil map[string]time.Time // by server ID
+	sent        []time.Time          // of the dispatches
+	ended       map[string]time.Time // by server ID, when an attempt was cancelled
 }
 
 // engineFaults says what goes wrong at an engine.
@@ -59,6 +62,12 @@
 func (e *fakeEngines) Send(ctx context.Context, d server.Dispatch) (*server.Answer, error) {
 	e.mu.Lock()
 	e.dispatches = append(e.dispatches, d)
+	e.sent = append(e.sent, time.Now())
+	context.AfterFunc(ctx, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.ended[d.Server.ID] = time.Now()
+	})
 	f := e.faults[d.Server.ID]
 	backupKnown := d.RestoreFrom == nil || e.backups[d.RestoreFrom.Address+"/"+d.RestoreFrom.ID]
 	unreachable := d.LastEventID > d.Request.LastEventID && e.unreachable > 0
@@ -241,6 +250,20 @@
 	return ids
 }
 
+// sentAt returns when the attempts so far were sent.
+func (e *fakeEngines) sentAt() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.sent)
+}
+
+// endedAt returns when the last attempt at each server was cancelled or had ended.
+func (e *fakeEngines) endedAt() map[string]time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.ended)
+}
+
 // engineIDAt returns the ID of the engine at an address. Engines i-0, i-1 and i-2 are in
 // failure domains a, b and c.
 func engineIDAt(address string) string { return "i-" + address[len("10.0.0."):len("10.0.0.")+1] }
--- a/internal/router/relay/harness_test.go
+++ b/internal/router/relay/harness_test.go
@@ -67,7 +67,7 @@
 func newHarness(t *testing.T) *harness {
 	h := &harness{
 		WithT:    NewWithT(t),
-		engines:  &fakeEngines{eventCount: 20, gap: 20 * time.Millisecond, faults: map[string]engineFaults{}, backups: map[string]bool{}, cachedPrompts: map[string]string{}, pausedUntil: map[string]time.Time{}},
+		engines:  &fakeEngines{eventCount: 20, gap: 20 * time.Millisecond, faults: map[string]engineFaults{}, backups: map[string]bool{}, cachedPrompts: map[string]string{}, pausedUntil: map[string]time.Time{}, ended: map[string]time.Time{}},
 		servers:  registry.New(),
 		sessions: sessionTable{sessions.NewTable()},
 		service:  routes.Service{Name: "engines", Engine: &routes.Engine{MemoryTokens: 55000, SupportsBackups: true, CopiesKVCache: true, TokensPerEvent: 6, BackupTTL: 4 * time.Second}},
--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -17,7 +17,8 @@
 
 // takeRetry reports whether another attempt is within the retry budget. A reserved
 // retry is, and one that an attempt took that was not sent.
-// A stream that has begun waits for the budget, which is replenished all the time.
+// A stream that has begun waits for the budget, which is replenished all the time, unless it
+// can return to a silent engine.
 func (s *stream) takeRetry(ctx context.Context) bool {
 	if s.retryReserved || s.retryUnused {
 		s.retryReserved, s.retryUnused = false, false
@@ -32,7 +33,7 @@
 		if denied == 0 {
 			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).WithField("begun", s.headersSent).Info("retry budget exhausted")
 		}
-		if !s.headersSent || now.Sub(start) >= maxRetryBudgetWait || !loop.Sleep(ctx, retryBudgetInterval) {
+		if !s.headersSent || s.silent != nil || now.Sub(start) >= maxRetryBudgetWait || !loop.Sleep(ctx, retryBudgetInterval) {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/router/relay/run.go
@@ -0,0 +1,198 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/backend/sse"
+	"wisteriafield/internal/decision/link"
+	"wisteriafield/internal/decision/suspicion"
+)
+
+const (
+	maxEventsAhead = 16 // read from the engine but not yet forwarded
+	// maxOverlap bounds how long a silent engine keeps the stream while the next one, which
+	// may work on it, has not answered.
+	maxOverlap = 300 * time.Millisecond
+)
+
+// attempt is one attempt to get the stream from an engine.
+type attempt struct {
+	ctx         context.Context // ends with the attempt
+	cancel      context.CancelFunc
+	target      *registry.Entry
+	backup      *registry.Entry // that gets the attempt's backup; may be nil
+	restoreFrom *server.KVBackup
+	sentAt      time.Time
+	startEvent  int            // last event that the caller had
+	answer      *server.Answer // nil until the engine begins to answer
+	replacement *replacementBackup
+	load        *registry.Attempt
+	reads       chan readResult
+	reports     chan server.Report
+	detector    *suspicion.Detector
+	arrivals    *link.StreamObserver
+}
+
+// readResult is sent by the goroutine that reads an answer: the answer's head first,
+// then its events, and last an error.
+type readResult struct {
+	answer *server.Answer
+	event  sse.Event
+	err    error
+}
+
+// begin sends the request to an engine.
+func (s *stream) begin(ctx context.Context, target *registry.Entry, restoreFrom *server.KVBackup) *attempt {
+	if s.silent != nil && s.silent.target.Key() == target.Key() {
+		s.endSilent()
+	}
+	a := &attempt{
+		target: target, restoreFrom: restoreFrom, startEvent: s.lastEventID, sentAt: time.Now(),
+		reads: make(chan readResult, maxEventsAhead), reports: make(chan server.Report, 4),
+		arrivals: s.relay.cfg.Links.ObserveStream(target.Domain),
+	}
+	a.ctx, a.cancel = context.WithCancel(ctx)
+	dispatch := server.Dispatch{Request: s.req, Server: &target.Server, LastEventID: s.lastEventID, RestoreFrom: restoreFrom}
+	a.backup = s.chooseBackup(a.ctx, target)
+	if a.backup != nil {
+		dispatch.BackupServer = &a.backup.Server
+	}
+	s.logDispatch(target, a.backup, restoreFrom)
+	s.publishSession(target, a.backup)
+	queuedTokens := s.req.PromptTokens
+	if restoreFrom != nil {
+		queuedTokens = 0
+	}
+	a.load = target.Load.BeginAttempt(queuedTokens, s.req.PromptTokens)
+	go s.readAnswer(a.ctx, dispatch, a.reads)
+	a.sentAt = time.Now()
+	a.detector = suspicion.NewDetector(s.timeouts(), a.sentAt)
+	return a
+}
+
+// end ends the attempt: its engine stops working on it.
+func (a *attempt) end() {
+	a.cancel()
+	a.load.End()
+}
+
+// follow forwards the events of an attempt, until the stream is complete or the attempt has
+// failed, and ends it. Only one goes on whose silent engine is left for another one.
+func (s *stream) follow(a *attempt) (r result) {
+	defer func() {
+		r.replacement, r.events, r.began = a.replacement, s.lastEventID-a.startEvent, a.answer != nil
+		if !r.goesOn {
+			a.end()
+		}
+	}()
+	domainAlert := make(chan time.Time, 1)
+	defer s.relay.listeners.add(a.target.Domain, domainAlert)()
+	var overlapEnd <-chan time.Time
+	if s.silent != nil {
+		overlapEnd = time.After(maxOverlap)
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case got := <-a.reads:
+			if r, ok := s.handleRead(a, got); !ok {
+				return r
+			}
+		case report := <-a.reports:
+			a.detector.ObserveReply(time.Now(), s.classifyReport(report))
+		case now := <-domainAlert:
+			a.detector.ProbeNow(now)
+		case <-overlapEnd:
+			s.endSilent()
+		case <-timer.C:
+		case <-a.ctx.Done():
+			return result{outcome: lost, reason: "caller left or time is up", backup: a.backup, callerDisconnected: true}
+		}
+		verdict, at := a.detector.Evaluate(time.Now())
+		switch verdict {
+		case suspicion.Probe:
+			go s.probe(a.ctx, a.target, a.reports)
+		case suspicion.Lost:
+			unresponsive := a.detector.ProbePending()
+			if decision := s.decideSilent(a.target, a.detector.Silence(time.Now())); decision != suspicion.Keep {
+				return result{outcome: lost, reason: "silent", backup: a.backup, silent: true, unresponsive: unresponsive, goesOn: decision == suspicion.Retry}
+			}
+			if unresponsive {
+				s.recordUnresponsive(a.target, time.Now())
+			}
+			a.detector.Hold(time.Now())
+			_, at = a.detector.Evaluate(time.Now())
+		}
+		timer.Reset(time.Until(at))
+	}
+}
+
+// handleRead handles what was read of the answer. It returns false and the attempt's result
+// if the attempt has ended.
+func (s *stream) handleRead(a *attempt, got readResult) (result, bool) {
+	if got.answer != nil {
+		s.relay.cfg.Limits.ObserveAnswer(&a.target.Server, got.answer, a.sentAt)
+		if got.answer.Status != http.StatusOK || !got.answer.Signed || got.answer.Mismatched || !s.continues(got.answer) {
+			return s.classifyAnswer(got.answer, a.backup), false
+		}
+		s.endSilent()
+		a.answer = got.answer
+		return result{}, true
+	}
+	if got.err != nil {
+		return s.classifyReadError(a.ctx, got.err, a.answer, a.target, a.backup), false
+	}
+	now := time.Now()
+	a.arrivals.ObserveEvent(now)
+	a.load.RecordEvent(now, s.eventTokens())
+	if got.event.ID == 0 && a.startEvent > 0 && s.lastEventID == a.startEvent {
+		return result{outcome: lost, reason: "resumed stream begins without an ID", backup: a.backup}, false
+	}
+	if r, ok := s.forwardEvent(got.event, a.answer, len(a.reads) == 0); !ok {
+		r.backup = a.backup
+		return r, false
+	}
+	a.detector.ObserveEvent(time.Now()) // a slow caller is not the engine's silence
+	s.recordEvent(now, a.target)
+	s.relay.cfg.Quarantine.ServerAnswered(s.req, s.lastEventID-a.startEvent)
+	if a.replacement == nil {
+		a.replacement = s.monitorBackup(a.ctx, a.target, a.backup)
+	}
+	return result{}, true
+}
+
+// readAnswer sends the request and reads the answer until it ends.
+func (s *stream) readAnswer(ctx context.Context, dispatch server.Dispatch, reads chan<- readResult) {
+	send := func(r readResult) bool {
+		select {
+		case reads <- r:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	answer, err := s.relay.cfg.Client.Send(ctx, dispatch)
+	if err != nil {
+		send(readResult{err: err})
+		return
+	}
+	if !send(readResult{answer: answer}) || answer.Status != http.StatusOK {
+		if ctx.Err() != nil {
+			answer.Body.Close()
+		}
+		return
+	}
+	defer answer.Body.Close()
+	events := sse.NewReader(answer.Body)
+	for {
+		event, err := events.Next()
+		if !send(readResult{event: event, err: err}) || err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/relay/serve.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"context"
+
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/base/loop"
+)
+
+// maxRefusals bounds the consecutive engines that refuse a stream for lack of capacity.
+const maxRefusals = 3
+
+// serve runs attempts until one completes the stream or no other is allowed.
+func (s *stream) serve(ctx context.Context) {
+	defer s.releaseBackup()
+	defer s.endSilent()
+	var a *attempt
+	for {
+		if a == nil {
+			a = s.nextAttempt(ctx)
+		}
+		if a == nil {
+			return
+		}
+		result := s.follow(a)
+		if result.outcome != refused && result.outcome != notSent {
+			s.endSilent()
+		}
+		if result.goesOn {
+			s.silent = a
+		}
+		if result.outcome == notSent {
+			s.retryUnused = s.delivered > 0
+		} else {
+			s.delivered++
+		}
+		s.recordResult(a.target, a.restoreFrom, result)
+		a = nil
+		switch {
+		case result.outcome == finished:
+			servedTotal.Inc()
+			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("events", s.lastEventID).WithField("attempts", s.executed+1).
+				WithField("firstMs", s.firstEventDelay.Milliseconds()).WithField("longestMs", s.longestGap.Milliseconds()).Info("stream served")
+			return
+		case ctx.Err() != nil:
+			s.abandon(ctx)
+			return
+		case result.outcome == answered:
+			s.forwardError(result.answer)
+			return
+		}
+		if s.mayRetry(result) {
+			continue
+		}
+		if a = s.resumeSilent(); a == nil {
+			s.abandon(ctx)
+			return
+		}
+	}
+}
+
+// nextAttempt begins another attempt. If none is allowed, it returns to the silent engine
+// that was left last, or else answers the caller and returns nil.
+func (s *stream) nextAttempt(ctx context.Context) *attempt {
+	for {
+		if s.executed > 0 && !s.retryReserved {
+			if _, quarantined := s.relay.cfg.Quarantine.Refuses(s.req); quarantined && s.silent != nil {
+				return s.resumeSilent()
+			}
+			if s.refusedByQuarantine() {
+				return nil
+			}
+		}
+		target, restoreFrom := s.nextTarget(ctx)
+		if target == nil {
+			if a := s.resumeSilent(); a != nil {
+				return a
+			}
+			if !s.headersSent {
+				s.refuse("no engine")
+				return nil
+			}
+			if !loop.Sleep(ctx, midstreamRetryDelay) {
+				s.abandon(ctx)
+				return nil
+			}
+			s.excluded = make(map[server.Key]bool) // they may be usable again
+			continue
+		}
+		if s.delivered > 0 && !s.takeRetry(ctx) {
+			a := s.resumeSilent()
+			if a == nil {
+				s.abandon(ctx)
+			}
+			return a
+		}
+		return s.begin(ctx, target, restoreFrom)
+	}
+}
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -10,10 +10,9 @@
 	"wisteriafield/internal/decision/suspicion"
 )
 
-// mayLeave reports whether the attempt at a silent engine may be ended. If another attempt
-// is to follow, its retry is reserved: once the silent attempt has ended, the caller's
-// stream depends on it.
-func (s *stream) mayLeave(target *registry.Entry, silence time.Duration) bool {
+// decideSilent decides what to do with the attempt at a silent engine. If another attempt is
+// to follow, its retry is reserved: the caller's stream depends on it.
+func (s *stream) decideSilent(target *registry.Entry, silence time.Duration) suspicion.Decision {
 	_, quarantined := s.relay.cfg.Quarantine.Refuses(s.req)
 	decision := suspicion.Alternative{
 		Replaced:     s.relay.replaced(target),
@@ -25,10 +24,46 @@
 		Silence:      silence,
 	}.Decide()
 	if decision != suspicion.Retry {
-		return decision == suspicion.Abandon
+		return decision
+	}
+	s.retryReserved = s.retryReserved || s.retryUnused || s.relay.cfg.RetryBudget.Allow(s.service.Name, time.Now())
+	if !s.retryReserved {
+		return suspicion.Keep
+	}
+	return suspicion.Retry
+}
+
+// resumeSilent returns to the attempt whose silent engine was left, if no other engine has
+// accepted the stream since. It returns nil without one.
+func (s *stream) resumeSilent() *attempt {
+	a := s.silent
+	if a == nil {
+		return nil
+	}
+	s.silent = nil
+	s.executed--
+	s.delivered--
+	s.refusals = 0
+	if s.headersSent {
+		s.excluded = make(map[server.Key]bool) // they may be usable again
+	}
+	s.releaseBackup()
+	if a.backup != nil {
+		s.releaseBackupTokens = a.backup.Load.ReserveBackup(s.req.PromptTokens)
+	}
+	s.publishSession(a.target, a.backup)
+	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", a.target.ID).WithField("event", s.lastEventID).
+		WithField("silentMs", a.detector.Silence(time.Now()).Milliseconds()).Info("silent server kept: no other accepted the request")
+	a.detector.Hold(time.Now())
+	return a
+}
+
+// endSilent ends the attempt whose silent engine was left.
+func (s *stream) endSilent() {
+	if s.silent != nil {
+		s.silent.end()
+		s.silent = nil
 	}
-	s.retryReserved = s.relay.cfg.RetryBudget.Allow(s.service.Name, time.Now())
-	return s.retryReserved
 }
 
 // otherEngineUsable reports whether another engine than the target could get the stream.
--- a/internal/router/relay/silence_test.go
+++ b/internal/router/relay/silence_test.go
@@ -65,6 +65,60 @@
 	})
 }
 
+func TestASilentSoundEngineIsNotLeftBeforeAnotherOneAccepts(t *testing.T) {
+	for name, refuse := range map[string]func(h *harness){
+		"refusing": func(h *harness) {
+			h.engines.faults["i-1"], h.engines.faults["i-2"] = engineFaults{refuses: true}, engineFaults{refuses: true}
+		},
+		"unreachable": func(h *harness) { h.engines.unreachable = 100 },
+		"other errors": func(h *harness) {
+			h.engines.faults["i-1"], h.engines.faults["i-2"] = engineFaults{replaced: true}, engineFaults{replaced: true}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.setFirstEngine(pausing)
+				h.budget.most = 1
+				refuse(h)
+				start := time.Now()
+				res, cut := h.serve(h.newRequest(0))
+				h.Expect(cut).To(BeFalse())
+				h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+				h.Expect(time.Since(start)).To(BeNumerically("<", 2500*time.Millisecond))
+			})
+		})
+	}
+}
+
+// The same before the first event: a caller is not refused while its request runs.
+func TestARequestIsNotRefusedWhileASilentSoundEngineHasIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{pause: 1500 * time.Millisecond})
+		h.engines.faults["i-1"], h.engines.faults["i-2"] = engineFaults{refuses: true}, engineFaults{refuses: true}
+		res, _ := h.serve(h.newRequest(0))
+		h.Expect(res.Code).To(Equal(http.StatusOK))
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+	})
+}
+
+func TestTwoEnginesDoNotWorkOnAStreamForLong(t *testing.T) {
+	for name, next := range map[string]engineFaults{"accepting": {}, "undecided": {lostAttempt: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.setFirstEngine(engineFaults{breakAfter: 7, unresponsive: true})
+				h.engines.faults["i-1"], h.engines.faults["i-2"] = next, next
+				h.serve(h.newRequest(0))
+				sent := h.engines.dispatched()
+				h.Expect(len(sent)).To(BeNumerically(">", 1))
+				h.Expect(h.engines.endedAt()["i-0"]).To(BeTemporally("<=", h.engines.sentAt()[1].Add(350*time.Millisecond)))
+			})
+		})
+	}
+}
+
 func TestAStreamOfADeadEngineGoesOnOnceTheRetryBudgetAllowsIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -7,7 +7,6 @@
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
-	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/config/routes"
 )
 
@@ -31,6 +30,7 @@
 	promptEngine        *registry.Entry     // has the prompt cached, if it is still alive; may be nil
 	lostDomain          string              // failure domain of the last lost engine
 	choice              choice              // of the last attempt; empty if a backup or a cached prompt decided
+	silent              *attempt            // at an engine that was left for its silence, until another accepts; may be nil
 	retryReserved       bool                // the next attempt is within the retry budget
 	retryUnused         bool                // the last attempt took a retry from the budget and was not sent
 	releaseBackupTokens func()              // ends the reservation at the backup's engine; may be nil
@@ -41,60 +41,6 @@
 	interrupted     bool          // an attempt or the caller's router was lost since the last event
 }
 
-// maxRefusals bounds the consecutive engines that refuse a stream for lack of capacity.
-const maxRefusals = 3
-
-// serve runs attempts until one completes the stream or no other is allowed.
-func (s *stream) serve(ctx context.Context) {
-	defer s.releaseBackup()
-	for {
-		if s.executed > 0 && !s.retryReserved && s.refusedByQuarantine() {
-			return
-		}
-		target, restoreFrom := s.nextTarget(ctx)
-		if target == nil {
-			if !s.headersSent {
-				s.refuse("no engine")
-				return
-			}
-			if !loop.Sleep(ctx, midstreamRetryDelay) {
-				s.abandon(ctx)
-				return
-			}
-			s.excluded = make(map[server.Key]bool) // they may be usable again
-			continue
-		}
-		if s.delivered > 0 && !s.takeRetry(ctx) {
-			s.abandon(ctx)
-			return
-		}
-		result := s.runAttempt(ctx, target, restoreFrom)
-		if result.outcome == notSent {
-			s.retryUnused = s.delivered > 0
-		} else {
-			s.delivered++
-		}
-		s.recordResult(target, restoreFrom, result)
-		switch {
-		case result.outcome == finished:
-			servedTotal.Inc()
-			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("events", s.lastEventID).WithField("attempts", s.executed+1).
-				WithField("firstMs", s.firstEventDelay.Milliseconds()).WithField("longestMs", s.longestGap.Milliseconds()).Info("stream served")
-			return
-		case ctx.Err() != nil:
-			s.abandon(ctx)
-			return
-		case result.outcome == answered:
-			s.forwardError(result.answer)
-			return
-		}
-		if !s.mayRetry(result) {
-			s.abandon(ctx)
-			return
-		}
-	}
-}
-
 // restoreSession finds where the stream of a reconnecting caller ran before its router
 // was lost: by its session record or, without one, by the engines' cached prompts.
 func (s *stream) restoreSession(ctx context.Context) {
