front, relay: a begun stream goes on until its caller's deadline

Now a request keeps the caller's deadline, and AnswerBy says when an answer has to begin to leave: plain requests and the reading of a body end then (a caller whose body stalls gets its 408 before it leaves), a stream only while no event has left.

Failed before: TestAnAnswerAtTheDeadlineStillReachesItsCaller, in its check that the deadline itself is kept, and TestACallerWhoseBodyStallsIsAnsweredBeforeItLeaves (20 ms late). New beside them: TestACallerOfASilentEngineIsAnsweredBeforeItLeaves, TestAStreamThatHasBegunIsNotCutBeforeItsCallersDeadline.

--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -65,6 +65,8 @@
 	Service   string
 	ArrivedAt time.Time
 	Deadline  time.Time // when the caller stops waiting
+	// AnswerMargin is how long before the deadline an answer has to begin to leave.
+	AnswerMargin time.Duration
 
 	Organisation  string
 	Priority      int
@@ -85,6 +87,9 @@
 	return r.PromptParts[len(r.PromptParts)-1].ID
 }
 
+// AnswerBy returns when an answer has to begin to leave in order to reach the caller in time.
+func (r *Request) AnswerBy() time.Time { return r.Deadline.Add(-r.AnswerMargin) }
+
 // PartIDs returns the IDs of all parts of the prompt, in order.
 func (r *Request) PartIDs() []string {
 	ids := make([]string, len(r.PromptParts))
--- a/internal/caller/front/body_test.go
+++ b/internal/caller/front/body_test.go
@@ -71,6 +71,31 @@
 	})
 }
 
+// deadlineRecorder records the first deadline for reading a body.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	first time.Time
+}
+
+func (w *deadlineRecorder) SetReadDeadline(deadline time.Time) error {
+	if w.first.IsZero() {
+		w.first = deadline
+	}
+	return nil
+}
+
+func TestACallerWhoseBodyStallsIsAnsweredBeforeItLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+		r := httptest.NewRequest(http.MethodPost, "http://h/book/1", &slowBody{})
+		r.Header = http.Header{"Id": {"r-1"}, "Key": {"k"}, "Left": {"500ms"}}
+		start := time.Now()
+		newTestHandler().handler.ServeHTTP(w, r)
+		g.Expect(w.first.Sub(start)).To(Equal(480 * time.Millisecond))
+	})
+}
+
 // slowBody is an empty body whose end arrives after a while.
 type slowBody struct{ delay time.Duration }
 
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -33,7 +33,7 @@
 	// once.
 	stoppingRetryAfter = "0.01"
 	// answerMargin is what is left of the time that a caller waits, for the answer to reach
-	// it and for what went by until its request was read. It is at most that time divided
+	// it and for what went by before its request was read. It is at most that time divided
 	// by answerMarginDivisor.
 	answerMargin        = 20 * time.Millisecond
 	answerMarginDivisor = 10
@@ -165,10 +165,13 @@
 	if table.Limits.MaxHeader > 0 && headerSize(r) > table.Limits.MaxHeader {
 		return nil, http.StatusRequestHeaderFieldsTooLarge
 	}
-	if wait := req.Deadline.Sub(now); !req.Deadline.IsZero() {
-		req.Deadline = req.Deadline.Add(-min(answerMargin, wait/answerMarginDivisor))
+	if !req.Deadline.IsZero() {
+		req.AnswerMargin = min(answerMargin, req.Deadline.Sub(now)/answerMarginDivisor)
 	}
 	if end := now.Add(route.Timeout); route.Timeout > 0 && (req.Deadline.IsZero() || end.Before(req.Deadline)) {
+		if req.Deadline.After(end) {
+			req.AnswerMargin = max(0, req.AnswerMargin-req.Deadline.Sub(end))
+		}
 		req.Deadline = end
 	}
 	if req.Deadline.IsZero() {
@@ -224,7 +227,7 @@
 // readBody reads the complete body, since a request may be sent more than once, until the
 // request's deadline. It returns 0, or the status that rejects the request.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, table *routes.Table, req *server.Request) int {
-	defer limitReading(w, r, req.Deadline)()
+	defer limitReading(w, r, req.AnswerBy())()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit(table)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/caller/front/handler_test.go
+++ b/internal/caller/front/handler_test.go
@@ -143,7 +143,8 @@
 		h := newTestHandler()
 		h.table.Match("h", "/book/1").Timeout = time.Minute
 		h.post("/book/1", "k", "", "Left", left.String())
-		g.Expect(h.nonStreaming.last.Deadline).To(BeTemporally("<=", time.Now().Add(left-margin)))
+		g.Expect(h.nonStreaming.last.AnswerBy()).To(BeTemporally("<=", time.Now().Add(left-margin)))
+		g.Expect(h.nonStreaming.last.Deadline).To(BeTemporally(">", time.Now().Add(left-margin)), "a stream that has begun goes on")
 	}
 }
 
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -99,7 +99,7 @@
 
 // Serve forwards a request to a server of the service and writes the answer.
 func (f *Forwarder) Serve(w http.ResponseWriter, ctx context.Context, req *server.Request, service *routes.Service) {
-	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, req.AnswerBy())
 	defer cancel()
 	c := &call{f: f, req: req, service: service, excluded: make(map[server.Key]bool)}
 	until, quarantined := f.cfg.Quarantine.Refuses(req)
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -83,6 +83,9 @@
 			return result{outcome: lost, reason: "event missing"}, false
 		}
 	}
+	if !s.headersSent && !s.answerTimer.Stop() {
+		return result{outcome: lost, reason: "time is up", callerDisconnected: true}, false
+	}
 	s.sendHeaders(answer)
 	if _, err := s.w.Write(event.Raw); err != nil {
 		return result{outcome: lost, reason: "caller left", callerDisconnected: true}, false
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -113,6 +113,8 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	s := &stream{relay: r, w: w, req: req, service: service, lastEventID: req.LastEventID, excluded: make(map[server.Key]bool)}
+	s.answerTimer = time.AfterFunc(time.Until(req.AnswerBy()), cancel)
+	defer s.answerTimer.Stop()
 	if !balance.Feasible(time.Until(req.Deadline), req.PromptTokens, req.MaxOutputTokens, req.LastEventID*s.eventTokens()) {
 		s.refuse("too late to finish")
 		return
--- a/internal/router/relay/silence_test.go
+++ b/internal/router/relay/silence_test.go
@@ -103,6 +103,34 @@
 	})
 }
 
+func TestACallerOfASilentEngineIsAnsweredBeforeItLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{pause: time.Minute})
+		req := h.newRequest(0)
+		req.Deadline, req.AnswerMargin = time.Now().Add(1500*time.Millisecond), 20*time.Millisecond
+		h.budget.exhaustedUntil = time.Now().Add(time.Minute)
+		req.PromptTokens, req.MaxOutputTokens = 10, 6
+		start := time.Now()
+		res, _ := h.serve(req)
+		h.Expect(res.Code).To(Equal(http.StatusGatewayTimeout))
+		h.Expect(time.Since(start)).To(Equal(1480 * time.Millisecond))
+	})
+}
+
+func TestAStreamThatHasBegunIsNotCutBeforeItsCallersDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.engines.eventCount = 50
+		req := h.newRequest(0)
+		req.Deadline, req.AnswerMargin = time.Now().Add(50*20*time.Millisecond+time.Millisecond), 20*time.Millisecond
+		req.PromptTokens, req.MaxOutputTokens = 10, 6
+		res, cut := h.serve(req)
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 50)))
+	})
+}
+
 func TestTwoEnginesDoNotWorkOnAStreamForLong(t *testing.T) {
 	for name, next := range map[string]engineFaults{"accepting": {}, "undecided": {lostAttempt: true}} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -31,6 +31,7 @@
 	lostDomain          string              // failure domain of the last lost engine
 	choice              choice              // of the last attempt; empty if a backup or a cached prompt decided
 	silent              *attempt            // at an engine that was left for its silence, until another accepts; may be nil
+	answerTimer         *time.Timer         // ends the stream if no event has left in time for the caller to get an answer
 	retryReserved       bool                // the next attempt is within the retry budget
 	retryUnused         bool                // the last attempt took a retry from the budget and was not sent
 	releaseBackupTokens func()              // ends the reservation at the backup's engine; may be nil
