relay: no resume from the backup of an engine that was silent from the start

The cause: an attempt that had been resumed from a backup counted as backed up itself from its start. Each refusal took a retry from the budget. Only an attempt that had an event, or whose engine was not merely silent, leaves a backup now.

TestAStreamOfAnEngineThatWasSilentFromTheStartIsNotResumedFromItsBackup failed before: the next attempt named the backup.

--- a/internal/router/relay/replacement_test.go
+++ b/internal/router/relay/replacement_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/router/sessions"
 )
 
 // If the backup engine is lost first and the attempt a few seconds later, the prompt has
@@ -69,6 +71,20 @@
 	})
 }
 
+func TestAStreamOfAnEngineThatWasSilentFromTheStartIsNotResumedFromItsBackup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.sessions.PutSession(sessions.Record{Session: "own", AttemptID: "r-0", Server: engineAddress(0), Backup: engineAddress(2)})
+		h.engines.backups[engineAddress(2)+"/r-0"] = true
+		h.engines.faults["i-2"] = engineFaults{pause: time.Minute}
+		res, cut := h.serve(h.newRequest(7))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal(eventText(8, 20)))
+		h.Expect(h.engines.dispatched()).To(HaveLen(2))
+		h.Expect(h.engines.dispatched()[1].RestoreFrom).To(BeNil())
+	})
+}
+
 // Before the first event there is no backup yet. On the recorded day of grown Scordia, 88
 // attempts to resume from one all failed, and each took from the retry budget.
 func TestAttemptLostBeforeFirstEventIsRetriedWithoutBackup(t *testing.T) {
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -111,8 +111,8 @@
 		s.excluded[target.Key()] = true
 		s.backupAddress = ""
 		// There is no backup before the first event, unless the attempt was itself
-		// resumed from one.
-		if r.backup != nil && (r.events > 0 || restoreFrom != nil) {
+		// resumed from one and its engine was not silent all the time.
+		if r.backup != nil && (r.events > 0 || restoreFrom != nil && !r.silent) {
 			s.backupAddress, s.backupRef = r.backup.Address, server.KVBackup{Address: r.backup.Address, ID: s.req.ID}
 		}
 		if r.replacement != nil {
