engine: replies and orders count only when their bodies have ended

The same cause as in platform/: the client of our own interface decoded the first JSON value, or looked at the status alone. An order or a cancellation counted as carried out, a 404 as "does not run the attempt" and a 412 as fenced, although the answer was cut behind the head; reports counted without the end of their chunks. What callers saw: nothing that could be shown.

Generate is unchanged: a refusal is its status, which a cut head does not give, and a stream is complete with the line that says so.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -6,13 +6,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"wisteriafield/internal/base/wholebody"
 )
 
 var (
@@ -85,7 +86,11 @@
 	if err != nil {
 		return fmt.Errorf("cancel: %w", err)
 	}
-	return res.Body.Close()
+	defer res.Body.Close()
+	if _, err := wholebody.Read(res.Body, maxReplyBytes); err != nil {
+		return fmt.Errorf("cancel: %w", err)
+	}
+	return nil
 }
 
 // AttemptProgress returns the progress of an attempt. It serves as a probe of the
@@ -135,6 +140,9 @@
 		return fmt.Errorf("order: %w", err)
 	}
 	defer res.Body.Close()
+	if _, err := wholebody.Read(res.Body, maxReplyBytes); err != nil {
+		return fmt.Errorf("order: status %d: %w", res.StatusCode, err)
+	}
 	switch res.StatusCode {
 	case http.StatusOK:
 		return nil
@@ -190,11 +198,15 @@
 		return 0, err
 	}
 	defer res.Body.Close()
+	data, err := wholebody.Read(res.Body, maxReplyBytes)
+	if err != nil {
+		return 0, fmt.Errorf("status %d: %w", res.StatusCode, err)
+	}
 	if res.StatusCode == http.StatusNotFound {
 		return res.StatusCode, nil
 	}
 	if res.StatusCode != http.StatusOK {
 		return res.StatusCode, fmt.Errorf("status %d: %w", res.StatusCode, ErrRefused)
 	}
-	return res.StatusCode, json.NewDecoder(io.LimitReader(res.Body, maxReplyBytes)).Decode(reply)
+	return res.StatusCode, json.Unmarshal(data, reply)
 }
