stream: a peer's request counts only when its body has ended

A request in chunks whose connection ended behind the value was handled. Our own entries send a length, which ends with the value, so no caller saw anything of it.

The server now reads the body to its end. TestAPeersRequestThatEndsAtAnyByteIsNotHandled failed before for chunks ("Expected 1 to be zero-valued" after the last chunk's bytes).

--- a/internal/router/stream/server.go
+++ b/internal/router/stream/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -103,10 +104,15 @@
 	}
 }
 
-// decode reads a JSON body. If it is malformed or too long, it answers the request
-// with an error and returns false.
+// decode reads a JSON body to its end. If it is malformed, incomplete or too long, it answers
+// the request with an error and returns false.
 func decode(w http.ResponseWriter, r *http.Request, target any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(target); err != nil {
+	body := http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	err := json.NewDecoder(body).Decode(target)
+	if err == nil {
+		_, err = io.Copy(io.Discard, body)
+	}
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return false
 	}
