--- a/internal/trial/truncate/truncate.go
+++ b/internal/trial/truncate/truncate.go
@@ -22,8 +22,10 @@
 )
 
 // Server answers every request with the first bytes of an answer and ends the connection.
+// Requests for a path of Whole are answered with the whole answer there.
 type Server struct {
 	Address string
+	Whole   map[string]string // must not be changed after the first request
 
 	mu       sync.Mutex
 	answer   string
@@ -31,7 +33,7 @@
 	requests int
 }
 
-// Requests returns the number of whole requests so far.
+// Requests returns the number of requests for other paths that it read.
 func (s *Server) Requests() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -74,6 +76,10 @@
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
+	if whole, ok := s.Whole[req.URL.Path]; ok {
+		_, _ = io.WriteString(conn, whole)
+		return
+	}
 	s.mu.Lock()
 	s.requests++
 	answer, end := s.answer, s.end
