quarantine: a server that crashed behind another router is not the one before the last

Cause: usable servers were those that this router had not marked as down. The mark lasts a second and a crashed server stays listed and away for three, so the router counted two servers that were gone.

The crashes that all routers tell each other name the incarnations that are gone, and a server crashes once. These do not count as usable any more.

Evidence: TestServersThatCrashedBehindOtherRoutersAreNotUsable failed before. The fake service of the forwarder's test comes back as new incarnations now, as servers do.

--- a/internal/backend/registry/registry.go
+++ b/internal/backend/registry/registry.go
@@ -82,15 +82,15 @@
 // the result.
 func (r *Registry) Service(name string) []*Entry { return r.snapshot.Load().byService[name] }
 
-// Usable returns how many servers of a service are neither leaving nor down.
-func (r *Registry) Usable(service string, now time.Time) int {
-	n := 0
+// Usable returns the incarnations of a service's servers that are neither leaving nor down.
+func (r *Registry) Usable(service string, now time.Time) []string {
+	var usable []string
 	for _, e := range r.Service(service) {
 		if !e.Leaving && !e.Load.State(now).Down {
-			n++
+			usable = append(usable, e.Key().String())
 		}
 	}
-	return n
+	return usable
 }
 
 // Get returns the server with an ID, or nil.
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -160,11 +160,21 @@
 
 // SparesLastServer reports whether a request has crashed so many servers that it must not be
 // sent to the last usable one of its service. They come back, but not while it takes each
-// that is left.
-func (t *Table) SparesLastServer(s Suspects) bool {
+// that is left. A server that has crashed is not usable, even if the router that asks has
+// not noticed yet.
+func (t *Table) SparesLastServer(s Suspects, usable func() []string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.crashedBy(s) > lastServerCrashes
+	if t.crashedBy(s) <= lastServerCrashes {
+		return false
+	}
+	left := 0
+	for _, server := range usable() {
+		if !t.crashes.servers[server] && !t.explained.has(server) {
+			left++
+		}
+	}
+	return left <= 1
 }
 
 // crashedBy returns how many servers a session or a request without one has crashed, as far
--- a/internal/decision/quarantine/quarantine_test.go
+++ b/internal/decision/quarantine/quarantine_test.go
@@ -189,13 +189,27 @@
 	g := NewWithT(t)
 	table := quarantine.New(start.Add(-time.Minute), 3*time.Second)
 	call := quarantine.Suspects{Request: "sha256:call"}
+	last := func() []string { return []string{"e3"} }
 	g.Expect(table.RecordCrash(quarantine.Crash{Suspects: call, Server: "e1", At: at(1)}, at(1)).Suspected).To(BeFalse())
-	g.Expect(table.SparesLastServer(call)).To(BeFalse(), "one server may be lost for any reason")
+	g.Expect(table.SparesLastServer(call, last)).To(BeFalse(), "one server may be lost for any reason")
 	news := quarantine.Report{Crashes: []quarantine.Crash{{Suspects: call, Server: "e2", At: at(2)}}}
 	g.Expect(table.Merge(news, at(2)).Suspected).To(BeTrue(), "peers should know at once")
 	g.Expect(table.Merge(news, at(2)).Any()).To(BeFalse(), "but only once")
-	g.Expect(table.SparesLastServer(call)).To(BeTrue())
-	g.Expect(table.SparesLastServer(quarantine.Suspects{Request: "sha256:other"})).To(BeFalse())
+	g.Expect(table.SparesLastServer(call, last)).To(BeTrue())
+	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e3", "e4"} })).To(BeFalse())
+	g.Expect(table.SparesLastServer(quarantine.Suspects{Request: "sha256:other"}, last)).To(BeFalse())
 	table.RecordSurvival(call, at(3))
-	g.Expect(table.SparesLastServer(call)).To(BeFalse())
+	g.Expect(table.SparesLastServer(call, last)).To(BeFalse())
+}
+
+// The router that sends the call had noticed neither crash, or no longer remembered it.
+func TestServersThatCrashedBehindOtherRoutersAreNotUsable(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.New(start.Add(-time.Minute), 3*time.Second)
+	call := quarantine.Suspects{Request: "sha256:call"}
+	table.Merge(quarantine.Report{Crashes: []quarantine.Crash{
+		{Suspects: call, Server: "e1", At: at(1)}, {Suspects: call, Server: "e2", At: at(2)},
+	}}, at(2))
+	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e1", "e2", "e3"} })).To(BeTrue())
+	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e1/2", "e2", "e3"} })).To(BeFalse(), "one is back")
 }
--- a/internal/router/forward/deadly_test.go
+++ b/internal/router/forward/deadly_test.go
@@ -12,6 +12,7 @@
 
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/config/routes"
+	"wisteriafield/internal/decision/storehistory"
 )
 
 // crash breaks off before an answer, as a server does that ends.
@@ -68,8 +69,14 @@
 		g.Expect(send(routes.Idempotent, 3, "").Code).To(Equal(http.StatusBadGateway))
 		g.Expect(s.sentTo).To(HaveLen(2), "one server is left")
 		g.Expect(send(routes.Idempotent, 3, "").Code).To(Equal(http.StatusServiceUnavailable), "it has not run")
-		time.Sleep(2 * time.Second) // the servers are back
+		time.Sleep(2 * time.Second)
 		s.responses = nil
+		g.Expect(send(routes.Idempotent, 3, "").Code).To(Equal(http.StatusServiceUnavailable), "the others are not back")
+		back := []server.Server{{ID: "i-9", Service: "desk", Address: "10.0.0.9:1", Slots: 6}}
+		for _, e := range s.servers.All() {
+			back = append(back, e.Server)
+		}
+		s.servers.Set(storehistory.Position{Revision: 2}, back)
 		g.Expect(send(routes.Idempotent, 3, "").Code).To(Equal(http.StatusOK))
 	})
 }
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -62,7 +62,7 @@
 	}
 	Quarantine interface {
 		Refuses(req *server.Request) (until time.Time, refused bool)
-		SparesLastServer(req *server.Request, usable func() int) bool
+		SparesLastServer(req *server.Request, usable func() []string) bool
 		ServerLost(req *server.Request, s *server.Server, events int)
 		ServerFinished(req *server.Request)
 	}
@@ -141,7 +141,7 @@
 func (f *Forwarder) choose(req *server.Request, service string, excluded map[server.Key]bool) *registry.Entry {
 	entries := f.candidates(service, excluded)
 	now := time.Now()
-	if len(entries) > 0 && f.cfg.Quarantine.SparesLastServer(req, func() int { return f.cfg.Servers.Usable(service, now) }) {
+	if len(entries) > 0 && f.cfg.Quarantine.SparesLastServer(req, func() []string { return f.cfg.Servers.Usable(service, now) }) {
 		return nil
 	}
 	var candidates []balance.Service
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -32,6 +32,7 @@
 	responses map[string]func(ctx context.Context) (*server.Answer, error)
 	sentTo    []string
 	executed  int
+	servers   *registry.Registry
 	// connectionsOnly means that a server that breaks off an answer is still there.
 	connectionsOnly bool
 	budget          interface {
@@ -112,6 +113,7 @@
 // prompt has a shared part unless that is empty.
 func newForwarder(s *fakeService, n int) func(kind routes.Kind, attempts int, part string) *httptest.ResponseRecorder {
 	servers := registry.New()
+	s.servers = servers
 	var all []server.Server
 	for i := range n {
 		all = append(all, server.Server{ID: fmt.Sprintf("i-%d", i), Service: "desk", Address: fmt.Sprintf("10.0.0.%d:1", i+1), Slots: 6})
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -54,8 +54,8 @@
 
 // SparesLastServer reports whether a request must not be sent to the last usable server of
 // its service, because it may have crashed the others.
-func (g *Guard) SparesLastServer(req *server.Request, usable func() int) bool {
-	if !g.table.SparesLastServer(suspectsOf(req)) || usable() > 1 {
+func (g *Guard) SparesLastServer(req *server.Request, usable func() []string) bool {
+	if !g.table.SparesLastServer(suspectsOf(req), usable) {
 		return false
 	}
 	sparedTotal.Inc()
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -57,7 +57,7 @@
 // Quarantine keeps requests away from engines that crash them.
 type Quarantine interface {
 	Refuses(req *server.Request) (until time.Time, refused bool)
-	SparesLastServer(req *server.Request, usable func() int) bool
+	SparesLastServer(req *server.Request, usable func() []string) bool
 	ServerLost(req *server.Request, s *server.Server, events int)
 	ServerAnswered(req *server.Request, events int)
 	ServerFinished(req *server.Request)
--- a/internal/router/relay/target.go
+++ b/internal/router/relay/target.go
@@ -12,7 +12,7 @@
 // any. An engine that has the backup comes first, then one that has the prompt cached.
 func (s *stream) nextTarget(ctx context.Context) (*registry.Entry, *server.KVBackup) {
 	s.choice = choice{}
-	if s.relay.cfg.Quarantine.SparesLastServer(s.req, func() int { return s.relay.cfg.Servers.Usable(s.service.Name, time.Now()) }) {
+	if s.relay.cfg.Quarantine.SparesLastServer(s.req, func() []string { return s.relay.cfg.Servers.Usable(s.service.Name, time.Now()) }) {
 		return nil, nil
 	}
 	if address := s.backupAddress; address != "" {
