relay: an engine that crashes before its answer counts as crashed

Engines crashed one after the other under a session whose requests end them before the head of the answer: five in one attempt of a caller, and seven arrivals later than the contact time after the third crash.

Cause: only engines that had begun to answer counted. Before the head a loss looks like any other.

As for plain services, the router now asks whether the engine's address still accepts connections. If not, the crash counts against the session, but not against the parts that it shares: the request may only have waited at an engine that was lost for another reason.

--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -66,12 +66,23 @@
 // ServerLost records that the answer to an attempt was lost after the given number of events
 // had arrived, and that the server is lost too.
 func (g *Guard) ServerLost(req *server.Request, s *server.Server, events int) {
-	if events >= earlyEvents {
-		return
+	if events < earlyEvents {
+		g.recordCrash(req, s, suspectsOf(req), events)
 	}
+}
+
+// ServerLostUnanswered records that a server was lost before it answered an attempt, which
+// may have waited there. That says too little about what it shares with other requests.
+func (g *Guard) ServerLostUnanswered(req *server.Request, s *server.Server) {
+	suspects := suspectsOf(req)
+	suspects.Parts = nil
+	g.recordCrash(req, s, suspects, 0)
+}
+
+func (g *Guard) recordCrash(req *server.Request, s *server.Server, suspects quarantine.Suspects, events int) {
 	now := time.Now()
 	crashesTotal.Inc()
-	crash := quarantine.Crash{Suspects: suspectsOf(req), Server: s.Key().String(), At: now}
+	crash := quarantine.Crash{Suspects: suspects, Server: s.Key().String(), At: now}
 	g.log.WithField("id", req.ID).WithField("server", s.ID).WithField("parts", crash.Parts).WithField("digest", crash.Request).
 		WithField("events", events).Info("server was lost at the start of an answer")
 	if g.table.RecordCrash(crash, now).Blocks {
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -27,6 +27,7 @@
 	dispatches    []server.Dispatch
 	unreachable   int    // so many resumes can't be sent
 	deadlyPart    string // a part of prompts that crashes every engine after its header
+	deadlySession string // crashes every engine before its header
 
 	probes      int                  // reports that were requested
 	pausedUntil map[string]time.Time // by server ID
@@ -81,6 +82,8 @@
 	switch {
 	case unreachable:
 		return nil, fmt.Errorf("dial: %w", server.ErrNotSent)
+	case e.deadlySession != "" && d.Request.SessionID() == e.deadlySession:
+		return nil, fmt.Errorf("EOF: %w", server.ErrLost)
 	case e.deadlyPart != "" && slices.Contains(d.Request.SharedPartIDs(), e.deadlyPart):
 		body := iotest.ErrReader(io.ErrUnexpectedEOF)
 		return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: io.NopCloser(body)}, nil
@@ -181,6 +184,11 @@
 	_ = w.Close()
 }
 
+// Listens says that an engine that broke off before its header is gone.
+func (e *fakeEngines) Listens(context.Context, string) (bool, error) {
+	return e.deadlySession == "", nil
+}
+
 func (e *fakeEngines) Report(ctx context.Context, address string) (server.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/router/relay/quarantine_test.go
+++ b/internal/router/relay/quarantine_test.go
@@ -33,6 +33,21 @@
 	})
 }
 
+// Only engines that had begun to answer counted as crashed.
+func TestASessionThatCrashesEnginesBeforeTheirAnswersIsNotSentToAllOfThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.engines.deadlySession = "deadly"
+		for range 4 {
+			h.serve(h.newRequestOf("deadly", "system", "doc"))
+			time.Sleep(3 * time.Second)
+		}
+		h.Expect(h.engines.dispatched()).To(HaveLen(2), "the last of three engines is spared")
+		res, _ := h.serve(h.newRequestOf("sound", "system", "doc"))
+		h.Expect(res.Code).To(Equal(http.StatusOK), "its parts say nothing about others")
+	})
+}
+
 // A caller that came back was looked up at its engines and sent on again.
 func TestCallerThatComesBackWithABlockedPromptIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -46,6 +46,9 @@
 	CachedPromptParts(ctx context.Context, address string) ([]server.PromptPart, error)
 	CopyKVCache(ctx context.Context, address, attemptID, target string) (string, error)
 	DeleteBackup(ctx context.Context, backup server.KVBackup) error
+	// Listens reports whether a process accepts connections at an address. The error says
+	// that this is not known.
+	Listens(ctx context.Context, address string) (bool, error)
 }
 
 // Sessions stores and finds session records.
@@ -59,6 +62,7 @@
 	Refuses(req *server.Request) (until time.Time, refused bool)
 	SparesLastServer(req *server.Request, usable func() []string) bool
 	ServerLost(req *server.Request, s *server.Server, events int)
+	ServerLostUnanswered(req *server.Request, s *server.Server)
 	ServerAnswered(req *server.Request, events int)
 	ServerFinished(req *server.Request)
 }
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -104,8 +104,8 @@
 		if !r.callerDisconnected {
 			target.Load.RecordOutcome(true)
 		}
-		if r.began && !r.callerDisconnected && !r.silent {
-			s.relay.cfg.Quarantine.ServerLost(s.req, &target.Server, r.events)
+		if !r.callerDisconnected && !r.silent {
+			s.recordCrash(target, r)
 		}
 		s.refusals = 0
 		s.excluded[target.Key()] = true
