quarantine: a request with a prompt is known by its prompt, not by its digest

A request with a prompt has no digest among its suspects any more: the session and the parts say more. A request without a prompt has only the digest, as before.

--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -82,7 +82,8 @@
 	PromptParts     []PromptPart
 	LastEventID     int // last event that the caller has received, 0 for none
 
-	// Digest identifies the request when it comes again: its method, path, caller and body.
+	// Digest identifies a request without a prompt when it comes again: its method, path,
+	// caller and body.
 	Digest string
 }
 
--- a/internal/decision/quarantine/suspects.go
+++ b/internal/decision/quarantine/suspects.go
@@ -4,13 +4,12 @@
 
 // Suspects are what may be to blame for the loss of a server that ran a request.
 type Suspects struct {
-	Request string   // digest of the request: its path, its caller and its body
+	Request string   // digest of a request without a prompt: its path, its caller and its body
 	Parts   []string // of the prompt, in order, but for the last one
 	Session string   // the last part of the prompt, which no other session has
 }
 
-// all returns the suspects, the most general first. Requests that differ only in their
-// prompts have the same digest.
+// all returns the suspects, the most general first.
 func (s *Suspects) all() []string {
 	all := make([]string, 0, len(s.Parts)+2)
 	if s.Request != "" {
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -36,9 +36,13 @@
 	return &Guard{table: quarantine.New(time.Now(), contactTime), onCrash: onCrash, log: log}
 }
 
-// suspectsOf returns what may be to blame if a request crashes its server.
+// suspectsOf returns what may be to blame if a request crashes its server. A prompt says
+// more than the digest, which does not cover it.
 func suspectsOf(req *server.Request) quarantine.Suspects {
-	return quarantine.Suspects{Parts: req.SharedPartIDs(), Session: req.SessionID(), Request: req.Digest}
+	if len(req.PromptParts) == 0 {
+		return quarantine.Suspects{Request: req.Digest}
+	}
+	return quarantine.Suspects{Parts: req.SharedPartIDs(), Session: req.SessionID()}
 }
 
 // Refuses reports whether a request must not be sent to a server, and until when.
