quarantine: one crash under a request that never survived spares the last server

Cause: the last server was spared by a request's second crash.

The last usable server is now spared from a request that crashed another one within the last ten seconds, unless it has ever survived: popular sound requests run at each server that is lost.

Evidence: TestARequestThatMayHaveCrashedServersSparesTheLastOne and TestARequestThatEverSurvivedMayGoToTheLastServer fail on the commit before.

The fake service of the forwarder's tests says by default that its servers are there.

--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -23,9 +23,12 @@
 	// sameMoment is how far apart the crashes of servers are that a common cause, such as a
 	// power cut, takes at once.
 	sameMoment = 50 * time.Millisecond
-	// lastServerCrashes is how many servers a request may have crashed and still be sent to
-	// the last usable server of its service.
-	lastServerCrashes = 1
+	// urgentCrashes is how many servers a request must have crashed for peers to hear of it
+	// at once.
+	urgentCrashes = 2
+	// spareTime is how long after a crash under a request the last usable server of its
+	// service is spared. Servers are back after some seconds.
+	spareTime = 10 * time.Second
 	// blockTime is how long a suspect is blocked after its last crash. Then requests are let
 	// through, and one crash within crashTTL blocks it again.
 	blockTime = 5 * time.Minute
@@ -70,7 +73,7 @@
 // Change is what a router has learned.
 type Change struct {
 	Blocks    bool // other suspects are blocked now
-	Suspected bool // a request must not be sent to the last server of its service any more
+	Suspected bool // a request has crashed urgentCrashes servers
 }
 
 // Any reports whether peers should know at once.
@@ -158,14 +161,13 @@
 	return Block{}, false
 }
 
-// SparesLastServer reports whether a request has crashed so many servers that it must not be
-// sent to the last usable one of its service. They come back, but not while it takes each
-// that is left. A server that has crashed is not usable, even if the router that asks has
-// not noticed yet.
-func (t *Table) SparesLastServer(s Suspects, usable func() []string) bool {
+// SparesLastServer reports whether a request must not be sent to the last usable server of
+// its service: it may have crashed another one, and has never survived. A server that has
+// crashed is not usable, even if the router that asks has not noticed yet.
+func (t *Table) SparesLastServer(s Suspects, usable func() []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.crashedBy(s) <= lastServerCrashes {
+	if t.crashedBy(s, now.Add(-spareTime)) == 0 || !t.survivals.last(s.origin()).IsZero() {
 		return false
 	}
 	left := 0
@@ -177,16 +179,16 @@
 	return left <= 1
 }
 
-// crashedBy returns how many servers a session or a request without one has crashed, as far
-// as is known and not refuted. The caller holds mu.
-func (t *Table) crashedBy(s Suspects) int {
+// crashedBy returns how many servers a session, or a request without one, has crashed since
+// a time, as far as is known and not refuted. The caller holds mu.
+func (t *Table) crashedBy(s Suspects, since time.Time) int {
 	own := s.origin()
 	if own == "" || t.crashes.count(own) == 0 {
 		return 0
 	}
 	servers := make(map[string]bool)
 	for _, c := range t.crashes.list {
-		if c.origin() == own && !t.survivals.last(own).After(c.At) {
+		if c.origin() == own && c.At.After(since) && !t.survivals.last(own).After(c.At) {
 			servers[c.Server] = true
 		}
 	}
@@ -246,7 +248,7 @@
 }
 
 // add records a crash unless it is known, malformed, refuted or explained. It also reports
-// whether that makes its request one that spares the last server. The caller holds mu.
+// whether peers should hear of its request at once. The caller holds mu.
 func (t *Table) add(c Crash, now time.Time) (added, suspected bool) {
 	if t.crashes.has(c) || !c.valid(now) || t.explained.has(c.Server) {
 		return false, false
@@ -267,7 +269,7 @@
 	if len(t.crashes.list) > maxCrashes {
 		t.forgetWeakest(now)
 	}
-	return true, t.crashedBy(c.Suspects) == lastServerCrashes+1
+	return true, t.crashedBy(c.Suspects, time.Time{}) == urgentCrashes
 }
 
 // forgetWeakest removes a quarter of the crashes, those with the least evidence. Peers may
--- a/internal/decision/quarantine/quarantine_test.go
+++ b/internal/decision/quarantine/quarantine_test.go
@@ -190,16 +190,27 @@
 	table := quarantine.New(start.Add(-time.Minute), 3*time.Second)
 	call := quarantine.Suspects{Request: "sha256:call"}
 	last := func() []string { return []string{"e3"} }
+	g.Expect(table.SparesLastServer(call, last, at(1))).To(BeFalse())
 	g.Expect(table.RecordCrash(quarantine.Crash{Suspects: call, Server: "e1", At: at(1)}, at(1)).Suspected).To(BeFalse())
-	g.Expect(table.SparesLastServer(call, last)).To(BeFalse(), "one server may be lost for any reason")
+	g.Expect(table.SparesLastServer(call, last, at(1))).To(BeTrue())
 	news := quarantine.Report{Crashes: []quarantine.Crash{{Suspects: call, Server: "e2", At: at(2)}}}
 	g.Expect(table.Merge(news, at(2)).Suspected).To(BeTrue(), "peers should know at once")
 	g.Expect(table.Merge(news, at(2)).Any()).To(BeFalse(), "but only once")
-	g.Expect(table.SparesLastServer(call, last)).To(BeTrue())
-	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e3", "e4"} })).To(BeFalse())
-	g.Expect(table.SparesLastServer(quarantine.Suspects{Request: "sha256:other"}, last)).To(BeFalse())
-	table.RecordSurvival(call, at(3))
-	g.Expect(table.SparesLastServer(call, last)).To(BeFalse())
+	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e3", "e4"} }, at(2))).To(BeFalse())
+	g.Expect(table.SparesLastServer(quarantine.Suspects{Request: "sha256:other"}, last, at(2))).To(BeFalse())
+	g.Expect(table.SparesLastServer(call, last, at(13))).To(BeFalse(), "the others have not come back")
+}
+
+// Popular requests run at each server that is lost.
+func TestARequestThatEverSurvivedMayGoToTheLastServer(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.New(start.Add(-time.Minute), 3*time.Second)
+	call := quarantine.Suspects{Request: "sha256:popular"}
+	table.RecordSurvival(call, at(1))
+	for _, server := range []string{"e1", "e2"} {
+		table.RecordCrash(quarantine.Crash{Suspects: call, Server: server, At: at(2)}, at(2))
+	}
+	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e3"} }, at(2))).To(BeFalse())
 }
 
 // The router that sends the call had noticed neither crash, or no longer remembered it.
@@ -210,6 +221,6 @@
 	table.Merge(quarantine.Report{Crashes: []quarantine.Crash{
 		{Suspects: call, Server: "e1", At: at(1)}, {Suspects: call, Server: "e2", At: at(2)},
 	}}, at(2))
-	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e1", "e2", "e3"} })).To(BeTrue())
-	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e1/2", "e2", "e3"} })).To(BeFalse(), "one is back")
+	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e1", "e2", "e3"} }, at(2))).To(BeTrue())
+	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e1/2", "e2", "e3"} }, at(2))).To(BeFalse(), "one is back")
 }
--- a/internal/router/forward/deadly_test.go
+++ b/internal/router/forward/deadly_test.go
@@ -23,7 +23,7 @@
 
 // newCrashingService returns a service whose n servers all crash.
 func newCrashingService(n int) *fakeService {
-	s := &fakeService{responses: make(map[string]func(context.Context) (*server.Answer, error))}
+	s := &fakeService{gone: true, responses: make(map[string]func(context.Context) (*server.Answer, error))}
 	for i := range n {
 		s.responses[fmt.Sprintf("i-%d", i)] = crash
 	}
@@ -50,7 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		s := newCrashingService(8)
-		s.connectionsOnly = true
+		s.gone = false
 		send := newForwarder(s, 8)
 		for range 4 {
 			send(routes.NonIdempotent, 1, "")
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -33,9 +33,9 @@
 	sentTo    []string
 	executed  int
 	servers   *registry.Registry
-	// connectionsOnly means that a server that breaks off an answer is still there.
-	connectionsOnly bool
-	budget          interface {
+	// gone means that a server that breaks off an answer is not there any more.
+	gone   bool
+	budget interface {
 		Allow(service string, now time.Time) bool
 	} // fixedBudget(true) if nil
 }
@@ -51,10 +51,7 @@
 	return respond(ctx)
 }
 
-// Listens says that a server that broke off an answer is gone, unless it is to have survived.
-func (s *fakeService) Listens(context.Context, string) (bool, error) {
-	return s.connectionsOnly, nil
-}
+func (s *fakeService) Listens(context.Context, string) (bool, error) { return !s.gone, nil }
 
 func (s *fakeService) respond(status int, after time.Duration) func(context.Context) (*server.Answer, error) {
 	return func(ctx context.Context) (*server.Answer, error) {
--- a/internal/router/forward/quarantine_test.go
+++ b/internal/router/forward/quarantine_test.go
@@ -17,7 +17,7 @@
 func TestPromptPartThatCrashesServersIsRefusedBeforeItsNextAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		s := &fakeService{responses: make(map[string]func(context.Context) (*server.Answer, error))}
+		s := &fakeService{gone: true, responses: make(map[string]func(context.Context) (*server.Answer, error))}
 		for i := range 5 {
 			s.responses[fmt.Sprintf("i-%d", i)] = truncateAnswer
 		}
