edge: a request that is still read at the end of the drain is refused

A caller whose request was not complete when the grace time of a stopping router ended got no answer: canceling the requests does not end the reading of a header or a body. Reading now fails at that moment, which is answered with 408 like any body that stalls; no server was sent the request.

Before: both cases of TestARequestThatIsStillReadAtTheEndOfTheGraceTimeIsRefused fail with an unexpected EOF. The drain stays within the grace time (bound in the test).

--- a/internal/router/edge/connections.go
+++ b/internal/router/edge/connections.go
@@ -191,16 +191,20 @@
 
 // quietFor returns how long no connection has been in use.
 func (cs *connections) quietFor(now time.Time) time.Duration {
+	if cs.inUse() {
+		return 0
+	}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	for c := range cs.open {
-		if c.currentPhase() != connIdle {
-			return 0
-		}
-	}
 	return now.Sub(cs.usedAt)
 }
 
+// inUse reports whether a request is being read or served.
+func (cs *connections) inUse() bool {
+	left := cs.count()
+	return left[connReading]+left[connServing] > 0
+}
+
 // closeIdle closes the idle connections.
 func (cs *connections) closeIdle(now time.Time) {
 	cs.mu.Lock()
@@ -210,6 +214,15 @@
 	}
 }
 
+// endReading lets the reading of all requests fail.
+func (cs *connections) endReading() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.open {
+		_ = c.SetReadDeadline(time.Now())
+	}
+}
+
 // count returns the number of connections by phase.
 func (cs *connections) count() map[connPhase]int {
 	cs.mu.Lock()
--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -59,7 +59,8 @@
 // end of the grace time. Answers tell callers to close their connections. After the lame
 // duck, idle connections are closed, and once none was in use for quietTime, or
 // refusalTime before the end, new ones are not accepted. Requests that are left at the end
-// are answered with a failure, or cut if their answers have begun.
+// are answered with a failure or, if they were not read completely, refused. Answers that have
+// begun are cut.
 func (e *Edge) drain(now time.Time) {
 	e.stoppingAt.Store(now.UnixNano())
 	e.logger("node").WithField("active", e.activeRequests.Load()).Info("router is stopping")
@@ -89,7 +90,8 @@
 	e.logger("node").WithField("active", e.activeRequests.Load()).WithField("reading", left[connReading]).
 		WithField("serving", left[connServing]).Info("router has drained")
 	e.cancelRequests(errStopped)
-	for until := time.Now().Add(failureTime); e.callerConns.count()[connServing] > 0 && time.Now().Before(until); {
+	e.callerConns.endReading()
+	for until := time.Now().Add(failureTime); e.callerConns.inUse() && time.Now().Before(until); {
 		time.Sleep(drainCheckInterval)
 	}
 }
--- a/internal/router/edge/drain_test.go
+++ b/internal/router/edge/drain_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -194,3 +196,31 @@
 	g.Expect(time.Since(start)).To(BeNumerically("<", lameDuck+4*quietTime))
 	g.Expect(<-results).NotTo(HaveOccurred())
 }
+
+func TestARequestThatIsStillReadAtTheEndOfTheGraceTimeIsRefused(t *testing.T) {
+	for name, part := range map[string]string{"header": "Content-", "body": "Content-Length: 2\r\n\r\nx"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			e, _ := newCallerSide(func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.ReadAll(r.Body); errors.Is(err, os.ErrDeadlineExceeded) {
+					w.WriteHeader(http.StatusRequestTimeout)
+				}
+			})
+			e.cfg.Grace = lameDuck + time.Second
+			conn, err := net.Dial("tcp", e.listen(g, t))
+			g.Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			_, err = fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\n"+part)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Eventually(func() int { return e.callerConns.count()[connIdle] }).Should(Equal(0))
+			start := time.Now()
+			e.drain(start)
+			g.Expect(time.Since(start)).To(BeNumerically("<", e.cfg.Grace))
+			_ = e.callerServer.Close()
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
+		})
+	}
+}
