--- a/internal/router/relay/run.go
+++ b/internal/router/relay/run.go
@@ -51,7 +51,7 @@
 		s.endSilent()
 	}
 	a := &attempt{
-		target: target, restoreFrom: restoreFrom, startEvent: s.lastEventID, sentAt: time.Now(),
+		target: target, restoreFrom: restoreFrom, startEvent: s.lastEventID,
 		reads: make(chan readResult, maxEventsAhead), reports: make(chan server.Report, 4),
 		arrivals: s.relay.cfg.Links.ObserveStream(target.Domain),
 	}
