--- a/internal/decision/suspicion/alternative.go
+++ b/internal/decision/suspicion/alternative.go
@@ -24,7 +24,7 @@
 // Decisions on a stream that counts as lost.
 const (
 	Keep    Decision = "Keep"    // wait for the silent engine, which may be sound
-	Retry   Decision = "Retry"   // end the attempt if the retry budget allows another one, otherwise none is left
+	Retry   Decision = "Retry"   // end the attempt if the retry budget allows another one, otherwise keep it
 	Abandon Decision = "Abandon" // end the attempt
 )
 
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -14,7 +14,7 @@
 // to follow, its retry is reserved: the caller's stream depends on it.
 func (s *stream) decideSilent(target *registry.Entry, silence time.Duration) suspicion.Decision {
 	_, quarantined := s.relay.cfg.Quarantine.Refuses(s.req)
-	alternative := suspicion.Alternative{
+	decision := suspicion.Alternative{
 		Replaced:     s.relay.replaced(target),
 		Retryable:    s.resumable(),
 		AttemptsLeft: s.req.Route.MaxAttempts - s.executed - 1,
@@ -22,15 +22,15 @@
 		EngineUsable: s.otherEngineUsable(target),
 		Begun:        s.headersSent,
 		Silence:      silence,
-	}
-	if decision := alternative.Decide(); decision != suspicion.Retry {
+	}.Decide()
+	if decision != suspicion.Retry {
 		return decision
 	}
 	s.retryReserved = s.retryReserved || s.retryUnused || s.relay.cfg.RetryBudget.Allow(s.service.Name, time.Now())
 	if !s.retryReserved {
-		alternative.AttemptsLeft = 0
+		return suspicion.Keep
 	}
-	return alternative.Decide()
+	return suspicion.Retry
 }
 
 // resumeSilent returns to the attempt whose silent engine was left, if no other engine has
