--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -50,7 +50,11 @@
 	block, refused := g.table.Blocked(suspectsOf(req), time.Now())
 	if refused {
 		refusedTotal.Inc()
-		g.log.WithField("id", req.ID).WithField("suspect", block.Suspect).WithField("crashes", block.Crashes).
+		key := "promptPart"
+		if block.Suspect == req.Digest {
+			key = "digest"
+		}
+		g.log.WithField("id", req.ID).WithField(key, block.Suspect).WithField("crashes", block.Crashes).
 			WithField("until", block.Until).Info("request not sent: it crashes servers")
 	}
 	return block.Until, refused
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -73,8 +73,11 @@
 mutant resumes-for-ever $d/admission/queue.go 'maxConsecutiveResumes = 4' 'maxConsecutiveResumes = 4000' ./$d/admission
 mutant bucket-without-bound $d/limit/bucket.go 'math.Max(0, math.Min(want, b.Level))' 'want' ./$d/limit
 mutant hoard-the-limit internal/router/limits/limits.go 'refill = !state.refilling' 'refill = true' ./internal/router/limits
-mutant quarantine-no-survivals $d/quarantine/quarantine.go 'if !t.survivals.record(part, at) || !suspected {' 'if !suspected || true {' "./$d/quarantine -run 'Blocks|Survival'"
+mutant quarantine-no-survivals $d/quarantine/quarantine.go 'if !t.survivals.record(suspect, at) || !suspected {' 'if !suspected || true {' "./$d/quarantine -run 'Blocks|Survival'"
 mutant quarantine-two-servers $d/quarantine/quarantine.go 'minServers  = 3' 'minServers  = 2' "./$d/quarantine -run Blocks"
+mutant quarantine-starts-empty $d/quarantine/explain.go ' && !t.confirmed[suspect]' '' "./internal/router/gossip -run StartsKnows"
+mutant quarantine-takes-the-last $d/quarantine/quarantine.go 'return left <= 1' 'return false' "./internal/router/forward -run LastOne"
+mutant crash-without-a-check internal/router/forward/forward.go 'err != nil || listens' 'err != nil || listens && false' "./internal/router/forward -run LostConnections"
 mutant limit-for-each-router $d/ratelimit/ratelimit.go 'limit/float64(n)*min' 'limit*min' "./$d/ratelimit -run Fleet"
 mutant limit-for-ever $d/ratelimit/ratelimit.go 'e.Lifted || !sentAt.After(e.At)' 'true' "./$d/ratelimit -run LimitEnds"
 mutant leaving-not-heard internal/router/ratelimit/ratelimit.go 'if a.Leaving &&' 'if false &&' "./internal/router/forward -run SaysItLeaves"
