--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -343,7 +343,10 @@
 }
 
 // hasSuspect reports whether a crash is not refuted. The caller holds mu.
-func (t *Table) hasSuspect(c Crash) bool { return len(t.suspects(c)) > 0 }
+func (t *Table) hasSuspect(c Crash) bool {
+	possible := func(s string) bool { return s != "" && !t.survivals.last(s).After(c.At) }
+	return possible(c.Request) || possible(c.Session) || slices.ContainsFunc(c.Parts, possible)
+}
 
 // suspected reports whether a suspect may have caused a known crash. The caller holds mu.
 func (t *Table) suspected(suspect string) bool {
