quarantine: a sound request is kept from the last server for 30 s at most

A sound request that ran at two servers when they were lost could be refused for a quarter of an hour: by a service that has one server, and by one whose servers were only cut off from a router and are all up, under the incarnations that count as crashed. Nobody sent it, so nothing could refute the crashes.

Cause: crashes kept a request from the last server as long as they are kept as evidence, 15 minutes. A block, which needs a third server, lasts 5.

Such crashes now count for 30 s, for the request and for the servers. A request that is deadly then reaches the third server and is blocked, as where more servers are left.

Evidence: TestASoundRequestIsNotKeptFromTheLastServerForLong failed with the old time (both cases are refused after 38 s). SparesLastServer takes the time now; the calls in the existing tests pass it, their checks are as before. Tests of quarantine, forward, relay and gossip pass.

--- a/internal/decision/quarantine/crashes.go
+++ b/internal/decision/quarantine/crashes.go
@@ -40,7 +40,6 @@
 type crashes struct {
 	list     []knownCrash
 	known    map[crashKey]bool
-	servers  map[string]bool
 	suspects map[string]suspectCrashes
 	maxCount int // of a suspect
 }
@@ -77,7 +76,7 @@
 
 // set replaces the list.
 func (k *crashes) set(list []knownCrash) {
-	k.list, k.known, k.servers, k.suspects, k.maxCount = list, nil, nil, nil, 0
+	k.list, k.known, k.suspects, k.maxCount = list, nil, nil, 0
 	for _, c := range list {
 		k.index(c.Crash)
 	}
@@ -85,9 +84,9 @@
 
 func (k *crashes) index(c Crash) {
 	if k.known == nil {
-		k.known, k.servers, k.suspects = make(map[crashKey]bool), make(map[string]bool), make(map[string]suspectCrashes)
+		k.known, k.suspects = make(map[crashKey]bool), make(map[string]suspectCrashes)
 	}
-	k.known[c.key()], k.servers[c.Server] = true, true
+	k.known[c.key()] = true
 	for _, name := range c.all() {
 		s := k.suspects[name]
 		s.count++
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -26,6 +26,9 @@
 	// lastServerCrashes is how many servers a request may have crashed and still be sent to
 	// the last usable server of its service.
 	lastServerCrashes = 1
+	// lastServerTime is how long a crash counts for that. By then a server that crashed is
+	// back, and a sound request must not be refused for longer.
+	lastServerTime = 30 * time.Second
 	// blockTime is how long a suspect is blocked after its last crash. Then requests are let
 	// through, and one crash within crashTTL blocks it again.
 	blockTime = 5 * time.Minute
@@ -162,31 +165,35 @@
 // sent to the last usable one of its service. They come back, but not while it takes each
 // that is left. A server that has crashed is not usable, even if the router that asks has
 // not noticed yet.
-func (t *Table) SparesLastServer(s Suspects, usable func() []string) bool {
+func (t *Table) SparesLastServer(s Suspects, usable func() []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.crashedBy(s) <= lastServerCrashes {
+	if t.crashedBy(s, now) <= lastServerCrashes {
 		return false
 	}
+	crashed := make(map[string]bool)
+	for _, c := range t.crashes.list {
+		crashed[c.Server] = crashed[c.Server] || now.Sub(c.At) <= lastServerTime
+	}
 	left := 0
 	for _, server := range usable() {
-		if !t.crashes.servers[server] && !t.explained.has(server) {
+		if !crashed[server] && !t.explained.has(server) {
 			left++
 		}
 	}
 	return left <= 1
 }
 
-// crashedBy returns how many servers a session or a request without one has crashed, as far
-// as is known and not refuted. The caller holds mu.
-func (t *Table) crashedBy(s Suspects) int {
+// crashedBy returns how many servers a session or a request without one has crashed lately,
+// as far as is known and not refuted. The caller holds mu.
+func (t *Table) crashedBy(s Suspects, now time.Time) int {
 	own := s.origin()
 	if own == "" || t.crashes.count(own) == 0 {
 		return 0
 	}
 	servers := make(map[string]bool)
 	for _, c := range t.crashes.list {
-		if c.origin() == own && !t.survivals.last(own).After(c.At) {
+		if c.origin() == own && now.Sub(c.At) <= lastServerTime && !t.survivals.last(own).After(c.At) {
 			servers[c.Server] = true
 		}
 	}
@@ -267,7 +274,7 @@
 	if len(t.crashes.list) > maxCrashes {
 		t.forgetWeakest(now)
 	}
-	return true, t.crashedBy(c.Suspects) == lastServerCrashes+1
+	return true, t.crashedBy(c.Suspects, now) == lastServerCrashes+1
 }
 
 // forgetWeakest removes a quarter of the crashes, those with the least evidence. Peers may
--- a/internal/decision/quarantine/quarantine_test.go
+++ b/internal/decision/quarantine/quarantine_test.go
@@ -191,15 +191,15 @@
 	call := quarantine.Suspects{Request: "sha256:call"}
 	last := func() []string { return []string{"e3"} }
 	g.Expect(table.RecordCrash(quarantine.Crash{Suspects: call, Server: "e1", At: at(1)}, at(1)).Suspected).To(BeFalse())
-	g.Expect(table.SparesLastServer(call, last)).To(BeFalse(), "one server may be lost for any reason")
+	g.Expect(table.SparesLastServer(call, last, at(3))).To(BeFalse(), "one server may be lost for any reason")
 	news := quarantine.Report{Crashes: []quarantine.Crash{{Suspects: call, Server: "e2", At: at(2)}}}
 	g.Expect(table.Merge(news, at(2)).Suspected).To(BeTrue(), "peers should know at once")
 	g.Expect(table.Merge(news, at(2)).Any()).To(BeFalse(), "but only once")
-	g.Expect(table.SparesLastServer(call, last)).To(BeTrue())
-	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e3", "e4"} })).To(BeFalse())
-	g.Expect(table.SparesLastServer(quarantine.Suspects{Request: "sha256:other"}, last)).To(BeFalse())
+	g.Expect(table.SparesLastServer(call, last, at(3))).To(BeTrue())
+	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e3", "e4"} }, at(3))).To(BeFalse())
+	g.Expect(table.SparesLastServer(quarantine.Suspects{Request: "sha256:other"}, last, at(3))).To(BeFalse())
 	table.RecordSurvival(call, at(3))
-	g.Expect(table.SparesLastServer(call, last)).To(BeFalse())
+	g.Expect(table.SparesLastServer(call, last, at(3))).To(BeFalse())
 }
 
 // The router that sends the call had noticed neither crash, or no longer remembered it.
@@ -210,6 +210,29 @@
 	table.Merge(quarantine.Report{Crashes: []quarantine.Crash{
 		{Suspects: call, Server: "e1", At: at(1)}, {Suspects: call, Server: "e2", At: at(2)},
 	}}, at(2))
-	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e1", "e2", "e3"} })).To(BeTrue())
-	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e1/2", "e2", "e3"} })).To(BeFalse(), "one is back")
+	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e1", "e2", "e3"} }, at(3))).To(BeTrue())
+	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e1/2", "e2", "e3"} }, at(3))).To(BeFalse(), "one is back")
+}
+
+func TestASoundRequestIsNotKeptFromTheLastServerForLong(t *testing.T) {
+	g := NewWithT(t)
+	call := quarantine.Suspects{Request: "sha256:rates"}
+	for _, c := range []struct {
+		name   string
+		lost   []string
+		usable []string
+	}{
+		{"a service with one server that crashed twice", []string{"e1/1", "e1/2"}, []string{"e1/3"}},
+		{"servers that were cut off from one router", []string{"e1", "e2", "e3"}, []string{"e1", "e2", "e3"}},
+	} {
+		table := quarantine.New(start.Add(-time.Minute), 3*time.Second)
+		for i, s := range c.lost {
+			now := at(1 + float64(i)/100)
+			table.RecordCrash(quarantine.Crash{Suspects: call, Server: s, At: now}, now)
+		}
+		usable := func() []string { return c.usable }
+		g.Expect(table.SparesLastServer(call, usable, at(2))).To(BeTrue(), c.name)
+		g.Expect(table.SparesLastServer(call, usable, at(40))).To(BeFalse(), c.name)
+		g.Expect(table.Blocks(at(40))).To(BeEmpty(), c.name)
+	}
 }
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -59,7 +59,7 @@
 // SparesLastServer reports whether a request must not be sent to the last usable server of
 // its service, because it may have crashed the others.
 func (g *Guard) SparesLastServer(req *server.Request, usable func() []string) bool {
-	if !g.table.SparesLastServer(suspectsOf(req), usable) {
+	if !g.table.SparesLastServer(suspectsOf(req), usable, time.Now()) {
 		return false
 	}
 	sparedTotal.Inc()
