quarantine: evidence that does not fit in one message is told in later ones

Routers could go on sending a deadly request that others had blocked, when several were deadly at once or ordinary crashes were told beside: the cause that the evidence of one suspect crowds out that of another acted in datagrams still.

Cause: a report holds 16 crashes, 4 from a router that reads the store, and half of them are kept for what is not explained yet. Each report took the same first ones, in turn over the blocks. With three blocks and ordinary crashes, or six blocks alone, the third crash of some was in no report.

Reports now begin with the three crashes that show each block, and with those that were in the fewest reports. Receivers add them up. A reply to a router that starts has 48, three each of 16 blocks, as before.

Evidence: TestPeersLearnOfAllBlocksWhenTheyDoNotFitInOneMessage (twelve reports in three seconds) failed in seven of nine cases, among them one block and 40 other crashes at 4 a report. All pass now, and so do the simulated fleets of the package's tests.

--- a/internal/decision/quarantine/crashes.go
+++ b/internal/decision/quarantine/crashes.go
@@ -29,6 +29,7 @@
 type knownCrash struct {
 	Crash
 	learnedAt time.Time
+	told      *int // messages to peers that had it
 }
 
 // isNews reports whether peers may not know of the crash yet.
@@ -70,7 +71,7 @@
 }
 
 func (k *crashes) add(c Crash, now time.Time) {
-	k.list = append(k.list, knownCrash{c, now})
+	k.list = append(k.list, knownCrash{c, now, new(int)})
 	k.index(c)
 }
 
--- a/internal/decision/quarantine/report.go
+++ b/internal/decision/quarantine/report.go
@@ -21,6 +21,7 @@
 		for _, queue := range []*[]knownCrash{&evidence, &others} {
 			if len(*queue) > 0 && len(r.Crashes) < n {
 				r.Crashes = append(r.Crashes, (*queue)[0].Crash)
+				*(*queue)[0].told++
 				*queue = (*queue)[1:]
 			}
 		}
@@ -36,11 +37,17 @@
 	return r
 }
 
-// byEvidence returns the crashes behind the blocks, in turn, so that none crowds out
-// another, and the other crashes, the most telling first. The caller holds mu.
+// byEvidence returns the crashes behind the blocks and the other crashes, the most telling
+// first. Of those behind the blocks, the ones that suffice to show each come first, and the
+// ones that peers were told least: they add up what does not fit in one message. The caller
+// holds mu.
 func (t *Table) byEvidence(now time.Time) (evidence, others []knownCrash) {
 	behind := make(map[crashKey]bool)
+	sufficient := 0
 	for i := range maxEvidence {
+		if i == minServers {
+			sufficient = len(evidence)
+		}
 		for _, b := range t.blocks {
 			if i < len(b.evidence) && now.Before(b.Until) && !behind[b.evidence[i].key()] {
 				behind[b.evidence[i].key()] = true
@@ -48,6 +55,9 @@
 			}
 		}
 	}
+	for _, part := range [][]knownCrash{evidence[:sufficient], evidence[sufficient:]} {
+		slices.SortStableFunc(part, func(a, b knownCrash) int { return cmp.Compare(*a.told, *b.told) })
+	}
 	for _, c := range t.crashes.list {
 		if !behind[c.key()] {
 			others = append(others, c)
