gossip: datagrams with many crashes keep their bound of 8 KiB

Datagrams with the crashes of prompts of many parts were up to 14 KB, in IP fragments of which each may be lost, though the bound is 8 KiB. Loads were dropped, and nothing else.

Cause: a crash with eight parts of 64 bytes is 0.7 KB, and a datagram has 16.

Crashes are now halved, the most telling ones kept, until the datagram fits.

--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -235,6 +235,10 @@
 		m.Loads = nil
 		encoded, err = json.Marshal(m)
 	}
+	for err == nil && len(encoded) > maxDatagramBytes && len(m.Crashes) > 0 {
+		m.Crashes = m.Crashes[:len(m.Crashes)/2] // the most telling come first
+		encoded, err = json.Marshal(m)
+	}
 	if err != nil {
 		g.cfg.Log.WithError(err).Error("cannot encode gossip message")
 		return
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -134,7 +134,8 @@
 	// discover each other, always do.
 	maxListedPeers       = 16
 	datagramsPerPeerList = 8
-	// maxDatagramBytes bounds a datagram; a larger one is sent without its loads.
+	// maxDatagramBytes bounds a datagram; a larger one is sent without its loads, and with
+	// fewer crashes.
 	maxDatagramBytes = 8 << 10
 )
 
