relay: an engine that broke off an answer and is still there has not crashed

A stream whose connections to two of three engines broke off in the first events was cut, or waited to its deadline, with the third engine sound and idle.

Cause: the loss of an engine that had begun to answer counted as its crash without a look at the engine. Two such crashes of a session keep it from the last engine; before, the third attempt was made. Engines that garble answers, and links that reset connections, look the same.

As for engines that had not begun to answer, and for plain services, the router now asks whether the address still accepts connections. If it does, nothing is recorded; if that is unknown, the loss counts as before, unlike that of an engine that had not begun.

Evidence: TestAStreamIsNotKeptFromTheLastSoundEngineByBrokenAnswers failed before (cut after two engines). The fake engines of TestPromptPartThatCrashesEngines... and its neighbour are gone when a part crashes them, as real ones are; the checks are as before.

--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -184,9 +184,9 @@
 	_ = w.Close()
 }
 
-// Listens says that an engine that broke off before its header is gone.
+// Listens says that engines are gone if requests crash them.
 func (e *fakeEngines) Listens(context.Context, string) (bool, error) {
-	return e.deadlySession == "", nil
+	return e.deadlySession == "" && e.deadlyPart == "", nil
 }
 
 func (e *fakeEngines) Report(ctx context.Context, address string) (server.Report, error) {
--- a/internal/router/relay/quarantine.go
+++ b/internal/router/relay/quarantine.go
@@ -9,20 +9,21 @@
 	"wisteriafield/internal/backend/registry"
 )
 
-// crashCheckTimeout bounds the check whether an engine that broke off before its answer is
-// gone. A host whose process is gone refuses a connection within a round trip.
+// crashCheckTimeout bounds the check whether an engine that broke off is gone. A host whose
+// process is gone refuses a connection within a round trip.
 const crashCheckTimeout = 50 * time.Millisecond
 
-// recordCrash records the loss of an engine that may be the request's doing: one that had
-// begun to answer, or one that is gone.
+// recordCrash records the loss of an engine that may be the request's doing: one that is gone,
+// or one that had begun to answer and may be gone.
 func (s *stream) recordCrash(target *registry.Entry, r result) {
-	if r.began {
-		s.relay.cfg.Quarantine.ServerLost(s.req, &target.Server, r.events)
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	if listens, err := s.relay.cfg.Client.Listens(ctx, target.Address); err == nil && !listens {
+	listens, err := s.relay.cfg.Client.Listens(ctx, target.Address)
+	switch {
+	case err == nil && listens:
+	case r.began:
+		s.relay.cfg.Quarantine.ServerLost(s.req, &target.Server, r.events)
+	case err == nil:
 		s.relay.cfg.Quarantine.ServerLostUnanswered(s.req, &target.Server)
 	}
 }
--- a/internal/router/relay/quarantine_test.go
+++ b/internal/router/relay/quarantine_test.go
@@ -94,3 +94,18 @@
 	}
 	return req
 }
+
+// Engines that break off answers and are still there counted as crashed.
+func TestAStreamIsNotKeptFromTheLastSoundEngineByBrokenAnswers(t *testing.T) {
+	for i := range 12 {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t)
+			for _, id := range []string{"i-0", "i-1"} {
+				h.engines.faults[id] = engineFaults{breakAfter: 1}
+			}
+			res, cut := h.serve(h.newRequestOf(fmt.Sprintf("own-%d", i), "system", "doc"))
+			h.Expect(res.Code).To(Equal(http.StatusOK))
+			h.Expect(cut).To(BeFalse(), "%d engines tried", len(h.engines.dispatched()))
+		})
+	}
+}
