quarantine: a block outlives further crashes in the same moment

A call that the fleet had blocked reached servers again, and took more of them, after a burst: several routers had sent it before they heard of the block.

Cause: of the evidence behind a block the newest four crashes are kept and the others forgotten for good. A whole request is not blocked for crashes within 50 ms only, as a power cut takes all that run a popular one.

Of crashes of a whole request within 50 ms, two are kept now, so that older ones remain which show that there were several moments.

--- a/internal/decision/quarantine/explain.go
+++ b/internal/decision/quarantine/explain.go
@@ -146,15 +146,22 @@
 
 // keepEvidence reduces the evidence of a block to what shows it, the most telling first, and
 // returns the servers whose crashes are left out. Crashes that agree in the suspect
-// that follows the blocked one would show that one as well, so the others go first.
+// that follows the blocked one would show that one as well, so the others go first. Those of
+// a whole request in the same moment do not show its block without others.
 func (e *explanation) keepEvidence() (dropped []string) {
 	slices.SortStableFunc(e.evidence, func(a, b knownCrash) int { return b.At.Compare(a.At) })
 	rank := make(map[string]int, len(e.evidence)) // of a server, among the crashes with the same next suspect
 	perNext := make(map[string]int)
 	kept := e.evidence[:0]
+	var moment time.Time // of the newest crash in it
+	inMoment := 0
 	for _, c := range e.evidence {
+		if moment.Sub(c.At) > sameMoment || moment.IsZero() {
+			moment, inMoment = c.At, 0
+		}
+		inMoment++
 		next := c.following(e.Suspect)
-		if len(kept) == maxEvidence || perNext[next] == maxSimilarEvidence {
+		if len(kept) == maxEvidence || perNext[next] == maxSimilarEvidence || c.Request == e.Suspect && inMoment >= minServers {
 			dropped = append(dropped, c.Server)
 			continue
 		}
