--- a/internal/decision/quarantine/crashes.go
+++ b/internal/decision/quarantine/crashes.go
@@ -26,9 +26,19 @@
 		!c.At.After(now) && now.Sub(c.At) <= crashTTL
 }
 
+// size returns about how many bytes a crash has in a message.
+func (c *Crash) size() int {
+	size := 60 + len(c.Server)
+	for _, s := range c.all() {
+		size += len(s) + 3
+	}
+	return size
+}
+
 type knownCrash struct {
 	Crash
 	learnedAt time.Time
+	told      *int // messages to peers that had it
 }
 
 // isNews reports whether peers may not know of the crash yet.
@@ -40,7 +50,6 @@
 type crashes struct {
 	list     []knownCrash
 	known    map[crashKey]bool
-	servers  map[string]bool
 	suspects map[string]suspectCrashes
 	maxCount int // of a suspect
 }
@@ -71,13 +80,13 @@
 }
 
 func (k *crashes) add(c Crash, now time.Time) {
-	k.list = append(k.list, knownCrash{c, now})
+	k.list = append(k.list, knownCrash{c, now, new(int)})
 	k.index(c)
 }
 
 // set replaces the list.
 func (k *crashes) set(list []knownCrash) {
-	k.list, k.known, k.servers, k.suspects, k.maxCount = list, nil, nil, nil, 0
+	k.list, k.known, k.suspects, k.maxCount = list, nil, nil, 0
 	for _, c := range list {
 		k.index(c.Crash)
 	}
@@ -85,9 +94,9 @@
 
 func (k *crashes) index(c Crash) {
 	if k.known == nil {
-		k.known, k.servers, k.suspects = make(map[crashKey]bool), make(map[string]bool), make(map[string]suspectCrashes)
+		k.known, k.suspects = make(map[crashKey]bool), make(map[string]suspectCrashes)
 	}
-	k.known[c.key()], k.servers[c.Server] = true, true
+	k.known[c.key()] = true
 	for _, name := range c.all() {
 		s := k.suspects[name]
 		s.count++
--- a/internal/decision/quarantine/quarantine_test.go
+++ b/internal/decision/quarantine/quarantine_test.go
@@ -224,3 +224,26 @@
 	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e1", "e2", "e3"} }, at(2))).To(BeTrue())
 	g.Expect(table.SparesLastServer(call, func() []string { return []string{"e1/2", "e2", "e3"} }, at(2))).To(BeFalse(), "one is back")
 }
+
+func TestASoundRequestIsNotKeptFromTheLastServerForLong(t *testing.T) {
+	g := NewWithT(t)
+	call := quarantine.Suspects{Request: "sha256:rates"}
+	for _, c := range []struct {
+		name   string
+		lost   []string
+		usable []string
+	}{
+		{"a service with one server that crashed twice", []string{"e1/1", "e1/2"}, []string{"e1/3"}},
+		{"servers that were cut off from one router", []string{"e1", "e2", "e3"}, []string{"e1", "e2", "e3"}},
+	} {
+		table := quarantine.New(start.Add(-time.Minute), 3*time.Second)
+		for i, s := range c.lost {
+			now := at(1 + float64(i)/100)
+			table.RecordCrash(quarantine.Crash{Suspects: call, Server: s, At: now}, now)
+		}
+		usable := func() []string { return c.usable }
+		g.Expect(table.SparesLastServer(call, usable, at(2))).To(BeTrue(), c.name)
+		g.Expect(table.SparesLastServer(call, usable, at(40))).To(BeFalse(), c.name)
+		g.Expect(table.Blocks(at(40))).To(BeEmpty(), c.name)
+	}
+}
--- a/internal/decision/quarantine/report.go
+++ b/internal/decision/quarantine/report.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// crashBytes is about how large a crash is in a message. A report of larger ones has fewer.
+const crashBytes = 200
+
 // Report returns the news for a message to peers, with at most n crashes. With all, the
 // blocks and the crashes behind them are in it, for routers that have started since or
 // missed the news.
@@ -17,10 +20,12 @@
 	evidence = slices.DeleteFunc(evidence, func(c knownCrash) bool { return !all && !c.isNews(now) })
 	others = slices.DeleteFunc(others, func(c knownCrash) bool { return !c.isNews(now) })
 	// What is not explained yet must not wait until all peers know the blocks.
-	for len(r.Crashes) < n && len(evidence)+len(others) > 0 {
+	for size := 0; len(r.Crashes) < n && size < n*crashBytes && len(evidence)+len(others) > 0; {
 		for _, queue := range []*[]knownCrash{&evidence, &others} {
 			if len(*queue) > 0 && len(r.Crashes) < n {
 				r.Crashes = append(r.Crashes, (*queue)[0].Crash)
+				*(*queue)[0].told++
+				size += (*queue)[0].size()
 				*queue = (*queue)[1:]
 			}
 		}
@@ -36,11 +41,17 @@
 	return r
 }
 
-// byEvidence returns the crashes behind the blocks, in turn, so that none crowds out
-// another, and the other crashes, the most telling first. The caller holds mu.
+// byEvidence returns the crashes behind the blocks and the other crashes, the most telling
+// first. Of those behind the blocks, the ones that suffice to show each come first, and the
+// ones that peers were told least: they add up what does not fit in one message. The caller
+// holds mu.
 func (t *Table) byEvidence(now time.Time) (evidence, others []knownCrash) {
 	behind := make(map[crashKey]bool)
+	sufficient := 0
 	for i := range maxEvidence {
+		if i == minServers {
+			sufficient = len(evidence)
+		}
 		for _, b := range t.blocks {
 			if i < len(b.evidence) && now.Before(b.Until) && !behind[b.evidence[i].key()] {
 				behind[b.evidence[i].key()] = true
@@ -48,6 +59,9 @@
 			}
 		}
 	}
+	for _, part := range [][]knownCrash{evidence[:sufficient], evidence[sufficient:]} {
+		slices.SortStableFunc(part, func(a, b knownCrash) int { return cmp.Compare(*a.told, *b.told) })
+	}
 	for _, c := range t.crashes.list {
 		if !behind[c.key()] {
 			others = append(others, c)
