entry, keeper: a generation that crashes engines is not sent to all of them

TestAGenerationThatCrashesEnginesIsNotSentToAllOfThem failed before: 9 of 9 engines ended, in 14.5 s (3 now). TestRoutersDoNotEachCrashEnginesWithTheSameGeneration failed before: Retry-After of 1 s at the second router, which sent it on (300 s now, no engine more, also at a router that starts later). TestARepeatedSoundGenerationIsNotBlamedForCrashesOfOtherCauses passes before and after.

Cause: evidence about a request was held against its engine only. Now keeper and entry ask and tell the guard that the users' platform has (router/quarantine, one table), with a digest of organisation, path and body. A crash is a connection that broke off before the eighth token, from an engine that was not to leave and whose address refuses a connection then; silence, stalls, lost keepers and engines that could not be reached are none. The keeper's event Lost names the crash, so that the entry's next attempt does not wait for the news. Routers tell each other in Configure.Hello, both ways: at most 16 crashes, survivals and blocks each, at once if it matters.

Not measured in large fleets.

--- a/internal/caller/openai/answer.go
+++ b/internal/caller/openai/answer.go
@@ -141,6 +141,8 @@
 	switch {
 	case f == nil:
 		return apierror.New(apierror.Interrupted, "the generation was cancelled")
+	case f.NotRun && f.Code == resume.Quarantined:
+		return apierror.NewRetryable(apierror.NotRun, "it crashed several servers and was not run", f.RetryAt)
 	case f.NotRun:
 		return apierror.NewRetryable(apierror.NotRun, "no server can start it in time", f.RetryAt)
 	case f.Code == resume.TimedOut:
--- a/internal/decision/resume/machine.go
+++ b/internal/decision/resume/machine.go
@@ -64,6 +64,12 @@
 	m.startBy = now.Add(m.ResumeWait)
 }
 
+// Quarantine returns the action that ends a generation whose request crashes servers and
+// must not be sent to one until the given time.
+func (m *Machine) Quarantine(until time.Time) Action {
+	return Action{Kind: Fail, Code: Quarantined, NotRun: !m.started, RetryAt: until}
+}
+
 func (m *Machine) startAttempt(prefer string) Action {
 	m.keepersAsked++
 	action := Action{Kind: StartAttempt, Resume: m.resuming, StartBy: m.startBy, Avoid: m.avoid, Prefer: prefer, Exclude: m.exclude}
--- a/internal/decision/resume/types.go
+++ b/internal/decision/resume/types.go
@@ -55,6 +55,8 @@
 	// Interrupted means that an attempt was lost and the generation can't be
 	// resumed.
 	Interrupted Code = "Interrupted"
+	// Quarantined means that the request crashes servers.
+	Quarantined Code = "Quarantined"
 	// TimedOut means that the deadline for the complete answer passed.
 	TimedOut Code = "TimedOut"
 )
--- a/internal/router/configure/follower.go
+++ b/internal/router/configure/follower.go
@@ -23,6 +23,7 @@
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/platform/hosts"
 	"wisteriafield/internal/router/members"
+	"wisteriafield/internal/router/quarantine"
 	"wisteriafield/platform/kv"
 )
 
@@ -62,6 +63,7 @@
 	Log             *logrus.Entry
 	ExpectedWaits   func() map[string]time.Duration               // of this router's servers, sent to peers
 	RecordPeerWaits func(name string, w map[string]time.Duration) // called with the waits that a peer sent
+	Quarantine      *quarantine.Guard                             // its news is exchanged too; may be nil
 	OnChange        func(*document.View)                          // called with each new configuration; may be nil
 }
 
@@ -72,11 +74,12 @@
 	mu       sync.Mutex // guards manifest and bodies; held while a revision is accepted
 	manifest *manifest.Manifest
 	bodies   map[string][]byte // parts of the manifest, by digest
+	urgent   chan struct{}     // holds a value if peers should hear news at once
 }
 
 // New returns a follower without a configuration.
 func New(deps Deps) *Follower {
-	return &Follower{deps: deps, bodies: make(map[string][]byte)}
+	return &Follower{deps: deps, bodies: make(map[string][]byte), urgent: make(chan struct{}, 1)}
 }
 
 // View returns the configuration in effect, or nil.
@@ -185,15 +188,31 @@
 	}
 }
 
-// Gossip exchanges revisions with a random peer at every interval until ctx ends.
+// Trigger makes Gossip tell some peers the news at once.
+func (f *Follower) Trigger() {
+	select {
+	case f.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Gossip exchanges revisions and news with a random peer at every interval until ctx ends.
 func (f *Follower) Gossip(ctx context.Context) error {
 	for ctx.Err() == nil {
 		interval := gossipInterval
 		if f.View() == nil {
 			interval = startupGossipInterval
 		}
-		loop.Sleep(ctx, interval)
-		for _, h := range f.randomPeers(1) {
+		peers := 1
+		timer := time.NewTimer(interval)
+		select {
+		case <-timer.C:
+		case <-f.urgent:
+			peers = announcePeers
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		for _, h := range f.randomPeers(peers) {
 			f.exchangeRevisions(ctx, h)
 		}
 	}
--- a/internal/router/configure/gossip.go
+++ b/internal/router/configure/gossip.go
@@ -12,6 +12,7 @@
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/platform/hosts"
 	"wisteriafield/internal/router/control"
+	"wisteriafield/internal/router/quarantine"
 )
 
 // hello carries the manifest in effect at a router, and the expected waits at the
@@ -22,6 +23,7 @@
 	Revision int64
 	Digest   string
 	Waits    map[string]int64 `json:",omitempty"` // in ms, by model key
+	Crashes  quarantine.News  // requests that crash servers
 }
 
 // partRequest asks for the body of a part.
@@ -64,6 +66,9 @@
 		waits[modelKey] = time.Duration(ms) * time.Millisecond
 	}
 	f.deps.RecordPeerWaits(h.Name, waits)
+	if f.deps.Quarantine != nil && f.deps.Quarantine.MergeNews(peerHello.Crashes, h.Name, time.Now()) {
+		f.Trigger()
+	}
 	if f.position().Before(storehistory.Position{Era: peerHello.Era, Revision: peerHello.Revision}) {
 		if err := f.pull(ctx, h); err != nil {
 			f.deps.Log.Debugf("pulling configuration from %s failed: %v", h.Name, err)
@@ -104,6 +109,9 @@
 	if v := f.View(); v != nil {
 		h.Era, h.Revision, h.Digest = v.Era, v.Revision, v.Digest
 	}
+	if f.deps.Quarantine != nil {
+		h.Crashes = f.deps.Quarantine.News(time.Now())
+	}
 	for modelKey, wait := range f.deps.ExpectedWaits() {
 		if len(h.Waits) < maxWaitsSent {
 			h.Waits[modelKey] = wait.Milliseconds()
--- a/internal/router/entry/attempt.go
+++ b/internal/router/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/decision/admission"
 	"wisteriafield/internal/decision/generation"
 	"wisteriafield/internal/decision/resume"
@@ -120,6 +121,7 @@
 func (g *Generation) consume(events keeper.Stream, source string) resume.Event {
 	stop := context.AfterFunc(g.ctx, events.Close)
 	defer stop()
+	tokens := 0
 	for {
 		event, err := events.Next()
 		if err != nil {
@@ -136,17 +138,28 @@
 			if !g.acceptToken(event.Token) {
 				return resume.Event{Kind: resume.Lost, Reason: "token out of order"}
 			}
+			tokens++
+			g.entry.deps.Quarantine.ServerAnswered(g.suspect, tokens)
 		case keeper.Done:
 			g.Replica.Finish(g.Replica.State().Attempt, event.Reason)
+			g.entry.deps.Quarantine.ServerFinished(g.suspect)
 			return resume.Event{Kind: resume.Done}
 		case keeper.Refused:
 			return g.handleRefused(event, source)
 		case keeper.Lost:
+			g.recordCrash(event, source)
 			return resume.Event{Kind: resume.Lost, Server: event.Server, Reason: event.Reason}
 		}
 	}
 }
 
+// recordCrash records a crash that another router saw, which its news would tell too late.
+func (g *Generation) recordCrash(event keeper.Event, source string) {
+	if event.CrashedAt != 0 && source != g.entry.deps.Members.Self().Name {
+		g.entry.deps.Quarantine.ServerLost(g.suspect, &server.Server{ID: event.Server, Started: event.CrashedAt}, 0)
+	}
+}
+
 // handleStarted records where the attempt runs, in the directory too if the request
 // has an idempotency key.
 func (g *Generation) handleStarted(event keeper.Event, source string) {
--- a/internal/router/entry/entry.go
+++ b/internal/router/entry/entry.go
@@ -18,6 +18,7 @@
 	"wisteriafield/internal/router/directory"
 	"wisteriafield/internal/router/keeper"
 	"wisteriafield/internal/router/members"
+	"wisteriafield/internal/router/quarantine"
 	"wisteriafield/internal/router/stream"
 )
 
@@ -35,6 +36,7 @@
 	RemoteKeepers *stream.Client
 	Directory     *directory.Directory
 	Waits         *WaitTable
+	Quarantine    *quarantine.Guard // knows which requests crash engines
 	Log           *logrus.Entry
 }
 
--- a/internal/router/entry/generation.go
+++ b/internal/router/entry/generation.go
@@ -8,11 +8,13 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
+	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/generation"
 	"wisteriafield/internal/decision/resume"
 	"wisteriafield/internal/router/directory"
 	"wisteriafield/internal/router/keeper"
+	"wisteriafield/internal/router/quarantine"
 	"wisteriafield/internal/router/replicas"
 )
 
@@ -32,6 +34,7 @@
 
 	entry       *Entry
 	req         Request
+	suspect     *server.Request // the request, as one that may crash engines
 	machine     resume.Machine
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -75,6 +78,7 @@
 	g := &Generation{
 		ID: id, Replica: replicas.New(req.Organisation.Name, req.Digest, answer),
 		entry: e, req: req, ctx: ctx, cancel: cancel,
+		suspect: quarantine.Identify(id, req.Organisation.Name, req.Digest),
 		machine: resume.Machine{StartBy: req.StartBy, AnswerBy: req.AnswerBy},
 	}
 	if v := e.deps.View(); v != nil {
@@ -162,6 +166,10 @@
 			loop.SleepUntil(g.ctx, act.Until)
 			event = resume.Event{Kind: resume.Tick}
 		default:
+			if until, refused := g.entry.deps.Quarantine.Refuses(g.suspect); refused {
+				g.fail(g.machine.Quarantine(until))
+				return
+			}
 			event = g.runAttempt(act)
 		}
 	}
--- a/internal/router/keeper/attempt.go
+++ b/internal/router/keeper/attempt.go
@@ -10,8 +10,10 @@
 	"github.com/sirupsen/logrus"
 
 	"wisteriafield/internal/backend/engine"
+	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/decision/admission"
 	"wisteriafield/internal/decision/generation"
+	"wisteriafield/internal/router/quarantine"
 	"wisteriafield/internal/router/replicas"
 )
 
@@ -26,8 +28,10 @@
 	stop            context.CancelFunc
 	assigned        chan string
 	refused         chan admission.Refusal
-	started         chan Event // gets one event, Started or Refused
+	started         chan Event // gets one event: Started, Refused, or Lost if the engine crashed
 	cancelRequested atomic.Bool
+	crashedAt       atomic.Int64    // see Event.CrashedAt
+	suspect         *server.Request // the request, as one that may crash engines
 }
 
 // serverName returns the assigned server, or "" if there is none yet.
@@ -54,6 +58,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	a := &attempt{
 		req:      req,
+		suspect:  quarantine.Identify(req.Attempt, req.Organisation, req.Digest),
 		replica:  replicas.New(req.Organisation, req.Digest, answer),
 		stop:     stop,
 		assigned: make(chan string, 1),
@@ -190,11 +195,16 @@
 func (k *Keeper) generate(ctx context.Context, a *attempt) {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	if until, refused := k.deps.Quarantine.Refuses(a.suspect); refused {
+		k.removeAttempt(a)
+		a.started <- Event{Kind: Refused, Reason: "Quarantined", RetryAfter: time.Until(until)}
+		return
+	}
 	address := k.engineAddress(a.serverName())
 	k.cancelReplaced(a.req)
 	stream, err := k.deps.Engines.Generate(ctx, address, engineRequest(a.req))
 	if err != nil {
-		k.reportStartFailure(ctx, a, err)
+		k.reportStartFailure(ctx, a, address, err)
 		return
 	}
 	defer stream.Close()
@@ -205,11 +215,15 @@
 	for {
 		line, err := stream.Next()
 		if err != nil {
+			if ctx.Err() == nil {
+				k.checkCrash(ctx, a, address, w.tokens())
+			}
 			k.markLost(a, w.cause(err))
 			return
 		}
 		w.recordProgress()
 		if line.Done != "" {
+			k.deps.Quarantine.ServerFinished(a.suspect)
 			a.replica.Finish(a.req.Attempt, line.Done)
 			return
 		}
@@ -219,17 +233,23 @@
 			return
 		}
 		tokensTotal.Inc()
+		k.deps.Quarantine.ServerAnswered(a.suspect, w.tokens())
 	}
 }
 
 // reportStartFailure refuses an attempt that did not start at its engine. An
 // engine that can't be reached gets no work until its next load report.
-func (k *Keeper) reportStartFailure(ctx context.Context, a *attempt, err error) {
+func (k *Keeper) reportStartFailure(ctx context.Context, a *attempt, address string, err error) {
 	k.deps.Log.WithField("server", a.serverName()).Debugf("attempt did not start at its engine: %v", err)
 	reason := "EngineRefused"
 	if ctx.Err() == nil && !errors.Is(err, engine.ErrRefused) && !errors.Is(err, engine.ErrModelNotServed) {
 		reason = "EngineUnreachable"
 		k.markDown(a.serverName())
+		if wasSent(err) && k.checkCrash(ctx, a, address, 0) {
+			k.removeAttempt(a)
+			a.started <- Event{Kind: Lost, Reason: "engine crashed", Server: a.serverName(), CrashedAt: a.crashedAt.Load()}
+			return
+		}
 	}
 	k.removeAttempt(a)
 	a.started <- Event{Kind: Refused, Reason: reason, Server: a.serverName(), RetryAfter: retryElsewhereDelay}
--- /dev/null
+++ b/internal/router/keeper/crash.go
@@ -0,0 +1,38 @@
+package keeper
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"wisteriafield/internal/router/quarantine"
+)
+
+// checkCrash records that the engine of an attempt that broke off after the given number of
+// tokens is gone, if it is and was not to leave: that may be the request's doing.
+func (k *Keeper) checkCrash(ctx context.Context, a *attempt, address string, tokens int) bool {
+	name := a.serverName()
+	if tokens >= quarantine.EarlyEvents || k.leaves(name) || !quarantine.Gone(ctx, address) {
+		return false
+	}
+	k.markDown(name)
+	crashed := quarantine.Incarnation(name, time.Now())
+	a.crashedAt.Store(crashed.Started)
+	k.deps.Quarantine.ServerLost(a.suspect, crashed, tokens)
+	return true
+}
+
+// leaves is isLeaving for callers that do not hold mu.
+func (k *Keeper) leaves(name string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.isLeaving(name)
+}
+
+// wasSent reports whether an engine may have received the request of a failed call.
+func wasSent(err error) bool {
+	var opErr *net.OpError
+	return !errors.As(err, &opErr) || opErr.Op != "dial"
+}
--- a/internal/router/keeper/keeper.go
+++ b/internal/router/keeper/keeper.go
@@ -15,6 +15,7 @@
 	"wisteriafield/internal/decision/admission"
 	"wisteriafield/internal/platform/hosts"
 	"wisteriafield/internal/router/members"
+	"wisteriafield/internal/router/quarantine"
 )
 
 const (
@@ -34,6 +35,8 @@
 	View    func() *document.View // returns nil while no configuration is in effect
 	Engines *engine.Client
 	Log     *logrus.Entry
+	// Quarantine learns which requests may have crashed engines.
+	Quarantine *quarantine.Guard
 	// ModelVersion returns the version of a model that an engine carries by the
 	// order plan.
 	ModelVersion func(engine, model string) (version string, ok bool)
--- a/internal/router/keeper/reader.go
+++ b/internal/router/keeper/reader.go
@@ -82,14 +82,14 @@
 	}
 }
 
-// awaitStart waits until the attempt was started or refused.
+// awaitStart waits until the attempt was started, refused or lost at its start.
 func (r *reader) awaitStart() (Event, error) {
 	timer := time.NewTimer(heartbeatInterval)
 	defer timer.Stop()
 	select {
 	case event := <-r.attempt.started:
 		r.started = true
-		if event.Kind == Refused {
+		if event.Kind != Started {
 			r.ended = true
 		}
 		return event, nil
@@ -115,7 +115,7 @@
 		return Event{Kind: Done, Reason: state.FinishReason}, true
 	case state.Failure != "":
 		r.ended = true
-		return Event{Kind: Lost, Reason: state.Failure, Server: r.attempt.serverName()}, true
+		return Event{Kind: Lost, Reason: state.Failure, Server: r.attempt.serverName(), CrashedAt: r.attempt.crashedAt.Load()}, true
 	default:
 		return Event{Kind: Heartbeat}, true
 	}
--- a/internal/router/keeper/watchdog.go
+++ b/internal/router/keeper/watchdog.go
@@ -59,6 +59,13 @@
 	w.timer.Reset(w.silenceTimeout())
 }
 
+// tokens returns the number of tokens of this attempt that arrived.
+func (w *watchdog) tokens() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tokenCount
+}
+
 // silenceTimeout returns how long to wait for the next token before a probe.
 func (w *watchdog) silenceTimeout() time.Duration {
 	w.mu.Lock()
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -29,11 +29,17 @@
 	"wisteriafield/internal/router/limits"
 	"wisteriafield/internal/router/members"
 	"wisteriafield/internal/router/planner"
+	"wisteriafield/internal/router/quarantine"
 	"wisteriafield/internal/router/stream"
 	"wisteriafield/platform/kv"
 )
 
-const sweepInterval = 5 * time.Second
+const (
+	sweepInterval = 5 * time.Second
+	// contactTime is how long the news of a request that crashes servers takes to reach
+	// all routers.
+	contactTime = 3 * time.Second
+)
 
 // Node is one router process.
 type Node struct {
@@ -50,6 +56,7 @@
 	configure     *configure.Follower
 	directory     *directory.Directory
 	limits        *limits.Limiter
+	quarantine    *quarantine.Guard
 	planner       *planner.Planner
 	janitor       *janitor.Janitor
 	keeper        *keeper.Keeper
@@ -95,10 +102,11 @@
 	n.rpcClient = control.NewClient(n.cfg.Credentials.Peer)
 	n.rpcServer = control.NewServer()
 	n.peerWaits = entry.NewWaitTable()
+	n.quarantine = quarantine.New(contactTime, func() { n.configure.Trigger() }, n.logger("quarantine"))
 	n.configure = configure.New(configure.Deps{
 		Store: n.store, Peers: n.rpcClient, Members: n.members, Log: n.logger("configure"),
 		ExpectedWaits:   func() map[string]time.Duration { return n.keeper.ExpectedWaits() },
-		RecordPeerWaits: n.recordPeerWaits,
+		RecordPeerWaits: n.recordPeerWaits, Quarantine: n.quarantine,
 	})
 	n.configure.Register(n.rpcServer)
 	n.directory = directory.New(n.members, n.rpcClient, n.rpcServer)
@@ -115,14 +123,14 @@
 	n.planner.Register(n.rpcServer)
 	n.janitor = janitor.New(janitor.Deps{Store: n.store, IsLeader: n.planner.IsLeader, Now: time.Now, Log: n.logger("janitor")})
 	n.keeper = keeper.New(keeper.Deps{
-		Members: n.members, Hosts: n.hosts, View: n.configure.View, Engines: engines, Log: n.logger("keeper"),
+		Members: n.members, Hosts: n.hosts, View: n.configure.View, Engines: engines, Log: n.logger("keeper"), Quarantine: n.quarantine,
 		ModelVersion: n.planner.ModelVersion, Draining: n.planner.Draining,
 		BetterKeeper: func(modelKey, except string) string { return n.peerWaits.BestKeeper(modelKey, except, time.Now()) },
 	})
 	n.entry = entry.New(entry.Deps{
 		Members: n.members, Hosts: n.hosts, View: n.configure.View, ModelVersion: n.planner.ModelVersion, Draining: n.planner.Draining,
 		LocalKeeper: n.keeper, RemoteKeepers: stream.NewClient(n.cfg.Credentials.Peer),
-		Directory: n.directory, Waits: n.peerWaits, Log: n.logger("entry"),
+		Directory: n.directory, Waits: n.peerWaits, Quarantine: n.quarantine, Log: n.logger("entry"),
 	})
 	n.attempts = claim.NewAttemptTable()
 	n.nonIdempotent = service.NewNonIdempotentRunner(service.NonIdempotentDeps{
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -12,9 +12,9 @@
 	"wisteriafield/internal/decision/quarantine"
 )
 
-// earlyEvents is the number of events of a stream before which the loss of its server may
+// EarlyEvents is the number of events of a stream before which the loss of its server may
 // be the request's doing.
-const earlyEvents = 8
+const EarlyEvents = 8
 
 var (
 	crashesTotal = metrics.GetOrCreateCounter("wisteriafield_early_crashes_total")
@@ -66,7 +66,7 @@
 // ServerLost records that the answer to an attempt was lost after the given number of events
 // had arrived, and that the server is lost too.
 func (g *Guard) ServerLost(req *server.Request, s *server.Server, events int) {
-	if events >= earlyEvents {
+	if events >= EarlyEvents {
 		return
 	}
 	now := time.Now()
@@ -82,7 +82,7 @@
 
 // ServerAnswered records that a server has sent the given number of events of an attempt.
 func (g *Guard) ServerAnswered(req *server.Request, events int) {
-	if events == earlyEvents {
+	if events == EarlyEvents {
 		g.recordSurvival(req)
 	}
 }
