service: a call that crashes its servers is not sent to all of them

A call under which a server crashed is at one server at a time, and the last usable server of a service is spared by a call that may have crashed two.

--- a/internal/caller/service/handler.go
+++ b/internal/caller/service/handler.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"strings"
 	"time"
@@ -20,6 +18,7 @@
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/claim"
 	"wisteriafield/internal/platform/hosts"
+	"wisteriafield/internal/router/quarantine"
 )
 
 // Deps holds the dependencies of a Handler.
@@ -27,6 +26,7 @@
 	View          func() *document.View
 	Hosts         *hosts.List
 	NonIdempotent *NonIdempotentRunner
+	Quarantine    *quarantine.Guard // knows which calls crash servers
 	Log           *logrus.Entry
 	MaxBodyBytes  int64
 	BodyTimeout   time.Duration
@@ -78,7 +78,7 @@
 	if s.IsIdempotent(r.Method, path) {
 		ctx, cancel := context.WithTimeout(r.Context(), s.Timeout)
 		defer cancel()
-		h.serveIdempotent(ctx, w, view, s, call)
+		h.serveIdempotent(ctx, w, view, o, s, call)
 		return
 	}
 	// A non-idempotent call is not cancelled when its caller disconnects: its
@@ -118,26 +118,31 @@
 		unknownOutcome().write(w)
 		return
 	}
-	sum := sha256.Sum256([]byte(s.Name + "\n" + call.Method + "\n" + call.Target + "\n" + string(call.Body)))
 	result := h.deps.NonIdempotent.Do(ctx, nonIdempotentRequest{
-		Key:       claim.StoreKey(o.Name, key, k.ExpiresAt),
-		Digest:    hex.EncodeToString(sum[:]),
-		ExpiresAt: k.ExpiresAt,
-		Service:   s,
-		Call:      call,
+		Organisation: o.Name,
+		Key:          claim.StoreKey(o.Name, key, k.ExpiresAt),
+		Digest:       digestOf(s, call),
+		ExpiresAt:    k.ExpiresAt,
+		Service:      s,
+		Call:         call,
 	})
 	result.write(w)
 }
 
 // sendNonIdempotent sends a claimed call. A server that the call could not be
 // sent to received no byte of it, so the next server may be tried.
-func (h *Handler) sendNonIdempotent(ctx context.Context, s *document.Service, call backend.Call) (*backend.Answer, error) {
+func (h *Handler) sendNonIdempotent(ctx context.Context, req nonIdempotentRequest) (*backend.Answer, error) {
+	suspect := suspectOf(req.Organisation, req.Service, req.Call)
+	if until, refused := h.refuses(suspect, req.Service); refused {
+		return nil, &blockedError{until}
+	}
 	var err error = backend.ErrNotSent
-	for _, server := range h.servers.order(s, h.isLeaving) {
+	for _, server := range h.servers.order(req.Service, h.isLeaving) {
 		done := h.servers.beginCall(server.name)
 		var answer *backend.Answer
-		answer, err = h.client.Do(ctx, server.address, call)
+		answer, err = h.client.Do(ctx, server.address, req.Call)
 		done(err)
+		h.observe(ctx, suspect, server, err)
 		if err == nil || !isNotSent(err) {
 			return answer, err
 		}
--- a/internal/caller/service/idempotent.go
+++ b/internal/caller/service/idempotent.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	routed "wisteriafield/internal/backend/server"
 	backend "wisteriafield/internal/backend/service"
 	"wisteriafield/internal/caller/apierror"
 	"wisteriafield/internal/config/document"
@@ -49,25 +50,39 @@
 }
 
 type attemptResult struct {
-	answer *backend.Answer
-	err    error
+	answer  *backend.Answer
+	err     error
+	crashed bool // the server is gone
 }
 
 // serveIdempotent sends a call and, within the budgets, sends it to further servers
 // when one is slow or fails. The first answer wins.
-func (h *Handler) serveIdempotent(ctx context.Context, w http.ResponseWriter, view *document.View, s *document.Service, call backend.Call) {
+func (h *Handler) serveIdempotent(ctx context.Context, w http.ResponseWriter, view *document.View, o *document.Organisation, s *document.Service, call backend.Call) {
+	suspect := suspectOf(o.Name, s, call)
+	if until, refused := h.refuses(suspect, s); refused {
+		blockedRefusal(until).Write(w)
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	b := budgetsFor(s.Name, &view.Policy)
 	candidates := h.servers.order(s, h.isLeaving)
 	results := make(chan attemptResult, len(candidates))
 	running, next := 0, 0
-	mayHaveRun := false
+	mayHaveRun, crashed := false, false
+	// A call under which a server crashed is at one server at a time.
+	mayStart := func() bool {
+		if ctx.Err() != nil || next >= len(candidates) || crashed && running > 0 {
+			return false
+		}
+		_, refused := h.refuses(suspect, s)
+		return !refused
+	}
 	startNext := func() {
 		if next >= len(candidates) {
 			return
 		}
-		go h.sendTo(ctx, candidates[next], call, results)
+		go h.sendTo(ctx, candidates[next], call, suspect, results)
 		next++
 		running++
 	}
@@ -83,12 +98,13 @@
 				return
 			}
 			mayHaveRun = mayHaveRun || !isNotSent(r.err)
-			if ctx.Err() == nil && next < len(candidates) && b.withdraw(&b.retries) {
+			crashed = crashed || r.crashed
+			if mayStart() && b.withdraw(&b.retries) {
 				retriesTotal.Inc()
 				startNext()
 			}
 		case <-hedgeTimer.C:
-			if next < len(candidates) && b.withdraw(&b.hedges) {
+			if mayStart() && b.withdraw(&b.hedges) {
 				hedgesTotal.Inc()
 				startNext()
 			}
@@ -107,15 +123,17 @@
 	return apierror.NewRetryable(apierror.NotRun, "no server of the service could be reached; the call is repeatable", retryAt)
 }
 
-func (h *Handler) sendTo(ctx context.Context, to server, call backend.Call, results chan<- attemptResult) {
+func (h *Handler) sendTo(ctx context.Context, to server, call backend.Call, suspect *routed.Request, results chan<- attemptResult) {
 	done := h.servers.beginCall(to.name)
 	answer, err := h.client.Do(ctx, to.address, call)
+	crashed := false
 	if ctx.Err() != nil {
 		done(nil)
 	} else {
 		done(err)
+		crashed = h.observe(ctx, suspect, to, err)
 	}
-	results <- attemptResult{answer, err}
+	results <- attemptResult{answer, err, crashed}
 }
 
 func writeAnswer(w http.ResponseWriter, a *backend.Answer) {
--- a/internal/caller/service/idempotent_test.go
+++ b/internal/caller/service/idempotent_test.go
@@ -17,6 +17,7 @@
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/platform/hosts"
+	"wisteriafield/internal/router/quarantine"
 )
 
 // serveOnce starts a server that handles each connection with handle, and returns its
@@ -53,12 +54,12 @@
 func callIdempotent(address string, timeout time.Duration) *httptest.ResponseRecorder {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	h := New(Deps{Hosts: hosts.New(hosts.Config{}), NonIdempotent: &NonIdempotentRunner{}, Log: log.WithField("part", "service")})
+	h := New(Deps{Hosts: hosts.New(hosts.Config{}), NonIdempotent: &NonIdempotentRunner{}, Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")), Log: log.WithField("part", "service")})
 	view := document.NewView(&document.Document{Policy: document.Policy{HedgeAfter: time.Minute}}, storehistory.Position{Revision: 1}, "")
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	w := httptest.NewRecorder()
-	h.serveIdempotent(ctx, w, view, &document.Service{Name: "banco", Servers: []string{"one=" + address}}, backend.Call{Method: http.MethodGet, Target: "/free", Header: make(http.Header)})
+	h.serveIdempotent(ctx, w, view, &document.Organisation{Name: "scordia"}, &document.Service{Name: "banco", Servers: []string{"one=" + address}}, backend.Call{Method: http.MethodGet, Target: "/free", Header: make(http.Header)})
 	return w
 }
 
--- a/internal/caller/service/nonidempotent.go
+++ b/internal/caller/service/nonidempotent.go
@@ -66,7 +66,7 @@
 // NonIdempotentRunner runs non-idempotent calls at most once.
 type NonIdempotentRunner struct {
 	deps NonIdempotentDeps
-	send func(ctx context.Context, s *document.Service, call backend.Call) (*backend.Answer, error)
+	send func(ctx context.Context, req nonIdempotentRequest) (*backend.Answer, error)
 
 	pendingSaves sync.WaitGroup // of outcomes that are not in the store yet
 	restores     restoreTracker
@@ -92,11 +92,12 @@
 }
 
 type nonIdempotentRequest struct {
-	Key       string
-	Digest    string
-	ExpiresAt time.Time
-	Service   *document.Service
-	Call      backend.Call
+	Organisation string
+	Key          string
+	Digest       string
+	ExpiresAt    time.Time
+	Service      *document.Service
+	Call         backend.Call
 }
 
 // result is the answer to the caller: the outcome of the call, or a refusal.
@@ -246,10 +247,13 @@
 // dispatch sends the call, which the attempt table allows once, and records the
 // outcome.
 func (r *requestState) dispatch(ctx context.Context) result {
-	answer, err := r.runner.send(ctx, r.req.Service, r.req.Call)
+	answer, err := r.runner.send(ctx, r.req)
 	if err != nil && isNotSent(err) {
 		r.runner.deps.Attempts.UndoDispatch(r.attemptID)
 		refused := r.refuseNotRun("no server of the service can be reached")
+		if until, blocked := blockedUntil(err); blocked && refused.refusal.Code == apierror.NotRun {
+			refused.refusal = blockedRefusal(until)
+		}
 		r.release()
 		return refused
 	}
--- a/internal/caller/service/restored_test.go
+++ b/internal/caller/service/restored_test.go
@@ -15,7 +15,6 @@
 
 	backend "wisteriafield/internal/backend/service"
 	"wisteriafield/internal/caller/apierror"
-	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/claim"
 	"wisteriafield/internal/decision/invariant"
 	"wisteriafield/internal/router/control"
@@ -69,7 +68,7 @@
 		Store: fleetStore{f.client(), f}, Attempts: claim.NewAttemptTable(), ConsentClient: f,
 		Router: name, Incarnation: name, Log: logrus.NewEntry(logrus.New()),
 	})
-	runner.send = func(context.Context, *document.Service, backend.Call) (*backend.Answer, error) {
+	runner.send = func(context.Context, nonIdempotentRequest) (*backend.Answer, error) {
 		f.runs.Add(1)
 		if f.onRun != nil {
 			f.onRun()
@@ -143,7 +142,7 @@
 		}},
 		{"copied while held by a router that gave it up", func(f *fleet, req nonIdempotentRequest) result {
 			gone, b := f.start("gone"), f.start("b")
-			gone.send = func(context.Context, *document.Service, backend.Call) (*backend.Answer, error) {
+			gone.send = func(context.Context, nonIdempotentRequest) (*backend.Answer, error) {
 				f.store.Copy()
 				return nil, backend.ErrNotSent
 			}
@@ -206,7 +205,7 @@
 	g := NewWithT(t)
 	f := newFleet(t)
 	gone, b := f.start("gone"), f.start("b")
-	gone.send = func(context.Context, *document.Service, backend.Call) (*backend.Answer, error) {
+	gone.send = func(context.Context, nonIdempotentRequest) (*backend.Answer, error) {
 		f.store.Copy()
 		return nil, backend.ErrNotSent
 	}
--- a/internal/caller/service/servers.go
+++ b/internal/caller/service/servers.go
@@ -59,6 +59,18 @@
 	return append(healthy, suspected...)
 }
 
+// usable returns how many servers of a service are neither leaving nor failed recently.
+func (s *serverTracker) usable(svc *document.Service, leaving func(string) bool) int {
+	now := time.Now()
+	var n int
+	for _, entry := range svc.Servers {
+		if name, _, _ := strings.Cut(entry, "="); !leaving(name) && !s.suspects.Suspected(name, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // beginCall counts a call to the server as in flight. The returned function ends
 // it and records whether it failed.
 func (s *serverTracker) beginCall(name string) func(error) {
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -148,7 +148,7 @@
 		MaxBodyBytes: int64(b.MaxBody), BodyTimeout: b.BodyTimeout,
 	}).Register(callers)
 	service.New(service.Deps{
-		View: n.configure.View, Hosts: n.hosts, NonIdempotent: n.nonIdempotent, Log: n.logger("service"),
+		View: n.configure.View, Hosts: n.hosts, NonIdempotent: n.nonIdempotent, Quarantine: n.quarantine, Log: n.logger("service"),
 		MaxBodyBytes: int64(b.MaxBody), BodyTimeout: b.BodyTimeout,
 	}).Register(callers)
 	n.registerHealth(callers)
