--- a/internal/caller/service/quarantine.go
+++ b/internal/caller/service/quarantine.go
@@ -57,7 +57,7 @@
 	if until, refused := h.deps.Quarantine.Refuses(suspect); refused {
 		return until, true
 	}
-	usable := func() int { return h.servers.usable(s, h.isLeaving) }
+	usable := func() []string { return h.servers.usable(s, h.isLeaving) }
 	return time.Now().Add(sparedRetryDelay), h.deps.Quarantine.SparesLastServer(suspect, usable)
 }
 
--- a/internal/caller/service/servers.go
+++ b/internal/caller/service/servers.go
@@ -59,16 +59,16 @@
 	return append(healthy, suspected...)
 }
 
-// usable returns how many servers of a service are neither leaving nor failed recently.
-func (s *serverTracker) usable(svc *document.Service, leaving func(string) bool) int {
+// usable returns the servers of a service that are neither leaving nor failed recently.
+func (s *serverTracker) usable(svc *document.Service, leaving func(string) bool) []string {
 	now := time.Now()
-	var n int
+	var names []string
 	for _, entry := range svc.Servers {
 		if name, _, _ := strings.Cut(entry, "="); !leaving(name) && !s.suspects.Suspected(name, now) {
-			n++
+			names = append(names, name)
 		}
 	}
-	return n
+	return names
 }
 
 // beginCall counts a call to the server as in flight. The returned function ends
--- a/internal/router/edge/connections.go
+++ b/internal/router/edge/connections.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -33,58 +35,47 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	stopped  bool // no more connections are accepted
+	stopped  bool // only connections that the kernel has accepted are accepted
+	accepts  bool // the listener is open
 	open     map[*callerConn]bool
+	usedAt   time.Time // when a connection last began or ended to be in use
 }
 
 func newConnections(log *logrus.Entry) *connections {
 	return &connections{log: log, open: make(map[*callerConn]bool)}
 }
 
-// callerListener accepts the connections of callers.
-type callerListener struct {
-	net.Listener
-	conns *connections
-}
-
-// Accept returns http.ErrServerClosed once no more connections are accepted. net/http must
-// not learn of the end in another way: it would drop requests that it has just read.
-func (l callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	l.conns.mu.Lock()
-	defer l.conns.mu.Unlock()
-	if l.conns.stopped && err == nil {
-		_ = conn.Close()
-	}
-	if l.conns.stopped {
-		return nil, http.ErrServerClosed
-	}
-	if err != nil {
-		return nil, err
-	}
-	c := &callerConn{Conn: conn, phase: connIdle, idleSince: time.Now()}
-	l.conns.open[c] = true
-	return c, nil
-}
-
 // callerConn is the connection of a caller.
 type callerConn struct {
 	net.Conn
+	log *logrus.Entry
 
 	mu        sync.Mutex
 	phase     connPhase
 	idleSince time.Time
 	ending    bool // while idle, by closeIdle
+	ended     bool // no request is read any more
 }
 
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.beginReading()
+	} else if errors.Is(err, os.ErrDeadlineExceeded) && c.end() {
+		c.linger()
 	}
 	return n, err
 }
 
+// end records that no request arrived in time. It returns false while a request is served,
+// for which the deadline has another meaning.
+func (c *callerConn) end() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = c.ended || c.phase != connServing
+	return c.ended
+}
+
 // CloseWrite lets net/http end an answer whose request was not read completely without
 // resetting the connection.
 func (c *callerConn) CloseWrite() error {
@@ -125,7 +116,7 @@
 func (c *callerConn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != connIdle || now.Sub(c.idleSince) < minIdle {
+	if c.ended || c.phase != connIdle || now.Sub(c.idleSince) < minIdle {
 		return
 	}
 	c.ending = true
@@ -170,6 +161,7 @@
 	if !ok {
 		return
 	}
+	cs.used(c)
 	switch state {
 	case http.StateIdle:
 		c.setPhase(connIdle)
@@ -184,22 +176,29 @@
 	}
 }
 
-// listen makes a listener's connections the callers'.
-func (cs *connections) listen(ln net.Listener) net.Listener {
+// used records that a connection begins or ends to be in use.
+func (cs *connections) used(c *callerConn) {
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	if ended {
+		return
+	}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cs.listener = ln
-	return callerListener{ln, cs}
+	cs.usedAt = time.Now()
 }
 
-// stopAccepting closes the listener.
-func (cs *connections) stopAccepting() {
+// quietFor returns how long no connection has been in use.
+func (cs *connections) quietFor(now time.Time) time.Duration {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cs.stopped = true
-	if cs.listener != nil {
-		_ = cs.listener.Close()
+	for c := range cs.open {
+		if c.currentPhase() != connIdle {
+			return 0
+		}
 	}
+	return now.Sub(cs.usedAt)
 }
 
 // closeIdle closes the idle connections.
--- a/internal/router/forward/deadly_test.go
+++ b/internal/router/forward/deadly_test.go
@@ -12,6 +12,7 @@
 
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/config/routes"
+	"wisteriafield/internal/decision/storehistory"
 )
 
 // crash breaks off before an answer, as a server does that ends.
@@ -22,7 +23,7 @@
 
 // newCrashingService returns a service whose n servers all crash.
 func newCrashingService(n int) *fakeService {
-	s := &fakeService{responses: make(map[string]func(context.Context) (*server.Answer, error))}
+	s := &fakeService{gone: true, responses: make(map[string]func(context.Context) (*server.Answer, error))}
 	for i := range n {
 		s.responses[fmt.Sprintf("i-%d", i)] = crash
 	}
@@ -49,7 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		s := newCrashingService(8)
-		s.connectionsOnly = true
+		s.gone = false
 		send := newForwarder(s, 8)
 		for range 4 {
 			send(routes.NonIdempotent, 1, "")
@@ -68,8 +69,14 @@
 		g.Expect(send(routes.Idempotent, 3, "").Code).To(Equal(http.StatusBadGateway))
 		g.Expect(s.sentTo).To(HaveLen(2), "one server is left")
 		g.Expect(send(routes.Idempotent, 3, "").Code).To(Equal(http.StatusServiceUnavailable), "it has not run")
-		time.Sleep(2 * time.Second) // the servers are back
+		time.Sleep(2 * time.Second)
 		s.responses = nil
+		g.Expect(send(routes.Idempotent, 3, "").Code).To(Equal(http.StatusServiceUnavailable), "the others are not back")
+		back := []server.Server{{ID: "i-9", Service: "desk", Address: "10.0.0.9:1", Slots: 6}}
+		for _, e := range s.servers.All() {
+			back = append(back, e.Server)
+		}
+		s.servers.Set(storehistory.Position{Revision: 2}, back)
 		g.Expect(send(routes.Idempotent, 3, "").Code).To(Equal(http.StatusOK))
 	})
 }
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -32,9 +32,10 @@
 	responses map[string]func(ctx context.Context) (*server.Answer, error)
 	sentTo    []string
 	executed  int
-	// connectionsOnly means that a server that breaks off an answer is still there.
-	connectionsOnly bool
-	budget          interface {
+	servers   *registry.Registry
+	// gone means that a server that breaks off an answer is not there any more.
+	gone   bool
+	budget interface {
 		Allow(service string, now time.Time) bool
 	} // fixedBudget(true) if nil
 }
@@ -50,10 +51,7 @@
 	return respond(ctx)
 }
 
-// Listens says that a server that broke off an answer is gone, unless it is to have survived.
-func (s *fakeService) Listens(context.Context, string) (bool, error) {
-	return s.connectionsOnly, nil
-}
+func (s *fakeService) Listens(context.Context, string) (bool, error) { return !s.gone, nil }
 
 func (s *fakeService) respond(status int, after time.Duration) func(context.Context) (*server.Answer, error) {
 	return func(ctx context.Context) (*server.Answer, error) {
@@ -112,6 +110,7 @@
 // prompt has a shared part unless that is empty.
 func newForwarder(s *fakeService, n int) func(kind routes.Kind, attempts int, part string) *httptest.ResponseRecorder {
 	servers := registry.New()
+	s.servers = servers
 	var all []server.Server
 	for i := range n {
 		all = append(all, server.Server{ID: fmt.Sprintf("i-%d", i), Service: "desk", Address: fmt.Sprintf("10.0.0.%d:1", i+1), Slots: 6})
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -26,9 +27,12 @@
 	dispatches    []server.Dispatch
 	unreachable   int    // so many resumes can't be sent
 	deadlyPart    string // a part of prompts that crashes every engine after its header
+	deadlySession string // crashes every engine before its header
 
 	probes      int                  // reports that were requested
 	pausedUntil map[string]time.Time // by server ID
+	sent        []time.Time          // of the dispatches
+	ended       map[string]time.Time // by server ID, when an attempt was cancelled
 }
 
 // engineFaults says what goes wrong at an engine.
@@ -59,6 +63,12 @@
 func (e *fakeEngines) Send(ctx context.Context, d server.Dispatch) (*server.Answer, error) {
 	e.mu.Lock()
 	e.dispatches = append(e.dispatches, d)
+	e.sent = append(e.sent, time.Now())
+	context.AfterFunc(ctx, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.ended[d.Server.ID] = time.Now()
+	})
 	f := e.faults[d.Server.ID]
 	backupKnown := d.RestoreFrom == nil || e.backups[d.RestoreFrom.Address+"/"+d.RestoreFrom.ID]
 	unreachable := d.LastEventID > d.Request.LastEventID && e.unreachable > 0
@@ -72,6 +82,8 @@
 	switch {
 	case unreachable:
 		return nil, fmt.Errorf("dial: %w", server.ErrNotSent)
+	case e.deadlySession != "" && d.Request.SessionID() == e.deadlySession:
+		return nil, fmt.Errorf("EOF: %w", server.ErrLost)
 	case e.deadlyPart != "" && slices.Contains(d.Request.SharedPartIDs(), e.deadlyPart):
 		body := iotest.ErrReader(io.ErrUnexpectedEOF)
 		return &server.Answer{Status: http.StatusOK, Signed: true, Header: http.Header{"Seal": {d.Server.ID}}, Body: io.NopCloser(body)}, nil
@@ -172,6 +184,11 @@
 	_ = w.Close()
 }
 
+// Listens says that an engine that broke off before its header is gone.
+func (e *fakeEngines) Listens(context.Context, string) (bool, error) {
+	return e.deadlySession == "", nil
+}
+
 func (e *fakeEngines) Report(ctx context.Context, address string) (server.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -241,6 +258,20 @@
 	return ids
 }
 
+// sentAt returns when the attempts so far were sent.
+func (e *fakeEngines) sentAt() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.sent)
+}
+
+// endedAt returns when the last attempt at each server was cancelled or had ended.
+func (e *fakeEngines) endedAt() map[string]time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.ended)
+}
+
 // engineIDAt returns the ID of the engine at an address. Engines i-0, i-1 and i-2 are in
 // failure domains a, b and c.
 func engineIDAt(address string) string { return "i-" + address[len("10.0.0."):len("10.0.0.")+1] }
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -46,6 +46,9 @@
 	CachedPromptParts(ctx context.Context, address string) ([]server.PromptPart, error)
 	CopyKVCache(ctx context.Context, address, attemptID, target string) (string, error)
 	DeleteBackup(ctx context.Context, backup server.KVBackup) error
+	// Listens reports whether a process accepts connections at an address. The error says
+	// that this is not known.
+	Listens(ctx context.Context, address string) (bool, error)
 }
 
 // Sessions stores and finds session records.
@@ -57,8 +60,9 @@
 // Quarantine keeps requests away from engines that crash them.
 type Quarantine interface {
 	Refuses(req *server.Request) (until time.Time, refused bool)
-	SparesLastServer(req *server.Request, usable func() int) bool
+	SparesLastServer(req *server.Request, usable func() []string) bool
 	ServerLost(req *server.Request, s *server.Server, events int)
+	ServerLostUnanswered(req *server.Request, s *server.Server)
 	ServerAnswered(req *server.Request, events int)
 	ServerFinished(req *server.Request)
 }
@@ -114,6 +118,8 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	s := &stream{relay: r, w: w, req: req, service: service, lastEventID: req.LastEventID, excluded: make(map[server.Key]bool)}
+	s.answerTimer = time.AfterFunc(time.Until(req.AnswerBy()), cancel)
+	defer s.answerTimer.Stop()
 	if !balance.Feasible(time.Until(req.Deadline), req.PromptTokens, req.MaxOutputTokens, req.LastEventID*s.eventTokens()) {
 		s.refuse("too late to finish")
 		return
