quarantine: a router that starts does not block what all prompts share

Cause: the crashes of a deadly session and a deadly part name the first part too. Its peer told it the crashes, but that this part had survived since was no news any more. The part explains the most crashes, and a router that refuses all prompts sees no survival that could refute it; its peers knew these crashes already and so did not answer its accusation.

Whoever tells a crash now tells the later survivals of its shared parts too. And a router that hears that a peer blocks what has survived here makes that survival news.

Evidence: TestARouterThatStartsDoesNotBlockWhatAllPromptsShare and TestARouterThatBlocksWhatSurvivedElsewhereIsTold failed before.

--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -218,6 +218,7 @@
 func (t *Table) Merge(r Report, now time.Time) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.contradict(r.Blocked, now)
 	news := t.confirm(r.Blocked, now)
 	var change Change
 	for s, at := range r.Survived {
@@ -233,6 +234,17 @@
 	return change
 }
 
+// contradict makes the survivals news that a peer does not know of, as it blocks what
+// survived. It may refuse all requests that could refute the block. The caller holds mu.
+func (t *Table) contradict(blocked []string, now time.Time) {
+	for _, s := range blocked {
+		newest, _ := t.crashes.newest(s)
+		if last := t.survivals.last(s); !last.IsZero() && last.After(newest) {
+			t.survivals.announce(s, maxSurvived, now)
+		}
+	}
+}
+
 // confirm records the suspects that a peer blocks, while this router may not have heard yet
 // of what refutes them. The caller holds mu.
 func (t *Table) confirm(blocked []string, now time.Time) (news bool) {
--- a/internal/decision/quarantine/quarantine_test.go
+++ b/internal/decision/quarantine/quarantine_test.go
@@ -247,3 +247,35 @@
 		g.Expect(table.Blocks(at(40))).To(BeEmpty(), c.name)
 	}
 }
+
+// deadlySessions returns a table with the crashes of two sessions under a part that all
+// prompts share and that has survived since.
+func deadlySessions() *quarantine.Table {
+	table := quarantine.New(start.Add(-time.Minute), 3*time.Second)
+	for i := range 6 {
+		table.RecordCrash(crash(fmt.Sprintf("e%d", i), fmt.Sprintf("deadly-%d", i/3), float64(i), "first"), at(float64(i)))
+	}
+	table.RecordSurvival(prompt("first", "sound"), at(7))
+	return table
+}
+
+func TestARouterThatStartsDoesNotBlockWhatAllPromptsShare(t *testing.T) {
+	g := NewWithT(t)
+	old, restarted := deadlySessions(), quarantine.New(at(60), 3*time.Second)
+	g.Expect(blockedParts(old, at(60))).To(Equal([]string{"deadly-0", "deadly-1"}))
+	restarted.Merge(old.Report(48, true, at(60.1)), at(60.1))
+	g.Expect(blockedParts(restarted, at(60.1))).To(Equal([]string{"deadly-0", "deadly-1"}))
+	g.Expect(blockedParts(restarted, at(64))).To(Equal([]string{"deadly-0", "deadly-1"}))
+}
+
+func TestARouterThatBlocksWhatSurvivedElsewhereIsTold(t *testing.T) {
+	g := NewWithT(t)
+	witness, accuser := deadlySessions(), quarantine.New(start.Add(-time.Minute), 3*time.Second)
+	for i := range 6 {
+		accuser.RecordCrash(crash(fmt.Sprintf("e%d", i), fmt.Sprintf("deadly-%d", i/3), float64(i), "first"), at(float64(i)))
+	}
+	g.Expect(blockedParts(accuser, at(60))).To(Equal([]string{"first"}))
+	witness.Merge(accuser.Report(16, true, at(60)), at(60))
+	accuser.Merge(witness.Report(16, false, at(60.1)), at(60.1))
+	g.Expect(blockedParts(accuser, at(60.2))).To(Equal([]string{"deadly-0", "deadly-1"}))
+}
--- a/internal/decision/quarantine/report.go
+++ b/internal/decision/quarantine/report.go
@@ -30,6 +30,7 @@
 			}
 		}
 	}
+	t.addRefutations(&r, n)
 	if !all || now.Sub(t.startedAt) < t.contactTime {
 		return r
 	}
@@ -41,6 +42,20 @@
 	return r
 }
 
+// addRefutations adds the survivals of the shared parts in a report's crashes, at most n. A
+// router that was told the crashes alone would block what all prompts share. The caller
+// holds mu.
+func (t *Table) addRefutations(r *Report, n int) {
+	for _, c := range r.Crashes {
+		for _, p := range c.Parts {
+			if last := t.survivals.last(p); last.After(c.At) && n > 0 && r.Survived[p].IsZero() {
+				r.Survived[p] = last
+				n--
+			}
+		}
+	}
+}
+
 // byEvidence returns the crashes behind the blocks and the other crashes, the most telling
 // first. Of those behind the blocks, the ones that suffice to show each come first, and the
 // ones that peers were told least: they add up what does not fit in one message. The caller
