--- a/internal/trial/edgesoak/config.go
+++ b/internal/trial/edgesoak/config.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
+	"net/http"
 	"time"
 
+	"wisteriafield/internal/base/loop"
 	"wisteriafield/platform"
 )
 
@@ -58,3 +61,42 @@
 	}
 	return value, nil
 }
+
+// changeConfig writes a new version of the configuration and checks that it takes
+// effect in time on the routers that no fault disturbed.
+func (s *soak) changeConfig(ctx context.Context, r *rand.Rand) {
+	if err := s.writeConfig(ctx); err != nil {
+		return
+	}
+	writtenAt, version := time.Now(), int(s.version.Load())
+	s.count("changes of the configuration")
+	loop.Sleep(ctx, configTimeout)
+	for _, router := range s.routers {
+		undisturbedAt, undisturbed := s.undisturbedSince()
+		s.mu.Lock()
+		stoppedAt := s.stoppedAt[router.name]
+		s.mu.Unlock()
+		if !undisturbed || undisturbedAt.After(writtenAt) || time.Since(stoppedAt) < 2*grace {
+			continue
+		}
+		d, err := s.dump(router)
+		if err != nil || d.ConfigVersion < version {
+			s.reportProblem("%s is at version %d %s after %d was written: %v", router.name, d.ConfigVersion, configTimeout, version, err)
+		}
+		s.count("versions checked in time")
+	}
+	loop.Sleep(ctx, time.Duration(r.IntN(1000))*time.Millisecond)
+}
+
+// getVersionRoute sends a lookup on the route that a version added and returns its
+// status, or 0 if there was no answer.
+func (s *soak) getVersionRoute(ctx context.Context, r *router, version int) int {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	res, err := probeClient.Do(newRequest(ctx, http.MethodGet, r.callerLink.Address, fmt.Sprintf("/v%d/x", version), "x"))
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	return res.StatusCode
+}
