--- a/internal/decision/quarantine/explain.go
+++ b/internal/decision/quarantine/explain.go
@@ -2,73 +2,99 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
 
-// candidate is a part that may explain crashes.
+// candidate is a suspect that may explain crashes.
 type candidate struct {
-	part     string
-	servers  map[string]bool
-	sessions map[string]bool
-	position int  // the largest in a prompt
-	own      bool // it is the part of a session
+	suspect  string
+	servers  map[string]time.Time // when each crashed
+	origins  map[string]bool      // sessions, or requests without one
+	position int                  // the largest in a crash
+	own      bool                 // it is not shared with other sessions
+	request  bool                 // it is a whole request
 	newest   time.Time
 }
 
-// qualifies reports whether there are enough crashes to block the part.
-func (c *candidate) qualifies() bool {
-	return len(c.servers) >= minServers && (c.own || len(c.sessions) >= minSessions)
+// qualified returns when there were enough crashes to block the suspect, or false if there
+// are not. Whatever takes several servers at once takes those that run the same popular
+// request.
+func (c *candidate) qualified() (at time.Time, ok bool) {
+	if len(c.servers) < minServers || !c.own && len(c.origins) < minSessions {
+		return time.Time{}, false
+	}
+	times := slices.SortedFunc(maps.Values(c.servers), time.Time.Compare)
+	at = times[minServers-1]
+	if !c.request {
+		return at, true
+	}
+	i := slices.IndexFunc(times, func(t time.Time) bool { return t.Sub(times[0]) > sameMoment })
+	if i < 0 {
+		return time.Time{}, false
+	}
+	if times[i].After(at) {
+		at = times[i]
+	}
+	return at, true
 }
 
-// explain returns the fewest parts that explain the crashes: the one with the most crashes
-// first, then the one with the most among those that it does not explain, and so on. Of
-// two parts that always occur together, the later one is blocked, since more requests
+// explanation is a block with the crashes that it explains.
+type explanation struct {
+	Block
+	evidence []knownCrash // one of each server
+}
+
+// explain returns the fewest suspects that explain the crashes: the one with the most
+// crashes first, then the one with the most among those that it does not explain, and so
+// on. Of two that always occur together, the later one is blocked, since more requests
 // share the earlier one. The caller holds mu.
-func (t *Table) explain(now time.Time) map[string]Block {
-	var blocks map[string]Block
-	unexplained := make([]Crash, 0, len(t.crashes.list))
-	for _, c := range t.crashes.list {
-		unexplained = append(unexplained, c.Crash)
-	}
+func (t *Table) explain(now time.Time) []explanation {
+	var found []explanation
+	unexplained := t.crashes.list
 	t.reviewAt = time.Time{}
 	for len(unexplained) >= minServers && t.crashes.maxCount >= minServers {
 		best := t.strongest(unexplained, now)
 		if best == nil {
 			break
 		}
-		if blocks == nil {
-			blocks = make(map[string]Block)
-		}
-		blocks[best.part] = Block{Part: best.part, Until: best.newest.Add(blockTime), Crashes: len(best.servers)}
-		var rest []Crash
+		e := explanation{Block: Block{Suspect: best.suspect, Until: best.newest.Add(blockTime), Crashes: len(best.servers)}}
+		seen := make(map[string]bool, len(best.servers))
+		var rest []knownCrash
 		for _, c := range unexplained {
-			if !best.servers[c.Server] {
+			switch {
+			case best.servers[c.Server].IsZero():
 				rest = append(rest, c)
+			case !seen[c.Server] && slices.Contains(t.suspects(c.Crash), best.suspect):
+				seen[c.Server] = true
+				e.evidence = append(e.evidence, c)
 			}
 		}
+		found = append(found, e)
 		unexplained = rest
 	}
-	return blocks
+	return found
 }
 
-// strongest returns the part with the most crashes that qualifies, or nil. The caller
+// strongest returns the suspect with the most crashes that qualifies, or nil. The caller
 // holds mu.
-func (t *Table) strongest(crashes []Crash, now time.Time) *candidate {
+func (t *Table) strongest(crashes []knownCrash, now time.Time) *candidate {
 	candidates := make(map[string]*candidate)
 	for _, c := range crashes {
-		for i, p := range t.suspects(c) {
-			if t.crashes.count(p) < minServers {
+		for i, s := range t.suspects(c.Crash) {
+			if t.crashes.count(s) < minServers {
 				continue
 			}
-			k := candidates[p]
+			k := candidates[s]
 			if k == nil {
-				k = &candidate{part: p, servers: make(map[string]bool), sessions: make(map[string]bool)}
-				candidates[p] = k
+				k = &candidate{suspect: s, servers: make(map[string]time.Time), origins: make(map[string]bool)}
+				candidates[s] = k
 			}
-			k.servers[c.Server], k.sessions[c.Session] = true, true
+			k.servers[c.Server], k.origins[c.origin()] = c.At, true
 			k.position = max(k.position, i)
-			k.own = k.own || p == c.Session
+			k.own, k.request = k.own || c.owns(s), k.request || s == c.Request
 			if c.At.After(k.newest) {
 				k.newest = c.At
 			}
@@ -76,7 +102,8 @@
 	}
 	var best *candidate
 	for _, k := range candidates {
-		if !k.qualifies() || t.survivedLately(k.part, now) {
+		at, ok := k.qualified()
+		if !ok || t.survivedLately(k.suspect, at, now) {
 			continue
 		}
 		if best == nil || k.compare(best) > 0 {
@@ -86,12 +113,16 @@
 	return best
 }
 
-// survivedLately reports whether it is too early to block a part, and sets when to review
-// it. After the start of the router, and after a survival of the part, it may have heard of
-// the crashes but not yet of the survivals that refute them.
-func (t *Table) survivedLately(part string, now time.Time) bool {
-	at := t.survivals.last(part)
-	if t.startedAt.After(at) {
+// survivedLately reports whether it is too early to block a suspect, and sets when to review
+// it. After the start of the router, and if the suspect has ever survived, it may have heard
+// of the crashes but not yet of the survivals that refute them. A peer that blocks the
+// suspect has heard of them.
+func (t *Table) survivedLately(suspect string, qualifiedAt, now time.Time) bool {
+	at := t.survivals.last(suspect)
+	if !at.IsZero() && qualifiedAt.After(at) {
+		at = qualifiedAt
+	}
+	if t.startedAt.After(at) && !t.confirmed[suspect] {
 		at = t.startedAt
 	}
 	at = at.Add(t.contactTime)
@@ -107,8 +138,40 @@
 func (c *candidate) compare(other *candidate) int {
 	return cmp.Or(
 		cmp.Compare(len(c.servers), len(other.servers)),
-		cmp.Compare(len(c.sessions), len(other.sessions)),
+		cmp.Compare(len(c.origins), len(other.origins)),
 		cmp.Compare(c.position, other.position),
-		strings.Compare(c.part, other.part),
+		strings.Compare(c.suspect, other.suspect),
 	)
 }
+
+// keepEvidence reduces the evidence of a block to what shows it, the most telling first, and
+// returns the servers whose crashes are left out. Crashes that agree in the suspect
+// that follows the blocked one would show that one as well, so the others go first.
+func (e *explanation) keepEvidence() (dropped []string) {
+	slices.SortStableFunc(e.evidence, func(a, b knownCrash) int { return b.At.Compare(a.At) })
+	rank := make(map[string]int, len(e.evidence)) // of a server, among the crashes with the same next suspect
+	perNext := make(map[string]int)
+	kept := e.evidence[:0]
+	for _, c := range e.evidence {
+		next := c.following(e.Suspect)
+		if len(kept) == maxEvidence || perNext[next] == maxSimilarEvidence {
+			dropped = append(dropped, c.Server)
+			continue
+		}
+		rank[c.Server] = perNext[next]
+		perNext[next]++
+		kept = append(kept, c)
+	}
+	e.evidence = kept
+	slices.SortStableFunc(e.evidence, func(a, b knownCrash) int { return rank[a.Server] - rank[b.Server] })
+	return dropped
+}
+
+// following returns the suspect of a crash that follows the given one, or an empty string.
+func (c *Crash) following(suspect string) string {
+	all := c.all()
+	if i := slices.Index(all, suspect); i >= 0 && i+1 < len(all) {
+		return all[i+1]
+	}
+	return ""
+}
