--- a/internal/trial/edgesoak/harness.go
+++ b/internal/trial/edgesoak/harness.go
@@ -190,6 +190,9 @@
 		return fmt.Errorf("write settings: %w", err)
 	}
 	h.routers = append(h.routers, r)
+	if h.ready(r) {
+		return fmt.Errorf("another soak with this seed uses %s", r.ip)
+	}
 	return h.startRouter(r)
 }
 
