--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -36,9 +36,13 @@
 	return &Guard{table: quarantine.New(time.Now(), contactTime), onCrash: onCrash, log: log}
 }
 
-// suspectsOf returns what may be to blame if a request crashes its server.
+// suspectsOf returns what may be to blame if a request crashes its server. A prompt says
+// more than the digest, which does not cover it.
 func suspectsOf(req *server.Request) quarantine.Suspects {
-	return quarantine.Suspects{Parts: req.SharedPartIDs(), Session: req.SessionID(), Request: req.Digest}
+	if len(req.PromptParts) == 0 {
+		return quarantine.Suspects{Request: req.Digest}
+	}
+	return quarantine.Suspects{Parts: req.SharedPartIDs(), Session: req.SessionID()}
 }
 
 // Refuses reports whether a request must not be sent to a server, and until when.
@@ -54,8 +58,8 @@
 
 // SparesLastServer reports whether a request must not be sent to the last usable server of
 // its service, because it may have crashed the others.
-func (g *Guard) SparesLastServer(req *server.Request, usable func() int) bool {
-	if !g.table.SparesLastServer(suspectsOf(req)) || usable() > 1 {
+func (g *Guard) SparesLastServer(req *server.Request, usable func() []string) bool {
+	if !g.table.SparesLastServer(suspectsOf(req), usable) {
 		return false
 	}
 	sparedTotal.Inc()
@@ -66,12 +70,23 @@
 // ServerLost records that the answer to an attempt was lost after the given number of events
 // had arrived, and that the server is lost too.
 func (g *Guard) ServerLost(req *server.Request, s *server.Server, events int) {
-	if events >= earlyEvents {
-		return
+	if events < earlyEvents {
+		g.recordCrash(req, s, suspectsOf(req), events)
 	}
+}
+
+// ServerLostUnanswered records that a server was lost before it answered an attempt, which
+// may have waited there. That says too little about what it shares with other requests.
+func (g *Guard) ServerLostUnanswered(req *server.Request, s *server.Server) {
+	suspects := suspectsOf(req)
+	suspects.Parts = nil
+	g.recordCrash(req, s, suspects, 0)
+}
+
+func (g *Guard) recordCrash(req *server.Request, s *server.Server, suspects quarantine.Suspects, events int) {
 	now := time.Now()
 	crashesTotal.Inc()
-	crash := quarantine.Crash{Suspects: suspectsOf(req), Server: s.Key().String(), At: now}
+	crash := quarantine.Crash{Suspects: suspects, Server: s.Key().String(), At: now}
 	g.log.WithField("id", req.ID).WithField("server", s.ID).WithField("parts", crash.Parts).WithField("digest", crash.Request).
 		WithField("events", events).Info("server was lost at the start of an answer")
 	if g.table.RecordCrash(crash, now).Blocks {
