relay: a reserved retry is not sent after the request has crashed its engine

Callers see nothing: an engine more crashes.

Cause: a silent engine's stream reserves a retry. If no engine can be asked at that moment, the stream returns to the silent engine and keeps the reservation. nextAttempt skips the check of the quarantine for a reserved retry, as decideSilent has just made it. When the silent engine crashes later, the check is skipped by a reservation from before the crash, and the request goes to another engine although it is quarantined.

The reservation now becomes an unused retry on the return: it still takes nothing more from the budget, but the quarantine is asked.

--- a/internal/router/relay/harness_test.go
+++ b/internal/router/relay/harness_test.go
@@ -53,6 +53,7 @@
 	*WithT
 	engines  *fakeEngines
 	servers  *registry.Registry
+	cfg      relay.Config
 	relay    *relay.Relay
 	sessions sessionTable
 	limits   *ratelimit.Limiter
@@ -79,12 +80,13 @@
 	log.SetOutput(io.Discard)
 	h.hook = logtest.NewLocal(log)
 	h.limits = ratelimit.New(decision.Config{Self: "router", Peers: func(time.Time) []string { return nil }, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
-	h.relay = relay.New(relay.Config{
+	h.cfg = relay.Config{
 		Servers: h.servers, Client: h.engines, RetryBudget: h.budget, Links: link.New(), Domain: "a", Sessions: h.sessions, OnUnresponsive: func() {},
 		Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")),
 		Limits:     h.limits,
 		KnowsLoads: func() bool { return !h.loadsUnknown }, Log: log.WithField("part", "stream"),
-	})
+	}
+	h.relay = relay.New(h.cfg)
 	return h
 }
 
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -41,6 +41,7 @@
 		return nil
 	}
 	s.silent = nil
+	s.retryReserved, s.retryUnused = false, s.retryReserved || s.retryUnused
 	s.executed--
 	s.delivered--
 	s.refusals = 0
