edge: accepting ends although callers keep connecting

While callers connect faster than one in 5 ms, a stopping router went on accepting until the end of its drain, and the requests of the last connections were reset.

Cause: takes the kernel's queue until it is empty for 5 ms. Callers fill it all the time: the platform sends connections to all routers of a zone while fewer than half are ready.

Evidence: TestAcceptingEndsWhileCallersKeepConnecting failed before in 5 of 5 runs, the listener was open after 250 ms with 8 callers; with -race 20 of 20 pass now. TestAConnectionInTheKernelsQueueIsServedWhenAcceptingEnds passes as before.

The queue is taken for 100 ms at most, which leaves 400 ms of the 500 ms that are kept for the last connection's request.

--- a/internal/router/edge/connections.go
+++ b/internal/router/edge/connections.go
@@ -33,12 +33,12 @@
 type connections struct {
 	log *logrus.Entry
 
-	mu       sync.Mutex
-	listener net.Listener
-	stopped  bool // only connections that the kernel has accepted are accepted
-	accepts  bool // the listener is open
-	open     map[*callerConn]bool
-	usedAt   time.Time // when a connection last began or ended to be in use
+	mu        sync.Mutex
+	listener  net.Listener
+	stoppedAt time.Time // from then on, only connections that the kernel has accepted are accepted
+	accepts   bool      // the listener is open
+	open      map[*callerConn]bool
+	usedAt    time.Time // when a connection last began or ended to be in use
 }
 
 func newConnections(log *logrus.Entry) *connections {
--- a/internal/router/edge/listener.go
+++ b/internal/router/edge/listener.go
@@ -7,8 +7,13 @@
 	"time"
 )
 
-// queueCheckTime is enough to take a connection from the kernel's queue.
-const queueCheckTime = 5 * time.Millisecond
+const (
+	// queueCheckTime is enough to take a connection from the kernel's queue.
+	queueCheckTime = 5 * time.Millisecond
+	// queueTime bounds the accepting of connections that were in the queue: callers may add
+	// others all the time.
+	queueTime = 100 * time.Millisecond
+)
 
 // callerListener accepts the connections of callers.
 type callerListener struct {
@@ -30,10 +35,11 @@
 }
 
 // acceptQueued returns a connection that the kernel had accepted before the end of
-// accepting. Without one it closes the listener.
+// accepting. Without one, or after queueTime, it closes the listener.
 func (l callerListener) acceptQueued() (net.Conn, error) {
-	if ln, ok := l.Listener.(deadlineListener); ok {
-		_ = ln.SetDeadline(time.Now().Add(queueCheckTime))
+	now := time.Now()
+	if ln, ok := l.Listener.(deadlineListener); ok && now.Before(l.conns.queueEnd()) {
+		_ = ln.SetDeadline(now.Add(queueCheckTime))
 		if conn, err := ln.Accept(); err == nil {
 			return conn, nil
 		}
@@ -69,7 +75,7 @@
 func (cs *connections) stopAccepting() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	cs.stopped = true
+	cs.stoppedAt = time.Now()
 	if ln, ok := cs.listener.(deadlineListener); ok {
 		_ = ln.SetDeadline(time.Now())
 	} else if cs.listener != nil {
@@ -87,7 +93,14 @@
 func (cs *connections) isStopped() bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return cs.stopped
+	return !cs.stoppedAt.IsZero()
+}
+
+// queueEnd returns until when connections of the kernel's queue are accepted.
+func (cs *connections) queueEnd() time.Time {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return cs.stoppedAt.Add(queueTime)
 }
 
 // ended reports whether all connections have ended and no more are accepted.
--- a/internal/router/edge/listener_test.go
+++ b/internal/router/edge/listener_test.go
@@ -139,3 +139,29 @@
 		return err
 	}).Should(HaveOccurred())
 }
+
+func TestAcceptingEndsWhileCallersKeepConnecting(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	e, _ := newCallerSide(func(http.ResponseWriter, *http.Request) {})
+	address := e.listen(g, t)
+	const callers = 8
+	for range callers {
+		go func() {
+			for {
+				conn, err := net.Dial("tcp", address)
+				if err != nil {
+					return
+				}
+				_ = conn.Close()
+			}
+		}()
+	}
+	time.Sleep(50 * time.Millisecond)
+	e.callerConns.stopAccepting()
+	g.Eventually(func() bool {
+		e.callerConns.mu.Lock()
+		defer e.callerConns.mu.Unlock()
+		return e.callerConns.accepts
+	}, refusalTime/2, time.Millisecond).Should(BeFalse())
+}
