edge: the answer to OPTIONS * is not followed by a 408

A caller who sent "OPTIONS *" got 200 and right after it a 408 that belongs to no request, and its connection was half closed.

Cause: net/http answers "OPTIONS *" itself, so markServing is not called. At the end of an answer it ends its background read by a deadline, which callerConn takes for a request that did not arrive.

Evidence: TestACallerWhoAsksForTheOptionsOfTheServerKeepsItsConnection failed before, the answer to the second request was 408, want 200; it passes now.

--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -171,6 +171,7 @@
 func (e *Edge) newCallerServer(h http.Handler) *http.Server {
 	s := e.newServer(e.observe(h))
 	s.ConnContext, s.ConnState = withConn, e.callerConns.stateChanged
+	s.DisableGeneralOptionsHandler = true // all requests are observed
 	var requests context.Context
 	requests, e.cancelRequests = context.WithCancelCause(context.Background())
 	s.BaseContext = func(net.Listener) context.Context { return requests }
--- a/internal/router/edge/linger_test.go
+++ b/internal/router/edge/linger_test.go
@@ -75,3 +75,21 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
 }
+
+func TestACallerWhoAsksForTheOptionsOfTheServerKeepsItsConnection(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	e, _ := newCallerSide(func(http.ResponseWriter, *http.Request) {})
+	conn, err := net.Dial("tcp", e.listen(g, t))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	answers := bufio.NewReader(conn)
+	for _, start := range []string{"OPTIONS *", "GET /"} {
+		_, err = fmt.Fprint(conn, start+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		res, err := http.ReadResponse(answers, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(res.StatusCode).To(Equal(http.StatusOK))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
