relay: a silent engine that has the stream is not left for itself

A begun stream was cut although its engine was sound and only silent.

Cause: an engine that is silent for 1.5 s but answers probes, and says that it works on the stream, counted as one that has the prompt cached. So the retry was sent to the same engine, and its silent attempt was ended before, as two attempts at one engine do not go together.

Evidence: TestASilentEngineThatAnswersProbesIsNotLeftBeforeItAcceptsTheStreamAgain failed before, with sends to i-0 and i-0 and the stream cut; now another engine is asked, it refuses, and i-0 goes on. The fake engines get a pause during which they answer probes; no check is changed.

A silent engine is asked again only if its replies say that it does not have the attempt or that its events don't arrive. Then nothing is lost by ending it.

--- a/internal/decision/suspicion/detector.go
+++ b/internal/decision/suspicion/detector.go
@@ -116,6 +116,10 @@
 // ProbePending reports whether the engine was probed and hasn't replied.
 func (d *Detector) ProbePending() bool { return !d.probedAt.IsZero() }
 
+// Doubted reports whether the engine's replies say that it does not have the attempt, or
+// that its events don't arrive.
+func (d *Detector) Doubted() bool { return d.doubts >= maxDoubts }
+
 // Silence returns the time since the last event, or since the start.
 func (d *Detector) Silence(now time.Time) time.Duration { return now.Sub(d.eventAt) }
 
@@ -137,7 +141,7 @@
 		delay = d.timeouts.StartProbeDelay
 	}
 	end := d.eventAt.Add(d.maxSilence())
-	if !now.Before(end) || d.doubts >= maxDoubts {
+	if !now.Before(end) || d.Doubted() {
 		return Lost, now
 	}
 	if d.probedAt.IsZero() {
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -37,6 +37,7 @@
 	events       int                // forwarded to the caller by this attempt
 	unresponsive bool               // the engine did not answer the last probes
 	silent       bool               // the connection did not end
+	doubted      bool               // the engine does not have the attempt, or its events don't arrive
 	goesOn       bool               // until another engine accepts the stream
 	erred        bool               // the engine answered with an error instead of the rest of the stream
 	replaced     bool               // another incarnation has the address
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -53,6 +53,7 @@
 	limit           float64 // that it names in its answers; 0 for none
 	pauseAfter      int     // after this many events of an attempt, neither events nor replies for the pause
 	pause           time.Duration
+	repliesInPause  bool          // answers probes during the pause
 	silentBetween   time.Duration // sends an event with an ID, one without, nothing for so long, and one with an ID
 	hangsAfter      int           // sends no more events after this many, but answers probes
 	lostAttempt     bool          // does not have the attempt and sends nothing, but answers probes
@@ -163,9 +164,11 @@
 		}
 		gap := e.gap
 		if f.pause > 0 && i == d.LastEventID+f.pauseAfter+1 {
-			e.mu.Lock()
-			e.pausedUntil[d.Server.ID] = time.Now().Add(f.pause)
-			e.mu.Unlock()
+			if !f.repliesInPause {
+				e.mu.Lock()
+				e.pausedUntil[d.Server.ID] = time.Now().Add(f.pause)
+				e.mu.Unlock()
+			}
 			gap = f.pause
 		}
 		if f.hangsAfter > 0 && i > d.LastEventID+f.hangsAfter {
--- a/internal/router/relay/run.go
+++ b/internal/router/relay/run.go
@@ -120,7 +120,7 @@
 		case suspicion.Lost:
 			unresponsive := a.detector.ProbePending()
 			if decision := s.decideSilent(a.target, a.detector.Silence(time.Now())); decision != suspicion.Keep {
-				return result{outcome: lost, reason: "silent", backup: a.backup, silent: true, unresponsive: unresponsive, goesOn: decision == suspicion.Retry}
+				return result{outcome: lost, reason: "silent", backup: a.backup, silent: true, unresponsive: unresponsive, doubted: a.detector.Doubted(), goesOn: decision == suspicion.Retry}
 			}
 			if unresponsive {
 				s.recordUnresponsive(a.target, time.Now())
--- a/internal/router/relay/silence_test.go
+++ b/internal/router/relay/silence_test.go
@@ -273,3 +273,19 @@
 	}
 	h.Expect(denied).To(Equal(1))
 }
+
+func TestASilentEngineThatAnswersProbesIsNotLeftBeforeItAcceptsTheStreamAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{pauseAfter: 7, pause: 2 * time.Second, repliesInPause: true})
+		h.service.Engine.SupportsBackups = false
+		h.budget.most = 1
+		go func() {
+			time.Sleep(time.Second)
+			h.engines.setFaults(map[string]engineFaults{"i-0": {refuses: true}, "i-1": {refuses: true}, "i-2": {refuses: true}})
+		}()
+		res, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+	})
+}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -120,7 +120,7 @@
 				s.backupAddress, s.backupRef = engine.Address, *ref
 			}
 		}
-		if !r.unresponsive && !r.erred && s.lastEventID > s.req.LastEventID {
+		if !r.unresponsive && !r.erred && (!r.silent || r.doubted) && s.lastEventID > s.req.LastEventID {
 			s.promptEngine = target
 		}
 		s.lostDomain = target.Domain
