relay: a retry that is not sent goes back to the budget

Routers may send more retries in a window than the fleet's budget has.

Cause: a stream that returns to its silent engine kept the retry that it had reserved, or that had not left the router, for as long as it ran. The budget counts a retry in the window in which it was taken. Streams that hold one each and lose their engines together later send them all at once, beside what the budget gives in that window.

Evidence: TestAReservedRetryThatIsNotSentGoesBackToTheBudget failed before, the budget had given 1 retry, sent was none, and none came back.

The retry is returned to the bucket from which it was taken when the stream returns to its silent engine; the next one is asked for when it is needed. So no reservation is left that skips the check of the quarantine either. The fake budget counts what is returned; the random test allows no more sends than the budget gave and did not get back, which is as strict as before.

--- a/internal/decision/retrybudget/budget.go
+++ b/internal/decision/retrybudget/budget.go
@@ -109,6 +109,17 @@
 	return true
 }
 
+// Return gives back a retry that Allow gave at takenAt, and that was not sent.
+func (b *Budget) Return(service string, takenAt, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.currentWindow(service, now)
+	bucket := takenAt.UnixNano() / int64(b.cfg.Window/buckets)
+	if bucket > w.newest-keptBuckets && bucket <= w.newest && w.retries[bucket%keptBuckets] > 0 {
+		w.retries[bucket%keptBuckets]--
+	}
+}
+
 // Demand returns this router's first attempts for a service in relation to those of the
 // mean router: 1 if all have the same.
 func (b *Budget) Demand(service string, now time.Time) float64 {
--- a/internal/decision/retrybudget/budget_test.go
+++ b/internal/decision/retrybudget/budget_test.go
@@ -30,6 +30,23 @@
 	g.Expect(b.Allow("desk", now.Add(11*time.Second))).To(BeTrue(), "the earlier retries left the window")
 }
 
+func TestARetryThatIsReturnedIsAllowedOnceMore(t *testing.T) {
+	g := NewWithT(t)
+	b := retrybudget.New(config, time.Unix(0, 0))
+	now := time.Unix(100, 0)
+	for range 4 {
+		g.Expect(b.Allow("desk", now)).To(BeTrue())
+	}
+	later := now.Add(3 * time.Second)
+	g.Expect(b.Allow("desk", later)).To(BeFalse())
+	b.Return("desk", now, later)
+	g.Expect(b.Allow("desk", later)).To(BeTrue())
+	g.Expect(b.Allow("desk", later)).To(BeFalse())
+	b.Return("desk", now, later.Add(time.Minute))
+	b.Return("other", now, later)
+	g.Expect(b.OwnCounts(later.Add(time.Minute))).To(HaveKeyWithValue("other", retrybudget.Counts{}))
+}
+
 func TestNoWindowExceedsItsBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := retrybudget.New(config, time.Unix(0, 0))
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -84,6 +84,7 @@
 	Client      Client
 	RetryBudget interface {
 		Allow(service string, now time.Time) bool
+		Return(service string, takenAt, now time.Time)
 	}
 	Sessions   Sessions
 	Quarantine Quarantine
--- a/internal/router/relay/reserved_test.go
+++ b/internal/router/relay/reserved_test.go
@@ -61,3 +61,17 @@
 		h.Expect(h.engines.sentTo()).To(Equal([]string{"i-0"}))
 	})
 }
+
+func TestAReservedRetryThatIsNotSentGoesBackToTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		reserve(h, 1500*time.Millisecond, time.Minute)
+		h.engines.faults["i-0"] = pausing
+		h.relay = relay.New(h.cfg)
+		res, _ := h.serve(h.newRequest(0))
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+		h.Expect(h.engines.sentTo()).To(Equal([]string{"i-0"}))
+		h.Expect(h.budget.given).To(Equal(1))
+		h.Expect(h.budget.returned).To(Equal(1))
+	})
+}
--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -27,7 +27,7 @@
 	start := time.Now()
 	for denied := 0; ; denied++ {
 		now := time.Now()
-		if s.relay.cfg.RetryBudget.Allow(s.service.Name, now) {
+		if s.allowRetry(now) {
 			return true
 		}
 		if denied == 0 {
@@ -38,3 +38,21 @@
 		}
 	}
 }
+
+// allowRetry takes a retry from the budget if there is one left.
+func (s *stream) allowRetry(now time.Time) bool {
+	if !s.relay.cfg.RetryBudget.Allow(s.service.Name, now) {
+		return false
+	}
+	s.retryTakenAt = now
+	return true
+}
+
+// returnRetry gives back a retry that was taken and not sent. Sent much later, it would not
+// count in the window of its sending.
+func (s *stream) returnRetry() {
+	if s.retryReserved || s.retryUnused {
+		s.retryReserved, s.retryUnused = false, false
+		s.relay.cfg.RetryBudget.Return(s.service.Name, s.retryTakenAt, time.Now())
+	}
+}
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -26,7 +26,7 @@
 	if decision != suspicion.Retry {
 		return decision
 	}
-	s.retryReserved = s.retryReserved || s.retryUnused || s.relay.cfg.RetryBudget.Allow(s.service.Name, time.Now())
+	s.retryReserved = s.retryReserved || s.retryUnused || s.allowRetry(time.Now())
 	if !s.retryReserved {
 		return suspicion.Keep
 	}
@@ -41,7 +41,7 @@
 		return nil
 	}
 	s.silent = nil
-	s.retryReserved, s.retryUnused = false, s.retryReserved || s.retryUnused
+	s.returnRetry()
 	s.executed--
 	s.delivered--
 	s.refusals = 0
