quarantine: a stream that lost one engine goes on at the last one at once

A sound stream whose engine crashed in its first events, with one other engine usable, paused for ten seconds before it was resumed there.

Cause: since one crash under a request that never survived keeps it from the last server for ten seconds. That was made for calls. A stream that has begun waits meanwhile, and a session in its first turn has never survived.

Sessions are kept from the last server from their second crash on again, calls from their first.

Tests of relay, forward and router/quarantine pass.

--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -29,6 +29,9 @@
 	// spareTime is how long after a crash under a request the last usable server of its
 	// service is spared. Servers are back after some seconds.
 	spareTime = 10 * time.Second
+	// sessionCrashes is how many servers a session must have crashed for that. A stream that
+	// lost one server, for whatever reason, must not pause.
+	sessionCrashes = 2
 	// blockTime is how long a suspect is blocked after its last crash. Then requests are let
 	// through, and one crash within crashTTL blocks it again.
 	blockTime = 5 * time.Minute
@@ -162,12 +165,16 @@
 }
 
 // SparesLastServer reports whether a request must not be sent to the last usable server of
-// its service: it may have crashed another one, and has never survived. A server that has
+// its service: it may have crashed others, and has never survived. A server that has
 // crashed is not usable, even if the router that asks has not noticed yet.
 func (t *Table) SparesLastServer(s Suspects, usable func() []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.crashedBy(s, now.Add(-spareTime)) == 0 || !t.survivals.last(s.origin()).IsZero() {
+	spareAfter := 1
+	if s.Session != "" {
+		spareAfter = sessionCrashes
+	}
+	if t.crashedBy(s, now.Add(-spareTime)) < spareAfter || !t.survivals.last(s.origin()).IsZero() {
 		return false
 	}
 	crashed := make(map[string]bool)
--- a/internal/router/relay/quarantine_test.go
+++ b/internal/router/relay/quarantine_test.go
@@ -109,3 +109,19 @@
 		})
 	}
 }
+
+func TestAStreamThatLostOneEngineGoesOnAtTheLastOneAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setServers(map[string]bool{"i-2": true})
+		h.engines.deadlySession = "another" // engines that break off are gone
+		for _, id := range []string{"i-0", "i-1"} {
+			h.engines.faults = map[string]engineFaults{id: {breakAfter: 3}}
+			startedAt := time.Now()
+			res, cut := h.serve(h.newRequestOf("own-"+id, "system", "doc"))
+			h.Expect(cut).To(BeFalse())
+			h.Expect(res.Code).To(Equal(http.StatusOK))
+			h.Expect(time.Since(startedAt)).To(BeNumerically("<", 3*time.Second))
+		}
+	})
+}
