--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -70,8 +70,8 @@
 	Service   string
 	ArrivedAt time.Time
 	Deadline  time.Time // when the caller stops waiting
-	// AnswerMargin is how long before the deadline an answer has to begin to leave.
-	AnswerMargin time.Duration
+	// AnswerDeadline is when an answer has to begin to leave; zero for the deadline.
+	AnswerDeadline time.Time
 
 	Organisation  string
 	Priority      int
@@ -109,7 +109,12 @@
 }
 
 // AnswerBy returns when an answer has to begin to leave in order to reach the caller in time.
-func (r *Request) AnswerBy() time.Time { return r.Deadline.Add(-r.AnswerMargin) }
+func (r *Request) AnswerBy() time.Time {
+	if r.AnswerDeadline.IsZero() {
+		return r.Deadline
+	}
+	return r.AnswerDeadline
+}
 
 // PartIDs returns the IDs of all parts of the prompt, in order.
 func (r *Request) PartIDs() []string {
--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -167,14 +167,14 @@
 		return nil, http.StatusRequestHeaderFieldsTooLarge
 	}
 	if !req.Deadline.IsZero() {
-		req.AnswerMargin = min(answerMargin, req.Deadline.Sub(now)/answerMarginDivisor)
+		req.AnswerDeadline = req.Deadline.Add(-min(answerMargin, req.Deadline.Sub(now)/answerMarginDivisor))
 	}
 	if end := now.Add(route.Timeout); route.Timeout > 0 && (req.Deadline.IsZero() || end.Before(req.Deadline)) {
-		if req.Deadline.After(end) {
-			req.AnswerMargin = max(0, req.AnswerMargin-req.Deadline.Sub(end))
-		}
 		req.Deadline = end
 	}
+	if req.AnswerDeadline.After(req.Deadline) {
+		req.AnswerDeadline = req.Deadline
+	}
 	if req.Deadline.IsZero() {
 		req.Deadline = now.Add(time.Minute)
 	}
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -164,48 +164,6 @@
 	return Block{}, false
 }
 
-// SparesLastServer reports whether a request must not be sent to the last usable server of
-// its service: it may have crashed others, and has never survived. A server that has
-// crashed is not usable, even if the router that asks has not noticed yet.
-func (t *Table) SparesLastServer(s Suspects, usable func() []string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	spareAfter := 1
-	if s.Session != "" {
-		spareAfter = sessionCrashes
-	}
-	if t.crashedBy(s, now.Add(-spareTime)) < spareAfter || !t.survivals.last(s.origin()).IsZero() {
-		return false
-	}
-	crashed := make(map[string]bool)
-	for _, c := range t.crashes.list {
-		crashed[c.Server] = crashed[c.Server] || now.Sub(c.At) <= spareTime
-	}
-	left := 0
-	for _, server := range usable() {
-		if !crashed[server] && !t.explained.has(server) {
-			left++
-		}
-	}
-	return left <= 1
-}
-
-// crashedBy returns how many servers a session, or a request without one, has crashed since
-// a time, as far as is known and not refuted. The caller holds mu.
-func (t *Table) crashedBy(s Suspects, since time.Time) int {
-	own := s.origin()
-	if own == "" || t.crashes.count(own) == 0 {
-		return 0
-	}
-	servers := make(map[string]bool)
-	for _, c := range t.crashes.list {
-		if c.origin() == own && c.At.After(since) && !t.survivals.last(own).After(c.At) {
-			servers[c.Server] = true
-		}
-	}
-	return len(servers)
-}
-
 // Blocks returns the blocks, sorted by their suspects.
 func (t *Table) Blocks(now time.Time) []Block {
 	t.mu.Lock()
@@ -270,84 +228,6 @@
 	return news
 }
 
-// add records a crash unless it is known, malformed, refuted or explained. It also reports
-// whether peers should hear of its request at once. The caller holds mu.
-func (t *Table) add(c Crash, now time.Time) (added, suspected bool) {
-	if t.crashes.has(c) || !c.valid(now) || t.explained.has(c.Server) {
-		return false, false
-	}
-	c.Suspects = c.Suspects.bounded()
-	for _, s := range c.all() {
-		if t.survivals.last(s).After(c.At) {
-			t.announce(s, s == c.Request || !c.owns(s), now)
-		}
-	}
-	if !t.hasSuspect(c) {
-		return false, false
-	}
-	if !c.At.After(t.forgottenAt) && !t.crashes.related(c) {
-		return false, false
-	}
-	t.crashes.add(c, now)
-	if len(t.crashes.list) > maxCrashes {
-		t.forgetWeakest(now)
-	}
-	return true, t.crashedBy(c.Suspects, time.Time{}) == urgentCrashes
-}
-
-// forgetWeakest removes a quarter of the crashes, those with the least evidence. Peers may
-// still tell them, so crashes as old as these are not recorded again without other
-// evidence against their suspects. The caller holds mu.
-func (t *Table) forgetWeakest(now time.Time) {
-	evidence, others := t.byEvidence(now)
-	list := append(evidence, others...)
-	kept := maxCrashes - maxCrashes/4
-	for _, c := range list[kept:] {
-		if c.At.After(t.forgottenAt) {
-			t.forgottenAt = c.At
-		}
-	}
-	t.crashes.set(list[:kept])
-}
-
-// review removes crashes that are too old, refuted or not needed any more, and decides anew
-// which suspects are blocked. It reports whether they have changed. The caller holds mu.
-func (t *Table) review(now time.Time) (changed bool) {
-	t.remove(func(c knownCrash) bool { return now.Sub(c.At) > crashTTL || !t.hasSuspect(c.Crash) })
-	old := t.blocks
-	t.blocks = t.explain(now)
-	for i := range t.blocks {
-		for _, s := range t.blocks[i].keepEvidence() {
-			t.explained.add(s)
-		}
-	}
-	t.remove(func(c knownCrash) bool { return t.explained.has(c.Server) })
-	return !slices.Equal(sortedSuspects(old), sortedSuspects(t.blocks))
-}
-
-// reviewIfDue reviews the blocks if one had to wait. The caller holds mu.
-func (t *Table) reviewIfDue(now time.Time) {
-	if !t.reviewAt.IsZero() && !now.Before(t.reviewAt) {
-		t.review(now)
-	}
-}
-
-func sortedSuspects(blocks []explanation) []string {
-	suspects := make([]string, len(blocks))
-	for i, b := range blocks {
-		suspects[i] = b.Suspect
-	}
-	slices.Sort(suspects)
-	return suspects
-}
-
-// remove removes crashes. The caller holds mu.
-func (t *Table) remove(obsolete func(knownCrash) bool) {
-	if slices.ContainsFunc(t.crashes.list, obsolete) {
-		t.crashes.set(slices.DeleteFunc(t.crashes.list, obsolete))
-	}
-}
-
 // announce makes the survival of a suspect news for peers. In a single crash it matters less,
 // and only if the suspect comes again: peers add up crashes between which it survived here.
 // The caller holds mu.
@@ -359,21 +239,3 @@
 		t.survivals.announce(suspect, maxSurvived/2, now)
 	}
 }
-
-// suspects returns what may have caused a crash: what has not survived since. The caller
-// holds mu.
-func (t *Table) suspects(c Crash) []string {
-	return slices.DeleteFunc(c.all(), func(s string) bool { return t.survivals.last(s).After(c.At) })
-}
-
-// hasSuspect reports whether a crash is not refuted. The caller holds mu.
-func (t *Table) hasSuspect(c Crash) bool {
-	possible := func(s string) bool { return s != "" && !t.survivals.last(s).After(c.At) }
-	return possible(c.Request) || possible(c.Session) || slices.ContainsFunc(c.Parts, possible)
-}
-
-// suspected reports whether a suspect may have caused a known crash. The caller holds mu.
-func (t *Table) suspected(suspect string) bool {
-	newest, ok := t.crashes.newest(suspect)
-	return ok && !t.survivals.last(suspect).After(newest)
-}
--- a/internal/router/gossip/contact.go
+++ b/internal/router/gossip/contact.go
@@ -5,6 +5,27 @@
 	"time"
 )
 
+// Add adds a peer, unless it is this router, or completes what is known of one that has
+// sent no message yet. Peers relay heartbeats by name, so a named peer counts as live
+// without a call to it.
+func (g *Gossip) Add(h Host) {
+	if h.Address == "" || h.Address == g.cfg.Self.Address {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.peers[h.Address]
+	if p == nil {
+		p = &peer{address: h.Address, addedAt: time.Now()}
+		g.peers[h.Address] = p
+		g.peersChanged.Store(true)
+	}
+	if p.host.Name == "" && h.Name != "" {
+		p.host = h
+		g.peersChanged.Store(true)
+	}
+}
+
 // contactSilentPeers makes exchange calls to peers without a recent heartbeat:
 // datagrams reach only peers whose datagram address is known.
 func (g *Gossip) contactSilentPeers(ctx context.Context, now time.Time) {
--- a/internal/router/relay/overlap_test.go
+++ b/internal/router/relay/overlap_test.go
@@ -132,7 +132,8 @@
 			}
 			before := h.loads()
 			req := h.newRequest(0)
-			req.Deadline, req.AnswerMargin = time.Now().Add(time.Duration(3+r.IntN(12))*time.Second), 20*time.Millisecond
+			req.Deadline = time.Now().Add(time.Duration(3+r.IntN(12)) * time.Second)
+			req.AnswerDeadline = req.Deadline.Add(-20 * time.Millisecond)
 			res, cut := httptest.NewRecorder(), false
 			func() {
 				defer func() { cut = recover() != nil }()
--- a/internal/router/relay/silence_test.go
+++ b/internal/router/relay/silence_test.go
@@ -108,7 +108,8 @@
 		h := newHarness(t)
 		h.setFirstEngine(engineFaults{pause: time.Minute})
 		req := h.newRequest(0)
-		req.Deadline, req.AnswerMargin = time.Now().Add(1500*time.Millisecond), 20*time.Millisecond
+		req.Deadline = time.Now().Add(1500 * time.Millisecond)
+		req.AnswerDeadline = req.Deadline.Add(-20 * time.Millisecond)
 		h.budget.exhaustedUntil = time.Now().Add(time.Minute)
 		req.PromptTokens, req.MaxOutputTokens = 10, 6
 		start := time.Now()
@@ -123,7 +124,8 @@
 		h := newHarness(t)
 		h.engines.eventCount = 50
 		req := h.newRequest(0)
-		req.Deadline, req.AnswerMargin = time.Now().Add(50*20*time.Millisecond+time.Millisecond), 20*time.Millisecond
+		req.Deadline = time.Now().Add(50*20*time.Millisecond + time.Millisecond)
+		req.AnswerDeadline = req.Deadline.Add(-20 * time.Millisecond)
 		req.PromptTokens, req.MaxOutputTokens = 10, 6
 		res, cut := h.serve(req)
 		h.Expect(cut).To(BeFalse())
