relay: a test's engines change their faults under their lock

TestAStreamThatLostOneEngineGoesOnAtTheLastOneAtOnce replaced the faults while the check of a failure domain read them: the race detector ended 1 of 3 runs of the package, and one before whose output was not kept. What the test expects is unchanged.

--- a/internal/router/relay/quarantine_test.go
+++ b/internal/router/relay/quarantine_test.go
@@ -116,7 +116,7 @@
 		h.setServers(map[string]bool{"i-2": true})
 		h.engines.deadlySession = "another" // engines that break off are gone
 		for _, id := range []string{"i-0", "i-1"} {
-			h.engines.faults = map[string]engineFaults{id: {breakAfter: 3}}
+			h.engines.setFaults(map[string]engineFaults{id: {breakAfter: 3}})
 			startedAt := time.Now()
 			res, cut := h.serve(h.newRequestOf("own-"+id, "system", "doc"))
 			h.Expect(cut).To(BeFalse())
