edge, gossip: callers of a fleet that starts as a whole are not refused for 400 ms

Cause: a router that starts waits for a peer that knows the fleet's blocks. And requests in that time were refused, though the configuration was there after 2 to 10 ms.

The bound is 100 ms now, and 30 ms once two peers have said that they do not know either. Requests of that time wait instead of being refused; readiness still says no.

--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -33,7 +33,7 @@
 // handleReadiness returns 200 while this router serves: it has a configuration and a
 // server list and is not stopping.
 func (e *Edge) handleReadiness(w http.ResponseWriter, _ *http.Request) {
-	if e.Stopping() || e.callersTable() == nil || !e.serversLoaded.Load() {
+	if e.Stopping() || !e.joined() || e.routeTable.Load() == nil || !e.serversLoaded.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/router/edge/join_test.go
+++ b/internal/router/edge/join_test.go
@@ -26,10 +26,10 @@
 			e.handleReadiness(res, nil)
 			return res.Code
 		}
-		g.Expect(e.callersTable()).To(BeNil())
+		start := time.Now()
 		g.Expect(ready()).To(Equal(http.StatusServiceUnavailable))
-		time.Sleep(time.Second) // no peer answers
-		g.Expect(e.callersTable()).NotTo(BeNil())
+		g.Expect(e.callersTable()).NotTo(BeNil(), "a request waits")
+		g.Expect(time.Since(start)).To(Equal(100*time.Millisecond), "no peer answers")
 		g.Expect(ready()).To(Equal(http.StatusOK))
 	})
 }
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -37,14 +37,21 @@
 	e.gossip.Trigger()
 }
 
-// callersTable returns the routes of callers' requests, nil until this router may serve them.
+// joinCheckInterval is short beside the time in which a router joins the fleet.
+const joinCheckInterval = 2 * time.Millisecond
+
+// callersTable returns the routes of callers' requests, nil without a configuration. The
+// requests of a router's first moments wait until it has joined the fleet.
 func (e *Edge) callersTable() *routes.Table {
-	if e.cfg.PeerAddress != "" && !e.gossip.Joined(time.Now()) {
-		return nil
+	for !e.joined() {
+		time.Sleep(joinCheckInterval)
 	}
 	return e.routeTable.Load()
 }
 
+// joined reports whether this router may serve callers.
+func (e *Edge) joined() bool { return e.cfg.PeerAddress == "" || e.gossip.Joined(time.Now()) }
+
 // ConfigVersion returns the version of the configuration in effect, 0 if there is none.
 func (e *Edge) ConfigVersion() int64 {
 	if t := e.routeTable.Load(); t != nil {
--- a/internal/router/gossip/crashes_test.go
+++ b/internal/router/gossip/crashes_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/router/control"
 )
 
 // promptOf returns a request of a session whose prompt has the given shared parts.
@@ -76,3 +78,27 @@
 		})
 	}
 }
+
+func TestRoutersThatAllStartAtOnceDoNotWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		net := &network{servers: map[string]*control.Server{}, receive: map[string]func([]byte){}, unreachable: map[string]bool{}, seeds: []string{"call-0", "call-1", "call-2"}}
+		ctx, stop := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer stop()
+		var all []*router
+		for i := range 8 {
+			all = append(all, net.start(i, 8))
+		}
+		for _, r := range all {
+			go func() { _ = r.gossip.Run(ctx) }()
+		}
+		start := time.Now()
+		for _, r := range all {
+			for !r.gossip.Joined(time.Now()) {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		g.Expect(time.Since(start)).To(BeNumerically("<=", 60*time.Millisecond))
+	})
+}
--- a/internal/router/gossip/fixture_test.go
+++ b/internal/router/gossip/fixture_test.go
@@ -35,6 +35,7 @@
 	unreachable map[string]bool
 	slowMethod  string // takes 1.5 s
 	contactTime time.Duration
+	seeds       []string // call-0 if empty
 	inboxes     map[string]chan struct{}
 }
 
@@ -204,13 +205,17 @@
 func (net *network) start(i, routers int) *router {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	seeds := net.seeds
+	if len(seeds) == 0 {
+		seeds = []string{"call-0"}
+	}
 	r := &router{servers: registry.New(), role: storereader.Idle}
 	r.limits = ratelimit.New(decision.Config{Self: fmt.Sprintf("router-%d", i), Peers: r.peerNames, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
 	r.quarantine = quarantine.New(net.contactTime, func() { r.gossip.Trigger() }, log.WithField("part", "quarantine"))
 	r.servers.Set(storehistory.Position{Revision: 1}, []server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
 	self := gossip.Host{Name: fmt.Sprintf("router-%d", i), Address: fmt.Sprintf("call-%d", i), DatagramAddress: fmt.Sprintf("notice-%d", i)}
 	r.gossip = gossip.New(gossip.Config{
-		Self: self, Seeds: []string{"call-0"}, Caller: net, Datagrams: sender{net, r}, State: r, Servers: r.servers, Sessions: sessions.NewTable(), RetryBudget: retrybudget.New(retrybudget.Config{Window: time.Second, Routers: func() int { return routers }}, time.Now()),
+		Self: self, Seeds: seeds, Caller: net, Datagrams: sender{net, r}, State: r, Servers: r.servers, Sessions: sessions.NewTable(), RetryBudget: retrybudget.New(retrybudget.Config{Window: time.Second, Routers: func() int { return routers }}, time.Now()),
 		Quarantine:         r.quarantine,
 		Limits:             r.limits,
 		EngineUnresponsive: func(e *registry.Entry) { r.mu.Lock(); r.unresponsive = append(r.unresponsive, e.ID); r.mu.Unlock() },
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -48,6 +48,9 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer // by address
+	// uninformed are the addresses of peers that said in this router's first moments that
+	// they do not know what the fleet knew.
+	uninformed map[string]bool
 
 	trackedPosition storehistory.Position // of this router's server list that laggingSince applies to
 	laggingSince    time.Time             // when a peer was first seen with a newer list; zero if none
--- a/internal/router/gossip/receive.go
+++ b/internal/router/gossip/receive.go
@@ -16,6 +16,7 @@
 		g.Add(h)
 	}
 	g.updatePeer(m, now)
+	g.recordUninformed(m, now)
 	g.cfg.RetryBudget.MergePeerCounts(m.Attempts, now)
 	if len(m.Crashes)+len(m.Survived)+len(m.Blocked) > 0 && g.cfg.Quarantine.Merge(decodeCrashes(m, now), m.Host.Name, now) {
 		g.Trigger()
