quarantine: a session that survived where its crashes were heard of late is announced

Cause: a router that hears of a crash in a session which has survived there since told peers only if the crash named the suspect as a request or a shared part, and it does not keep such crashes, so that it never counts two.

Evidence: TestARequestThatSurvivesElsewhereBetweenCrashesIsNotBlocked, the new case of a session, failed before: the router that saw the crashes blocked it after the third.

Sessions are announced too now, with a smaller share of the news, since most do not come again.

--- a/internal/decision/quarantine/evidence.go
+++ b/internal/decision/quarantine/evidence.go
@@ -14,7 +14,11 @@
 	c.Suspects = c.Suspects.bounded()
 	for _, s := range c.all() {
 		if t.survivals.last(s).After(c.At) {
-			t.announce(s, s == c.Request || !c.owns(s), now)
+			limit := maxSurvived / 2
+			if s == c.Session {
+				limit = maxSurvived / 4 // most sessions don't come again
+			}
+			t.announce(s, limit, now)
 		}
 	}
 	if !t.hasSuspect(c) {
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -141,7 +141,11 @@
 	if !t.survivals.record(suspect, at) || !suspected {
 		return false
 	}
-	t.announce(suspect, repeated || t.crashes.shared(suspect), now)
+	limit := 0
+	if repeated || t.crashes.shared(suspect) {
+		limit = maxSurvived / 2
+	}
+	t.announce(suspect, limit, now)
 	return true
 }
 
@@ -237,12 +241,10 @@
 
 // announce makes the survival of a suspect news for peers. In a single crash it matters less,
 // and only if the suspect comes again: peers add up crashes between which it survived here.
-// The caller holds mu.
-func (t *Table) announce(suspect string, comesAgain bool, now time.Time) {
-	switch {
-	case t.crashes.count(suspect) >= minSessions:
-		t.survivals.announce(suspect, maxSurvived, now)
-	case comesAgain:
-		t.survivals.announce(suspect, maxSurvived/2, now)
+// It is news then if there is less other news than the limit. The caller holds mu.
+func (t *Table) announce(suspect string, limit int, now time.Time) {
+	if t.crashes.count(suspect) >= minSessions {
+		limit = maxSurvived
 	}
+	t.survivals.announce(suspect, limit, now)
 }
--- a/internal/decision/quarantine/survivals_test.go
+++ b/internal/decision/quarantine/survivals_test.go
@@ -24,6 +24,7 @@
 		{"a call, every minute", call, true, time.Minute},
 		{"a call, crashes seen elsewhere", call, false, 10 * time.Second},
 		{"a session", prompt("system", "s1"), true, 20 * time.Second},
+		{"a session, crashes seen elsewhere and heard of after it survived", prompt("system", "s1"), false, 20 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -50,6 +51,9 @@
 				now = now.Add(100 * time.Millisecond)
 				crashAt := now
 				tables[observer].RecordCrash(quarantine.Crash{Suspects: c.suspects, Server: fmt.Sprintf("e%d", i), At: now}, now)
+				if !c.seenByOne && c.suspects.Session != "" {
+					tables[0].RecordSurvival(c.suspects, now.Add(time.Millisecond))
+				}
 				exchange(false)
 				for round := 0; now.Before(crashAt.Add(c.gap)); round++ {
 					now = now.Add(200 * time.Millisecond)
