forward: a call under which a server crashed is not left at a mute one

Cause: a call under which a server crashed is at one server at a time, since it may crash each, and the hedge's timer fires once. So nothing ended the wait for the server that was left. With two attempts, as all sites' lookups have, the crashed server also took one of them.

What changed: after a crash the timer is armed again. The call goes on to another server once the newest attempt has been silent for as long as the crashed one lasted, plus the delay of a hedge. It goes on only while one server has crashed. Only then the crashed one, whose address refuses connections, is not counted against the route's attempts; the users' rule does not count it either. So a call takes at most one server more than its attempts, from the retry budget, and each attempt is still refused by a block and for the last usable server. Calls that are not idempotent are unchanged.

Evidence: TestACallUnderWhichAServerCrashedIsNotLeftAtAMuteServer failed before in its four cases (504; crash before and after the hedge, two and three attempts), TestACallUnderWhichAServerCrashedIsSentToOneServerBeyondItsAttempts too (two servers, not three). TestACallThatCrashesServersSlowlyIsNotSentToTheLastOne held before and must go on to; with the delay of a hedge alone it fails (mutant leave-a-silent-server-early), without the bound of one crash the second test does (leave-silent-servers-again).

--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -79,12 +79,14 @@
 
 // runIdempotent sends a request until a server answers without an error. If the first
 // answer takes long, the request is hedged at a second server. Once a server has crashed, it
-// is at one server at a time: it may crash each.
+// is at one server at a time, as it may crash each, and goes on to another one only if those
+// that have it stay silent for longer than the first crash took.
 func (c *call) runIdempotent(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan result, c.req.Route.MaxAttempts+maxRefusals)
 	inFlight := 0
+	var newestAt time.Time // when the newest attempt was started
 	start := func(retry bool) bool {
 		if retry && !c.spendRetry() {
 			return false
@@ -95,14 +97,17 @@
 		}
 		c.excluded[e.Key()] = true
 		inFlight++
+		newestAt = time.Now()
 		go func(e *registry.Entry) { results <- c.f.runAttempt(ctx, c.req, e, retry) }(e)
 		return true
 	}
 	if !start(false) {
 		return
 	}
-	hedge := time.NewTimer(time.Duration(hedgeDelayFactor * float64(c.req.Route.LatencyTarget)))
+	hedgeDelay := time.Duration(hedgeDelayFactor * float64(c.req.Route.LatencyTarget))
+	hedge := time.NewTimer(hedgeDelay)
 	defer hedge.Stop()
+	var maxSilence time.Duration // of a server that the request may crash
 	for inFlight > 0 {
 		select {
 		case r := <-results:
@@ -115,8 +120,15 @@
 			if !mayCrash && c.refusals < maxRefusals && c.executed+inFlight < c.req.Route.MaxAttempts {
 				start(c.delivered+inFlight > 0)
 			}
+			if r.crashed {
+				maxSilence = hedgeDelay + time.Since(r.startedAt)
+			}
+			if c.crashes > 0 && inFlight > 0 {
+				hedge.Reset(time.Until(newestAt.Add(maxSilence)))
+			}
 		case <-hedge.C:
-			if c.crashes == 0 && c.executed+inFlight < c.req.Route.MaxAttempts {
+			// A server that crashed does not count if another one is silent.
+			if c.crashes <= 1 && c.executed-c.crashes+inFlight < c.req.Route.MaxAttempts {
 				start(true)
 			}
 		case <-ctx.Done():
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -85,6 +85,7 @@
 // result is the result of one attempt.
 type result struct {
 	server      *registry.Entry
+	startedAt   time.Time
 	retry       bool // within the retry budget
 	status      int
 	header      http.Header
@@ -185,7 +186,7 @@
 	load := e.Load.State(startedAt)
 	e.Load.BeginRequest()
 	r := f.exchange(ctx, req, e)
-	r.retry = retry
+	r.startedAt, r.retry = startedAt, retry
 	latency := time.Since(startedAt)
 	if r.err != nil && ctx.Err() == nil && errors.Is(r.err, server.ErrNotSent) {
 		f.recordUnreachable(e, errors.Is(r.err, server.ErrConnectTimeout))
