caller: a lookup under which a server crashed is not left at a mute one

After a crash the call is at one server at a time, and the hedge's timer fires once.

What changed: the timer is armed again after a crash, for as long as the crashed server lasted plus HedgeAfter, counted from the newest attempt. The call goes on only while one server has crashed, within the share of hedges, and each attempt is still refused by a block and for the last usable server. Bookings are unchanged.

Evidence: TestALookupUnderWhichAServerCrashedIsNotLeftAtAMuteServer failed before in both cases (502 after 5.0 s, its deadline). TestALookupThatCrashesServersSlowlyIsNotSentToTheLastOne held before and must go on to; with HedgeAfter alone it fails (mutant leave-silent-lookups-early). Tests of caller/service five times with the race detector.

--- a/internal/caller/service/idempotent.go
+++ b/internal/caller/service/idempotent.go
@@ -50,13 +50,16 @@
 }
 
 type attemptResult struct {
-	answer  *backend.Answer
-	err     error
-	crashed bool // the server is gone
+	answer    *backend.Answer
+	startedAt time.Time
+	err       error
+	crashed   bool // the server is gone
 }
 
 // serveIdempotent sends a call and, within the budgets, sends it to further servers
-// when one is slow or fails. The first answer wins.
+// when one is slow or fails. The first answer wins. Once a server has crashed, the call is at
+// one server at a time, as it may crash each, and goes on to another one only if those that
+// have it stay silent for longer than the first crash took.
 func (h *Handler) serveIdempotent(ctx context.Context, w http.ResponseWriter, view *document.View, o *document.Organisation, s *document.Service, call backend.Call) {
 	suspect := suspectOf(o.Name, s, call)
 	if until, refused := h.refuses(suspect, s); refused {
@@ -69,15 +72,15 @@
 	candidates := h.servers.order(s, h.isLeaving)
 	results := make(chan attemptResult, len(candidates))
 	running, next := 0, 0
-	mayHaveRun, crashed := false, false
-	// A call under which a server crashed is at one server at a time.
+	mayHaveRun, crashes := false, 0
 	mayStart := func() bool {
-		if ctx.Err() != nil || next >= len(candidates) || crashed && running > 0 {
+		if ctx.Err() != nil || next >= len(candidates) {
 			return false
 		}
 		_, refused := h.refuses(suspect, s)
 		return !refused
 	}
+	var newestAt time.Time // when the newest attempt was started
 	startNext := func() {
 		if next >= len(candidates) {
 			return
@@ -85,10 +88,12 @@
 		go h.sendTo(ctx, candidates[next], call, suspect, results)
 		next++
 		running++
+		newestAt = time.Now()
 	}
 	startNext()
 	hedgeTimer := time.NewTimer(view.Policy.HedgeAfter)
 	defer hedgeTimer.Stop()
+	var maxSilence time.Duration // of a server that the call may crash
 	for running > 0 {
 		select {
 		case r := <-results:
@@ -98,13 +103,19 @@
 				return
 			}
 			mayHaveRun = mayHaveRun || !isNotSent(r.err)
-			crashed = crashed || r.crashed
-			if mayStart() && b.withdraw(&b.retries) {
+			if r.crashed {
+				crashes++
+				maxSilence = view.Policy.HedgeAfter + time.Since(r.startedAt)
+			}
+			if (crashes == 0 || running == 0) && mayStart() && b.withdraw(&b.retries) {
 				retriesTotal.Inc()
 				startNext()
 			}
+			if crashes > 0 && running > 0 {
+				hedgeTimer.Reset(time.Until(newestAt.Add(maxSilence)))
+			}
 		case <-hedgeTimer.C:
-			if mayStart() && b.withdraw(&b.hedges) {
+			if crashes <= 1 && mayStart() && b.withdraw(&b.hedges) {
 				hedgesTotal.Inc()
 				startNext()
 			}
@@ -124,6 +135,7 @@
 }
 
 func (h *Handler) sendTo(ctx context.Context, to server, call backend.Call, suspect *routed.Request, results chan<- attemptResult) {
+	startedAt := time.Now()
 	done := h.servers.beginCall(to.name)
 	answer, err := h.client.Do(ctx, to.address, call)
 	crashed := false
@@ -133,7 +145,7 @@
 		done(err)
 		crashed = h.observe(ctx, suspect, to, err)
 	}
-	results <- attemptResult{answer, err, crashed}
+	results <- attemptResult{answer, startedAt, err, crashed}
 }
 
 func writeAnswer(w http.ResponseWriter, a *backend.Answer) {
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -80,6 +80,7 @@
 mutant crash-without-a-check internal/router/forward/forward.go 'err != nil || listens' 'err != nil || listens && false' "./internal/router/forward -run LostConnections"
 mutant leave-a-silent-server-early internal/router/forward/call.go 'hedgeDelay + time.Since(r.startedAt)' 'hedgeDelay' "./internal/router/forward -run CrashesServersSlowly"
 mutant leave-silent-servers-again internal/router/forward/call.go 'c.crashes <= 1' 'true' "./internal/router/forward -run OneServerBeyond"
+mutant leave-silent-lookups-early internal/caller/service/idempotent.go 'view.Policy.HedgeAfter + time.Since(r.startedAt)' 'view.Policy.HedgeAfter' "./internal/caller/service -run CrashesServersSlowly"
 mutant limit-for-each-router $d/ratelimit/ratelimit.go 'limit/float64(n)*min' 'limit*min' "./$d/ratelimit -run Fleet"
 mutant limit-for-ever $d/ratelimit/ratelimit.go 'e.Lifted || !sentAt.After(e.At)' 'true' "./$d/ratelimit -run LimitEnds"
 mutant leaving-not-heard internal/router/ratelimit/ratelimit.go 'if a.Leaving &&' 'if false &&' "./internal/router/forward -run SaysItLeaves"
