--- a/internal/router/configure/restored_test.go
+++ b/internal/router/configure/restored_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,6 +32,7 @@
 	store    *standin.Server
 	operator *kv.Client
 	address  string
+	watches  sync.RWMutex               // locked to hold the watches that arrive
 	peers    map[string]*control.Server // by peer address
 	watching context.Context            // of the routers' watches of the store
 	clients  []*kv.Client               // of the routers
@@ -37,13 +40,24 @@
 
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{g: NewWithT(t), store: standin.New(standin.Config{}), peers: make(map[string]*control.Server), watching: t.Context()}
-	server := httptest.NewServer(f.store.Handler())
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/kv-watch") {
+			f.awaitRelease()
+		}
+		f.store.Handler().ServeHTTP(w, r)
+	}))
 	t.Cleanup(server.Close)
 	f.address = strings.TrimPrefix(server.URL, "http://")
 	f.operator = f.client()
 	return f
 }
 
+// awaitRelease waits while arriving watches are held.
+func (f *fleet) awaitRelease() {
+	f.watches.RLock()
+	defer f.watches.RUnlock()
+}
+
 func (f *fleet) client() *kv.Client {
 	return kv.New(kv.Config{Address: f.address, Timeout: time.Second})
 }
@@ -123,6 +137,19 @@
 	f.g.Expect(invariant.Violations()).To(Equal(violations))
 }
 
+func TestADocumentAppliedAtALostStoreRevisionBeforeTheRoutersWatchAgainIsInEffect(t *testing.T) {
+	f := newFleet(t)
+	routers := f.routers(t, 2)
+	f.expectInEffect(routers, f.apply("first"))
+	f.store.Copy()
+	f.expectInEffect(routers, f.apply("lost"))
+	f.watches.Lock()
+	f.store.Restore()
+	second := f.apply("second")
+	f.watches.Unlock()
+	f.expectInEffect(routers, second)
+}
+
 func TestAConfigurationInEffectThatTheStoreLostIsWrittenAgain(t *testing.T) {
 	for name, setup := range map[string]func(f *fleet){
 		"an older one is left": func(f *fleet) { f.apply("first"); f.store.Copy() },
