caller/http1: the callers' connections of the edge as a package

Moves what the edge does with the connections of its callers (phases, 408 and lingering at their end, the kernel's queue at the end of accepting, errors of accept, the loop of the drain) to internal/caller/http1, named for the protocol, so that the router of our own interface can use it. The edge behaves as before: the same bounds, log lines and metrics. Attach now sets the server's hooks, and marks a request as served right before observe, not within it.

The bound of TestAcceptingEndsWhileCallersKeepConnecting is QuietTime/2 instead of refusalTime/2, both 250 ms.

--- a/internal/router/edge/connections.go
+++ b/internal/caller/http1/conns.go
@@ -1,4 +1,6 @@
-package edge
+// Package http1 holds the HTTP/1.1 connections of callers, so that a router that stops ends
+// them without losing a request.
+package http1
 
 import (
 	"context"
@@ -19,19 +21,20 @@
 // the first byte of the next request before it reports the connection as idle.
 const minIdle = 200 * time.Millisecond
 
-// connPhase is what happens on a caller's connection.
-type connPhase string
+// Phase is what happens on a caller's connection.
+type Phase string
 
 const (
-	connIdle    connPhase = "Idle"    // no byte of a request was read since the last answer
-	connReading connPhase = "Reading" // a request is being read
-	connServing connPhase = "Serving" // a request is being served, or its answer written
+	Idle    Phase = "Idle"    // no byte of a request was read since the last answer
+	Reading Phase = "Reading" // a request is being read
+	Serving Phase = "Serving" // a request is being served, or its answer written
 )
 
-// connections are the connections of callers. net/http counts one as active only after it
+// Conns are the connections of callers. net/http counts one as active only after it
 // has read a request's header; here it is in use from the request's first byte on.
-type connections struct {
-	log *logrus.Entry
+type Conns struct {
+	headerTimeout time.Duration // in which a request's header must arrive
+	log           *logrus.Entry
 
 	mu        sync.Mutex
 	listener  net.Listener
@@ -41,17 +44,19 @@
 	usedAt    time.Time // when a connection last began or ended to be in use
 }
 
-func newConnections(log *logrus.Entry) *connections {
-	return &connections{log: log, open: make(map[*callerConn]bool)}
+// New returns the connections of a server with a timeout for the headers of requests.
+func New(headerTimeout time.Duration, log *logrus.Entry) *Conns {
+	return &Conns{headerTimeout: headerTimeout, log: log, open: make(map[*callerConn]bool)}
 }
 
 // callerConn is the connection of a caller.
 type callerConn struct {
 	net.Conn
-	log *logrus.Entry
+	headerTimeout time.Duration
+	log           *logrus.Entry
 
 	mu        sync.Mutex
-	phase     connPhase
+	phase     Phase
 	idleSince time.Time
 	ending    bool // while idle, by closeIdle
 	ended     bool // no request is read any more
@@ -72,7 +77,7 @@
 func (c *callerConn) end() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ended = c.ended || c.phase != connServing
+	c.ended = c.ended || c.phase != Serving
 	return c.ended
 }
 
@@ -90,10 +95,10 @@
 func (c *callerConn) beginReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == connIdle {
-		c.phase = connReading
+	if c.phase == Idle {
+		c.phase = Reading
 	}
-	c.goOn(time.Now().Add(headerTimeout))
+	c.goOn(time.Now().Add(c.headerTimeout))
 }
 
 // goOn replaces the read deadline of a connection that was about to end. The caller holds mu.
@@ -104,7 +109,7 @@
 	}
 }
 
-func (c *callerConn) setPhase(phase connPhase) {
+func (c *callerConn) setPhase(phase Phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.idleSince = phase, time.Now()
@@ -116,14 +121,14 @@
 func (c *callerConn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.phase != connIdle || now.Sub(c.idleSince) < minIdle {
+	if c.ended || c.phase != Idle || now.Sub(c.idleSince) < minIdle {
 		return
 	}
 	c.ending = true
 	_ = c.SetReadDeadline(time.Now())
 }
 
-func (c *callerConn) currentPhase() connPhase {
+func (c *callerConn) currentPhase() Phase {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.phase
@@ -131,21 +136,30 @@
 
 type connKey struct{}
 
-// withConn is the ConnContext of the callers' server.
-func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+// Attach makes a server with a handler record what happens on its connections, which come
+// from a listener of Listen.
+func (cs *Conns) Attach(s *http.Server) {
+	s.Handler = markServing(s.Handler)
+	s.DisableGeneralOptionsHandler = true // all requests are marked
+	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	s.ConnState = cs.stateChanged
 }
 
 // markServing records that the handler of a request has begun.
-func markServing(r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
-		c.setPhase(connServing)
-	}
+func markServing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+			c.setPhase(Serving)
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
-// resetOnClose makes the connection of a request end with a reset, so that an answer that
+// ResetOnClose makes the connection of a request end with a reset, so that an answer that
 // ends with its connection, as for HTTP/1.0, does not look complete.
-func resetOnClose(r *http.Request) {
+func ResetOnClose(r *http.Request) {
 	c, ok := r.Context().Value(connKey{}).(*callerConn)
 	if !ok || r.ProtoAtLeast(1, 1) {
 		return
@@ -155,8 +169,8 @@
 	}
 }
 
-// stateChanged is the ConnState hook of the callers' server.
-func (cs *connections) stateChanged(conn net.Conn, state http.ConnState) {
+// stateChanged is the ConnState hook of the server.
+func (cs *Conns) stateChanged(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
 	if !ok {
 		return
@@ -164,12 +178,12 @@
 	cs.used(c)
 	switch state {
 	case http.StateIdle:
-		c.setPhase(connIdle)
+		c.setPhase(Idle)
 	case http.StateClosed, http.StateHijacked:
 		cs.mu.Lock()
 		delete(cs.open, c)
 		cs.mu.Unlock()
-		if c.currentPhase() == connReading {
+		if c.currentPhase() == Reading {
 			endedWhileReadTotal.Inc()
 			cs.log.WithField("caller", c.RemoteAddr().String()).Info("connection ended while a request was read")
 		}
@@ -177,7 +191,7 @@
 }
 
 // used records that a connection begins or ends to be in use.
-func (cs *connections) used(c *callerConn) {
+func (cs *Conns) used(c *callerConn) {
 	c.mu.Lock()
 	ended := c.ended
 	c.mu.Unlock()
@@ -190,7 +204,7 @@
 }
 
 // quietFor returns how long no connection has been in use.
-func (cs *connections) quietFor(now time.Time) time.Duration {
+func (cs *Conns) quietFor(now time.Time) time.Duration {
 	if cs.inUse() {
 		return 0
 	}
@@ -200,13 +214,13 @@
 }
 
 // inUse reports whether a request is being read or served.
-func (cs *connections) inUse() bool {
-	left := cs.count()
-	return left[connReading]+left[connServing] > 0
+func (cs *Conns) inUse() bool {
+	left := cs.Count()
+	return left[Reading]+left[Serving] > 0
 }
 
 // closeIdle closes the idle connections.
-func (cs *connections) closeIdle(now time.Time) {
+func (cs *Conns) closeIdle(now time.Time) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	for c := range cs.open {
@@ -214,20 +228,11 @@
 	}
 }
 
-// endReading lets the reading of all requests fail.
-func (cs *connections) endReading() {
-	cs.mu.Lock()
-	defer cs.mu.Unlock()
-	for c := range cs.open {
-		_ = c.SetReadDeadline(time.Now())
-	}
-}
-
-// count returns the number of connections by phase.
-func (cs *connections) count() map[connPhase]int {
+// Count returns the number of connections by phase.
+func (cs *Conns) Count() map[Phase]int {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	n := make(map[connPhase]int)
+	n := make(map[Phase]int)
 	for c := range cs.open {
 		n[c.currentPhase()]++
 	}
--- /dev/null
+++ b/internal/caller/http1/drain.go
@@ -0,0 +1,63 @@
+package http1
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	drainCheckInterval = 20 * time.Millisecond
+	// QuietTime is above the time that a caller takes to connect again after an answer.
+	QuietTime = 500 * time.Millisecond
+)
+
+// Schedule holds the moments of a drain.
+type Schedule struct {
+	LameDuckEnd time.Time // until then, idle connections are left open
+	AcceptEnd   time.Time // from then on, no connections are accepted
+	End         time.Time // of the drain, with connections left or not
+}
+
+// Drain waits until the connections have ended, for which answers must tell callers to close
+// them. After the lame duck, idle connections are closed, and once none was in use for
+// QuietTime, or at the end of accepting, new ones are not accepted.
+func (cs *Conns) Drain(s Schedule, log *logrus.Entry) {
+	accepting := true
+	ticker := time.NewTicker(drainCheckInterval)
+	defer ticker.Stop()
+	for now := range ticker.C {
+		if !now.Before(s.End) {
+			return
+		}
+		if now.Before(s.LameDuckEnd) {
+			continue
+		}
+		cs.closeIdle(now)
+		left := cs.Count()
+		if accepting && (cs.quietFor(now) > QuietTime || now.After(s.AcceptEnd)) {
+			cs.stopAccepting()
+			accepting = false
+			log.WithField("idle", left[Idle]).Info("router accepts no more connections")
+		} else if !accepting && cs.ended() {
+			return
+		}
+	}
+}
+
+// EndReading lets the reading of all requests fail, and waits until no connection is in use,
+// at most until a deadline.
+func (cs *Conns) EndReading(deadline time.Time) {
+	cs.failReads()
+	for cs.inUse() && time.Now().Before(deadline) {
+		time.Sleep(drainCheckInterval)
+	}
+}
+
+func (cs *Conns) failReads() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	for c := range cs.open {
+		_ = c.SetReadDeadline(time.Now())
+	}
+}
--- a/internal/router/edge/ending_test.go
+++ b/internal/caller/http1/ending_test.go
@@ -1,4 +1,4 @@
-package edge
+package http1
 
 import (
 	"bufio"
@@ -14,8 +14,8 @@
 
 func TestConnectionsOfCallersWhoNeverCloseThemEnd(t *testing.T) {
 	g := NewWithT(t)
-	e, _ := newCallerSide(func(http.ResponseWriter, *http.Request) {})
-	address := e.listen(g, t)
+	s := newTestServer(func(http.ResponseWriter, *http.Request) {})
+	address := s.listen(g, t)
 	const callers = 200
 	for i := range callers {
 		conn, err := net.Dial("tcp", address)
@@ -25,10 +25,10 @@
 			_, _ = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 		}
 	}
-	g.Eventually(e.callerConns.count).Should(Equal(map[connPhase]int{connIdle: callers}))
-	g.Eventually(func() map[connPhase]int {
-		e.callerConns.closeIdle(time.Now())
-		return e.callerConns.count()
+	g.Eventually(s.conns.Count).Should(Equal(map[Phase]int{Idle: callers}))
+	g.Eventually(func() map[Phase]int {
+		s.conns.closeIdle(time.Now())
+		return s.conns.Count()
 	}, minIdle+2*lingerTime).Should(BeEmpty())
 }
 
@@ -42,13 +42,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			e, _ := newCallerSide(func(w http.ResponseWriter, r *http.Request) {
+			s := newTestServer(func(w http.ResponseWriter, r *http.Request) {
 				time.Sleep(minIdle + 100*time.Millisecond)
 				if r.URL.Path != "/early" {
 					_, _ = io.Copy(w, r.Body)
 				}
 			})
-			conn, err := net.Dial("tcp", e.listen(g, t))
+			conn, err := net.Dial("tcp", s.listen(g, t))
 			g.Expect(err).NotTo(HaveOccurred())
 			defer conn.Close()
 			stop := make(chan bool)
@@ -59,7 +59,7 @@
 					case <-stop:
 						return
 					case <-time.After(time.Millisecond):
-						e.callerConns.closeIdle(time.Now())
+						s.conns.closeIdle(time.Now())
 					}
 				}
 			}()
--- a/internal/router/edge/linger.go
+++ b/internal/caller/http1/linger.go
@@ -1,4 +1,4 @@
-package edge
+package http1
 
 import (
 	"io"
--- a/internal/router/edge/linger_test.go
+++ b/internal/caller/http1/linger_test.go
@@ -1,4 +1,4 @@
-package edge
+package http1
 
 import (
 	"bufio"
@@ -13,12 +13,12 @@
 )
 
 // endIdle closes the idle connection of a test and waits until it lingers.
-func (e *Edge) endIdle(g *WithT) {
+func (s *testServer) endIdle(g *WithT) {
 	g.Eventually(func() bool {
-		e.callerConns.closeIdle(time.Now().Add(minIdle))
-		e.callerConns.mu.Lock()
-		defer e.callerConns.mu.Unlock()
-		for c := range e.callerConns.open {
+		s.conns.closeIdle(time.Now().Add(minIdle))
+		s.conns.mu.Lock()
+		defer s.conns.mu.Unlock()
+		for c := range s.conns.open {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			return c.ended
@@ -33,8 +33,8 @@
 			t.Parallel()
 			g := NewWithT(t)
 			served := make(chan bool, 2)
-			e, hook := newCallerSide(func(http.ResponseWriter, *http.Request) { served <- true })
-			conn, err := net.Dial("tcp", e.listen(g, t))
+			s := newTestServer(func(http.ResponseWriter, *http.Request) { served <- true })
+			conn, err := net.Dial("tcp", s.listen(g, t))
 			g.Expect(err).NotTo(HaveOccurred())
 			defer conn.Close()
 			answers := bufio.NewReader(conn)
@@ -45,11 +45,11 @@
 				g.Expect(err).NotTo(HaveOccurred())
 				<-served
 			}
-			g.Eventually(e.callerConns.count).Should(Equal(map[connPhase]int{connIdle: 1}))
-			e.endIdle(g)
+			g.Eventually(s.conns.Count).Should(Equal(map[Phase]int{Idle: 1}))
+			s.endIdle(g)
 			_, err = fmt.Fprint(conn, request)
 			g.Expect(err).NotTo(HaveOccurred())
-			g.Eventually(func() int { return len(logged(hook, "request crossed the end of its connection")) }, lingerTime*2).Should(Equal(1))
+			g.Eventually(func() int { return len(s.logged("request crossed the end of its connection")) }, lingerTime*2).Should(Equal(1))
 			res, err := http.ReadResponse(answers, nil)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
@@ -64,9 +64,9 @@
 func TestARequestWhoseHeaderStallsIsRefused(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	e, _ := newCallerSide(func(http.ResponseWriter, *http.Request) {})
-	e.callerServer.ReadHeaderTimeout = 50 * time.Millisecond
-	conn, err := net.Dial("tcp", e.listen(g, t))
+	s := newTestServer(func(http.ResponseWriter, *http.Request) {})
+	s.server.ReadHeaderTimeout = 50 * time.Millisecond
+	conn, err := net.Dial("tcp", s.listen(g, t))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer conn.Close()
 	_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost:")
@@ -79,8 +79,8 @@
 func TestACallerWhoAsksForTheOptionsOfTheServerKeepsItsConnection(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	e, _ := newCallerSide(func(http.ResponseWriter, *http.Request) {})
-	conn, err := net.Dial("tcp", e.listen(g, t))
+	s := newTestServer(func(http.ResponseWriter, *http.Request) {})
+	conn, err := net.Dial("tcp", s.listen(g, t))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer conn.Close()
 	answers := bufio.NewReader(conn)
--- a/internal/router/edge/listener.go
+++ b/internal/caller/http1/listener.go
@@ -1,7 +1,8 @@
-package edge
+package http1
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -18,7 +19,7 @@
 // callerListener accepts the connections of callers.
 type callerListener struct {
 	net.Listener
-	conns *connections
+	conns *Conns
 }
 
 // Accept returns http.ErrServerClosed once no more connections are accepted. net/http must
@@ -54,16 +55,16 @@
 	SetDeadline(t time.Time) error
 }
 
-// listen makes a listener's connections the callers'.
-func (cs *connections) listen(ln net.Listener) net.Listener {
+// Listen makes a listener's connections the callers'.
+func (cs *Conns) Listen(ln net.Listener) net.Listener {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.listener, cs.accepts = ln, true
 	return callerListener{ln, cs}
 }
 
-func (cs *connections) add(conn net.Conn) *callerConn {
-	c := &callerConn{Conn: conn, log: cs.log, phase: connIdle, idleSince: time.Now()}
+func (cs *Conns) add(conn net.Conn) *callerConn {
+	c := &callerConn{Conn: conn, headerTimeout: cs.headerTimeout, log: cs.log, phase: Idle, idleSince: time.Now()}
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.open[c] = true
@@ -72,7 +73,7 @@
 
 // stopAccepting ends the listener after the connections that the kernel has accepted, which
 // closing it would reset.
-func (cs *connections) stopAccepting() {
+func (cs *Conns) stopAccepting() {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.stoppedAt = time.Now()
@@ -83,33 +84,41 @@
 	}
 }
 
-func (cs *connections) close(ln net.Listener) {
+func (cs *Conns) close(ln net.Listener) {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.accepts = false
 	_ = ln.Close()
 }
 
-func (cs *connections) isStopped() bool {
+func (cs *Conns) isStopped() bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	return !cs.stoppedAt.IsZero()
 }
 
 // queueEnd returns until when connections of the kernel's queue are accepted.
-func (cs *connections) queueEnd() time.Time {
+func (cs *Conns) queueEnd() time.Time {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	return cs.stoppedAt.Add(queueTime)
 }
 
 // ended reports whether all connections have ended and no more are accepted.
-func (cs *connections) ended() bool {
+func (cs *Conns) ended() bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	return !cs.accepts && len(cs.open) == 0
 }
 
+// Serve serves until the listener is closed, which it does not report as an error.
+func Serve(s *http.Server, ln net.Listener) error {
+	if err := s.Serve(persistentListener{ln}); err != http.ErrServerClosed {
+		return fmt.Errorf("serve %s: %w", ln.Addr(), err)
+	}
+	return nil
+}
+
 // persistentListener accepts connections until it is closed. Linux reports pending errors
 // of the network and a lack of memory as errors of accept.
 type persistentListener struct{ net.Listener }
--- a/internal/router/edge/listener_test.go
+++ b/internal/caller/http1/listener_test.go
@@ -1,4 +1,4 @@
-package edge
+package http1
 
 import (
 	"bufio"
@@ -30,17 +30,17 @@
 
 func TestAFailureToAcceptAConnectionDoesNotEndTheRouter(t *testing.T) {
 	g := NewWithT(t)
-	e, _ := newCallerSide(func(http.ResponseWriter, *http.Request) {})
+	s := newTestServer(func(http.ResponseWriter, *http.Request) {})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	failing := &failingListener{Listener: ln}
 	failing.failures.Store(3)
 	ended := make(chan error, 1)
-	go func() { ended <- serve(e.callerServer, e.callerConns.listen(failing)) }()
+	go func() { ended <- Serve(s.server, s.conns.Listen(failing)) }()
 	res, err := http.Post("http://"+ln.Addr().String(), "text/plain", nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	_ = res.Body.Close()
-	e.callerConns.stopAccepting()
+	s.conns.stopAccepting()
 	g.Eventually(ended).Should(Receive(BeNil()))
 }
 
@@ -70,10 +70,10 @@
 
 func TestARequestThatIsReadWhileIdleConnectionsAreClosedIsServed(t *testing.T) {
 	g := NewWithT(t)
-	e, _ := newCallerSide(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	s := newTestServer(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	e.serveOn(hookListener{ln, func() { e.callerConns.closeIdle(time.Now().Add(minIdle)) }}, t)
+	s.serveOn(hookListener{ln, func() { s.conns.closeIdle(time.Now().Add(minIdle)) }}, t)
 	conn, err := net.Dial("tcp", ln.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
 	defer conn.Close()
@@ -88,7 +88,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(io.ReadAll(res.Body)).To(Equal([]byte("xy")))
 	}
-	e.endIdle(g)
+	s.endIdle(g)
 	res, err := http.ReadResponse(answers, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(res.StatusCode).To(Equal(http.StatusRequestTimeout))
@@ -109,11 +109,11 @@
 
 func TestAConnectionInTheKernelsQueueIsServedWhenAcceptingEnds(t *testing.T) {
 	g := NewWithT(t)
-	e, _ := newCallerSide(func(http.ResponseWriter, *http.Request) {})
+	s := newTestServer(func(http.ResponseWriter, *http.Request) {})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	gated := gatedListener{ln.(*net.TCPListener), make(chan bool)}
-	e.serveOn(gated, t)
+	s.serveOn(gated, t)
 	const callers = 3
 	results := make(chan error, callers)
 	for range callers {
@@ -126,7 +126,7 @@
 			results <- err
 		}()
 	}
-	e.callerConns.stopAccepting()
+	s.conns.stopAccepting()
 	close(gated.gate)
 	for range callers {
 		g.Expect(<-results).NotTo(HaveOccurred())
@@ -143,8 +143,8 @@
 func TestAcceptingEndsWhileCallersKeepConnecting(t *testing.T) {
 	t.Parallel()
 	g := NewWithT(t)
-	e, _ := newCallerSide(func(http.ResponseWriter, *http.Request) {})
-	address := e.listen(g, t)
+	s := newTestServer(func(http.ResponseWriter, *http.Request) {})
+	address := s.listen(g, t)
 	const callers = 8
 	for range callers {
 		go func() {
@@ -158,10 +158,10 @@
 		}()
 	}
 	time.Sleep(50 * time.Millisecond)
-	e.callerConns.stopAccepting()
+	s.conns.stopAccepting()
 	g.Eventually(func() bool {
-		e.callerConns.mu.Lock()
-		defer e.callerConns.mu.Unlock()
-		return e.callerConns.accepts
-	}, refusalTime/2, time.Millisecond).Should(BeFalse())
+		s.conns.mu.Lock()
+		defer s.conns.mu.Unlock()
+		return s.conns.accepts
+	}, QuietTime/2, time.Millisecond).Should(BeFalse())
 }
--- a/internal/router/edge/drain.go
+++ b/internal/router/edge/drain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/caller/http1"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/drain"
 )
@@ -17,12 +18,9 @@
 	// fails: two checks one second apart, and a margin.
 	lameDuck = 3 * time.Second
 	// killMargin is the time between the end of the drain and the platform's kill.
-	killMargin         = 300 * time.Millisecond
-	drainCheckInterval = 20 * time.Millisecond
+	killMargin = 300 * time.Millisecond
 	// refusalTime is enough to read and refuse a request of the last new connection.
 	refusalTime = 500 * time.Millisecond
-	// quietTime is above the time that a caller takes to connect again after an answer.
-	quietTime = 500 * time.Millisecond
 	// failureTime is enough to answer the requests that could not be completed.
 	failureTime = 150 * time.Millisecond
 )
@@ -56,44 +54,20 @@
 }
 
 // drain waits until the callers' connections have ended, at most until killMargin before the
-// end of the grace time. Answers tell callers to close their connections. After the lame
-// duck, idle connections are closed, and once none was in use for quietTime, or
-// refusalTime before the end, new ones are not accepted. Requests that are left at the end
-// are answered with a failure or, if they were not read completely, refused. Answers that have
-// begun are cut.
+// end of the grace time. Answers tell callers to close their connections. New ones are not
+// accepted from refusalTime before the end. Requests that are left at the end are answered
+// with a failure or, if they were not read completely, refused. Answers that have begun are
+// cut.
 func (e *Edge) drain(now time.Time) {
 	e.stoppingAt.Store(now.UnixNano())
 	e.logger("node").WithField("active", e.activeRequests.Load()).Info("router is stopping")
 	end := now.Add(e.cfg.Grace - killMargin)
-	lameDuckEnd := now.Add(lameDuck)
-	accepting := true
-	ticker := time.NewTicker(drainCheckInterval)
-	defer ticker.Stop()
-	for now := range ticker.C {
-		if !now.Before(end) {
-			break
-		}
-		if now.Before(lameDuckEnd) {
-			continue
-		}
-		e.callerConns.closeIdle(now)
-		left := e.callerConns.count()
-		if accepting && (e.callerConns.quietFor(now) > quietTime || now.After(end.Add(-refusalTime))) {
-			e.callerConns.stopAccepting()
-			accepting = false
-			e.logger("node").WithField("idle", left[connIdle]).Info("router accepts no more connections")
-		} else if !accepting && e.callerConns.ended() {
-			break
-		}
-	}
-	left := e.callerConns.count()
-	e.logger("node").WithField("active", e.activeRequests.Load()).WithField("reading", left[connReading]).
-		WithField("serving", left[connServing]).Info("router has drained")
+	e.callerConns.Drain(http1.Schedule{LameDuckEnd: now.Add(lameDuck), AcceptEnd: end.Add(-refusalTime), End: end}, e.logger("node"))
+	left := e.callerConns.Count()
+	e.logger("node").WithField("active", e.activeRequests.Load()).WithField("reading", left[http1.Reading]).
+		WithField("serving", left[http1.Serving]).Info("router has drained")
 	e.cancelRequests(errStopped)
-	e.callerConns.endReading()
-	for until := time.Now().Add(failureTime); e.callerConns.inUse() && time.Now().Before(until); {
-		time.Sleep(drainCheckInterval)
-	}
+	e.callerConns.EndReading(time.Now().Add(failureTime))
 }
 
 // discardLogger drops the HTTP library's messages about connections that callers broke.
--- a/internal/router/edge/drain_test.go
+++ b/internal/router/edge/drain_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/caller/http1"
 	"wisteriafield/internal/config/routes"
 )
 
@@ -144,7 +145,7 @@
 		_ = res.Body.Close()
 		status <- res.StatusCode
 	}()
-	g.Eventually(e.callerConns.count).Should(HaveKeyWithValue(connServing, 1))
+	g.Eventually(e.callerConns.Count).Should(HaveKeyWithValue(http1.Serving, 1))
 	start := time.Now()
 	e.drain(start)
 	g.Expect(time.Since(start)).To(BeNumerically("<", e.cfg.Grace))
@@ -174,7 +175,7 @@
 	e, _ := newCallerSide(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Connection", "close")
 		if r.Method == http.MethodPost {
-			time.Sleep(time.Until(lameDuckEnd.Add(quietTime)))
+			time.Sleep(time.Until(lameDuckEnd.Add(http1.QuietTime)))
 		}
 	})
 	address := e.listen(g, t)
@@ -183,17 +184,17 @@
 		if res, err := http.Post("http://"+address, "text/plain", nil); err == nil {
 			_ = res.Body.Close()
 		}
-		time.Sleep(quietTime / 2)
+		time.Sleep(http1.QuietTime / 2)
 		res, err := http.Get("http://" + address)
 		if err == nil {
 			_ = res.Body.Close()
 		}
 		results <- err
 	}()
-	g.Eventually(e.callerConns.count).Should(HaveKeyWithValue(connServing, 1))
+	g.Eventually(e.callerConns.Count).Should(HaveKeyWithValue(http1.Serving, 1))
 	start := time.Now()
 	e.drain(start)
-	g.Expect(time.Since(start)).To(BeNumerically("<", lameDuck+4*quietTime))
+	g.Expect(time.Since(start)).To(BeNumerically("<", lameDuck+4*http1.QuietTime))
 	g.Expect(<-results).NotTo(HaveOccurred())
 }
 
@@ -213,7 +214,7 @@
 			defer conn.Close()
 			_, err = fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\n"+part)
 			g.Expect(err).NotTo(HaveOccurred())
-			g.Eventually(func() int { return e.callerConns.count()[connIdle] }).Should(Equal(0))
+			g.Eventually(func() int { return e.callerConns.Count()[http1.Idle] }).Should(Equal(0))
 			start := time.Now()
 			e.drain(start)
 			g.Expect(time.Since(start)).To(BeNumerically("<", e.cfg.Grace))
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -18,6 +18,7 @@
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/caller/front"
+	"wisteriafield/internal/caller/http1"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/link"
 	decision "wisteriafield/internal/decision/ratelimit"
@@ -101,7 +102,7 @@
 	limits          *ratelimit.Limiter
 	datagrams       atomic.Pointer[gossip.Datagrams]
 	callerServer    *http.Server
-	callerConns     *connections
+	callerConns     *http1.Conns
 	cancelRequests  context.CancelCauseFunc // of the requests of callers
 	readinessServer *http.Server
 	peerServer      *http.Server
@@ -111,7 +112,7 @@
 // New returns a router, which Run starts.
 func New(cfg Config) *Edge {
 	e := &Edge{cfg: cfg, log: cfg.Log, servers: registry.New(), elector: storereader.NewElector(nil)}
-	e.callerConns = newConnections(e.logger("front"))
+	e.callerConns = http1.New(headerTimeout, e.logger("front"))
 	e.self = gossip.Host{Name: cfg.Host, Domain: cfg.Domain, Address: cfg.PeerAddress, DatagramAddress: cfg.DatagramAddress, Started: time.Now().UnixNano(), LinkMbps: cfg.LinkMbps}
 	e.follower = discovery.New(discovery.Config{
 		Store: cfg.Store, ConfigKey: cfg.ConfigKey, ServersPrefix: cfg.ServersPrefix,
@@ -170,8 +171,7 @@
 // newCallerServer returns the server of callers' requests.
 func (e *Edge) newCallerServer(h http.Handler) *http.Server {
 	s := e.newServer(e.observe(h))
-	s.ConnContext, s.ConnState = withConn, e.callerConns.stateChanged
-	s.DisableGeneralOptionsHandler = true // all requests are observed
+	e.callerConns.Attach(s)
 	var requests context.Context
 	requests, e.cancelRequests = context.WithCancelCause(context.Background())
 	s.BaseContext = func(net.Listener) context.Context { return requests }
@@ -196,9 +196,9 @@
 			return fmt.Errorf("listen: %w", err)
 		}
 		if s.server == e.callerServer {
-			ln = e.callerConns.listen(ln)
+			ln = e.callerConns.Listen(ln)
 		}
-		group.Go(func() error { return serve(s.server, ln) })
+		group.Go(func() error { return http1.Serve(s.server, ln) })
 	}
 	loops, err := e.backgroundLoops()
 	if err != nil {
@@ -250,10 +250,3 @@
 	}
 	return datagrams.Send(address, datagram)
 }
-
-func serve(s *http.Server, ln net.Listener) error {
-	if err := s.Serve(persistentListener{ln}); err != http.ErrServerClosed {
-		return fmt.Errorf("serve %s: %w", ln.Addr(), err)
-	}
-	return nil
-}
--- a/internal/router/edge/observe.go
+++ b/internal/router/edge/observe.go
@@ -9,6 +9,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
+
+	"wisteriafield/internal/caller/http1"
 )
 
 // maxStackBytes bounds the stack in the log line of a panic.
@@ -26,7 +28,6 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.activeRequests.Add(1)
 		defer e.activeRequests.Add(-1)
-		markServing(r)
 		startedAt := time.Now()
 		recorder := &headerRecorder{ResponseWriter: w}
 		defer func() {
@@ -53,7 +54,7 @@
 				log.Info("answer cut")
 			}
 			if p != nil {
-				resetOnClose(r)
+				http1.ResetOnClose(r)
 				panic(http.ErrAbortHandler) // cuts the connection, so that the answer does not look complete
 			}
 		}()
--- a/internal/router/edge/observe_test.go
+++ b/internal/router/edge/observe_test.go
@@ -14,6 +14,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/caller/http1"
 )
 
 // idProtocol takes the request's ID from a header.
@@ -29,7 +30,7 @@
 func newCallerSide(handler http.HandlerFunc) (*Edge, *logtest.Hook) {
 	log, hook := logtest.NewNullLogger()
 	e := &Edge{cfg: Config{Protocol: idProtocol{}, Grace: 8 * time.Second}, log: log}
-	e.callerConns = newConnections(e.logger("front"))
+	e.callerConns = http1.New(headerTimeout, e.logger("front"))
 	e.callerServer = e.newCallerServer(handler)
 	return e, hook
 }
@@ -43,7 +44,7 @@
 }
 
 func (e *Edge) serveOn(ln net.Listener, t *testing.T) {
-	go func() { _ = e.callerServer.Serve(e.callerConns.listen(ln)) }()
+	go func() { _ = e.callerServer.Serve(e.callerConns.Listen(ln)) }()
 	t.Cleanup(func() { _ = e.callerServer.Close() })
 }
 
@@ -99,19 +100,6 @@
 	g.Eventually(func() int { return len(logged(hook, "answer cut")) }).Should(Equal(1))
 }
 
-func TestAConnectionThatEndsWhileARequestIsReadIsLogged(t *testing.T) {
-	g := NewWithT(t)
-	e, hook := newCallerSide(func(http.ResponseWriter, *http.Request) {})
-	conn, err := net.Dial("tcp", e.listen(g, t))
-	g.Expect(err).NotTo(HaveOccurred())
-	_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost:")
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Eventually(e.callerConns.count).Should(Equal(map[connPhase]int{connReading: 1}))
-	g.Expect(conn.Close()).To(Succeed())
-	g.Eventually(func() []logrus.Fields { return logged(hook, "connection ended while a request was read") }).Should(HaveLen(1))
-	g.Expect(e.callerConns.count()).To(BeEmpty())
-}
-
 func TestACallerThatLeavesWhileItsRequestIsServedIsLogged(t *testing.T) {
 	g := NewWithT(t)
 	e, hook := newCallerSide(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
@@ -119,7 +107,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\nId: r-2\r\n\r\n")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Eventually(e.callerConns.count).Should(Equal(map[connPhase]int{connServing: 1}))
+	g.Eventually(e.callerConns.Count).Should(Equal(map[http1.Phase]int{http1.Serving: 1}))
 	g.Expect(conn.Close()).To(Succeed())
 	g.Eventually(func() []logrus.Fields { return logged(hook, "connection ended while its request was served") }).
 		Should(ConsistOf(HaveKeyWithValue("id", "r-2")))
@@ -140,17 +128,3 @@
 	_, err = io.ReadAll(conn)
 	g.Expect(err).To(HaveOccurred())
 }
-
-func TestARequestThatCrossesTheEndOfItsConnectionIsLogged(t *testing.T) {
-	g := NewWithT(t)
-	e, hook := newCallerSide(func(http.ResponseWriter, *http.Request) {})
-	conn, err := net.Dial("tcp", e.listen(g, t))
-	g.Expect(err).NotTo(HaveOccurred())
-	defer conn.Close()
-	g.Eventually(e.callerConns.count).Should(Equal(map[connPhase]int{connIdle: 1}))
-	e.endIdle(g)
-	_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Eventually(func() []logrus.Fields { return logged(hook, "request crossed the end of its connection") }).
-		Should(ConsistOf(HaveKeyWithValue("bytes", int64(27))))
-}
