node: a router that stops answers the requests that are being read

What callers saw: a request sent while a router of our own interface stopped ended with no answer ("unexpected EOF") if a part of its header had been read, or if it crossed the end of its idle connection; one that connected again right after its answer was refused or reset.

Cause: http.Server.Shutdown closes each connection that net/http counts as idle, which it does until a request's whole header was read, and closes the listener with what the kernel has queued. A closed connection on which bytes arrive is reset.

Fix: the callers' server uses caller/http1 as the edge does. A connection is in use from a request's first byte on; an idle one ends with 408, half close and lingering, the kernel's queue is served, and the listener stays open until no connection was in use for 0.5 s, 3 s after the lame duck at most (acceptTime), since health checks and callers who keep connecting would hold it until DrainTimeout. Answers tell callers to close, as Shutdown made them do. The servers run through http1.Serve: the drain waits for the accept loop, which an error of accept would have ended. A header timeout of 0, which our settings allow, stays "no limit".

Seen by callers besides: stalled headers and connections idle for a minute end with 408, and `OPTIONS *` goes to the handler, which refuses it with 400; net/http answered 200.

Left: what is still open at the end of DrainTimeout is cut without an answer, as before.

--- a/internal/caller/http1/conns.go
+++ b/internal/caller/http1/conns.go
@@ -33,7 +33,7 @@
 // Conns are the connections of callers. net/http counts one as active only after it
 // has read a request's header; here it is in use from the request's first byte on.
 type Conns struct {
-	headerTimeout time.Duration // in which a request's header must arrive
+	headerTimeout time.Duration // in which a request's header must arrive; 0 for no limit
 	log           *logrus.Entry
 
 	mu        sync.Mutex
@@ -98,7 +98,11 @@
 	if c.phase == Idle {
 		c.phase = Reading
 	}
-	c.goOn(time.Now().Add(c.headerTimeout))
+	var deadline time.Time
+	if c.headerTimeout > 0 {
+		deadline = time.Now().Add(c.headerTimeout)
+	}
+	c.goOn(deadline)
 }
 
 // goOn replaces the read deadline of a connection that was about to end. The caller holds mu.
--- a/internal/caller/http1/listener_test.go
+++ b/internal/caller/http1/listener_test.go
@@ -96,6 +96,26 @@
 	g.Expect(err).To(Equal(io.EOF))
 }
 
+func TestAHeaderWithoutATimeoutIsReadWhileIdleConnectionsAreClosed(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(func(http.ResponseWriter, *http.Request) {})
+	s.server.ReadHeaderTimeout, s.conns.headerTimeout = 0, 0
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	s.serveOn(hookListener{ln, func() { s.conns.closeIdle(time.Now().Add(minIdle)) }}, t)
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	for _, part := range []string{"GET / HTTP/1.1\r\nHo", "st: h\r\n\r\n"} {
+		_, err = fmt.Fprint(conn, part)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(20 * time.Millisecond)
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.StatusCode).To(Equal(http.StatusOK))
+}
+
 // gatedListener accepts connections once its gate is open.
 type gatedListener struct {
 	*net.TCPListener
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -14,6 +14,7 @@
 
 	"wisteriafield/internal/backend/engine"
 	"wisteriafield/internal/base/loop"
+	"wisteriafield/internal/caller/http1"
 	"wisteriafield/internal/caller/openai"
 	"wisteriafield/internal/caller/service"
 	"wisteriafield/internal/config/document"
@@ -39,6 +40,8 @@
 	// contactTime is how long the news of a request that crashes servers takes to reach
 	// all routers.
 	contactTime = 3 * time.Second
+	// acceptTime bounds how long a stop waits for a pause of callers who keep connecting.
+	acceptTime = 3 * time.Second
 )
 
 // Node is one router process.
@@ -66,6 +69,7 @@
 	nonIdempotent *service.NonIdempotentRunner
 
 	callerServer *http.Server
+	callerConns  *http1.Conns
 	peerServer   *http.Server
 	adminServer  *http.Server
 }
@@ -153,7 +157,9 @@
 	}).Register(callers)
 	n.registerHealth(callers)
 	callers.HandleFunc("/", notFound)
-	n.callerServer = n.server(callers)
+	n.callerServer = n.server(n.closeWhileStopping(callers))
+	n.callerConns = http1.New(b.HeaderTimeout, n.logger("callers"))
+	n.callerConns.Attach(n.callerServer)
 
 	peers := http.NewServeMux()
 	n.rpcServer.Register(peers)
@@ -193,12 +199,7 @@
 	group, workCtx := errgroup.WithContext(workCtx)
 	servers := []*http.Server{n.callerServer, n.peerServer, n.adminServer}
 	for i, s := range servers {
-		group.Go(func() error {
-			if err := s.Serve(listeners[i]); err != http.ErrServerClosed {
-				return fmt.Errorf("serve %s: %w", listeners[i].Addr(), err)
-			}
-			return nil
-		})
+		group.Go(func() error { return http1.Serve(s, listeners[i]) })
 	}
 	for _, run := range []func(context.Context) error{
 		n.hosts.Run, n.configure.Watch, n.configure.Gossip, n.configure.RewriteLost, n.keeper.Run, n.entry.Run, n.limits.Run, n.planner.Lead, n.planner.Follow, n.janitor.Run, n.nonIdempotent.Run, n.sweep,
@@ -228,22 +229,26 @@
 		}
 		all = append(all, ln)
 	}
+	all[0] = n.callerConns.Listen(all[0])
 	return all, nil
 }
 
-// drain reports the router as stopping, so that it gets no new work, and waits for
-// the lame duck time. Then it waits, for at most the drain timeout, until all streams
-// and calls have ended and their outcomes are in the store.
+// drain reports the router as stopping, so that it gets no new work. After the lame duck
+// time it waits, for at most the drain timeout, until the connections of callers, all
+// streams and calls have ended and their outcomes are in the store.
 func (n *Node) drain() {
 	log := n.logger("node")
 	log.Info("router is draining")
 	n.members.Stop()
-	time.Sleep(n.cfg.Bounds.LameDuck)
-	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Bounds.DrainTimeout)
-	defer cancel()
-	if err := n.callerServer.Shutdown(ctx); err != nil {
-		log.Warningf("callers still connected when draining ended: %v", err)
+	lameDuckEnd := time.Now().Add(n.cfg.Bounds.LameDuck)
+	end := lameDuckEnd.Add(n.cfg.Bounds.DrainTimeout)
+	n.callerConns.Drain(http1.Schedule{LameDuckEnd: lameDuckEnd, AcceptEnd: lameDuckEnd.Add(acceptTime), End: end}, log)
+	if left := n.callerConns.Count(); len(left) > 0 {
+		log.WithField("reading", left[http1.Reading]).WithField("serving", left[http1.Serving]).
+			Warning("callers still connected when draining ended")
 	}
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
 	ticker := time.NewTicker(50 * time.Millisecond)
 	defer ticker.Stop()
 	for n.keeper.Running() > 0 && ctx.Err() == nil {
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -129,5 +129,5 @@
 		return next, ErrRestored
 ' ./internal/platform/publish
 mutant blind-put internal/platform/publish/publish.go 'case revision != storeRevision:' 'case revision != storeRevision && false:' ./internal/platform/publish
-mutant story-cut-on-stop internal/router/node/node.go 'if err := n.callerServer.Shutdown(ctx); err != nil {' 'if err := n.callerServer.Close(); err != nil {' "$e2e 'graceful.stop'"
+mutant story-cut-on-stop internal/router/node/node.go 'End: end}, log)' 'End: lameDuckEnd}, log)' "$e2e 'graceful.stop'"
 exit $failed
