caller/http1: a line end between two requests does not hold a stop

What callers would have seen: a router that stops waits for a caller who sent an empty line after a body, as some do, and keeps its connection: up to the idle timeout of a minute or the end of the grace.

Cause: the first byte makes a connection one whose request is being read, which a stop waits for. net/http bounds the reading of a header only from its fourth byte on; until then the idle timeout holds.

TestALineEndBetweenRequestsDoesNotHoldAStop failed before: still being read after 3 s with a timeout of 0.5 s for headers.

The timeout for headers holds from the first byte now.

--- a/internal/caller/http1/conns.go
+++ b/internal/caller/http1/conns.go
@@ -91,17 +91,18 @@
 }
 
 // beginReading records that a byte of a request was read. A connection that was about to
-// end as idle goes on.
+// end as idle goes on. net/http bounds the reading of a header only from its fourth byte on.
 func (c *callerConn) beginReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == Idle {
-		c.phase = Reading
-	}
 	var deadline time.Time
 	if c.headerTimeout > 0 {
 		deadline = time.Now().Add(c.headerTimeout)
 	}
+	if c.phase == Idle {
+		c.phase = Reading
+		c.ending = c.ending || !deadline.IsZero()
+	}
 	c.goOn(deadline)
 }
 
--- a/internal/caller/http1/linger_test.go
+++ b/internal/caller/http1/linger_test.go
@@ -93,3 +93,23 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// Callers send an empty line after a body. A stop waited for the rest of a request until the
+// idle timeout.
+func TestALineEndBetweenRequestsDoesNotHoldAStop(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := newTestServer(func(http.ResponseWriter, *http.Request) {})
+	s.server.ReadHeaderTimeout, s.conns.headerTimeout = 500*time.Millisecond, 500*time.Millisecond
+	s.server.IdleTimeout = time.Minute
+	conn, err := net.Dial("tcp", s.listen(g, t))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(s.conns.Count).Should(HaveKeyWithValue(Idle, 1))
+	fmt.Fprint(conn, "\r\n")
+	g.Eventually(s.conns.Count).Should(HaveKeyWithValue(Reading, 1))
+	g.Eventually(s.conns.Count, 3*time.Second).Should(BeEmpty())
+}
