quarantine: a block outlives new suspects beside what it keeps

What callers would have seen: a deadly session or call blocked by eight crashes is sent to servers again, as something new ran beside two of the crashes that were kept and lost one more server; one that had survived before crashes up to eleven servers before it is blocked; a router that starts does not learn the block of a part if others had waited at the same engines.

Of several crashes of a server the first was kept, also if the request had only waited. A qualification outlived the crashes that showed it and survivals that refute some of them.

Now a suspect is not blocked before one that explains all of its crashes and more, and what is blocked goes before others. The crash in which the server had begun to answer is kept. Qualifications end with their crashes' age and at a survival after the first of them. Survivals that refute are told before older ones.

--- a/internal/decision/quarantine/candidate.go
+++ b/internal/decision/quarantine/candidate.go
@@ -28,6 +28,7 @@
 	// waited says that the suspect is shared by requests that may only have waited at servers
 	// which were lost for another reason.
 	waited bool
+	from   time.Time // of its first crash
 }
 
 // qualified returns the qualification, or false if there are not enough crashes. Whatever
@@ -35,6 +36,7 @@
 // requests with the same part wait.
 func (c *candidate) qualified() (q qualification, ok bool) {
 	slices.SortFunc(c.crashes, func(a, b knownCrash) int { return a.At.Compare(b.At) })
+	q.from = c.crashes[0].At
 	servers, answered := make(map[string]bool), make(map[string]bool)
 	origins, answeredOrigins := make(map[string]int), make(map[string]bool)
 	repeated := 0 // sessions that crashed more than one server
@@ -46,13 +48,13 @@
 		if !k.Unanswered {
 			answered[k.Server], answeredOrigins[k.origin()] = true, true
 		}
-		span := k.At.Sub(c.crashes[0].At)
+		span := k.At.Sub(q.from)
 		switch {
 		case c.own && len(servers) >= minServers && (!c.request || span > sameMoment),
 			!c.own && len(answered) >= minServers && len(answeredOrigins) >= minSessions:
-			return qualification{at: k.At}, true
+			return qualification{at: k.At, from: q.from}, true
 		case !ok && !c.own && len(servers) >= minServers && (len(origins) >= minWaiting || repeated >= minSessions) && span > waitingMoment:
-			q, ok = qualification{k.At, true}, true
+			q.at, q.waited, ok = k.At, true, true
 		}
 	}
 	return q, ok
@@ -85,3 +87,16 @@
 		strings.Compare(c.suspect, other.suspect),
 	)
 }
+
+// contains reports whether the candidate explains all crashes that another one does, and more.
+func (c *candidate) contains(other *candidate) bool {
+	if len(c.servers) <= len(other.servers) {
+		return false
+	}
+	for s := range other.servers {
+		if !c.servers[s] {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/decision/quarantine/explain.go
+++ b/internal/decision/quarantine/explain.go
@@ -6,7 +6,7 @@
 )
 
 // qualify returns the qualification of a candidate. The crashes that showed it first may have
-// been forgotten. What has ever survived is not blamed for servers where it may have waited:
+// been left out as evidence. What has ever survived is not blamed for servers where it may have waited:
 // while all servers are lost nothing refutes that. The caller holds mu.
 func (t *Table) qualify(c *candidate) (q qualification, ok bool) {
 	if len(c.servers) < minServers {
@@ -14,8 +14,11 @@
 	}
 	q, ok = c.qualified()
 	last := t.survivals.last(c.suspect)
-	if first, known := t.qualified[c.suspect]; known && !last.After(first.at) && (!ok || first.at.Before(q.at)) {
-		q, ok = qualification{first.at, first.waited && (!ok || q.waited)}, true
+	first, known := t.qualified[c.suspect]
+	valid := known && !last.After(first.from) && c.newest.Sub(first.at) <= crashTTL
+	if valid && (!ok || first.at.Before(q.at)) {
+		first.waited = first.waited && (!ok || q.waited)
+		q, ok = first, true
 	}
 	return q, ok && (!q.waited || last.IsZero())
 }
@@ -41,15 +44,21 @@
 			break
 		}
 		e := explanation{Block: Block{Suspect: best.suspect, Until: best.newest.Add(blockTime), Crashes: len(best.servers)}}
-		seen := make(map[string]bool, len(best.servers))
+		index := make(map[string]int, len(best.servers)) // in the evidence, by server
 		var rest []knownCrash
 		for _, c := range unexplained {
-			switch {
-			case !best.servers[c.Server]:
+			if !best.servers[c.Server] {
 				rest = append(rest, c)
-			case !seen[c.Server] && slices.Contains(t.suspects(c.Crash), best.suspect):
-				seen[c.Server] = true
+				continue
+			}
+			if !slices.Contains(t.suspects(c.Crash), best.suspect) {
+				continue
+			}
+			if i, ok := index[c.Server]; !ok {
+				index[c.Server] = len(e.evidence)
 				e.evidence = append(e.evidence, c)
+			} else if e.evidence[i].Unanswered && !c.Unanswered {
+				e.evidence[i] = c
 			}
 		}
 		found = append(found, e)
@@ -85,7 +94,7 @@
 			}
 		}
 	}
-	var best *candidate
+	var ready []*candidate
 	for _, k := range candidates {
 		q, ok := t.qualify(k)
 		if !ok {
@@ -94,13 +103,30 @@
 		qualified[k.suspect] = q
 		k.waited = q.waited
 		k.weigh(!t.survivals.last(k.suspect).IsZero())
-		if !t.tooEarly(k.suspect, q, now) && (best == nil || k.compare(best) > 0) {
+		if !t.tooEarly(k.suspect, q, now) {
+			ready = append(ready, k)
+		}
+	}
+	var best *candidate
+	for _, k := range ready {
+		explainsLess := slices.ContainsFunc(ready, func(other *candidate) bool { return other.contains(k) })
+		if !explainsLess && (best == nil || t.prefers(k, best, now)) {
 			best = k
 		}
 	}
 	return best
 }
 
+// prefers reports whether k is blocked before another candidate. Evidence is kept of what is
+// blocked already, but not of all of its crashes. The caller holds mu.
+func (t *Table) prefers(k, other *candidate, now time.Time) bool {
+	_, blocked := t.block(k.suspect, now)
+	if _, otherBlocked := t.block(other.suspect, now); blocked != otherBlocked {
+		return blocked
+	}
+	return k.compare(other) > 0
+}
+
 // tooEarly reports whether it is too early to block a suspect, and sets when to review it.
 // After the start of the router, if the suspect has ever survived, and if requests with it
 // may only have waited, it may have heard of the crashes but not yet of the survivals that
@@ -111,7 +137,7 @@
 		at = q.at
 	}
 	at = at.Add(t.contactTime)
-	if q.waited && !t.confirmed[suspect] {
+	if q.waited && !t.confirmed[suspect] { // it has never survived
 		at = q.at.Add(t.contactTime * 2 / 3) // most peers have heard by then
 	}
 	if started := t.startedAt.Add(t.contactTime); started.After(at) && !t.confirmed[suspect] {
@@ -153,7 +179,8 @@
 		inMoment++
 		next := c.following(e.Suspect)
 		atOnce := (c.Request == e.Suspect || waited) && inMoment >= minServers
-		full := len(kept) >= maxEvidence-max(minWaiting-len(origins), 0) || perNext[next] >= maxSimilarEvidence || atOnce
+		reserved := max(minWaiting-len(origins), 0) // for other sessions
+		full := len(kept) >= maxEvidence-reserved || perNext[next] >= maxSimilarEvidence || atOnce
 		if another := !origins[c.origin()] && len(origins) < minWaiting; full && !another {
 			dropped = append(dropped, c.Server)
 			continue
--- a/internal/decision/quarantine/report.go
+++ b/internal/decision/quarantine/report.go
@@ -44,13 +44,16 @@
 
 // addRefutations adds the survivals of the shared parts in a report's crashes, at most n. A
 // router that was told the crashes alone would block what all prompts share. Survivals before
-// a crash refute earlier ones. The caller holds mu.
+// a crash refute earlier ones, but less urgently. The caller holds mu.
 func (t *Table) addRefutations(r *Report, n int) {
-	for _, c := range r.Crashes {
-		for _, p := range c.Parts {
-			if last := t.survivals.last(p); !last.IsZero() && n > 0 && r.Survived[p].IsZero() {
-				r.Survived[p] = last
-				n--
+	for _, refuting := range []bool{true, false} {
+		for _, c := range r.Crashes {
+			for _, p := range c.Parts {
+				last := t.survivals.last(p)
+				if !last.IsZero() && (!refuting || last.After(c.At)) && n > 0 && r.Survived[p].IsZero() {
+					r.Survived[p] = last
+					n--
+				}
 			}
 		}
 	}
