forward: a call that crashes servers at different speeds is not sent to the last one

What callers would have seen: one idempotent deadly call takes all three servers of its service, where the route's target is 100 ms.

Cause: after a crash the call goes on once a server has been silent for as long as the first one took plus the delay of a hedge, 0.45 of the target; crash times of one request were seen 80 ms apart.

Evidence: TestACallThatCrashesServersSlowlyIsNotSentToTheLastOne with 80 ms failed in its six cases. The allowance is 200 ms or more now, and the bound on refusals holds after a crash too.

--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -121,14 +121,14 @@
 				start(c.delivered+inFlight > 0)
 			}
 			if r.crashed {
-				maxSilence = hedgeDelay + time.Since(r.startedAt)
+				maxSilence = max(hedgeDelay, crashSpread) + time.Since(r.startedAt)
 			}
 			if c.crashes > 0 && inFlight > 0 {
 				hedge.Reset(time.Until(newestAt.Add(maxSilence)))
 			}
 		case <-hedge.C:
 			// A server that crashed does not count if another one is silent.
-			if c.crashes <= 1 && c.executed-c.crashes+inFlight < c.req.Route.MaxAttempts {
+			if c.crashes <= 1 && c.refusals < maxRefusals && c.executed-c.crashes+inFlight < c.req.Route.MaxAttempts {
 				start(true)
 			}
 		case <-ctx.Done():
--- a/internal/router/forward/crash_test.go
+++ b/internal/router/forward/crash_test.go
@@ -85,16 +85,18 @@
 }
 
 func TestACallThatCrashesServersSlowlyIsNotSentToTheLastOne(t *testing.T) {
-	for _, delay := range []time.Duration{0, 20, 60, 100, 200, 300} {
-		t.Run(fmt.Sprintf("after %d ms", delay), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				delay *= time.Millisecond
-				s := newOrderedService(3, crashAfter(delay), crashAfter(delay+40*time.Millisecond), crashAfter(delay))
-				g.Expect(newForwarder(s, 3)(routes.Idempotent, 3, "").Code).To(Equal(http.StatusBadGateway))
-				synctest.Wait()
-				g.Expect(s.sentTo).To(HaveLen(2), "one server is left")
+	for _, spread := range []time.Duration{40, 80} {
+		for _, delay := range []time.Duration{0, 20, 60, 100, 200, 300} {
+			t.Run(fmt.Sprintf("after %d ms, the second %d ms later", delay, spread), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					first, second := delay*time.Millisecond, (delay+spread)*time.Millisecond
+					s := newOrderedService(3, crashAfter(first), crashAfter(second), crashAfter(first))
+					g.Expect(newForwarder(s, 3)(routes.Idempotent, 3, "").Code).To(Equal(http.StatusBadGateway))
+					synctest.Wait()
+					g.Expect(s.sentTo).To(HaveLen(2), "one server is left")
+				})
 			})
-		})
+		}
 	}
 }
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -34,6 +34,9 @@
 	fullBackoff = 30 * time.Millisecond
 	// maxRefusals bounds the attempts of one request that no server executed.
 	maxRefusals = 3
+	// crashSpread is by how much longer than the first server another one may run a request
+	// before it crashes as well.
+	crashSpread = 200 * time.Millisecond
 	// hedgeDelayFactor times the route's latency target is the delay after which an
 	// idempotent request is hedged at a second server; most answers have arrived by
 	// then.
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -79,7 +79,7 @@
 mutant quarantine-blames-the-waiting $d/quarantine/explain.go 'ok && (!q.waited || last.IsZero())' 'ok' "./$d/quarantine -run Blame"
 mutant quarantine-takes-the-last $d/quarantine/lastserver.go 'return left <= 1' 'return false' "./internal/router/forward -run LastOne"
 mutant crash-without-a-check internal/router/forward/forward.go 'err != nil || listens' 'err != nil || listens && false' "./internal/router/forward -run LostConnections"
-mutant leave-a-silent-server-early internal/router/forward/call.go 'hedgeDelay + time.Since(r.startedAt)' 'hedgeDelay' "./internal/router/forward -run CrashesServersSlowly"
+mutant leave-a-silent-server-early internal/router/forward/call.go 'max(hedgeDelay, crashSpread) + time.Since(r.startedAt)' 'crashSpread' "./internal/router/forward -run CrashesServersSlowly"
 mutant leave-silent-servers-again internal/router/forward/call.go 'c.crashes <= 1' 'true' "./internal/router/forward -run OneServerBeyond"
 mutant leave-silent-lookups-early internal/caller/service/idempotent.go 'view.Policy.HedgeAfter + time.Since(r.startedAt)' 'view.Policy.HedgeAfter' "./internal/caller/service -run CrashesServersSlowly"
 mutant limit-for-each-router $d/ratelimit/ratelimit.go 'limit/float64(n)*min' 'limit*min' "./$d/ratelimit -run Fleet"
