--- a/internal/router/configure/restored_test.go
+++ b/internal/router/configure/restored_test.go
@@ -41,7 +41,7 @@
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{g: NewWithT(t), store: standin.New(standin.Config{}), peers: make(map[string]*control.Server), watching: t.Context()}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasSuffix(r.URL.Path, "/kv-watch") {
+		if standin.IsWatch(r) {
 			f.awaitRelease()
 		}
 		f.store.Handler().ServeHTTP(w, r)
