--- a/review/1/main.go
+++ b/review/1/main.go
@@ -43,7 +43,9 @@
 	var clients sync.WaitGroup
 	for i := range sessions {
 		prefix := fmt.Sprintf("5c1e07a2:200,e4402b%02x:5000", i)
-		clients.Go(func() { stream(l, fmt.Sprintf("session %d, request a", i), prefix, `{"variant":"a"}`, killed, routers[2+i]) })
+		clients.Go(func() {
+			stream(l, fmt.Sprintf("session %d, request a", i), prefix, `{"variant":"a"}`, killed, routers[2+i])
+		})
 		clients.Go(func() {
 			time.Sleep(secondDelay)
 			stream(l, fmt.Sprintf("session %d, request b", i), prefix, `{"variant":"b"}`, kept, kept)
--- a/review/server/main.go
+++ b/review/server/main.go
@@ -14,9 +14,11 @@
 	"log"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"wisteriafield/platform/kv"
@@ -44,6 +46,7 @@
 	engine   = flag.Bool("engine", false, "is a model engine")
 	unframed = flag.Bool("unframed", false, "answers have no length and end with their connection")
 	work     = flag.Duration("work", 15*time.Millisecond, "time of a call, or of reading a prompt")
+	linger   = flag.Duration("linger", 6*time.Second, "time for which it serves on after it has left")
 	gap      = flag.Duration("gap", 30*time.Millisecond, "time between two parts of an answer")
 )
 
@@ -64,6 +67,10 @@
 	id   string
 	born int64
 
+	// registration is held while the entry in the store is written or removed.
+	registration sync.Mutex
+	leaving      bool
+
 	mu      sync.Mutex
 	running map[string]memory
 	copies  map[string]copied
@@ -74,6 +81,7 @@
 	born := time.Now().UnixMilli()
 	s := &server{id: fmt.Sprintf("%s-%d", *name, born), born: born, running: make(map[string]memory), copies: make(map[string]copied)}
 	go s.keepRegistered()
+	go s.leaveOnSignal()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Instance-Id", s.id) })
 	mux.HandleFunc("GET /-/report", s.report)
@@ -100,16 +108,52 @@
 	if err != nil {
 		log.Fatal(err)
 	}
-	for ; ; time.Sleep(heartbeat / 4) {
-		lease, err := client.Grant(ctx, 3*heartbeat)
+	var lease string
+	for ; ; time.Sleep(heartbeat) {
+		s.registration.Lock()
+		if s.leaving {
+			s.registration.Unlock()
+			return
+		}
+		if lease == "" || client.KeepAlive(ctx, lease) != nil {
+			lease, err = client.Grant(ctx, 3*heartbeat)
+			if err == nil {
+				err = client.SetWithLease(ctx, s.key(), value, lease)
+			}
+			if err != nil {
+				lease = ""
+			}
+		}
+		s.registration.Unlock()
+	}
+}
+
+func (s *server) key() string { return "servers/" + s.id }
+
+// leaveOnSignal removes the server's entry at SIGTERM, without a report that it drains, serves
+// on for a while and exits.
+func (s *server) leaveOnSignal() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	<-stop
+	s.registration.Lock()
+	s.leaving = true
+	s.registration.Unlock()
+	client := kv.New(kv.Config{Address: *store, Timeout: time.Second})
+	for {
+		v, err := client.Get(context.Background(), s.key())
 		if err == nil {
-			err = client.SetWithLease(ctx, "servers/"+s.id, value, lease)
+			err = client.Delete(context.Background(), s.key(), v.Revision)
 		}
-		for err == nil {
-			time.Sleep(heartbeat)
-			err = client.KeepAlive(ctx, lease)
+		if err == nil {
+			break
 		}
+		time.Sleep(heartbeat / 4)
 	}
+	s.note("leaves: removal of its entry acknowledged")
+	time.Sleep(*linger)
+	s.note("exits")
+	os.Exit(0)
 }
 
 func (s *server) slots() int {
@@ -125,7 +169,8 @@
 		return
 	}
 	defer f.Close()
-	_, _ = f.WriteString(time.Now().Format("15:04:05.000") + " " + s.id + " " + fmt.Sprintf(format, args...) + "\n")
+	now := time.Now()
+	_, _ = f.WriteString(strconv.FormatInt(now.UnixMilli(), 10) + " " + s.id + " " + fmt.Sprintf(format, args...) + "\n")
 }
 
 func (s *server) report(w http.ResponseWriter, _ *http.Request) {
