--- a/review/4/main.go
+++ b/review/4/main.go
@@ -20,7 +20,7 @@
 const (
 	routerCount = 6
 	cutCount    = 2 // a share of 0.35
-	releases    = 2 // a share of 0.45
+	releases    = 1 // a share of 0.45 of four servers, rounded down
 	cutTime     = 5500 * time.Millisecond
 	// cutDelay is how long after the start of a new server the cut begins, and leaveDelay how
 	// long after the cut the old server leaves.
