gossip, edge: logs and metrics tell that a router is behind in the configuration

Now one line a version says who announced it, what this router has and whether a fetch is in progress; the line of a configuration that takes effect says how long the router was behind, its role and the age of the store's answer; a busy peer is logged; two gauges for an alert.

--- a/internal/router/edge/admin.go
+++ b/internal/router/edge/admin.go
@@ -21,6 +21,7 @@
 	Active         int64 // requests in progress
 	ConfigVersion  int64
 	ConfigSince    time.Time // when the configuration took effect
+	ConfigNewest   int64     // newest version that this router or a peer has
 	ServerRevision int64
 	ServerEra      int64     // of the store, for ServerRevision
 	Reading        bool      // this router reads the store
@@ -61,7 +62,7 @@
 	position := e.ServerPosition()
 	d := Dump{
 		Host: e.cfg.Host, Stopping: e.Stopping(), Active: e.activeRequests.Load(),
-		ConfigVersion: e.ConfigVersion(), ServerRevision: position.Revision, ServerEra: position.Era,
+		ConfigVersion: e.ConfigVersion(), ConfigNewest: e.newestConfig(), ServerRevision: position.Revision, ServerEra: position.Era,
 		Reading: e.StoreRole() != storereader.Idle, StoreReached: e.StoreReached(), Peers: e.gossip.LivePeers(now),
 	}
 	if at := e.configSince.Load(); at != 0 {
@@ -88,6 +89,8 @@
 	set := metrics.NewSet()
 	set.NewGauge("wisteriafield_config_version", func() float64 { return float64(e.ConfigVersion()) })
 	set.NewGauge("wisteriafield_config_age_seconds", func() float64 { return secondsSince(time.Unix(0, e.configSince.Load())) })
+	set.NewGauge("wisteriafield_config_newest_version", func() float64 { return float64(e.newestConfig()) })
+	set.NewGauge("wisteriafield_config_behind_seconds", func() float64 { return e.configBehind().Seconds() })
 	set.NewGauge("wisteriafield_store_age_seconds", func() float64 { return secondsSince(e.StoreReached()) })
 	set.NewGauge("wisteriafield_store_era", func() float64 { return float64(e.follower.Era()) })
 	set.NewGauge("wisteriafield_store_reading", func() float64 { return boolToFloat(e.StoreRole() != storereader.Idle) })
@@ -110,6 +113,19 @@
 	return mux
 }
 
+// newestConfig returns the newest version of the configuration that this router or a peer has.
+func (e *Edge) newestConfig() int64 { return max(e.ConfigVersion(), e.gossip.Announced().Version) }
+
+// configBehind returns how long this router has known of a newer configuration than its own, 0
+// if it knows of none.
+func (e *Edge) configBehind() time.Duration {
+	a := e.gossip.Announced()
+	if a.Version <= e.ConfigVersion() {
+		return 0
+	}
+	return time.Since(a.BehindSince)
+}
+
 // secondsSince returns the seconds since a time, or -1 if the time is not set.
 func secondsSince(at time.Time) float64 {
 	if at.IsZero() || at.Unix() == 0 {
--- a/internal/router/edge/observe.go
+++ b/internal/router/edge/observe.go
@@ -77,6 +77,14 @@
 	return time.Since(time.Unix(0, at))
 }
 
+// sinceTime returns the time since a moment, 0 if it is not set.
+func sinceTime(at time.Time) time.Duration {
+	if at.IsZero() {
+		return 0
+	}
+	return time.Since(at)
+}
+
 func logPanic(log *logrus.Entry, p any) {
 	handlerPanicsTotal.Inc()
 	stack := debug.Stack()
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -33,7 +33,12 @@
 	e.configValue.Store(&value)
 	e.configSince.Store(time.Now().UnixNano())
 	e.routeTable.Store(table)
-	log.WithField("version", cfg.Version).WithField("routes", len(cfg.Routes)).Info("configuration in effect")
+	log = log.WithField("version", cfg.Version).WithField("routes", len(cfg.Routes)).WithField("role", string(e.StoreRole())).
+		WithField("storeAgeMs", sinceTime(e.StoreReached()).Milliseconds()).WithField("servers", e.ServerPosition().Revision)
+	if a := e.gossip.Announced(); a.Version >= cfg.Version {
+		log = log.WithField("behindMs", time.Since(a.BehindSince).Milliseconds()).WithField("announcedBy", a.Peer)
+	}
+	log.Info("configuration in effect")
 	e.gossip.Trigger()
 }
 
--- a/internal/router/gossip/export_test.go
+++ b/internal/router/gossip/export_test.go
@@ -9,3 +9,6 @@
 	SessionRequest = sessionRequest
 	SessionReply   = sessionReply
 )
+
+// MethodConfig is the method by which peers fetch the configuration.
+const MethodConfig = methodConfig
--- a/internal/router/gossip/fixture_test.go
+++ b/internal/router/gossip/fixture_test.go
@@ -33,7 +33,8 @@
 	servers     map[string]*control.Server
 	receive     map[string]func([]byte)
 	unreachable map[string]bool
-	slowMethod  string // takes 1.5 s
+	slowMethod  string          // takes 1.5 s
+	failing     map[string]bool // methods
 	contactTime time.Duration
 	seeds       []string // call-0 if empty
 	inboxes     map[string]chan struct{}
@@ -41,7 +42,7 @@
 
 func (n *network) Call(ctx context.Context, address, method string, params, result any) error {
 	n.mu.Lock()
-	s, unreachable, slow := n.servers[address], n.unreachable[address], n.slowMethod == method
+	s, unreachable, slow := n.servers[address], n.unreachable[address] || n.failing[method], n.slowMethod == method
 	n.mu.Unlock()
 	if slow {
 		time.Sleep(1500 * time.Millisecond)
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -55,6 +55,8 @@
 	trackedPosition storehistory.Position // of this router's server list that laggingSince applies to
 	laggingSince    time.Time             // when a peer was first seen with a newer list; zero if none
 
+	announced Announcement
+
 	pullingConfig, pullingServerList atomic.Bool // a fetch is in progress
 
 	joined       atomic.Bool // a peer has told what the fleet knew before this router started
--- a/internal/router/gossip/pull.go
+++ b/internal/router/gossip/pull.go
@@ -100,6 +100,7 @@
 		return false
 	}
 	if reply.Busy {
+		g.cfg.Log.WithField("peer", from.Name).Info("peer's link is too busy to send the configuration")
 		return false
 	}
 	value, err := decompress(reply.Compressed)
--- a/internal/router/gossip/receive.go
+++ b/internal/router/gossip/receive.go
@@ -24,6 +24,7 @@
 	if len(m.Limits) > 0 {
 		g.cfg.Limits.Merge(decodeLimits(m.Limits, now), m.Host.Name, now)
 	}
+	g.recordAnnouncement(m, now)
 	if m.Version > g.cfg.State.ConfigVersion() && g.pullingConfig.CompareAndSwap(false, true) {
 		go func() {
 			defer g.pullingConfig.Store(false)
