discovery, gossip: a router that its peers do not keep up to date reads the store

What callers saw: a router with a path to the store went on with an older configuration, for as long as it could not fetch the newer one from peers (404 for a new route, requests run by the service of before).

Cause: a bound that must hold for each router rested on fetches from peers, and one position stood for two things that are fetched apart. A watch of the store went on after the position of the server list, so that a configuration which that list had passed over was never read, whatever the role; and a router read the store itself only when its server list had been behind for 1.3 s, not its configuration.

Fix: decision/freshness keeps, besides the list's position, the one up to which no configuration is newer, and the last moment as of which both were known to be the newest. An answer of the store moves both; so does a peer's message, if the peer has nothing newer. A watch goes on after the earlier position. Whoever was not confirmed for 0.7 of the time that a change may take (the lesser of the settings' configMs and drainMs) reads the store, whatever the reason, unless no known router has an answer: then routers take turns as before. A store that refused such a router is tried again after a second instead of up to six.

TestAConfigurationThatAPeersServerListHasPassedOverIsRead and TestARouterThatPeersNoLongerKeepUpToDateSoonTriesAStoreThatRefusedIt fail without their part of the fix.

--- a/internal/decision/storehistory/position.go
+++ b/internal/decision/storehistory/position.go
@@ -21,6 +21,14 @@
 // IsZero reports whether p is the zero Position.
 func (p Position) IsZero() bool { return p == Position{} }
 
+// Earlier returns the earlier of two positions.
+func Earlier(p, q Position) Position {
+	if q.Before(p) {
+		return q
+	}
+	return p
+}
+
 // Later returns the later of two positions.
 func Later(p, q Position) Position {
 	if p.Before(q) {
--- a/internal/decision/storereader/storereader.go
+++ b/internal/decision/storereader/storereader.go
@@ -137,6 +137,10 @@
 	return Decision{Role: role, Outage: e.outage}
 }
 
+// TakingTurns reports whether no known router had a recent answer at the last decision, so that
+// those that are not elected take turns at trying the store.
+func (e *Elector) TakingTurns() bool { return e.stale }
+
 // observeOutage decides whether the store answers no known router. An outage lasts until one
 // of them has an answer.
 func (e *Elector) observeOutage(self Router, peers []Router, now time.Time) {
--- a/internal/operator/cli/edge.go
+++ b/internal/operator/cli/edge.go
@@ -68,7 +68,7 @@
 	answerMemory := answermemory.New(int64(answerMemoryShare * float64(cfg.MemoryBytes)))
 	e := edge.New(edge.Config{
 		Host: cfg.Host, Domain: cfg.Domain, CallerAddress: cfg.CallerAddress, ReadyAddress: cfg.ReadyAddress,
-		AdminAddress: cfg.AdminAddress, PeerAddress: cfg.PeerAddress, DatagramAddress: cfg.DatagramAddress, Seeds: cfg.Seeds, LinkMbps: cfg.LinkMbps, Grace: cfg.Grace, ContactTime: cfg.ContactTime,
+		AdminAddress: cfg.AdminAddress, PeerAddress: cfg.PeerAddress, DatagramAddress: cfg.DatagramAddress, Seeds: cfg.Seeds, LinkMbps: cfg.LinkMbps, Grace: cfg.Grace, ChangeTime: cfg.ChangeTime, ContactTime: cfg.ContactTime,
 		RetryBudget:  retrybudget.Config{Ratio: retryBudgetShare * cfg.RetryRatio, Slack: retryBudgetShare * cfg.RetrySlack, Window: cfg.RetryWindow},
 		Store:        kv.New(kv.Config{Address: cfg.StoreAddress, Timeout: storeTimeout}),
 		AnswerMemory: answerMemory, RequestMemory: answermemory.New(int64(requestMemoryShare * float64(cfg.MemoryBytes))),
--- a/internal/router/discovery/era.go
+++ b/internal/router/discovery/era.go
@@ -67,15 +67,17 @@
 	}
 }
 
-// pause waits for d, or until it is interrupted.
-func (f *Follower) pause(ctx context.Context, d time.Duration) {
+// pause waits for d, or until it is interrupted, which it reports.
+func (f *Follower) pause(ctx context.Context, d time.Duration) (interrupted bool) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-t.C:
 	case <-f.wake:
+		return true
 	}
+	return false
 }
 
 // interruptible returns a context that ends when the follower is interrupted, and a function
--- a/internal/router/discovery/fixture_test.go
+++ b/internal/router/discovery/fixture_test.go
@@ -206,7 +206,7 @@
 		log.SetOutput(io.Discard)
 		fill(f.store)
 		f.follower = discovery.New(discovery.Config{
-			Store: f.store, ConfigKey: "config", ServersPrefix: "servers/", HostsPrefix: "hosts/",
+			Store: f.store, ConfigKey: "config", ServersPrefix: "servers/", HostsPrefix: "hosts/", ChangeTime: 2 * time.Second,
 			DecodeServer: decode, OnChange: func() { f.changes.Add(1) }, AddHost: func([]byte) {},
 			SetConfig:  func(value []byte, _ string) { f.mu.Lock(); f.config = string(value); f.mu.Unlock() },
 			SetServers: func(_ storehistory.Position, s []server.Server) { f.mu.Lock(); f.servers = s; f.mu.Unlock() },
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -15,6 +15,7 @@
 
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/base/loop"
+	"wisteriafield/internal/decision/freshness"
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/platform/kv"
@@ -74,8 +75,9 @@
 	SetServers    func(at storehistory.Position, servers []server.Server)
 	HostsPrefix   string // prefix of the routers' own entries
 	AddHost       func(value []byte)
-	OnChange      func()      // called after each answer of the store and after changes were applied
-	HasConfig     func() bool // a configuration is in effect
+	OnChange      func()        // called after each answer of the store and after changes were applied
+	HasConfig     func() bool   // a configuration is in effect
+	ChangeTime    time.Duration // in which a change must take effect
 	// Decide returns the role of this router in reading the store.
 	Decide func() storereader.Decision
 	Log    *logrus.Entry
@@ -90,6 +92,7 @@
 
 	mu               sync.Mutex
 	position         storehistory.Position // up to which the server list is known
+	fresh            freshness.Tracker
 	eras             storehistory.Tracker
 	raw              map[string]kv.Value // server entries as the store holds them, by key
 	changeLog        *storehistory.Log[kv.Value]
@@ -149,7 +152,7 @@
 			f.probeDue = true
 			f.recordFailure(err)
 			// The jitter keeps routers that started together from calling together.
-			f.pause(ctx, delay/2+rand.N(delay))
+			f.pauseAfterFailure(ctx, delay/2+rand.N(delay))
 			delay = min(2*delay, f.maxDelay())
 		}
 	}
@@ -160,8 +163,8 @@
 func (f *Follower) readOrWatch(ctx context.Context, position *storehistory.Position) error {
 	f.clearInterrupt()
 	applied := f.Position()
-	// The server list from a peer may be newer than this router's last call.
-	after := storehistory.Later(*position, applied)
+	// A peer may have told this router more than its last call did.
+	after := storehistory.Later(*position, storehistory.Earlier(applied, f.configAt()))
 	var err error
 	if position.IsZero() || applied.IsZero() || f.restoredSince(after) {
 		*position, err = f.readAll(ctx)
@@ -176,6 +179,7 @@
 
 // readAll reads all entries in one call and replaces the server list.
 func (f *Follower) readAll(ctx context.Context) (storehistory.Position, error) {
+	start := time.Now()
 	values, position, err := f.cfg.Store.Range(ctx, "", false)
 	if err != nil {
 		return position, err
@@ -193,6 +197,7 @@
 	if !position.Before(f.position) {
 		f.replaceServers(position, servers)
 	}
+	f.fresh.Read(position, start)
 	f.mu.Unlock()
 	f.cfg.OnChange()
 	return position, nil
@@ -224,6 +229,7 @@
 	}
 	f.mu.Lock()
 	f.applyChanges(next, values)
+	f.fresh.Read(next, time.Now())
 	f.mu.Unlock()
 	f.cfg.OnChange()
 	if len(values) > 0 && !isInterrupted {
--- a/internal/router/edge/admin.go
+++ b/internal/router/edge/admin.go
@@ -26,6 +26,7 @@
 	ServerEra      int64     // of the store, for ServerRevision
 	Reading        bool      // this router reads the store
 	StoreReached   time.Time // when the store last answered this router
+	StoreConfirmed time.Time // as of when what this router has of the store is known to be the newest
 	Peers          []gossip.Host
 	Servers        []ServerDump
 	Limits         []ServerLimit // that backend servers named
@@ -63,7 +64,7 @@
 	d := Dump{
 		Host: e.cfg.Host, Stopping: e.Stopping(), Active: e.activeRequests.Load(),
 		ConfigVersion: e.ConfigVersion(), ConfigNewest: e.newestConfig(), ServerRevision: position.Revision, ServerEra: position.Era,
-		Reading: e.StoreRole() != storereader.Idle, StoreReached: e.StoreReached(), Peers: e.gossip.LivePeers(now),
+		Reading: e.StoreRole() != storereader.Idle, StoreReached: e.StoreReached(), StoreConfirmed: e.Freshness().ConfirmedAt, Peers: e.gossip.LivePeers(now),
 	}
 	if at := e.configSince.Load(); at != 0 {
 		d.ConfigSince = time.Unix(0, at)
@@ -91,6 +92,7 @@
 	set.NewGauge("wisteriafield_config_age_seconds", func() float64 { return secondsSince(time.Unix(0, e.configSince.Load())) })
 	set.NewGauge("wisteriafield_config_newest_version", func() float64 { return float64(e.newestConfig()) })
 	set.NewGauge("wisteriafield_config_behind_seconds", func() float64 { return e.configBehind().Seconds() })
+	set.NewGauge("wisteriafield_store_confirmed_age_seconds", func() float64 { return secondsSince(e.Freshness().ConfirmedAt) })
 	set.NewGauge("wisteriafield_store_age_seconds", func() float64 { return secondsSince(e.StoreReached()) })
 	set.NewGauge("wisteriafield_store_era", func() float64 { return float64(e.follower.Era()) })
 	set.NewGauge("wisteriafield_store_reading", func() float64 { return boolToFloat(e.StoreRole() != storereader.Idle) })
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -69,6 +69,7 @@
 	Seeds           []string      // addresses of the first peers to call
 	LinkMbps        float64       // of this host's network link, 0 if unknown
 	Grace           time.Duration // from the stop signal to the kill
+	ChangeTime      time.Duration // in which a change of the configuration or a server must take effect
 	ContactTime     time.Duration // within which connected routers hear each other's news
 	RetryBudget     retrybudget.Config
 	AnswerMemory    *answermemory.Budget // of the answers of backend servers
@@ -121,7 +122,7 @@
 		Store: cfg.Store, ConfigKey: cfg.ConfigKey, ServersPrefix: cfg.ServersPrefix,
 		DecodeServer: cfg.DecodeServer, SetConfig: e.SetConfig, SetServers: e.setServers,
 		HostsPrefix: hostsPrefix, AddHost: e.addHost, OnChange: func() { e.gossip.Trigger() },
-		HasConfig: func() bool { return e.routeTable.Load() != nil }, Decide: e.decideStoreRole, Log: e.logger("store"),
+		HasConfig: func() bool { return e.routeTable.Load() != nil }, Decide: e.decideStoreRole, ChangeTime: cfg.ChangeTime, Log: e.logger("store"),
 	})
 	cfg.RetryBudget.Routers = func() int { return 1 + len(e.gossip.LivePeers(time.Now())) }
 	retryBudget := retrybudget.New(cfg.RetryBudget, time.Now())
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -6,6 +6,7 @@
 
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/config/routes"
+	"wisteriafield/internal/decision/freshness"
 	"wisteriafield/internal/decision/listing"
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
@@ -86,6 +87,12 @@
 	e.follower.ApplyServerList(after, list, source)
 }
 
+// Freshness returns what this router has of the store.
+func (e *Edge) Freshness() freshness.State { return e.follower.State(e.ConfigVersion()) }
+
+// ObservePeer records what a peer has of the store.
+func (e *Edge) ObservePeer(peer freshness.State) { e.follower.ObservePeer(peer, e.ConfigVersion()) }
+
 // StoreEra returns the newest era that the store named to this router.
 func (e *Edge) StoreEra() int64 { return e.cfg.Store.Era() }
 
@@ -108,7 +115,7 @@
 		Name: e.cfg.Host, ReadsStore: e.StoreRole() != storereader.Idle, Failing: e.StoreFailing(), ReachedAt: e.StoreReached(), LinkRate: e.cfg.LinkMbps,
 	}
 	d := e.elector.Decide(self, e.gossip.StoreReaderCandidates(now), now)
-	if d.Role == storereader.Idle && e.gossip.Lagging(now) {
+	if d.Role == storereader.Idle && (e.gossip.Lagging(now) || !e.elector.TakingTurns() && e.follower.Overdue(now)) {
 		d.Role = storereader.Trial
 	}
 	return d
--- a/internal/router/gossip/announced_test.go
+++ b/internal/router/gossip/announced_test.go
@@ -28,5 +28,7 @@
 		all[0].gossip.Trigger()
 		time.Sleep(100 * time.Millisecond)
 		g.Expect(all[1].gossip.Announced().BehindSince).To(Equal(start))
+		all[1].SetConfig([]byte("4"), "store")
+		time.Sleep(time.Second) // ends the fetch
 	})
 }
--- a/internal/router/gossip/fixture_test.go
+++ b/internal/router/gossip/fixture_test.go
@@ -15,6 +15,7 @@
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/freshness"
 	decision "wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/decision/retrybudget"
 	"wisteriafield/internal/decision/storehistory"
@@ -87,6 +88,7 @@
 	mu           sync.Mutex
 	version      int64
 	position     storehistory.Position
+	fresh        freshness.Tracker
 	storeEra     int64 // newest that the store named
 	observedEra  int64 // newest that a peer named
 	gossip       *gossip.Gossip
@@ -141,6 +143,16 @@
 	defer r.mu.Unlock()
 	r.position = storehistory.Later(r.position, list.At)
 }
+func (r *router) Freshness() freshness.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return freshness.State{Version: r.version, List: r.position, ConfigAt: r.fresh.ConfigAt(), ConfirmedAt: r.fresh.ConfirmedAt()}
+}
+func (r *router) ObservePeer(peer freshness.State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fresh.Hear(peer, r.version, r.position)
+}
 func (r *router) StoreEra() int64 { r.mu.Lock(); defer r.mu.Unlock(); return r.storeEra }
 func (r *router) ObserveStoreEra(era int64) {
 	r.mu.Lock()
--- a/internal/router/gossip/message.go
+++ b/internal/router/gossip/message.go
@@ -14,10 +14,11 @@
 // crashes and of limits. With listPeers, the message also lists up to maxListedPeers live
 // peers, and older news that still matters.
 func (g *Gossip) buildMessage(listPeers bool, news int) message {
-	position := g.cfg.State.ServerPosition()
+	own := g.cfg.State.Freshness()
+	position := own.List
 	m := message{
 		Host:         g.cfg.Self,
-		Version:      g.cfg.State.ConfigVersion(),
+		Version:      own.Version,
 		Revision:     position.Revision,
 		Era:          position.Era,
 		Stopping:     g.cfg.State.Stopping(),
@@ -32,6 +33,7 @@
 	if at := g.cfg.State.StoreReached(); !at.IsZero() {
 		m.StoreAgeMs = now.Sub(at).Milliseconds()
 	}
+	addFreshness(&m, own, now)
 	m.Attempts = g.cfg.RetryBudget.OwnCounts(now)
 	m.Informed = g.informed(now)
 	report := g.cfg.Quarantine.Report(news, listPeers, now)
--- a/internal/router/gossip/pull.go
+++ b/internal/router/gossip/pull.go
@@ -61,11 +61,11 @@
 }
 
 // pull fetches the newer state that a message announces: first from its sender, whose
-// link may be busy, then from any peer that has it.
-func (g *Gossip) pull(m message, fetch func(from Host) (done bool)) {
+// link may be busy, then from any peer that has it, until this router has it.
+func (g *Gossip) pull(m message, has func() bool, fetch func(from Host) (done bool)) {
 	from := m.Host
 	for range maxPullAttempts {
-		if fetch(from) {
+		if has() || fetch(from) {
 			return
 		}
 		loop.Sleep(context.Background(), pullRetryDelay)
--- a/internal/router/gossip/receive.go
+++ b/internal/router/gossip/receive.go
@@ -28,9 +28,11 @@
 	if m.Version > g.cfg.State.ConfigVersion() && g.pullingConfig.CompareAndSwap(false, true) {
 		go func() {
 			defer g.pullingConfig.Store(false)
-			g.pull(m, g.pullConfig)
+			g.pull(m, func() bool { return g.cfg.State.ConfigVersion() >= m.Version }, g.pullConfig)
+			g.observeFreshness(m, now)
 		}()
 	}
+	g.observeFreshness(m, now)
 	g.cfg.State.ObserveStoreEra(max(m.Era, m.StoreEra))
 	own := g.cfg.State.ServerPosition()
 	ahead := own.Before(m.position(own.Era))
@@ -40,11 +42,20 @@
 	if ahead && !readsReachableStore && g.pullingServerList.CompareAndSwap(false, true) {
 		go func() {
 			defer g.pullingServerList.Store(false)
-			g.pull(m, g.pullServerList)
+			g.pull(m, func() bool { return !g.cfg.State.ServerPosition().Before(m.position(own.Era)) }, g.pullServerList)
+			g.observeFreshness(m, now)
 		}()
 	}
 }
 
+// observeFreshness records how far the sender of a message that arrived at a time knows the
+// store.
+func (g *Gossip) observeFreshness(m message, at time.Time) {
+	if peer, known := m.freshness(at); known {
+		g.cfg.State.ObservePeer(peer)
+	}
+}
+
 // trackLag records since when some peer has had a newer server list. It starts anew
 // when this router's list changes.
 func (g *Gossip) trackLag(ahead bool, now time.Time) {
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wisteriafield/internal/backend/registry"
+	"wisteriafield/internal/decision/freshness"
 	"wisteriafield/internal/decision/quarantine"
 	"wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/decision/retrybudget"
@@ -46,6 +47,11 @@
 	// its server list's.
 	StoreEra   int64 `json:",omitempty"`
 	StoreAgeMs int64 `json:"AgeMs"` // since the store last answered the sender; -1 if never
+	// ConfirmedMs is how long ago what the sender has of the store was known to be the newest;
+	// nil if it doesn't know. ConfigAt is as far as it knows the configuration, if that is not
+	// the position of its server list.
+	ConfirmedMs *int64                 `json:",omitempty"`
+	ConfigAt    *storehistory.Position `json:",omitempty"`
 
 	// Heartbeats is the age in ms of the newest known heartbeats of some peers, by
 	// name.
@@ -170,10 +176,12 @@
 	ServerList(after storehistory.Position) discovery.ServerList
 	ServerPosition() storehistory.Position
 	ApplyServerList(after storehistory.Position, list discovery.ServerList, source string)
-	StoreEra() int64             // the newest that the store named to this router
-	ObserveStoreEra(era int64)   // as a peer knows it
-	StoreReached() time.Time     // when the store last answered this router
-	StoreRole() storereader.Role // of this router in reading the store
-	StoreFailing() bool          // the store did not answer this router's last call
+	Freshness() freshness.State       // what this router has of the store
+	ObservePeer(peer freshness.State) // what a peer has of the store
+	StoreEra() int64                  // the newest that the store named to this router
+	ObserveStoreEra(era int64)        // as a peer knows it
+	StoreReached() time.Time          // when the store last answered this router
+	StoreRole() storereader.Role      // of this router in reading the store
+	StoreFailing() bool               // the store did not answer this router's last call
 	Stopping() bool
 }
--- a/internal/router/gossip/wire_test.go
+++ b/internal/router/gossip/wire_test.go
@@ -31,6 +31,8 @@
 			`"Stopping":true,"Reads":true,"AgeMs":8,"Signs":{"p":9},"Run":{"Session":"","Run":"","Server":"","Backup":""}}`},
 		{gossip.Message{}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},"Version":0,"Revision":0,"AgeMs":0}`},
 		{gossip.Message{StoreFailing: true}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},"Version":0,"Revision":0,"StoreFailing":true,"AgeMs":0}`},
+		{gossip.Message{ConfirmedMs: new(int64), ConfigAt: &storehistory.Position{Era: 2, Revision: 3}}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},` +
+			`"Version":0,"Revision":0,"AgeMs":0,"ConfirmedMs":0,"ConfigAt":{"Era":2,"Revision":3}}`},
 		{gossip.Message{Attempts: map[string]retrybudget.Counts{"s": {}}}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},` +
 			`"Version":0,"Revision":0,"AgeMs":0,"Sends":{"s":{"Firsts":0,"Repeats":0}}}`},
 		{gossip.Message{Era: 2, StoreEra: 3}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},"Version":0,"Revision":0,"Era":2,"StoreEra":3,"AgeMs":0}`},
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -81,6 +81,10 @@
 mutant resume-another-request internal/backend/server/types.go '[]string{r.Digest, r.Host, r.Model}' '[]string{}' "./internal/router/relay -run AnotherRequest"
 mutant lost-readers-are-an-outage $d/storereader/storereader.go 'minOutage = 2500' 'minOutage = 1500' "./$d/storereader -run LostReaders"
 mutant lost-readers-replaced-late $d/storereader/storereader.go 'staleAfter = 1400' 'staleAfter = 1800' "./$d/storereader -run LostReaders"
+mutant read-past-the-configuration internal/router/discovery/follower.go 'storehistory.Earlier(applied, f.configAt())' 'applied' "./internal/router/discovery -run PassedOver"
+mutant refused-for-long internal/router/discovery/freshness.go 'passed >= maxRetryDelay && f.Overdue(time.Now())' 'false' "./internal/router/discovery -run NoLongerKeep"
+mutant trust-peers-for-ever internal/router/edge/state.go '!e.elector.TakingTurns() && e.follower.Overdue(now)' 'false' "./platform -run NoPeerSends"
+mutant confirmed-by-the-newer $d/freshness/freshness.go 'version < peer.Version' 'false' ./$d/freshness
 mutant own-path-is-an-outage internal/router/discovery/role.go 'if f.outage {' 'if true {' "./internal/router/discovery -run OwnPath"
 mutant answers-without-a-sum $d/answermemory/answermemory.go 'for b.used > b.limit {' 'for false {' ./$d/answermemory
 mutant break-off-the-newest $d/answermemory/answermemory.go 'victim := b.largest()' 'victim := a' ./$d/answermemory
