http1: the test of the kernel's queue waits until the connections are in it

Cause: Dial returns once the caller's side is connected. The last packet of the handshake may still be on its way, so that the kernel has nothing to accept when the listener closes, and resets the connection. The test is of connections that the kernel has accepted.

The test asks for the same answers as before, and for the queue besides.

--- a/internal/caller/http1/listener_test.go
+++ b/internal/caller/http1/listener_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -127,6 +129,27 @@
 	return l.TCPListener.Accept()
 }
 
+// queuedConnections returns the length of a listener's queue in the kernel. A dialled connection
+// gets there with the last packet of its handshake, which may come after Dial has returned.
+func queuedConnections(address net.Addr) (int, error) {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0, err
+	}
+	local := fmt.Sprintf(":%04X", address.(*net.TCPAddr).Port)
+	for _, line := range strings.Split(string(table), "\n") {
+		const listening = "0A"
+		fields := strings.Fields(line)
+		if len(fields) < 5 || !strings.HasSuffix(fields[1], local) || fields[3] != listening {
+			continue
+		}
+		_, queued, _ := strings.Cut(fields[4], ":")
+		n, err := strconv.ParseInt(queued, 16, 0)
+		return int(n), err
+	}
+	return 0, fmt.Errorf("%s is not listening", address)
+}
+
 func TestAConnectionInTheKernelsQueueIsServedWhenAcceptingEnds(t *testing.T) {
 	g := NewWithT(t)
 	s := newTestServer(func(http.ResponseWriter, *http.Request) {})
@@ -146,6 +169,7 @@
 			results <- err
 		}()
 	}
+	g.Eventually(func() (int, error) { return queuedConnections(ln.Addr()) }).WithPolling(time.Millisecond).Should(Equal(callers))
 	s.conns.stopAccepting()
 	close(gated.gate)
 	for range callers {
