edgesoak: each router that reaches the store is checked, also beside faults of others

The rule binds each router with a path to the store: now only faults of that router and of the store excuse it.

--- a/internal/trial/edgesoak/budget.go
+++ b/internal/trial/edgesoak/budget.go
@@ -98,8 +98,12 @@
 
 // inTouch reports whether no fault had disturbed a router or the store for the contact time.
 func (s *soak) inTouch(r *router, at time.Time) bool {
-	from := at.Add(-disturbanceTimeout)
-	return !r.faults.within(from, at) && !s.storeFaults.within(from, at)
+	return s.undisturbed(r, at.Add(-disturbanceTimeout), at)
+}
+
+// undisturbed reports whether no fault disturbed a router or the store in a time.
+func (s *soak) undisturbed(r *router, from, to time.Time) bool {
+	return !r.faults.within(from, to) && !s.storeFaults.within(from, to)
 }
 
 // checkDeadly checks that a request which has crashed three servers reaches few others once
--- a/internal/trial/edgesoak/config.go
+++ b/internal/trial/edgesoak/config.go
@@ -41,22 +41,27 @@
 	return ctx.Err()
 }
 
-// changeConfig writes a new version of the configuration and checks that it takes
-// effect in time on the routers that no fault disturbed.
+// changeConfig writes a new version of the configuration and checks that it takes effect in
+// time.
 func (s *soak) changeConfig(ctx context.Context, r *rand.Rand) {
 	written, err := s.writeConfig(ctx)
 	if err != nil {
 		return
 	}
-	writtenAt, version := time.Now(), int(written)
+	s.checkVersion(ctx, int(written), time.Now())
+	loop.Sleep(ctx, time.Duration(r.IntN(1000))*time.Millisecond)
+}
+
+// checkVersion checks that a version of the configuration takes effect in time at each router
+// that no fault disturbed and that reaches the store, whatever happens to other routers.
+func (s *soak) checkVersion(ctx context.Context, version int, writtenAt time.Time) {
 	s.count("changes of the configuration")
 	loop.Sleep(ctx, configTimeout)
 	for _, router := range s.routers {
-		undisturbedAt, undisturbed := s.undisturbedSince()
 		s.mu.Lock()
 		stoppedAt := s.stoppedAt[router.name]
 		s.mu.Unlock()
-		if !undisturbed || undisturbedAt.After(writtenAt) || time.Since(stoppedAt) < 2*grace {
+		if !s.undisturbed(router, writtenAt.Add(-disturbanceTimeout), time.Now()) || time.Since(stoppedAt) < 2*grace {
 			continue
 		}
 		d, err := s.dump(router)
@@ -65,7 +70,6 @@
 		}
 		s.count("versions checked in time")
 	}
-	loop.Sleep(ctx, time.Duration(r.IntN(1000))*time.Millisecond)
 }
 
 // getVersionRoute sends a lookup on the route that a version added and returns its
--- a/internal/trial/edgesoak/soak.go
+++ b/internal/trial/edgesoak/soak.go
@@ -46,6 +46,7 @@
 	Deadly   int           `long:"deadly" default:"1" description:"number of deadly requests of each kind"`
 	Others   int           `long:"others" default:"2" description:"number of stand-in servers of each other service, to which routes move; 0 for no moves"`
 	Planned  bool          `long:"planned" description:"planned faults only, several at once"`
+	Storms   bool          `long:"storms" description:"storms of changes beside faults of many routers, no other faults"`
 	Verbose  bool          `long:"faults" description:"print each fault"`
 }
 
@@ -102,11 +103,14 @@
 	group.Start(ctx, s.changeConfig, 300)
 	group.Start(ctx, s.versionChecker(), 301)
 	// Several series of faults run at once, so that faults overlap.
-	if s.Planned {
+	switch {
+	case s.Planned:
 		for i := range plannedSeries {
 			group.Start(ctx, s.injectPlanned, uint64(1+i))
 		}
-	} else {
+	case s.Storms:
+		group.Start(ctx, s.injectStorm, 1)
+	default:
 		group.Start(ctx, s.injectFault, 1)
 		group.Start(ctx, s.injectFault, 2)
 	}
@@ -148,7 +152,7 @@
 	s.checkExecutions()
 	s.checkDeadly()
 	s.checkLogs()
-	fmt.Printf("seed %d, %s, %d routers, %d engines, %d desks, %d of each other service, %d deadly of each kind, planned only %t\n", s.Seed, s.Duration, s.Routers, s.Engines, s.Services, s.Others, s.Deadly, s.Planned)
+	fmt.Printf("seed %d, %s, %d routers, %d engines, %d desks, %d of each other service, %d deadly of each kind, planned only %t, storms %t\n", s.Seed, s.Duration, s.Routers, s.Engines, s.Services, s.Others, s.Deadly, s.Planned, s.Storms)
 	var names []string
 	for what := range s.counts {
 		names = append(names, what)
@@ -164,6 +168,6 @@
 	for _, p := range s.problems {
 		fmt.Println("BROKEN: " + p)
 	}
-	fmt.Printf("logs are in %s; again with: make build && bin/fleet edge-soak --seed %d --last %s --routers %d --engines %d --desks %d --others %d --deadly %d%s\n", dir, s.Seed, s.Duration, s.Routers, s.Engines, s.Services, s.Others, s.Deadly, choose(s.Planned, " --planned", ""))
+	fmt.Printf("logs are in %s; again with: make build && bin/fleet edge-soak --seed %d --last %s --routers %d --engines %d --desks %d --others %d --deadly %d%s%s\n", dir, s.Seed, s.Duration, s.Routers, s.Engines, s.Services, s.Others, s.Deadly, choose(s.Planned, " --planned", ""), choose(s.Storms, " --storms", ""))
 	return ErrCheckFailed
 }
