discovery, kv: a kept connection to the store that has gone silent delays no change

What callers would see: a router that its peers no longer keep up to date, and that had called the store before, goes on with an older configuration for over a second too long.

Cause: a router that leaves the store to others keeps its connections for up to 30 s. If they go silent in between (an address translation that forgot them, a host that was replaced), the first call waits 0.9 s for an answer and the next one comes 0.5 to 1.5 s later.

Fix: the first call after a time without calls, or after a failed one, opens a connection.

Evidence: TestAKeptConnectionToTheStoreThatHasGoneSilentDelaysNoConfiguration, in which peers fall silent three seconds after the connections.

--- a/internal/router/discovery/fixture_test.go
+++ b/internal/router/discovery/fixture_test.go
@@ -74,6 +74,8 @@
 	return s.seenEra
 }
 
+func (s *store) CloseIdle() {}
+
 func (s *store) put(key, body string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -63,6 +63,8 @@
 	Range(ctx context.Context, prefix string, stale bool) ([]kv.Value, storehistory.Position, error)
 	WatchPrefix(ctx context.Context, prefix string, after storehistory.Position, wait time.Duration) ([]kv.Value, storehistory.Position, error)
 	Era() int64 // the newest that an answer named
+	// CloseIdle closes the connections that no call uses, so that the next call opens one.
+	CloseIdle()
 }
 
 // Config holds the dependencies and settings of a Follower.
@@ -162,6 +164,9 @@
 // readOrWatch reads all entries, or waits for the next changes.
 func (f *Follower) readOrWatch(ctx context.Context, position *storehistory.Position) error {
 	f.clearInterrupt()
+	if f.probeDue {
+		f.cfg.Store.CloseIdle() // one that was kept may have gone silent
+	}
 	applied := f.Position()
 	// A peer may have told this router more than its last call did.
 	after := storehistory.Later(*position, storehistory.Earlier(applied, f.configAt()))
--- a/internal/trial/mutants/run.sh
+++ b/internal/trial/mutants/run.sh
@@ -83,6 +83,7 @@
 mutant lost-readers-replaced-late $d/storereader/storereader.go 'staleAfter = 1400' 'staleAfter = 1800' "./$d/storereader -run LostReaders"
 mutant read-past-the-configuration internal/router/discovery/follower.go 'storehistory.Earlier(applied, f.configAt())' 'applied' "./internal/router/discovery -run PassedOver"
 mutant refused-for-long internal/router/discovery/freshness.go 'passed >= maxRetryDelay && f.Overdue(time.Now())' 'false' "./internal/router/discovery -run NoLongerKeep"
+mutant keep-a-silent-connection internal/router/discovery/follower.go 'f.cfg.Store.CloseIdle()' '' "./platform -run GoneSilentDelays"
 mutant trust-peers-for-ever internal/router/edge/state.go '!e.elector.TakingTurns() && e.follower.Overdue(now)' 'false' "./platform -run NoPeerSends"
 mutant confirmed-by-the-newer $d/freshness/freshness.go 'version < peer.Version' 'false' ./$d/freshness
 mutant own-path-is-an-outage internal/router/discovery/role.go 'if f.outage {' 'if true {' "./internal/router/discovery -run OwnPath"
