discovery: the age of the store's last answer ignores steps of the wall clock

The moment of the last answer was kept as Unix nanoseconds, so its age was a difference of wall clock times. After a step back a router that had read the store before counted its old answer as a new one for as long as the step, and left the store to readers that it may have lost; peers were told that it never had an answer.

Fix: the moment keeps its monotonic reading.

Evidence: TestTheAgeOfTheStoresLastAnswerIgnoresStepsOfTheClock failed before.

--- a/internal/router/discovery/fixture_test.go
+++ b/internal/router/discovery/fixture_test.go
@@ -202,27 +202,30 @@
 
 // runFollowerOf starts a follower of a store that fill has filled and runs test.
 func runFollowerOf(t *testing.T, fill func(s *store), test func(f *fixture)) {
-	synctest.Test(t, func(t *testing.T) {
-		f := &fixture{WithT: NewWithT(t), store: &store{era: 1, values: map[string]kv.Value{}}, decision: storereader.Decision{Role: storereader.Primary}}
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		fill(f.store)
-		f.follower = discovery.New(discovery.Config{
-			Store: f.store, ConfigKey: "config", ServersPrefix: "servers/", HostsPrefix: "hosts/", ChangeTime: 2 * time.Second,
-			DecodeServer: decode, OnChange: func() { f.changes.Add(1) }, AddHost: func([]byte) {},
-			SetConfig:  func(value []byte, _ string) { f.mu.Lock(); f.config = string(value); f.mu.Unlock() },
-			SetServers: func(_ storehistory.Position, s []server.Server) { f.mu.Lock(); f.servers = s; f.mu.Unlock() },
-			HasConfig:  func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.config != "" },
-			Decide:     f.decideRole,
-			Log:        log.WithField("part", "store"),
-		})
-		ctx, stop := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() { _ = f.follower.Run(ctx); close(done) }()
-		defer func() { stop(); <-done }()
-		time.Sleep(50 * time.Millisecond)
-		test(f)
+	synctest.Test(t, func(t *testing.T) { runFollowerNow(t, fill, test) })
+}
+
+// runFollowerNow is runFollowerOf with the real clock.
+func runFollowerNow(t *testing.T, fill func(s *store), test func(f *fixture)) {
+	f := &fixture{WithT: NewWithT(t), store: &store{era: 1, values: map[string]kv.Value{}}, decision: storereader.Decision{Role: storereader.Primary}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	fill(f.store)
+	f.follower = discovery.New(discovery.Config{
+		Store: f.store, ConfigKey: "config", ServersPrefix: "servers/", HostsPrefix: "hosts/", ChangeTime: 2 * time.Second,
+		DecodeServer: decode, OnChange: func() { f.changes.Add(1) }, AddHost: func([]byte) {},
+		SetConfig:  func(value []byte, _ string) { f.mu.Lock(); f.config = string(value); f.mu.Unlock() },
+		SetServers: func(_ storehistory.Position, s []server.Server) { f.mu.Lock(); f.servers = s; f.mu.Unlock() },
+		HasConfig:  func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.config != "" },
+		Decide:     f.decideRole,
+		Log:        log.WithField("part", "store"),
 	})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = f.follower.Run(ctx); close(done) }()
+	defer func() { stop(); <-done }()
+	time.Sleep(50 * time.Millisecond)
+	test(f)
 }
 
 // decideRole returns the follower's role. Unless only its path is cut, no other router reaches
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -98,13 +98,13 @@
 	eras             storehistory.Tracker
 	raw              map[string]kv.Value // server entries as the store holds them, by key
 	changeLog        *storehistory.Log[kv.Value]
-	entries          map[string]server.Server // by key
-	keptUntil        map[string]time.Time     // when expired entries are removed, by key
-	removed          map[string]removal       // by key
-	heldUntil        map[string]time.Time     // when entries that came back with the store are used, by key
-	unreachableSince time.Time                // when the store stopped answering this router; zero while it answers
-	outage           bool                     // the store answers no known router
-	storeReachedAt   atomic.Int64             // Unix nanoseconds of the store's last answer
+	entries          map[string]server.Server  // by key
+	keptUntil        map[string]time.Time      // when expired entries are removed, by key
+	removed          map[string]removal        // by key
+	heldUntil        map[string]time.Time      // when entries that came back with the store are used, by key
+	unreachableSince time.Time                 // when the store stopped answering this router; zero while it answers
+	outage           bool                      // the store answers no known router
+	storeReachedAt   atomic.Pointer[time.Time] // of the store's last answer; steps of the wall clock do not change its age
 	role             atomic.Pointer[storereader.Role]
 	failing          atomic.Bool // the last call of the store failed
 	recoveredAt      time.Time   // when the store answered again after an outage
@@ -122,8 +122,8 @@
 // StoreReached returns when the store last answered this router, or the zero time if
 // it never did.
 func (f *Follower) StoreReached() time.Time {
-	if at := f.storeReachedAt.Load(); at != 0 {
-		return time.Unix(0, at)
+	if at := f.storeReachedAt.Load(); at != nil {
+		return *at
 	}
 	return time.Time{}
 }
--- a/internal/router/discovery/freshness_test.go
+++ b/internal/router/discovery/freshness_test.go
@@ -49,3 +49,11 @@
 		}
 	})
 }
+
+// Without a monotonic reading, a step of the wall clock changes the age.
+func TestTheAgeOfTheStoresLastAnswerIgnoresStepsOfTheClock(t *testing.T) {
+	runFollowerNow(t, func(s *store) { s.put("config", "one") }, func(f *fixture) {
+		reached := f.follower.StoreReached()
+		f.Expect(reached).NotTo(Equal(reached.Round(0)), "Round(0) drops the monotonic reading")
+	})
+}
--- a/internal/router/discovery/role.go
+++ b/internal/router/discovery/role.go
@@ -95,7 +95,7 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	f.failing.Store(false)
-	f.storeReachedAt.Store(now.UnixNano())
+	f.storeReachedAt.Store(&now)
 	if !f.unreachableSince.IsZero() {
 		f.endOutage(now)
 	}
