edge: a router never names an older version than its position has

Version and position were read in this order, and a configuration could take effect between them. A peer that believed it would read past the newer configuration and count as confirmed.

Fix: the version is read last, so that it is at least the one of the position.

--- a/internal/router/discovery/freshness.go
+++ b/internal/router/discovery/freshness.go
@@ -8,11 +8,11 @@
 	"wisteriafield/internal/decision/storehistory"
 )
 
-// State returns what this router has of the store, given the version of its configuration.
-func (f *Follower) State(version int64) freshness.State {
+// State returns what this router has of the store, without the version of its configuration.
+func (f *Follower) State() freshness.State {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return freshness.State{Version: version, List: f.position, ConfigAt: f.fresh.ConfigAt(), ConfirmedAt: f.fresh.ConfirmedAt()}
+	return freshness.State{List: f.position, ConfigAt: f.fresh.ConfigAt(), ConfirmedAt: f.fresh.ConfirmedAt()}
 }
 
 // ObservePeer records what a peer has of the store, given the version of this router's
--- a/internal/router/discovery/freshness_test.go
+++ b/internal/router/discovery/freshness_test.go
@@ -23,9 +23,8 @@
 			f.decide(storereader.Decision{Role: role})
 			time.Sleep(time.Second)
 			f.Expect(f.currentConfig()).To(Equal("two"), string(role))
-			f.Expect(f.follower.State(2)).To(Equal(freshness.State{
-				Version: 2, List: later(before, 1), ConfigAt: later(before, 1), ConfirmedAt: f.follower.State(2).ConfirmedAt,
-			}))
+			state := f.follower.State()
+			f.Expect(state).To(Equal(freshness.State{List: later(before, 1), ConfigAt: later(before, 1), ConfirmedAt: state.ConfirmedAt}))
 		})
 	}
 }
@@ -37,8 +36,8 @@
 		f.mu.Unlock()
 		f.store.update(func() { f.store.unreachable = true })
 		for start := time.Now(); time.Since(start) < 30*time.Second; time.Sleep(200 * time.Millisecond) {
-			own := f.follower.State(1)
-			own.ConfirmedAt = time.Now()
+			own := f.follower.State()
+			own.Version, own.ConfirmedAt = 1, time.Now()
 			f.follower.ObservePeer(own, 1)
 		}
 		for range 20 {
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -88,7 +88,11 @@
 }
 
 // Freshness returns what this router has of the store.
-func (e *Edge) Freshness() freshness.State { return e.follower.State(e.ConfigVersion()) }
+func (e *Edge) Freshness() freshness.State {
+	s := e.follower.State()
+	s.Version = e.ConfigVersion() // read last: it is at least the one that s.ConfigAt and s.ConfirmedAt are of
+	return s
+}
 
 // ObservePeer records what a peer has of the store.
 func (e *Edge) ObservePeer(peer freshness.State) { e.follower.ObservePeer(peer, e.ConfigVersion()) }
