--- a/internal/decision/freshness/intime_test.go
+++ b/internal/decision/freshness/intime_test.go
@@ -27,7 +27,7 @@
 			ok := from%2 == to%2 || !cut(at)
 			return ok, ok, ok
 		},
-		"two of a kind": func(from, to int, at time.Duration) (bool, bool, bool) {
+		"two cut off together": func(from, to int, at time.Duration) (bool, bool, bool) {
 			ok := from < 2 == (to < 2) || !cut(at)
 			return ok, ok, ok
 		},
--- a/internal/trial/edgesoak/soak_test.go
+++ b/internal/trial/edgesoak/soak_test.go
@@ -36,6 +36,11 @@
 	NewWithT(t).Expect(edgesoak.Run(context.Background(), buildPrograms(t), opts)).To(Succeed())
 }
 
+func TestEachRouterHasAChangeInTimeBesideFaultsOfOthers(t *testing.T) {
+	opts := edgesoak.Options{Seed: 1, Duration: 16 * time.Second, Routers: 6, Engines: 2, Services: 1, Others: 2, Storms: true}
+	NewWithT(t).Expect(edgesoak.Run(context.Background(), buildPrograms(t), opts)).To(Succeed())
+}
+
 func TestRequestsThatCrashServersAreStoppedUnderRandomFaults(t *testing.T) {
 	bin := buildPrograms(t)
 	for _, seed := range append([]uint64{1}, regressions...) {
