edgesoak: the faults and the changes of a storm have random numbers of their own

Cause: the goroutine that injects the fault of a storm drew from the same source as the one that writes its changes.

--- a/internal/trial/edgesoak/storms.go
+++ b/internal/trial/edgesoak/storms.go
@@ -49,7 +49,8 @@
 // injectStorm injects a fault of many routers and a storm of changes, the one a moment before
 // the other.
 func (s *soak) injectStorm(ctx context.Context, r *rand.Rand) {
-	s.healing.Go(func() { s.injectOne(ctx, r, pick(stormFaults, r)) })
+	faultRand := rand.New(rand.NewPCG(r.Uint64(), 0)) // r is not safe for concurrent use
+	s.healing.Go(func() { s.injectOne(ctx, faultRand, pick(stormFaults, faultRand)) })
 	loop.Sleep(ctx, time.Duration(r.IntN(1000))*time.Millisecond)
 	for range stormChanges {
 		version, err := s.writeConfig(ctx)
