relay: a stream waits for a retry for as long as its caller does

Callers saw streams cut, or failed with 502, 12 to 17 s before their deadlines while other engines were there: 1.8 s after an engine had ended as planned, or one after the other was silent and refused, although only the retry budget of their router was used up.

Cause: a constant bounded the wait, and a stream that had not begun did not wait at all. A router of 76 has about five retries in 10 s; silences of sound engines use them up, and the next loss finds none. The budget is replenished within its window, long before callers leave.

The budget now tells when it will have a retry, and a stream waits if that is before its caller leaves. An engine for it is chosen after the wait, not before. Callers are told at once if no engine is usable, and as before if no retry can be expected. A retry that was taken and not sent when a stream ends goes back to the budget.

--- a/internal/config/routes/types.go
+++ b/internal/config/routes/types.go
@@ -45,6 +45,19 @@
 	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
 }
 
+// Callers leave a stream, also before its first event, after the longest of a minimum and of
+// multiples of the targets.
+const (
+	minPatience           = 2 * time.Second
+	latencyTargetPatience = 4
+	gapTargetPatience     = 8
+)
+
+// StreamPatience returns how long callers of a stream wait for its next event.
+func (r *Route) StreamPatience() time.Duration {
+	return max(minPatience, latencyTargetPatience*r.LatencyTarget, gapTargetPatience*r.EventGapTarget)
+}
+
 // Share is the part of a route's traffic that a service gets, by weight.
 type Share struct {
 	Service string
--- a/internal/decision/retrybudget/budget.go
+++ b/internal/decision/retrybudget/budget.go
@@ -66,11 +66,12 @@
 	newest        int64 // number of the newest bucket
 }
 
-// sum adds up the buckets of the window that ended the given number of buckets ago.
+// sum adds up the buckets of the window that ended the given number of buckets ago. A negative
+// number means a window that ends later; nothing is counted in the buckets to come.
 func (w *window) sum(counts *[keptBuckets]int, ago int64) int {
 	sum := 0
-	for i := range int64(buckets) {
-		sum += counts[(w.newest-ago-i+keptBuckets)%keptBuckets]
+	for age := max(ago, 0); age < ago+buckets; age++ {
+		sum += counts[(w.newest-age)%keptBuckets]
 	}
 	return sum
 }
@@ -96,19 +97,41 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.currentWindow(service, now)
-	own := w.counts()
-	slack := b.slack(now)
-	allowed := b.cfg.Ratio*own.FirstAttempts + slack
-	if meanAllowed := b.cfg.Ratio*w.peerMean.FirstAttempts + slack; w.peerMean.FirstAttempts > 0 && w.peerMean.Retries+ownWeight*(own.Retries-w.peerMean.Retries) < borrowBelow*meanAllowed {
-		allowed = max(allowed, borrowFactor*meanAllowed)
-	}
-	if own.Retries >= allowed {
+	if own := w.counts(0); own.Retries >= b.allowed(w, own, now) {
 		return false
 	}
 	w.retries[w.newest%keptBuckets]++
 	return true
 }
 
+// NextAt returns when Allow has a retry if there are no more attempts until then: now, or the
+// end of a bucket. It returns the zero time if there will be none.
+func (b *Budget) NextAt(service string, now time.Time) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.currentWindow(service, now)
+	for ahead := range int64(buckets + 1) {
+		if own := w.counts(ahead); own.Retries >= b.allowed(w, own, now) {
+			continue
+		}
+		if ahead == 0 {
+			return now
+		}
+		return time.Unix(0, (w.newest+ahead)*int64(b.cfg.Window/buckets))
+	}
+	return time.Time{}
+}
+
+// allowed returns the retries that this router may use in a window with its own counts.
+func (b *Budget) allowed(w *window, own Counts, now time.Time) float64 {
+	slack := b.slack(now)
+	allowed := b.cfg.Ratio*own.FirstAttempts + slack
+	if meanAllowed := b.cfg.Ratio*w.peerMean.FirstAttempts + slack; w.peerMean.FirstAttempts > 0 && w.peerMean.Retries+ownWeight*(own.Retries-w.peerMean.Retries) < borrowBelow*meanAllowed {
+		return max(allowed, borrowFactor*meanAllowed)
+	}
+	return allowed
+}
+
 // Return gives back a retry that Allow gave at takenAt, and that was not sent.
 func (b *Budget) Return(service string, takenAt, now time.Time) {
 	b.mu.Lock()
@@ -126,7 +149,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.currentWindow(service, now)
-	own, peers := w.counts().FirstAttempts, w.peerMean.FirstAttempts
+	own, peers := w.counts(0).FirstAttempts, w.peerMean.FirstAttempts
 	routers := float64(max(b.cfg.Routers(), 1))
 	mean := (own + (routers-1)*peers) / routers
 	// One attempt more keeps routers with few of them from extremes.
@@ -139,7 +162,7 @@
 	defer b.mu.Unlock()
 	own := make(map[string]Counts, len(b.services))
 	for service := range b.services {
-		own[service] = b.currentWindow(service, now).counts()
+		own[service] = b.currentWindow(service, now).counts(0)
 	}
 	return own
 }
@@ -155,11 +178,11 @@
 	}
 }
 
-// counts returns the retries of the current window and the first attempts that they
-// are measured against.
-func (w *window) counts() Counts {
-	firstAttempts := max(w.sum(&w.firstAttempts, 0), w.sum(&w.firstAttempts, buckets/2), w.sum(&w.firstAttempts, buckets))
-	return Counts{FirstAttempts: float64(firstAttempts), Retries: float64(w.sum(&w.retries, 0))}
+// counts returns the retries of the window that ends the given number of buckets after the
+// current one, and the first attempts that they are measured against.
+func (w *window) counts(ahead int64) Counts {
+	firstAttempts := max(w.sum(&w.firstAttempts, -ahead), w.sum(&w.firstAttempts, buckets/2-ahead), w.sum(&w.firstAttempts, buckets-ahead))
+	return Counts{FirstAttempts: float64(firstAttempts), Retries: float64(w.sum(&w.retries, -ahead))}
 }
 
 // slack returns this router's part of the shared slack.
--- a/internal/decision/retrybudget/budget_test.go
+++ b/internal/decision/retrybudget/budget_test.go
@@ -147,3 +147,30 @@
 	}
 	g.Expect(len(retries)).To(BeNumerically(">", 300), "the fleet retries at all")
 }
+
+func TestTheNextRetryIsForetold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := retrybudget.New(config, time.Unix(0, 0))
+		now := time.Unix(100, 0)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "first") {
+				b.RecordFirstAttempt("desk", now)
+			} else {
+				b.Allow("desk", now)
+			}
+		}
+		next := b.NextAt("desk", now)
+		if next.IsZero() || next.Sub(now) > config.Window+time.Second {
+			t.Fatalf("at %v: %v", now, next)
+		}
+		for at := now; at.Before(next); at = at.Add(100 * time.Millisecond) {
+			if b.Allow("desk", at) {
+				t.Fatalf("allowed at %v, foretold for %v", at, next)
+			}
+		}
+		if !b.Allow("desk", next) {
+			t.Fatalf("not allowed at %v as foretold", next)
+		}
+	})
+}
--- a/internal/router/relay/harness_test.go
+++ b/internal/router/relay/harness_test.go
@@ -50,6 +50,17 @@
 	return true
 }
 
+func (b *fakeBudget) NextAt(_ string, now time.Time) time.Time {
+	switch {
+	case b.most > 0 && b.given-b.returned >= b.most:
+		return time.Time{}
+	case now.Before(b.exhaustedUntil):
+		return b.exhaustedUntil
+	default:
+		return now
+	}
+}
+
 func (b *fakeBudget) Return(string, time.Time, time.Time) { b.returned++ }
 
 // harness is a relay with three fake engines.
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -85,6 +85,7 @@
 	Client      Client
 	RetryBudget interface {
 		Allow(service string, now time.Time) bool
+		NextAt(service string, now time.Time) time.Time
 		Return(service string, takenAt, now time.Time)
 	}
 	Sessions   Sessions
--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -10,42 +10,81 @@
 const (
 	// retryBudgetInterval is the time between two questions for a retry.
 	retryBudgetInterval = 100 * time.Millisecond
-	// maxRetryBudgetWait is below the shortest gap after which callers leave a stream, so
-	// that those who can reconnect are told in time.
+	// maxRetryBudgetWait bounds the wait of a stream that has begun for a retry that can't be
+	// foreseen. It is below the shortest gap after which callers leave a stream, so that those
+	// who can reconnect are told in time.
 	maxRetryBudgetWait = 1800 * time.Millisecond
+	// patienceMargin is how long before its caller leaves a stream is given up.
+	patienceMargin = 200 * time.Millisecond
 )
 
-// takeRetry reports whether another attempt is within the retry budget. A reserved
-// retry is, and one that an attempt took that was not sent.
-// A stream that has begun waits for the budget, which is replenished all the time, unless it
-// can return to a silent engine.
-func (s *stream) takeRetry(ctx context.Context) bool {
-	if s.retryReserved || s.retryUnused {
-		s.retryReserved, s.retryUnused = false, false
-		return true
-	}
+// awaitRetry waits for the budget to have a retry, which other streams may take first. It
+// returns false if none is expected while the caller waits, or if the stream can return to a
+// silent engine.
+func (s *stream) awaitRetry(ctx context.Context) bool {
 	start := time.Now()
-	for denied := 0; ; denied++ {
+	for denied := 0; !s.retryReserved && !s.retryUnused; denied++ {
 		now := time.Now()
-		if s.allowRetry(now) {
+		next := s.relay.cfg.RetryBudget.NextAt(s.service.Name, now)
+		if !next.IsZero() && !next.After(now) {
 			return true
 		}
 		if denied == 0 {
-			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).WithField("begun", s.headersSent).Info("retry budget exhausted")
+			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).WithField("begun", s.headersSent).
+				WithField("nextMs", time.Until(next).Milliseconds()).WithField("waitsMs", time.Until(s.callerWaitsUntil()).Milliseconds()).Info("retry budget exhausted")
+		}
+		expected := !next.IsZero() && next.Before(s.callerWaitsUntil())
+		if s.silent != nil || !expected && (!s.headersSent || now.Sub(start) >= maxRetryBudgetWait) {
+			return false
 		}
-		if !s.headersSent || s.silent != nil || now.Sub(start) >= maxRetryBudgetWait || !loop.Sleep(ctx, retryBudgetInterval) {
+		if !s.headersSent && !s.engineUsable(s.excluded) || !loop.Sleep(ctx, retryBudgetInterval) {
 			return false
 		}
 	}
+	return true
 }
 
-// allowRetry takes a retry from the budget if there is one left.
-func (s *stream) allowRetry(now time.Time) bool {
-	if !s.relay.cfg.RetryBudget.Allow(s.service.Name, now) {
-		return false
+// callerWaitsUntil returns how long the caller waits for the next event before it leaves.
+func (s *stream) callerWaitsUntil() time.Time {
+	since := s.req.ArrivedAt
+	if s.lastEventAt.After(since) {
+		since = s.lastEventAt
 	}
-	s.retryTakenAt = now
-	return true
+	until := since.Add(s.req.Route.StreamPatience() - patienceMargin)
+	if s.req.Deadline.Before(until) {
+		return s.req.Deadline
+	}
+	return until
+}
+
+// takeRetry reports whether another attempt is within the retry budget. A reserved
+// retry is, and one that an attempt took that was not sent.
+func (s *stream) takeRetry() bool {
+	if s.retryReserved || s.retryUnused {
+		s.retryReserved, s.retryUnused = false, false
+		return true
+	}
+	now := time.Now()
+	return s.recordTaken(s.relay.cfg.RetryBudget.Allow(s.service.Name, now), now)
+}
+
+// reserveRetry reserves a retry for an attempt that is to replace one at a silent engine.
+func (s *stream) reserveRetry() bool {
+	if s.retryReserved || s.retryUnused {
+		s.retryReserved = true
+		return true
+	}
+	now := time.Now()
+	s.retryReserved = s.recordTaken(s.relay.cfg.RetryBudget.Allow(s.service.Name, now), now)
+	return s.retryReserved
+}
+
+// recordTaken records when a retry was taken from the budget.
+func (s *stream) recordTaken(taken bool, now time.Time) bool {
+	if taken {
+		s.retryTakenAt = now
+	}
+	return taken
 }
 
 // returnRetry gives back a retry that was taken and not sent. Sent much later, it would not
--- a/internal/router/relay/serve.go
+++ b/internal/router/relay/serve.go
@@ -14,6 +14,7 @@
 func (s *stream) serve(ctx context.Context) {
 	defer s.releaseBackup()
 	defer s.endSilent()
+	defer s.returnRetry()
 	var a *attempt
 	for {
 		if a == nil {
@@ -75,6 +76,17 @@
 				return nil
 			}
 		}
+		if s.delivered > 0 && !s.awaitRetry(ctx) {
+			if a := s.resumeSilent(); a != nil {
+				return a
+			}
+			if ctx.Err() == nil && s.headersSent && s.leftEngine != nil && s.relay.answersProbes(ctx, s.leftEngine) {
+				continue // no engine has broken off: the stream is not cut before its time is up
+			}
+			s.abandon(ctx, retryBudgetExhausted)
+			return nil
+		}
+		backupAddress := s.backupAddress
 		target, restoreFrom := s.nextTarget(ctx)
 		if target == nil {
 			if a := s.resumeSilent(); a != nil {
@@ -91,15 +103,10 @@
 			s.excluded = make(map[server.Key]bool) // they may be usable again
 			continue
 		}
-		if s.delivered > 0 && !s.takeRetry(ctx) {
-			if a := s.resumeSilent(); a != nil {
-				return a
-			}
-			if ctx.Err() == nil && s.headersSent && s.leftEngine != nil && s.relay.answersProbes(ctx, s.leftEngine) {
-				continue // no engine has broken off: the stream is not cut before its time is up
-			}
-			s.abandon(ctx, retryBudgetExhausted)
-			return nil
+		if s.delivered > 0 && !s.takeRetry() { // another stream has just taken it
+			s.backupAddress = backupAddress
+			loop.Sleep(ctx, retryBudgetInterval)
+			continue
 		}
 		return s.begin(ctx, target, restoreFrom)
 	}
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -28,8 +29,7 @@
 	if decision != suspicion.Retry {
 		return decision
 	}
-	s.retryReserved = s.retryReserved || s.retryUnused || s.allowRetry(time.Now())
-	if !s.retryReserved {
+	if !s.reserveRetry() {
 		return suspicion.Keep
 	}
 	return suspicion.Retry
@@ -76,10 +76,13 @@
 func (s *stream) otherEngineUsable(target *registry.Entry) bool {
 	excluded := map[server.Key]bool{target.Key(): true}
 	if !s.headersSent {
-		for key := range s.excluded {
-			excluded[key] = true
-		}
+		maps.Copy(excluded, s.excluded)
 	}
+	return s.engineUsable(excluded)
+}
+
+// engineUsable reports whether an engine that is not excluded could get the stream.
+func (s *stream) engineUsable(excluded map[server.Key]bool) bool {
 	_, candidates := s.relay.candidates(s.service, excluded)
 	candidates = slices.DeleteFunc(candidates, func(c balance.Engine) bool { return c.Full })
 	return balance.PickEngine(candidates, s.req.PromptTokens, s.req.MaxOutputTokens, nil, 0) >= 0
--- a/internal/router/relay/sound_test.go
+++ b/internal/router/relay/sound_test.go
@@ -42,6 +42,13 @@
 	return (now.Before(b.from) || now.After(b.until)) && b.fakeBudget.Allow(service, now)
 }
 
+func (b pausedBudget) NextAt(service string, now time.Time) time.Time {
+	if now.After(b.from) && now.Before(b.until) {
+		return b.until
+	}
+	return b.fakeBudget.NextAt(service, now)
+}
+
 func TestAStreamThatLeftASilentEngineIsNotCutForLackOfRetries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
