relay: engines that ended do not use up the attempts of a stream

Cause: each attempt that an engine may have run counted. The users' rule counts the servers that a request runs on, but not those that ended meanwhile.

Evidence: TestEnginesThatEndedDoNotUseUpTheAttemptsOfAStream fails before.

An engine that broke off and whose address refuses connections has ended; a reset alone does not show that. The check was there for blaming requests for crashes; now it is also made for engines that leave, at the cost of a connection attempt. Requests that crash engines are stopped by the quarantine as before, and each attempt still takes a retry from the budget.

--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -153,7 +153,7 @@
 		// The caller has a part of the stream already, and no error may be sent into it.
 		return result{outcome: lost, reason: "answered in mid-stream: " + http.StatusText(a.Status), erred: true}
 	}
-	if a.Status == http.StatusOK || a.Status < http.StatusMultipleChoices && !a.Signed || a.Mismatched || a.Unproven() || a.Status >= http.StatusInternalServerError && s.executed+1 < s.req.Route.MaxAttempts {
+	if a.Status == http.StatusOK || a.Status < http.StatusMultipleChoices && !a.Signed || a.Mismatched || a.Unproven() || a.Status >= http.StatusInternalServerError && s.countedAttempts()+1 < s.req.Route.MaxAttempts {
 		return result{outcome: lost, reason: "no valid answer: " + http.StatusText(a.Status)}
 	}
 	body, err := answerbody.Read(a.Body, maxErrorBytes, s.relay.cfg.Memory, cancel)
--- a/internal/router/relay/patience_test.go
+++ b/internal/router/relay/patience_test.go
@@ -69,3 +69,17 @@
 		h.Expect(time.Since(start)).To(BeNumerically("<", 500*time.Millisecond))
 	})
 }
+
+func TestEnginesThatEndedDoNotUseUpTheAttemptsOfAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.engines.eventCount = 12
+		h.engines.deadlySession = "another" // engines that break off are gone
+		h.setFirstEngine(engineFaults{breakAfter: 4})
+		h.engines.faults["i-1"], h.engines.faults["i-2"] = engineFaults{breakAfter: 4}, engineFaults{breakAfter: 4}
+		h.route.MaxAttempts = 2
+		res, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 12)))
+	})
+}
--- a/internal/router/relay/quarantine.go
+++ b/internal/router/relay/quarantine.go
@@ -13,22 +13,22 @@
 // process is gone refuses a connection within a round trip.
 const crashCheckTimeout = 50 * time.Millisecond
 
-// recordCrash records the loss of an engine that may be the request's doing: one that is gone,
-// or one that had begun to answer and may be gone. The end of an engine that leaves is planned.
-func (s *stream) recordCrash(target *registry.Entry, r result) {
-	if s.relay.cfg.Servers.Leaves(&target.Server) {
-		return
-	}
+// recordEnd reports whether an engine that broke off is gone. It records a loss that may be
+// the request's doing: of an engine that is gone, or had begun to answer and may be gone. The
+// end of an engine that leaves is planned.
+func (s *stream) recordEnd(target *registry.Entry, r result) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	listens, err := s.relay.cfg.Client.Listens(ctx, target.Address)
+	gone := err == nil && !listens
 	switch {
-	case err == nil && listens:
+	case err == nil && listens, s.relay.cfg.Servers.Leaves(&target.Server):
 	case r.began:
 		s.relay.cfg.Quarantine.ServerLost(s.req, &target.Server, r.events)
-	case err == nil:
+	case gone:
 		s.relay.cfg.Quarantine.ServerLostUnanswered(s.req, &target.Server)
 	}
+	return gone
 }
 
 // refusedByQuarantine reports whether the request's prompt crashes engines. If so, it has
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -18,7 +18,7 @@
 	decision := suspicion.Alternative{
 		Replaced:     s.relay.replaced(target),
 		Retryable:    s.resumable(),
-		AttemptsLeft: s.req.Route.MaxAttempts - s.executed - 1,
+		AttemptsLeft: s.req.Route.MaxAttempts - s.countedAttempts() - 1,
 		Quarantined:  quarantined,
 		EngineUsable: s.otherEngineUsable(target),
 		Begun:        s.headersSent,
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -23,7 +23,8 @@
 	contentType         string              // media type of the answer, once the caller has the headers
 	unresumable         bool                // the last event has no ID to resume after
 	executed            int                 // attempts that a server may have executed
-	leftSilent          int                 // of these, left for the silence of their engines
+	ended               int                 // of these, attempts that broke off because their engines ended
+	leftSilent          int                 // of the executed ones, left for the silence of their engines
 	leftEngine          *registry.Entry     // of the last lost attempt, if it was left for its silence; else nil
 	delivered           int                 // attempts that may have reached a server
 	refusals            int                 // consecutive refusals for lack of capacity
@@ -113,8 +114,8 @@
 		if !r.callerDisconnected {
 			target.Load.RecordOutcome(true)
 		}
-		if !r.callerDisconnected && !r.silent {
-			s.recordCrash(target, r)
+		if !r.callerDisconnected && !r.silent && s.recordEnd(target, r) {
+			s.ended++
 		}
 		s.refusals = 0
 		s.excluded[target.Key()] = true
@@ -174,13 +175,17 @@
 		return ""
 	case !s.resumable():
 		return notResumable
-	case s.executed >= s.req.Route.MaxAttempts:
+	case s.countedAttempts() >= s.req.Route.MaxAttempts:
 		return attemptsUsed
 	default:
 		return ""
 	}
 }
 
+// countedAttempts returns the attempts that count against those that the route allows. What
+// engines have run that ended does not.
+func (s *stream) countedAttempts() int { return s.executed - s.ended }
+
 // resumable reports whether another attempt could continue the stream.
 func (s *stream) resumable() bool { return !s.unresumable && s.req.Route.Retryable() }
 
