suspicion: a moment of silence in a long prefill is not a long silence

Callers without an answer got 502, with seconds left, after engines that were sound: the last attempt that the route allows was ended as soon as its engine left one probe unanswered, if it had been reading the prompt for 2.5 s by then.

Cause: how long an engine had been silent was counted from the start of the attempt, though it had answered probes since. Besides, the rule that an earlier silence does not let the last attempt be spent on another short one held for begun streams only.

Evidence: TestARequestIsNotFailedForAMomentOfSilenceInALongPrefill and two of the new rows in TestSilenceEndsAnAttemptOnlyIfAnotherIsAllowed fail before.

The detector now also tells when it last heard of the engine at all, and before the first event that counts, unless the engine answers probes and sends nothing for 8 s.

--- a/internal/decision/suspicion/alternative.go
+++ b/internal/decision/suspicion/alternative.go
@@ -6,9 +6,9 @@
 // part of the answer yet and may send the request again is told of the failure.
 const maxStartPause = 2500 * time.Millisecond
 
-// maxSoundSilence is how long a sound engine may be silent in the middle of a stream. A silence
-// that may still be one does not get the last attempt if an earlier silence has taken one: the
-// next loss would cut the stream.
+// maxSoundSilence is how long a sound engine may be silent. A silence that may still be one does
+// not get the last attempt if an earlier silence has taken one: the next loss would end the
+// stream.
 const maxSoundSilence = 2 * time.Second
 
 // Alternative is what is known of another attempt when a stream counts as lost because
@@ -23,6 +23,7 @@
 	LeftSilent   bool          // an earlier attempt was left for its silence
 	Doubted      bool          // the engine does not have the attempt, or its events don't arrive
 	Silence      time.Duration // since the last event or the start of the attempt
+	Unheard      time.Duration // since the engine's last event or reply, or the start of the attempt
 }
 
 // Decision is what to do with a stream that counts as lost.
@@ -41,13 +42,23 @@
 	switch {
 	case a.Replaced:
 		return Abandon
-	case a.Begun && a.LeftSilent && !a.Doubted && a.AttemptsLeft == 1 && a.Silence < maxSoundSilence:
+	case a.LeftSilent && a.AttemptsLeft == 1 && a.mayBeSound():
 		return Keep
 	case a.Retryable && a.AttemptsLeft > 0 && !a.Quarantined && a.EngineUsable:
 		return Retry
-	case a.Retryable && !a.Begun && a.Silence > maxStartPause:
+	case a.Retryable && !a.Begun && (a.Unheard > maxStartPause || a.Silence >= maxStartSilence):
 		return Abandon
 	default:
 		return Keep
 	}
 }
+
+// mayBeSound reports whether a sound engine may be as silent. Before the first event, one that
+// answers probes may be busy with the prompt.
+func (a Alternative) mayBeSound() bool {
+	quiet := a.Unheard
+	if a.Begun || a.Silence >= maxStartSilence {
+		quiet = a.Silence
+	}
+	return !a.Doubted && quiet < maxSoundSilence
+}
--- a/internal/decision/suspicion/alternative_test.go
+++ b/internal/decision/suspicion/alternative_test.go
@@ -27,7 +27,17 @@
 		"last attempt, silence of an unsound engine": {func(a *suspicion.Alternative) { a.LeftSilent, a.Silence = true, 2*time.Second }, suspicion.Retry},
 		"last attempt, engine does not have it":      {func(a *suspicion.Alternative) { a.LeftSilent, a.Doubted, a.Silence = true, true, time.Second }, suspicion.Retry},
 		"attempts left, after another silence":       {func(a *suspicion.Alternative) { a.LeftSilent, a.AttemptsLeft, a.Silence = true, 2, time.Second }, suspicion.Retry},
-		"another incarnation":                        {func(a *suspicion.Alternative) { a.Retryable, a.Replaced = false, true }, suspicion.Abandon},
+		"last attempt, after another silence, at the start": {func(a *suspicion.Alternative) {
+			a.LeftSilent, a.Begun, a.Silence, a.Unheard = true, false, 5*time.Second, time.Second
+		}, suspicion.Keep},
+		"last attempt, unheard of at the start": {func(a *suspicion.Alternative) {
+			a.LeftSilent, a.Begun, a.Silence, a.Unheard = true, false, 5*time.Second, 2*time.Second
+		}, suspicion.Retry},
+		"last attempt, mute at the start": {func(a *suspicion.Alternative) { a.LeftSilent, a.Begun, a.Silence = true, false, 8*time.Second }, suspicion.Retry},
+		"no attempts left, silent for a moment in a long prefill": {func(a *suspicion.Alternative) {
+			a.AttemptsLeft, a.Begun, a.Silence, a.Unheard = 0, false, 5*time.Second, time.Second
+		}, suspicion.Keep},
+		"another incarnation": {func(a *suspicion.Alternative) { a.Retryable, a.Replaced = false, true }, suspicion.Abandon},
 	} {
 		a := allowed
 		c.change(&a)
--- a/internal/decision/suspicion/detector.go
+++ b/internal/decision/suspicion/detector.go
@@ -16,6 +16,9 @@
 	HoldDelay       time.Duration // between two verdicts on a stream that is kept though it counts as lost
 }
 
+// maxStartSilence bounds the wait for the first event of an engine that answers probes.
+const maxStartSilence = 8 * time.Second
+
 // DefaultTimeouts returns timeouts for callers that accept pauses of 700 ms:
 // an unresponsive engine is detected after some 300 ms, which leaves the rest to resume
 // on another engine.
@@ -25,7 +28,7 @@
 		StartProbeDelay: 450 * time.Millisecond,
 		ProbeTimeout:    150 * time.Millisecond,
 		MaxSilence:      1500 * time.Millisecond,
-		MaxStartSilence: 8 * time.Second,
+		MaxStartSilence: maxStartSilence,
 		ReportLag:       400 * time.Millisecond,
 		HoldDelay:       500 * time.Millisecond,
 	}
@@ -53,7 +56,8 @@
 	timeouts Timeouts
 	started  bool
 	eventAt  time.Time // last event, or the start
-	aliveAt  time.Time // last event or reply, or the start
+	heardAt  time.Time // last event or reply, or the start
+	aliveAt  time.Time // the same, or earlier to make a probe due
 	probedAt time.Time // first probe without a reply yet; zero if there is none
 	probes   int
 	doubts   int // consecutive replies that the attempt is missing or ahead
@@ -66,13 +70,13 @@
 
 // NewDetector returns a detector for a stream that starts now.
 func NewDetector(timeouts Timeouts, now time.Time) *Detector {
-	return &Detector{timeouts: timeouts, eventAt: now, aliveAt: now}
+	return &Detector{timeouts: timeouts, eventAt: now, heardAt: now, aliveAt: now}
 }
 
 // ObserveEvent records an event of the stream.
 func (d *Detector) ObserveEvent(now time.Time) {
 	d.started = true
-	d.eventAt, d.aliveAt = now, now
+	d.eventAt, d.heardAt, d.aliveAt = now, now, now
 	d.probedAt, d.probes = time.Time{}, 0
 	d.doubts = 0
 	d.heldUntil = time.Time{}
@@ -98,7 +102,7 @@
 // ObserveReply records the engine's reply to a probe. Its reports lag, so one in which
 // the attempt is missing or ahead counts only if the next one confirms it.
 func (d *Detector) ObserveReply(now time.Time, result ProbeResult) {
-	d.aliveAt = now
+	d.heardAt, d.aliveAt = now, now
 	d.probedAt = time.Time{}
 	if result == Working && now.Before(d.eventAt.Add(d.maxSilence())) {
 		d.heldUntil = time.Time{}
@@ -123,6 +127,9 @@
 // Silence returns the time since the last event, or since the start.
 func (d *Detector) Silence(now time.Time) time.Duration { return now.Sub(d.eventAt) }
 
+// Unheard returns the time since the last event or reply, or since the start.
+func (d *Detector) Unheard(now time.Time) time.Duration { return now.Sub(d.heardAt) }
+
 // ProbeNow makes the next probe due at once, because another engine of the same failure
 // domain became unresponsive.
 func (d *Detector) ProbeNow(now time.Time) {
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -250,6 +250,13 @@
 	e.faults = faults
 }
 
+// pauseReplies makes an engine answer no probes for a while.
+func (e *fakeEngines) pauseReplies(id string, pause time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pausedUntil[id] = time.Now().Add(pause)
+}
+
 // probed returns the number of reports that were requested.
 func (e *fakeEngines) probed() int {
 	e.mu.Lock()
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -25,6 +25,7 @@
 		LeftSilent:   s.leftSilent > 0,
 		Doubted:      detector.Doubted(),
 		Silence:      detector.Silence(time.Now()),
+		Unheard:      detector.Unheard(time.Now()),
 	}.Decide()
 	if decision != suspicion.Retry {
 		return decision
--- a/internal/router/relay/silences_test.go
+++ b/internal/router/relay/silences_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,3 +54,16 @@
 		h.Expect(sentAt[2].Sub(sentAt[1])).To(BeNumerically("<", time.Second))
 	})
 }
+
+// The engine answers probes while it reads the prompt, and is silent for a moment then.
+func TestARequestIsNotFailedForAMomentOfSilenceInALongPrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{pauseAfter: 0, pause: 5 * time.Second, repliesInPause: true})
+		h.route.MaxAttempts = 1
+		time.AfterFunc(3*time.Second, func() { h.engines.pauseReplies("i-0", time.Second) })
+		res, _ := h.serve(h.newRequest(0))
+		h.Expect(res.Code).To(Equal(http.StatusOK))
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+	})
+}
