suspicion: a caller is told in time that an engine does not have its last attempt

Since a request whose last attempt its engine says it does not have was held for 8 s before its 502, not for 2.5 s: such an engine answers probes, so it counted as heard of.

--- a/internal/decision/suspicion/alternative.go
+++ b/internal/decision/suspicion/alternative.go
@@ -46,7 +46,7 @@
 		return Keep
 	case a.Retryable && a.AttemptsLeft > 0 && !a.Quarantined && a.EngineUsable:
 		return Retry
-	case a.Retryable && !a.Begun && (a.Unheard > maxStartPause || a.Silence >= maxStartSilence):
+	case a.Retryable && !a.Begun && (a.Unheard > maxStartPause || a.Doubted && a.Silence > maxStartPause || a.Silence >= maxStartSilence):
 		return Abandon
 	default:
 		return Keep
--- a/internal/decision/suspicion/alternative_test.go
+++ b/internal/decision/suspicion/alternative_test.go
@@ -37,6 +37,9 @@
 		"no attempts left, silent for a moment in a long prefill": {func(a *suspicion.Alternative) {
 			a.AttemptsLeft, a.Begun, a.Silence, a.Unheard = 0, false, 5*time.Second, time.Second
 		}, suspicion.Keep},
+		"no attempts left, engine does not have it": {func(a *suspicion.Alternative) {
+			a.AttemptsLeft, a.Begun, a.Doubted, a.Silence, a.Unheard = 0, false, true, 3*time.Second, 100*time.Millisecond
+		}, suspicion.Abandon},
 		"another incarnation": {func(a *suspicion.Alternative) { a.Retryable, a.Replaced = false, true }, suspicion.Abandon},
 	} {
 		a := allowed
--- a/internal/router/relay/silences_test.go
+++ b/internal/router/relay/silences_test.go
@@ -67,3 +67,16 @@
 		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
 	})
 }
+
+// The last attempt was kept for 8 s at an engine that says that it does not have it.
+func TestACallerIsToldInTimeThatAnEngineDoesNotHaveTheLastAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{lostAttempt: true})
+		h.route.MaxAttempts = 1
+		start := time.Now()
+		res, _ := h.serve(h.newRequest(0))
+		h.Expect(res.Code).To(Equal(http.StatusBadGateway))
+		h.Expect(time.Since(start)).To(BeNumerically("<", 4*time.Second))
+	})
+}
