relay: an engine is chosen for a retry once the retry is taken

Since a stream chose an engine, and only then asked for its retry. If another stream had taken that one meanwhile, the stream forgot the engine that has its prompt, so that it was read anew elsewhere, and used up a request of this router's part of an engine's limit each time.

Now the wait ends with the retry taken; it goes back to the budget while no engine is usable.

--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -18,17 +18,14 @@
 	patienceMargin = 200 * time.Millisecond
 )
 
-// awaitRetry waits for the budget to have a retry, which other streams may take first. It
-// returns false if none is expected while the caller waits, or if the stream can return to a
-// silent engine.
+// awaitRetry reserves a retry for the next attempt. It waits for the budget to have one, which
+// other streams may take first. It returns false if none is expected while the caller waits, or
+// if the stream can return to a silent engine.
 func (s *stream) awaitRetry(ctx context.Context) bool {
 	start := time.Now()
-	for denied := 0; !s.retryReserved && !s.retryUnused; denied++ {
+	for denied := 0; !s.reserveRetry(); denied++ {
 		now := time.Now()
 		next := s.relay.cfg.RetryBudget.NextAt(s.service.Name, now)
-		if !next.IsZero() && !next.After(now) {
-			return true
-		}
 		if denied == 0 {
 			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).WithField("begun", s.headersSent).
 				WithField("nextMs", time.Until(next).Milliseconds()).WithField("waitsMs", time.Until(s.callerWaitsUntil()).Milliseconds()).Info("retry budget exhausted")
@@ -57,34 +54,20 @@
 	return until
 }
 
-// takeRetry reports whether another attempt is within the retry budget. A reserved
-// retry is, and one that an attempt took that was not sent.
-func (s *stream) takeRetry() bool {
-	if s.retryReserved || s.retryUnused {
-		s.retryReserved, s.retryUnused = false, false
-		return true
-	}
-	now := time.Now()
-	return s.recordTaken(s.relay.cfg.RetryBudget.Allow(s.service.Name, now), now)
-}
-
-// reserveRetry reserves a retry for an attempt that is to replace one at a silent engine.
+// reserveRetry takes a retry for the next attempt from the budget, unless one is reserved or was
+// not sent, and reports whether there is one. An attempt that is to replace one at a silent
+// engine needs it beforehand: the caller's stream depends on it.
 func (s *stream) reserveRetry() bool {
 	if s.retryReserved || s.retryUnused {
 		s.retryReserved = true
 		return true
 	}
 	now := time.Now()
-	s.retryReserved = s.recordTaken(s.relay.cfg.RetryBudget.Allow(s.service.Name, now), now)
-	return s.retryReserved
-}
-
-// recordTaken records when a retry was taken from the budget.
-func (s *stream) recordTaken(taken bool, now time.Time) bool {
-	if taken {
+	s.retryReserved = s.relay.cfg.RetryBudget.Allow(s.service.Name, now)
+	if s.retryReserved {
 		s.retryTakenAt = now
 	}
-	return taken
+	return s.retryReserved
 }
 
 // returnRetry gives back a retry that was taken and not sent. Sent much later, it would not
--- a/internal/router/relay/serve.go
+++ b/internal/router/relay/serve.go
@@ -86,7 +86,6 @@
 			s.abandon(ctx, retryBudgetExhausted)
 			return nil
 		}
-		backupAddress := s.backupAddress
 		target, restoreFrom := s.nextTarget(ctx)
 		if target == nil {
 			if a := s.resumeSilent(); a != nil {
@@ -96,6 +95,7 @@
 				s.refuse("no engine")
 				return nil
 			}
+			s.returnRetry()
 			if !loop.Sleep(ctx, midstreamRetryDelay) {
 				s.abandon(ctx, contextEndReason(ctx))
 				return nil
@@ -103,11 +103,7 @@
 			s.excluded = make(map[server.Key]bool) // they may be usable again
 			continue
 		}
-		if s.delivered > 0 && !s.takeRetry() { // another stream has just taken it
-			s.backupAddress = backupAddress
-			loop.Sleep(ctx, retryBudgetInterval)
-			continue
-		}
+		s.retryReserved, s.retryUnused = false, false
 		return s.begin(ctx, target, restoreFrom)
 	}
 }
--- /dev/null
+++ b/internal/router/relay/waits_test.go
@@ -0,0 +1,55 @@
+package relay_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/router/relay"
+)
+
+// contestedBudget is a retry budget whose next retries other streams take.
+type contestedBudget struct {
+	*fakeBudget
+	taken int
+}
+
+func (b *contestedBudget) Allow(service string, now time.Time) bool {
+	if b.taken > 0 {
+		b.taken--
+		return false
+	}
+	return b.fakeBudget.Allow(service, now)
+}
+
+// countedLimits counts the requests that are taken from the limits of engines.
+type countedLimits struct {
+	relay.Limits
+	taken int
+}
+
+func (l *countedLimits) Take(s *server.Server) bool {
+	l.taken++
+	return l.Limits.Take(s)
+}
+
+func TestAStreamWhoseRetryAnotherOneTookReturnsToItsPromptAndTakesOneRequestFromTheLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.patientCallers()
+		h.service.Engine.SupportsBackups = false
+		h.setFirstEngine(engineFaults{breakAfter: 7})
+		limits := &countedLimits{Limits: h.cfg.Limits}
+		h.cfg.Limits, h.cfg.RetryBudget = limits, &contestedBudget{h.budget, 3}
+		h.relay = relay.New(h.cfg)
+		time.AfterFunc(100*time.Millisecond, func() { h.engines.setFaults(nil) })
+		res, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+		h.Expect(h.engines.sentTo()).To(Equal([]string{"i-0", "i-0"}))
+		h.Expect(limits.taken).To(Equal(2))
+	})
+}
