relay: a request that is blocked while it waits for a retry is not sent

Since streams wait up to 18 s for a retry. One whose prompt was found to crash engines meanwhile was sent all the same, and crashed another one.

Evidence: TestARequestThatIsBlockedWhileItWaitsForARetryIsNotSent fails before.

--- a/internal/router/relay/serve.go
+++ b/internal/router/relay/serve.go
@@ -68,7 +68,7 @@
 // that was left last, or else answers the caller and returns nil.
 func (s *stream) nextAttempt(ctx context.Context) *attempt {
 	for {
-		if s.executed > 0 && !s.retryReserved {
+		if s.executed > 0 {
 			if _, quarantined := s.relay.cfg.Quarantine.Refuses(s.req); quarantined && s.silent != nil {
 				return s.resumeSilent()
 			}
@@ -76,7 +76,10 @@
 				return nil
 			}
 		}
-		if s.delivered > 0 && !s.awaitRetry(ctx) {
+		if s.delivered > 0 && !s.retryReserved {
+			if s.awaitRetry(ctx) {
+				continue // it may have been blocked meanwhile
+			}
 			if a := s.resumeSilent(); a != nil {
 				return a
 			}
--- a/internal/router/relay/waits_test.go
+++ b/internal/router/relay/waits_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,30 @@
 	"wisteriafield/internal/router/relay"
 )
 
+// lateQuarantine refuses all requests from a time on.
+type lateQuarantine struct {
+	relay.Quarantine
+	from time.Time
+}
+
+func (q lateQuarantine) Refuses(*server.Request) (time.Time, bool) {
+	return q.from.Add(time.Minute), !time.Now().Before(q.from)
+}
+
+func TestARequestThatIsBlockedWhileItWaitsForARetryIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.patientCallers()
+		h.setFirstEngine(engineFaults{losesConnection: true})
+		h.budget.exhaustedUntil = time.Now().Add(6 * time.Second)
+		h.cfg.Quarantine = lateQuarantine{h.cfg.Quarantine, time.Now().Add(time.Second)}
+		h.relay = relay.New(h.cfg)
+		res, _ := h.serve(h.newRequest(0))
+		h.Expect(res.Code).To(Equal(http.StatusBadGateway))
+		h.Expect(h.engines.sentTo()).To(HaveLen(1))
+	})
+}
+
 // contestedBudget is a retry budget whose next retries other streams take.
 type contestedBudget struct {
 	*fakeBudget
