relay: a retry that was waited for is not spent on a backup that has expired

An engine keeps a backup for 4 s after its last part. A stream that waited longer for a retry went to that engine all the same, was refused, and waited for another retry or was cut.

Evidence: TestAStreamThatWaitsLongerThanItsBackupIsKeptDoesNotSpendTheRetryOnIt fails before.

--- a/internal/router/relay/backup.go
+++ b/internal/router/relay/backup.go
@@ -72,3 +72,12 @@
 	}
 	return e
 }
+
+// backupExpiry returns when a backup whose last part arrived at a time may be deleted, or zero
+// if that is not known.
+func (s *stream) backupExpiry(arrivedAt time.Time) time.Time {
+	if s.service.Engine == nil || s.service.Engine.BackupTTL <= 0 {
+		return time.Time{}
+	}
+	return arrivedAt.Add(s.service.Engine.BackupTTL)
+}
--- a/internal/router/relay/replacement.go
+++ b/internal/router/relay/replacement.go
@@ -33,14 +33,15 @@
 	expiresAt time.Time        // when the engine may delete the backup
 }
 
-// get returns the backup and its engine, or nil if there is none or it has expired.
-func (b *replacementBackup) get(now time.Time) (*registry.Entry, *server.KVBackup) {
+// get returns the backup, its engine and when that may delete it, or nil if there is none or it
+// has expired.
+func (b *replacementBackup) get(now time.Time) (engine *registry.Entry, ref *server.KVBackup, expiresAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ref == nil || now.After(b.expiresAt) {
-		return nil, nil
+		return nil, nil, time.Time{}
 	}
-	return b.engine, b.ref
+	return b.engine, b.ref, b.expiresAt
 }
 
 // set records a backup and its engine.
@@ -124,7 +125,7 @@
 // deleteReplacement deletes a replacement backup that is no longer needed. If that
 // fails, the backup expires.
 func (r *Relay) deleteReplacement(replacement *replacementBackup) {
-	_, ref := replacement.get(time.Now())
+	_, ref, _ := replacement.get(time.Now())
 	if ref == nil {
 		return
 	}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -31,6 +31,7 @@
 	excluded            map[server.Key]bool // servers that refused or failed
 	backupAddress       string              // of the engine that has the lost attempt's backup; empty without one
 	backupRef           server.KVBackup     // names the backup to that engine
+	backupExpiresAt     time.Time           // when that engine may delete it; zero if that is not known
 	promptEngine        *registry.Entry     // has the prompt cached, if it is still alive; may be nil
 	lostDomain          string              // failure domain of the last lost engine
 	choice              choice              // of the last attempt; empty if a backup or a cached prompt decided
@@ -124,10 +125,11 @@
 		// resumed from one and its engine was not silent all the time.
 		if r.backup != nil && (r.events > 0 || restoreFrom != nil && !r.silent) {
 			s.backupAddress, s.backupRef = r.backup.Address, server.KVBackup{Address: r.backup.Address, ID: s.req.ID}
+			s.backupExpiresAt = s.backupExpiry(now)
 		}
 		if r.replacement != nil {
-			if engine, ref := r.replacement.get(now); ref != nil {
-				s.backupAddress, s.backupRef = engine.Address, *ref
+			if engine, ref, expiresAt := r.replacement.get(now); ref != nil {
+				s.backupAddress, s.backupRef, s.backupExpiresAt = engine.Address, *ref, expiresAt
 			}
 		}
 		if !r.unresponsive && !r.erred && (!r.silent || r.doubted) && s.lastEventID > s.req.LastEventID {
--- a/internal/router/relay/target.go
+++ b/internal/router/relay/target.go
@@ -18,8 +18,10 @@
 	if address := s.backupAddress; address != "" {
 		s.backupAddress = ""
 		// The engine is looked up by address: it may be leaving or gone by now, or have
-		// restarted before the backup was sent, so that its new incarnation has it.
-		if engine := s.usableEngineAt(address); engine != nil && s.relay.cfg.Limits.Take(&engine.Server) {
+		// restarted before the backup was sent, so that its new incarnation has it. An engine
+		// without the backup refuses the stream, which uses up a retry.
+		expired := !s.backupExpiresAt.IsZero() && time.Now().After(s.backupExpiresAt)
+		if engine := s.usableEngineAt(address); engine != nil && !expired && s.relay.cfg.Limits.Take(&engine.Server) {
 			ref := s.backupRef
 			return engine, &ref
 		}
--- a/internal/router/relay/waits_test.go
+++ b/internal/router/relay/waits_test.go
@@ -12,6 +12,31 @@
 	"wisteriafield/internal/router/relay"
 )
 
+// dropBackups makes the engines forget the backups that they keep.
+func (e *fakeEngines) dropBackups() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.backups)
+}
+
+// An engine with the backup of a stream keeps it for 4 s. The one retry was spent on it later.
+func TestAStreamThatWaitsLongerThanItsBackupIsKeptDoesNotSpendTheRetryOnIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.patientCallers()
+		h.setFirstEngine(engineFaults{breakAfter: 7})
+		h.budget.exhaustedUntil, h.budget.most = time.Now().Add(6*time.Second), 1
+		time.AfterFunc(5*time.Second, func() {
+			h.engines.dropBackups()
+			h.engines.setFaults(nil)
+		})
+		res, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+		h.Expect(h.engines.sentTo()).To(HaveLen(2))
+	})
+}
+
 // lateQuarantine refuses all requests from a time on.
 type lateQuarantine struct {
 	relay.Quarantine
