http1: a connection that got nothing but a 100 is logged as one without an answer

Its request was taken for answered.

Evidence: TestAConnectionThatEndsWithNothingButAContinueIsLogged fails before.

--- a/internal/caller/http1/unanswered.go
+++ b/internal/caller/http1/unanswered.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"net/http"
 	"time"
 
@@ -9,6 +10,10 @@
 
 var unansweredTotal = metrics.NewCounter("wisteriafield_connections_ended_unanswered_total")
 
+// continueLine begins what net/http writes before it reads a body that waits for it. It is no
+// answer, and is written by itself.
+const continueLine = "HTTP/1.1 100 "
+
 // exchange is what has passed on a connection since its last answer.
 type exchange struct {
 	read    int       // bytes of requests
@@ -23,7 +28,9 @@
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange.written += n
+	if !bytes.HasPrefix(p, []byte(continueLine)) {
+		c.exchange.written += n
+	}
 	return n, err
 }
 
--- a/internal/caller/http1/unanswered_test.go
+++ b/internal/caller/http1/unanswered_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -57,3 +58,18 @@
 	g.Eventually(s.conns.Count).Should(BeEmpty())
 	g.Expect(s.logged("connection ended without an answer")).To(BeEmpty())
 }
+
+// A 100 is no answer.
+func TestAConnectionThatEndsWithNothingButAContinueIsLogged(t *testing.T) {
+	g := NewWithT(t)
+	s := newTestServer(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		panic(http.ErrAbortHandler)
+	})
+	conn, err := net.Dial("tcp", s.listen(g, t))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = fmt.Fprint(conn, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\nab")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(func() []logrus.Fields { return s.logged("connection ended without an answer") }).Should(HaveLen(1))
+}
