forward: a call whose server was lost waits for a retry that comes in time

Cause: the budget was asked once.

The call asks again while the budget expects a retry that still leaves a server the time of most answers before the answer has to leave. If none is expected, or no server could get it, the call is failed at once, as before. One that no server has executed is refused at once: its caller is told that nothing ran, and comes back.

--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -26,6 +26,7 @@
 	crashes   int    // servers that were lost while they ran it
 	best      result // the best result so far
 	attempted bool
+	denied    bool      // the budget had no retry when it was last asked
 	blocked   time.Time // until when the request's prompt is blocked; zero if it is not
 }
 
@@ -81,7 +82,8 @@
 // runIdempotent sends a request until a server answers without an error. If the first
 // answer takes long, the request is hedged at a second server. Once a server has crashed, it
 // is at one server at a time, as it may crash each, and goes on to another one only if those
-// that have it stay silent for longer than the first crash took.
+// that have it stay silent for longer than the first crash took. If the budget has no retry
+// for a request that no server has, it is asked again while an answer may come in time.
 func (c *call) runIdempotent(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -90,6 +92,7 @@
 	defer func() { go discard(results, inFlight) }()
 	var newestAt time.Time // when the newest attempt was started
 	start := func(retry bool) bool {
+		c.denied = false
 		if retry && !c.spendRetry() {
 			return false
 		}
@@ -106,11 +109,28 @@
 	if !start(false) {
 		return
 	}
-	hedgeDelay := time.Duration(hedgeDelayFactor * float64(c.req.Route.LatencyTarget))
-	hedge := time.NewTimer(hedgeDelay)
-	defer hedge.Stop()
-	var maxSilence time.Duration // of a server that the request may crash
-	for inFlight > 0 {
+	hedgeDelay := c.hedgeDelay()
+	next := time.NewTimer(hedgeDelay) // of a hedge, or of the next question for a retry
+	defer next.Stop()
+	waiting := false         // for the budget
+	maxSilence := hedgeDelay // of a server before another one gets the request
+	retry := func() {
+		waited := waiting
+		waiting = false
+		if start(c.delivered+inFlight > 0) {
+			if waited {
+				next.Reset(maxSilence)
+			}
+			return
+		}
+		if askAt := c.askAgainAt(time.Now()); inFlight == 0 && !askAt.IsZero() {
+			if waiting = true; !waited {
+				c.f.cfg.Log.WithField("id", c.req.ID).WithField("sends", c.delivered).WithField("inFlight", inFlight).Info("call waits for a retry")
+			}
+			next.Reset(time.Until(askAt))
+		}
+	}
+	for inFlight > 0 || waiting {
 		select {
 		case r := <-results:
 			inFlight--
@@ -118,20 +138,22 @@
 			if !c.best.failed() {
 				return
 			}
-			mayCrash := c.crashes > 0 && inFlight > 0
-			if !mayCrash && c.refusals < maxRefusals && c.executed+inFlight < c.req.Route.MaxAttempts {
-				start(c.delivered+inFlight > 0)
+			if (c.crashes == 0 || inFlight == 0) && c.attemptsLeft(inFlight) > 0 {
+				retry()
+			} else {
+				waiting = false
 			}
 			if r.crashed {
 				maxSilence = max(hedgeDelay, crashSpread) + time.Since(r.startedAt)
 			}
 			if c.crashes > 0 && inFlight > 0 {
-				hedge.Reset(time.Until(newestAt.Add(maxSilence)))
+				next.Reset(time.Until(newestAt.Add(maxSilence)))
 			}
-		case <-hedge.C:
-			// A server that crashed does not count if another one is silent.
-			if c.crashes <= 1 && c.refusals < maxRefusals && c.executed-c.crashes+inFlight < c.req.Route.MaxAttempts {
-				start(true)
+		case <-next.C:
+			if (c.crashes <= 1 || inFlight == 0) && c.attemptsLeft(inFlight) > 0 {
+				retry()
+			} else {
+				waiting = false
 			}
 		case <-ctx.Done():
 			c.executed += inFlight // servers may still execute them
@@ -140,6 +162,19 @@
 	}
 }
 
+// attemptsLeft returns how many more servers may get the request while it is at some. A server
+// that crashed does not count if another one is silent.
+func (c *call) attemptsLeft(inFlight int) int {
+	if c.refusals >= maxRefusals {
+		return 0
+	}
+	left := c.req.Route.MaxAttempts - c.executed - inFlight
+	if inFlight > 0 {
+		left += c.crashes
+	}
+	return left
+}
+
 // discard releases the answers of n attempts that nobody waits for any more.
 func discard(results <-chan result, n int) {
 	for range n {
@@ -148,26 +183,6 @@
 	}
 }
 
-// spendRetry takes a retry or a hedge from the retry budget if a server could get it, and
-// reports whether the budget allowed it.
-func (c *call) spendRetry() bool {
-	if len(c.f.candidates(c.service.Name, c.excluded)) == 0 {
-		return false
-	}
-	if _, quarantined := c.f.cfg.Quarantine.Refuses(c.req); quarantined {
-		return false
-	}
-	if c.unused > 0 {
-		c.unused--
-		return true
-	}
-	if !c.f.cfg.RetryBudget.Allow(c.service.Name, time.Now()) {
-		return false
-	}
-	retriesTotal.Inc()
-	return true
-}
-
 // writeAnswer writes the best answer to the caller, or a status that says why there is
 // none: 503 if no server executed the request, 502 or 504 if one may have.
 func (c *call) writeAnswer(w http.ResponseWriter, ctx context.Context) {
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -64,6 +64,7 @@
 	Client      Client
 	RetryBudget interface {
 		Allow(service string, now time.Time) bool
+		NextAt(service string, now time.Time) time.Time
 	}
 	Quarantine interface {
 		Refuses(req *server.Request) (until time.Time, refused bool)
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -38,6 +38,7 @@
 	gone   bool
 	budget interface {
 		Allow(service string, now time.Time) bool
+		NextAt(service string, now time.Time) time.Time
 	} // fixedBudget(true) if nil
 }
 
@@ -103,6 +104,13 @@
 
 func (a fixedBudget) Allow(string, time.Time) bool { return bool(a) }
 
+func (a fixedBudget) NextAt(_ string, now time.Time) time.Time {
+	if !a {
+		return time.Time{}
+	}
+	return now
+}
+
 func serve(s *fakeService, kind routes.Kind, attempts int) *httptest.ResponseRecorder {
 	return newForwarder(s, 2)(kind, attempts, "")
 }
--- a/internal/router/forward/hedge_test.go
+++ b/internal/router/forward/hedge_test.go
@@ -26,6 +26,13 @@
 	return true
 }
 
+func (b *countingBudget) NextAt(_ string, now time.Time) time.Time {
+	if now.Before(b.exhaustedUntil) {
+		return b.exhaustedUntil
+	}
+	return now
+}
+
 func TestARetryThatNoServerCanGetTakesNothingFromTheBudget(t *testing.T) {
 	for name, c := range map[string]struct {
 		kind     routes.Kind
--- /dev/null
+++ b/internal/router/forward/retry.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"time"
+
+	"wisteriafield/internal/backend/server"
+)
+
+// retryBudgetInterval is the least time between two questions for a retry.
+const retryBudgetInterval = 100 * time.Millisecond
+
+// spendRetry takes a retry or a hedge from the retry budget if a server could get it, and
+// reports whether the budget allowed it.
+func (c *call) spendRetry() bool {
+	if len(c.f.candidates(c.service.Name, c.excluded)) == 0 {
+		return false
+	}
+	if _, quarantined := c.f.cfg.Quarantine.Refuses(c.req); quarantined {
+		return false
+	}
+	if c.unused > 0 {
+		c.unused--
+		return true
+	}
+	if c.denied = !c.f.cfg.RetryBudget.Allow(c.service.Name, time.Now()); c.denied {
+		return false
+	}
+	retriesTotal.Inc()
+	return true
+}
+
+// askAgainAt returns when to ask again for a retry, or the zero time unless the budget has denied
+// it and is expected to have one that can still be answered. A request that no server has executed
+// is refused at once.
+func (c *call) askAgainAt(now time.Time) time.Time {
+	if !c.denied || c.executed == 0 {
+		return time.Time{}
+	}
+	answerTime := max(c.hedgeDelay(), c.f.leastLatency(c.service.Name, c.excluded, now))
+	next := c.f.cfg.RetryBudget.NextAt(c.service.Name, now)
+	if next.IsZero() || next.Add(answerTime).After(c.req.AnswerBy()) {
+		return time.Time{}
+	}
+	return now.Add(retryBudgetInterval)
+}
+
+// hedgeDelay returns the time in which most requests of the route are answered.
+func (c *call) hedgeDelay() time.Duration {
+	return time.Duration(hedgeDelayFactor * float64(c.req.Route.LatencyTarget))
+}
+
+// leastLatency returns the mean time to an answer of the fastest candidate.
+func (f *Forwarder) leastLatency(service string, excluded map[server.Key]bool, now time.Time) time.Duration {
+	var least time.Duration
+	for i, e := range f.candidates(service, excluded) {
+		if latency := e.Load.State(now).Latency; i == 0 || latency < least {
+			least = latency
+		}
+	}
+	return least
+}
