forward: a hedge that the budget denied is asked for again

Cause: the budget was asked for a hedge once, when most answers have arrived.

Evidence: TestACallAtASilentServerIsHedgedOnceTheBudgetHasARetry fails before.

A hedge is asked for again after the same delay, while one may still be answered in time, and less often than a retry of a call that no server has, which comes first.

--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -82,8 +82,8 @@
 // runIdempotent sends a request until a server answers without an error. If the first
 // answer takes long, the request is hedged at a second server. Once a server has crashed, it
 // is at one server at a time, as it may crash each, and goes on to another one only if those
-// that have it stay silent for longer than the first crash took. If the budget has no retry
-// for a request that no server has, it is asked again while an answer may come in time.
+// that have it stay silent for longer than the first crash took. If the budget has no retry,
+// it is asked again while an answer may come in time.
 func (c *call) runIdempotent(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -123,7 +123,7 @@
 			}
 			return
 		}
-		if askAt := c.askAgainAt(time.Now()); inFlight == 0 && !askAt.IsZero() {
+		if askAt := c.askAgainAt(time.Now(), inFlight > 0); !askAt.IsZero() {
 			if waiting = true; !waited {
 				c.f.cfg.Log.WithField("id", c.req.ID).WithField("sends", c.delivered).WithField("inFlight", inFlight).Info("call waits for a retry")
 			}
--- a/internal/router/forward/patience_test.go
+++ b/internal/router/forward/patience_test.go
@@ -70,6 +70,16 @@
 	}
 }
 
+func TestACallAtASilentServerIsHedgedOnceTheBudgetHasARetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newExhaustedService(300*time.Millisecond, func(*fakeService) response { return mute })
+		startedAt := time.Now()
+		g.Expect(newForwarder(s, 2)(routes.Idempotent, 2, "").Code).To(Equal(http.StatusOK))
+		g.Expect(time.Since(startedAt)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+}
+
 func TestACallThatWaitedForARetryIsNotLeftAtASilentServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/router/forward/retry.go
+++ b/internal/router/forward/retry.go
@@ -30,10 +30,11 @@
 }
 
 // askAgainAt returns when to ask again for a retry, or the zero time unless the budget has denied
-// it and is expected to have one that can still be answered. A request that no server has executed
-// is refused at once.
-func (c *call) askAgainAt(now time.Time) time.Time {
-	if !c.denied || c.executed == 0 {
+// it and is expected to have one that can still be answered. A hedge, which is one while another server
+// has the request, asks less often: requests that no server has come first. One that no server
+// has executed is refused at once.
+func (c *call) askAgainAt(now time.Time, hedge bool) time.Time {
+	if !c.denied || !hedge && c.executed == 0 {
 		return time.Time{}
 	}
 	answerTime := max(c.hedgeDelay(), c.f.leastLatency(c.service.Name, c.excluded, now))
@@ -41,6 +42,9 @@
 	if next.IsZero() || next.Add(answerTime).After(c.req.AnswerBy()) {
 		return time.Time{}
 	}
+	if hedge {
+		return now.Add(max(c.hedgeDelay(), retryBudgetInterval))
+	}
 	return now.Add(retryBudgetInterval)
 }
 
