forward: a server's own error is not held back for a retry

Since a call whose server answered with an error of its own, and whose router had no retry, was held until the budget had one. The answer is there, and its caller may repeat the call elsewhere at once.

Evidence: TestAServersOwnErrorIsNotHeldBackForARetry fails before. It replaces the row of TestACallWhoseServerIsLostIsNotFailedIfARetryComesInTime that wanted the wait.

--- a/internal/router/forward/retry.go
+++ b/internal/router/forward/retry.go
@@ -32,9 +32,9 @@
 // askAgainAt returns when to ask again for a retry, or the zero time unless the budget has denied
 // it and is expected to have one that can still be answered. A hedge, which is one while another server
 // has the request, asks less often: requests that no server has come first. One that no server
-// has executed is refused at once.
+// has executed is refused at once, and a server's own error is not held back.
 func (c *call) askAgainAt(now time.Time, hedge bool) time.Time {
-	if !c.denied || !hedge && c.executed == 0 {
+	if !c.denied || !hedge && (c.executed == 0 || c.best.hasAnswer()) {
 		return time.Time{}
 	}
 	answerTime := max(c.hedgeDelay(), c.f.leastLatency(c.service.Name, c.excluded, now))
