relay: streams that wait for a retry get it before those that leave a silent engine

Cause: whoever asked first after the budget had a retry got it.

Evidence: TestAStreamThatLeavesASilentEngineDoesNotTakeTheRetryOfOneThatWaits fails before.

Streams that wait after a loss stand in line, by service, and others take no retry meanwhile: one at a silent engine stays there, and its engine may go on by itself.

--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -109,6 +109,7 @@
 	timeouts     suspicion.Timeouts
 	listeners    domainListeners
 	domainChecks domainChecks
+	retryQueue   retryQueue
 }
 
 // New returns a relay.
--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -18,12 +18,14 @@
 	patienceMargin = 200 * time.Millisecond
 )
 
-// awaitRetry reserves a retry for the next attempt. It waits for the budget to have one, which
-// other streams may take first. It returns false if none is expected while the caller waits, or
+// awaitRetry reserves a retry for the next attempt. It waits for the budget to have one, after
+// the streams that have waited for longer. It returns false if none is expected while the caller waits, or
 // if the stream can return to a silent engine.
 func (s *stream) awaitRetry(ctx context.Context) bool {
+	defer s.relay.retryQueue.leave(s)
 	start := time.Now()
 	for denied := 0; !s.reserveRetry(); denied++ {
+		s.relay.retryQueue.join(s)
 		now := time.Now()
 		next := s.relay.cfg.RetryBudget.NextAt(s.service.Name, now)
 		if denied == 0 {
@@ -63,7 +65,7 @@
 		return true
 	}
 	now := time.Now()
-	s.retryReserved = s.relay.cfg.RetryBudget.Allow(s.service.Name, now)
+	s.retryReserved = s.relay.retryQueue.mayTake(s) && s.relay.cfg.RetryBudget.Allow(s.service.Name, now)
 	if s.retryReserved {
 		s.retryTakenAt = now
 	}
--- a/internal/router/relay/waits_test.go
+++ b/internal/router/relay/waits_test.go
@@ -103,3 +103,25 @@
 		h.Expect(limits.taken).To(Equal(2))
 	})
 }
+
+func TestAStreamThatLeavesASilentEngineDoesNotTakeTheRetryOfOneThatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.patientCallers()
+		h.setFirstEngine(engineFaults{breakAfter: 7})
+		h.budget.exhaustedUntil, h.budget.most = time.Now().Add(3*time.Second), 1
+		time.AfterFunc(time.Second, func() {
+			h.engines.setFaults(map[string]engineFaults{"i-0": pausing, "i-1": pausing, "i-2": pausing})
+		})
+		cuts := make(chan bool)
+		for _, startAt := range []time.Duration{0, 2560 * time.Millisecond} { // the second one is silent 40 ms before the first one asks
+			go func() {
+				time.Sleep(startAt)
+				_, cut := h.serve(h.newRequest(0))
+				cuts <- cut
+			}()
+		}
+		h.Expect(<-cuts).To(BeFalse())
+		h.Expect(<-cuts).To(BeFalse())
+	})
+}
