suspicion: a silent engine is kept while others get no work for a moment only

Cause: an attempt without an answer was given up for a long silence although nothing could take its place at that moment, but would soon: an engine that did not answer a probe gets no work for two seconds.

Evidence: TestACallerOfASilentEngineIsNotFailedWhileOtherEnginesGetNoWorkForAMoment fails before.

Without such an engine the caller is told as before.

--- a/internal/decision/suspicion/alternative.go
+++ b/internal/decision/suspicion/alternative.go
@@ -19,6 +19,7 @@
 	AttemptsLeft int           // that the route allows after this one
 	Quarantined  bool          // the prompt must not be sent to another engine
 	EngineUsable bool          // another engine can get the request
+	EngineLeft   bool          // another one that does not leave may get it later
 	Begun        bool          // the caller has a part of the answer
 	LeftSilent   bool          // an earlier attempt was left for its silence
 	Doubted      bool          // the engine does not have the attempt, or its events don't arrive
@@ -46,6 +47,8 @@
 		return Keep
 	case a.Retryable && a.AttemptsLeft > 0 && !a.Quarantined && a.EngineUsable:
 		return Retry
+	case a.Retryable && a.AttemptsLeft > 0 && !a.Quarantined && a.EngineLeft:
+		return Keep
 	case a.Retryable && !a.Begun && (a.Unheard > maxStartPause || a.Doubted && a.Silence > maxStartPause || a.Silence >= maxStartSilence):
 		return Abandon
 	default:
--- a/internal/decision/suspicion/alternative_test.go
+++ b/internal/decision/suspicion/alternative_test.go
@@ -40,6 +40,12 @@
 		"no attempts left, engine does not have it": {func(a *suspicion.Alternative) {
 			a.AttemptsLeft, a.Begun, a.Doubted, a.Silence, a.Unheard = 0, false, true, 3*time.Second, 100*time.Millisecond
 		}, suspicion.Abandon},
+		"no other engine for a moment, no answer": {func(a *suspicion.Alternative) {
+			a.EngineUsable, a.EngineLeft, a.Begun, a.Unheard = false, true, false, time.Minute
+		}, suspicion.Keep},
+		"no other engine, no answer": {func(a *suspicion.Alternative) {
+			a.EngineUsable, a.Begun, a.Unheard = false, false, time.Minute
+		}, suspicion.Abandon},
 		"another incarnation": {func(a *suspicion.Alternative) { a.Retryable, a.Replaced = false, true }, suspicion.Abandon},
 	} {
 		a := allowed
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -21,6 +21,7 @@
 		AttemptsLeft: s.req.Route.MaxAttempts - s.countedAttempts() - 1,
 		Quarantined:  quarantined,
 		EngineUsable: s.otherEngineUsable(target),
+		EngineLeft:   s.otherEngineLeft(target),
 		Begun:        s.headersSent,
 		LeftSilent:   s.leftSilent > 0,
 		Doubted:      detector.Doubted(),
@@ -89,6 +90,14 @@
 	return balance.PickEngine(candidates, s.req.PromptTokens, s.req.MaxOutputTokens, nil, 0) >= 0
 }
 
+// otherEngineLeft reports whether there is another engine that the stream has not tried and that
+// does not leave. It may be down or full now.
+func (s *stream) otherEngineLeft(target *registry.Entry) bool {
+	return slices.ContainsFunc(s.relay.cfg.Servers.Service(s.service.Name), func(e *registry.Entry) bool {
+		return !e.Leaving && e.Key() != target.Key() && !s.excluded[e.Key()]
+	})
+}
+
 // replaced reports whether another incarnation has the address of an engine. A restored store
 // may list an older one.
 func (r *Relay) replaced(e *registry.Entry) bool {
--- a/internal/router/relay/silences_test.go
+++ b/internal/router/relay/silences_test.go
@@ -80,3 +80,19 @@
 		h.Expect(time.Since(start)).To(BeNumerically("<", 4*time.Second))
 	})
 }
+
+// The others were silent as well, and get no work for two seconds.
+func TestACallerOfASilentEngineIsNotFailedWhileOtherEnginesGetNoWorkForAMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{pause: time.Minute})
+		time.AfterFunc(100*time.Millisecond, func() {
+			for _, id := range []string{"i-1", "i-2"} {
+				h.servers.Get(id).Load.MarkDown(time.Now().Add(4 * time.Second))
+			}
+		})
+		res, _ := h.serve(h.newRequest(0))
+		h.Expect(res.Code).To(Equal(http.StatusOK))
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+	})
+}
