relay: a request that lost its engine is not failed while the others are busy for a moment

A request that had not begun, and whose engine had ended, was failed with 502 at once if all others were full or, for their silence, got no work for 2 s: with 18 s left and sound engines. Seen in tests only; it takes few engines, or a large part of them silent. A request that no server has run is refused at once as before.

Now it waits up to 2.5 s for one. Three refusals in a row still end it.

Evidence: the two tests of others that are full and down for a moment fail before.

--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -124,7 +124,7 @@
 	defer end(nil)
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	s := &stream{relay: r, w: w, req: req, service: service, lastEventID: req.LastEventID, excluded: make(map[server.Key]bool)}
+	s := &stream{relay: r, w: w, req: req, service: service, lastEventID: req.LastEventID, excluded: make(map[server.Key]bool), momentary: make(map[server.Key]bool)}
 	s.answerTimer = time.AfterFunc(time.Until(req.AnswerBy()), func() { end(context.DeadlineExceeded) })
 	defer s.answerTimer.Stop()
 	if !balance.Feasible(time.Until(req.Deadline), req.PromptTokens, req.MaxOutputTokens, req.LastEventID*s.eventTokens()) {
--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -36,7 +36,7 @@
 		if s.silent != nil || !expected && (!s.headersSent || now.Sub(start) >= maxRetryBudgetWait) {
 			return false
 		}
-		if !s.headersSent && !s.engineUsable(s.excluded) || !loop.Sleep(ctx, retryBudgetInterval) {
+		if !s.headersSent && !s.engineUsable(s.excluded) && !s.engineReturns(start) || !loop.Sleep(ctx, retryBudgetInterval) {
 			return false
 		}
 	}
--- a/internal/router/relay/serve.go
+++ b/internal/router/relay/serve.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"time"
 
-	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/base/loop"
 )
 
@@ -67,6 +67,7 @@
 // nextAttempt begins another attempt. If none is allowed, it returns to the silent engine
 // that was left last, or else answers the caller and returns nil.
 func (s *stream) nextAttempt(ctx context.Context) *attempt {
+	start := time.Now()
 	for {
 		if s.executed > 0 {
 			if _, quarantined := s.relay.cfg.Quarantine.Refuses(s.req); quarantined && s.silent != nil {
@@ -94,7 +95,7 @@
 			if a := s.resumeSilent(); a != nil {
 				return a
 			}
-			if !s.headersSent {
+			if !s.headersSent && !s.engineReturns(start) {
 				s.refuse("no engine")
 				return nil
 			}
@@ -103,7 +104,7 @@
 				s.abandon(ctx, contextEndReason(ctx))
 				return nil
 			}
-			s.excluded = make(map[server.Key]bool) // they may be usable again
+			s.readmitEngines()
 			continue
 		}
 		s.retryReserved, s.retryUnused = false, false
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -29,6 +29,7 @@
 	delivered           int                 // attempts that may have reached a server
 	refusals            int                 // consecutive refusals for lack of capacity
 	excluded            map[server.Key]bool // servers that refused or failed
+	momentary           map[server.Key]bool // of these, those that were full or silent, maybe for a moment only
 	backupAddress       string              // of the engine that has the lost attempt's backup; empty without one
 	backupRef           server.KVBackup     // names the backup to that engine
 	backupExpiresAt     time.Time           // when that engine may delete it; zero if that is not known
@@ -95,7 +96,7 @@
 		case restoreFrom != nil: // only the backup was missing
 		default:
 			s.refusals++
-			s.excluded[target.Key()] = true
+			s.excluded[target.Key()], s.momentary[target.Key()] = true, true
 			target.Load.MarkFull(now.Add(fullBackoff))
 		}
 	case notSent:
@@ -119,7 +120,7 @@
 			s.ended++
 		}
 		s.refusals = 0
-		s.excluded[target.Key()] = true
+		s.excluded[target.Key()], s.momentary[target.Key()] = true, r.silent && !r.doubted
 		s.backupAddress = ""
 		// There is no backup before the first event, unless the attempt was itself
 		// resumed from one and its engine was not silent all the time.
--- a/internal/router/relay/target.go
+++ b/internal/router/relay/target.go
@@ -8,6 +8,10 @@
 	"wisteriafield/internal/backend/server"
 )
 
+// maxEngineWait bounds the wait of a stream that has not begun for an engine. It is above the time
+// for which one that was silent gets no work.
+const maxEngineWait = unresponsiveBackoff + 500*time.Millisecond
+
 // nextTarget chooses the engine of the next attempt, and the backup to resume from, if
 // any. An engine that has the backup comes first, then one that has the prompt cached.
 func (s *stream) nextTarget(ctx context.Context) (*registry.Entry, *server.KVBackup) {
@@ -41,6 +45,35 @@
 	}
 }
 
+// engineReturns reports whether a request that a server may have run, and that can't be refused
+// for that, may get an engine in a moment: one that was full or silent, or is so for others. It
+// has waited for one since the given time.
+func (s *stream) engineReturns(since time.Time) bool {
+	if s.executed == 0 || time.Since(since) >= maxEngineWait || s.relay.cfg.Quarantine.SparesLastServer(s.req, func() []string { return s.relay.cfg.Servers.Usable(s.service.Name, time.Now()) }) {
+		return false
+	}
+	for _, e := range s.relay.cfg.Servers.Service(s.service.Name) {
+		if !e.Leaving && (!s.excluded[e.Key()] || s.momentary[e.Key()]) && !s.relay.cfg.Limits.NextAt(&e.Server, time.Now()).IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// readmitEngines lets engines be chosen again that refused or failed, but may be usable again.
+// Before its first event, a stream does not return to those that broke off or are still full.
+func (s *stream) readmitEngines() {
+	if s.headersSent {
+		s.excluded = make(map[server.Key]bool)
+		return
+	}
+	for _, e := range s.relay.cfg.Servers.Service(s.service.Name) {
+		if s.momentary[e.Key()] && !e.Load.State(time.Now()).Full {
+			delete(s.excluded, e.Key())
+		}
+	}
+}
+
 // usableEngineAt returns the engine at an address if it can get work, or nil.
 func (s *stream) usableEngineAt(address string) *registry.Entry {
 	now := time.Now()
--- a/internal/router/relay/waits_test.go
+++ b/internal/router/relay/waits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,3 +126,35 @@
 		h.Expect(<-cuts).To(BeFalse())
 	})
 }
+
+// Engines that are full for a moment are full only for that moment.
+func TestARequestWhoseEngineEndedIsNotFailedWhileOthersAreFullForAMoment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.patientCallers()
+		h.setFirstEngine(engineFaults{losesConnection: true})
+		h.engines.faults["i-1"], h.engines.faults["i-2"] = engineFaults{refuses: true}, engineFaults{refuses: true}
+		time.AfterFunc(250*time.Millisecond, func() { h.engines.setFaults(nil) })
+		res, _ := h.serve(h.newRequest(0))
+		h.Expect(res.Code).To(Equal(http.StatusOK))
+		h.Expect(strings.Count(res.Body.String(), "id: ")).To(Equal(20))
+	})
+}
+
+// Engines that were silent get no work for 2 s.
+func TestARequestWhoseEngineEndedIsNotFailedWhileOthersAreDownForAMoment(t *testing.T) {
+	for down, code := range map[time.Duration]int{2 * time.Second: http.StatusOK, time.Hour: http.StatusBadGateway} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t)
+			h.patientCallers()
+			h.setFirstEngine(engineFaults{losesConnection: true})
+			start := time.Now()
+			for _, id := range []string{"i-1", "i-2"} {
+				h.servers.Get(id).Load.MarkDown(start.Add(down))
+			}
+			res, _ := h.serve(h.newRequest(0))
+			h.Expect(res.Code).To(Equal(code))
+			h.Expect(time.Since(start)).To(BeNumerically("<", 3*time.Second))
+		})
+	}
+}
