relay: a begun stream does not spend retries on engines that have just refused

While all engines were full, a stream that looked for another one asked each of them again every 50 ms: 63 sends for one engine that ended and 1 s of full ones, each but the first out of the retry budget of its router, which the next loss needs.

Evidence: TestAStreamDoesNotSpendItsRetriesOnEnginesThatHaveJustRefused fails before.

--- a/internal/router/relay/target.go
+++ b/internal/router/relay/target.go
@@ -38,6 +38,9 @@
 	}
 	for {
 		s.choice = s.relay.choose(ctx, s.service, s.req, s.excluded, s.lostDomain)
+		if s.headersSent && s.choice.candidate.Full {
+			s.choice = choice{} // it would refuse again, which uses up a retry
+		}
 		if s.choice.entry == nil || s.relay.cfg.Limits.Take(&s.choice.entry.Server) {
 			return s.choice.entry, nil
 		}
--- a/internal/router/relay/waits_test.go
+++ b/internal/router/relay/waits_test.go
@@ -158,3 +158,18 @@
 		})
 	}
 }
+
+// Each of the engines was asked again every 50 ms, each time for a retry.
+func TestAStreamDoesNotSpendItsRetriesOnEnginesThatHaveJustRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{breakAfter: 7})
+		refuse := map[string]engineFaults{"i-0": {refuses: true}, "i-1": {refuses: true}, "i-2": {refuses: true}}
+		time.AfterFunc(100*time.Millisecond, func() { h.engines.setFaults(refuse) })
+		time.AfterFunc(1100*time.Millisecond, func() { h.engines.setFaults(nil) })
+		res, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+		h.Expect(len(h.engines.sentTo())).To(BeNumerically("<=", 1+3*5))
+	})
+}
