forward: a retry that was taken and not sent goes back to the budget

In an outage, calls that could not reach a second server used up the router's retries all the same, and calls that a server could have got found none (by reading).

Cause: a retry that was not sent was kept for the next attempt of its call, and lost when there was none; one for which no server was found then was lost at once.

Evidence: TestARetryThatCouldNotBeSentGoesBackToTheBudget fails before.

What a call has taken and not sent is returned when it ends, as streams do.

--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -27,6 +27,7 @@
 	best      result // the best result so far
 	attempted bool
 	denied    bool      // the budget had no retry when it was last asked
+	takenAt   time.Time // when the last retry was taken from the budget
 	blocked   time.Time // until when the request's prompt is blocked; zero if it is not
 }
 
@@ -39,6 +40,9 @@
 		}
 		e := c.choose()
 		if e == nil {
+			if c.delivered > 0 {
+				c.unused++
+			}
 			return
 		}
 		c.recordResult(c.f.runAttempt(ctx, c.req, e, c.delivered > 0))
@@ -98,6 +102,9 @@
 		}
 		e := c.choose()
 		if e == nil {
+			if retry {
+				c.unused++
+			}
 			return false
 		}
 		c.excluded[e.Key()] = true
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -65,6 +65,7 @@
 	RetryBudget interface {
 		Allow(service string, now time.Time) bool
 		NextAt(service string, now time.Time) time.Time
+		Return(service string, takenAt, now time.Time)
 	}
 	Quarantine interface {
 		Refuses(req *server.Request) (until time.Time, refused bool)
@@ -126,6 +127,7 @@
 	} else {
 		c.runNonIdempotent(ctx)
 	}
+	c.returnRetries()
 	c.writeAnswer(w, ctx)
 	c.best.body.Release()
 }
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -39,6 +39,7 @@
 	budget interface {
 		Allow(service string, now time.Time) bool
 		NextAt(service string, now time.Time) time.Time
+		Return(service string, takenAt, now time.Time)
 	} // fixedBudget(true) if nil
 }
 
@@ -104,6 +105,8 @@
 
 func (a fixedBudget) Allow(string, time.Time) bool { return bool(a) }
 
+func (fixedBudget) Return(string, time.Time, time.Time) {}
+
 func (a fixedBudget) NextAt(_ string, now time.Time) time.Time {
 	if !a {
 		return time.Time{}
--- a/internal/router/forward/hedge_test.go
+++ b/internal/router/forward/hedge_test.go
@@ -16,6 +16,7 @@
 type countingBudget struct {
 	exhaustedUntil time.Time
 	given          int
+	returned       int
 }
 
 func (b *countingBudget) Allow(_ string, now time.Time) bool {
@@ -26,6 +27,8 @@
 	return true
 }
 
+func (b *countingBudget) Return(string, time.Time, time.Time) { b.returned++ }
+
 func (b *countingBudget) NextAt(_ string, now time.Time) time.Time {
 	if now.Before(b.exhaustedUntil) {
 		return b.exhaustedUntil
@@ -79,3 +82,27 @@
 		})
 	}
 }
+
+// In an outage such retries would leave none for calls that a server could get.
+func TestARetryThatCouldNotBeSentGoesBackToTheBudget(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind  routes.Kind
+		first func(s *fakeService) func(context.Context) (*server.Answer, error)
+	}{
+		"idempotent":     {routes.Idempotent, func(s *fakeService) func(context.Context) (*server.Answer, error) { return s.loseAnswer }},
+		"non-idempotent": {routes.NonIdempotent, func(*fakeService) func(context.Context) (*server.Answer, error) { return refuse }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				budget := &countingBudget{}
+				s := &fakeService{budget: budget}
+				s.responses = map[string]func(context.Context) (*server.Answer, error){"i-0": c.first(s), "i-1": unreachable}
+				newForwarder(s, 2)(c.kind, 3, "")
+				g.Expect(s.sentTo).To(Equal([]string{"i-0", "i-1"}))
+				g.Expect(budget.given).To(Equal(1))
+				g.Expect(budget.returned).To(Equal(1))
+			})
+		})
+	}
+}
--- a/internal/router/forward/retry.go
+++ b/internal/router/forward/retry.go
@@ -22,13 +22,22 @@
 		c.unused--
 		return true
 	}
-	if c.denied = !c.f.cfg.RetryBudget.Allow(c.service.Name, time.Now()); c.denied {
+	now := time.Now()
+	if c.denied = !c.f.cfg.RetryBudget.Allow(c.service.Name, now); c.denied {
 		return false
 	}
+	c.takenAt = now
 	retriesTotal.Inc()
 	return true
 }
 
+// returnRetries gives back the retries that were taken and not sent.
+func (c *call) returnRetries() {
+	for ; c.unused > 0; c.unused-- {
+		c.f.cfg.RetryBudget.Return(c.service.Name, c.takenAt, time.Now())
+	}
+}
+
 // askAgainAt returns when to ask again for a retry, or the zero time unless the budget has denied
 // it and is expected to have one that can still be answered. A hedge, which is one while another server
 // has the request, asks less often: requests that no server has come first. One that no server
