edgesoak: all routers are checked at once after the last fault

The soak reported "edge-11 does not serve all requests 12s after the last fault" though edge-11 had answered each request that it got: with 12 routers the checks took 54 s, one router after the other, and the time of the whole run (88 s) ended in the last of them.

Each router now has 12 s from the last fault. Before, later ones got their first question after that, so this is stricter.

--- a/internal/trial/edgesoak/check.go
+++ b/internal/trial/edgesoak/check.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"wisteriafield/internal/trial/workers"
@@ -51,21 +52,27 @@
 // recoveryTimeout of the last fault.
 func (s *soak) checkRecovery(ctx context.Context) {
 	deadline := time.Now().Add(recoveryTimeout)
+	var wg sync.WaitGroup
 	for _, r := range s.routers {
-		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-		for {
-			received := 0
-			served := s.callService(ctx, client, r, http.MethodPost, "/book/x", "x") == http.StatusOK && s.getVersionRoute(ctx, r, int(s.version.Load())) == http.StatusOK
-			if served && s.readStream(ctx, r, "recovery", 10, &received) && s.unservedRepeat(ctx, r) == "" {
-				break
-			}
-			if time.Now().After(deadline) {
-				s.reportProblem("%s does not serve all requests %s after the last fault", r.name, recoveryTimeout)
-				break
+		wg.Go(func() {
+			for !s.servesAll(ctx, r) {
+				if time.Now().After(deadline) {
+					s.reportProblem("%s does not serve all requests %s after the last fault", r.name, recoveryTimeout)
+					return
+				}
+				time.Sleep(200 * time.Millisecond)
 			}
-			time.Sleep(200 * time.Millisecond)
-		}
+		})
 	}
+	wg.Wait()
+}
+
+// servesAll reports whether a router serves a request of each kind.
+func (s *soak) servesAll(ctx context.Context, r *router) bool {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	received := 0
+	served := s.callService(ctx, client, r, http.MethodPost, "/book/x", "x") == http.StatusOK && s.getVersionRoute(ctx, r, int(s.version.Load())) == http.StatusOK
+	return served && s.readStream(ctx, r, "recovery", 10, &received) && s.unservedRepeat(ctx, r) == ""
 }
 
 // checkExecutions compares the bookings that servers executed with the statuses that
