edgesoak: servers fall silent all the time and leave at short notice

Each server is now silent in a third of its spans of 4 s, for 0.7 to 1.3 s, and some are killed 2 s after SIGTERM. One that was still there after the 8 s of "servers leave" counted as ended and is now killed. The silences of a whole service last 1.3 s at most instead of 1.2 s.

--- a/internal/trial/edgesoak/faults.go
+++ b/internal/trial/edgesoak/faults.go
@@ -136,8 +136,8 @@
 		p.Pause()
 		return during(end, p.Continue)
 	}},
-	{"sound server silent", true, func(s *soak, r *rand.Rand) func() { return s.silence(pick(s.backends, r), r) }},
-	{"server leaves", true, func(s *soak, r *rand.Rand) func() { return s.leave(pick(s.backends, r)) }},
+	{"sound server silent", true, func(s *soak, r *rand.Rand) func() { return s.silence(pick(s.backends, r), r, minSilence) }},
+	{"server leaves", true, func(s *soak, r *rand.Rand) func() { return s.leave(pick(s.backends, r), grace) }},
 	{"store out", false, func(s *soak, _ *rand.Rand) func() { return s.orderStoreFault(`{"Outage":true}`, `{"Outage":false}`) }},
 	{"store slow", false, func(s *soak, _ *rand.Rand) func() {
 		return s.orderStoreFault(`{"DelayMillis":300}`, `{"DelayMillis":0}`)
--- a/internal/trial/edgesoak/planned.go
+++ b/internal/trial/edgesoak/planned.go
@@ -7,12 +7,19 @@
 	"time"
 
 	"wisteriafield/internal/base/loop"
+	"wisteriafield/internal/trial/workers"
 )
 
 const (
 	// maxSilence is how long a sound server may be silent, minSilence how long at least.
 	minSilence = 200 * time.Millisecond
-	maxSilence = 1200 * time.Millisecond
+	maxSilence = 1300 * time.Millisecond
+	// In one of silentSpans spans a server is silent by itself, 8 % of its time.
+	silenceSpan    = 4 * time.Second
+	silentSpans    = 3
+	minSpanSilence = 700 * time.Millisecond
+	// shortNotice is the time from the signal to the end of a server that leaves at short notice.
+	shortNotice = 2 * time.Second
 	// minSoundTime is how long a server answers between two silences at least.
 	minSoundTime = 500 * time.Millisecond
 	// plannedSeries are the series of planned faults that overlap if there are no others.
@@ -27,22 +34,14 @@
 		servers := s.someServers(r)
 		var ends []func()
 		for _, b := range servers {
-			now := time.Now()
-			if !b.delays.within(now.Add(-minSoundTime), now) {
-				ends = append(ends, s.silence(b, r))
-			}
-		}
-		return healAll(ends)
-	}},
-	{"servers leave", true, func(s *soak, r *rand.Rand) func() {
-		var ends []func()
-		for _, b := range s.someServers(r) {
-			if s.staying(b.service) > 1 && !b.absences.active() {
-				ends = append(ends, s.leave(b))
+			if b.sound() {
+				ends = append(ends, s.silence(b, r, minSilence))
 			}
 		}
 		return healAll(ends)
 	}},
+	{"servers leave", true, func(s *soak, r *rand.Rand) func() { return s.leaveSome(r, grace) }},
+	{"servers leave at short notice", true, func(s *soak, r *rand.Rand) func() { return s.leaveSome(r, shortNotice) }},
 	{"router stopped", true, func(s *soak, r *rand.Rand) func() {
 		var running []*router
 		now := time.Now()
@@ -127,13 +126,31 @@
 	loop.Sleep(ctx, time.Duration(r.IntN(int(maxPlannedWait.Milliseconds())))*time.Millisecond)
 }
 
+// sound reports whether a server has answered for a while.
+func (b *backend) sound() bool {
+	now := time.Now()
+	return !b.delays.within(now.Add(-minSoundTime), now)
+}
+
+// fallSilent returns a step that takes a span of a server's time, with a silence or without.
+func (s *soak) fallSilent(b *backend) workers.Step {
+	return func(ctx context.Context, r *rand.Rand) {
+		end := time.Now().Add(silenceSpan)
+		if r.IntN(silentSpans) == 0 && loop.Sleep(ctx, time.Duration(r.Int64N(int64(silenceSpan-maxSilence)))) && b.sound() {
+			s.count("silences of one server")
+			s.silence(b, r, minSpanSilence)()
+		}
+		loop.SleepUntil(ctx, end)
+	}
+}
+
 // silence pauses a server for a moment and returns a function that waits for its end.
-func (s *soak) silence(b *backend, r *rand.Rand) func() {
+func (s *soak) silence(b *backend, r *rand.Rand, least time.Duration) func() {
 	p := b.process()
 	end := b.delays.begin()
 	p.Pause()
 	done := make(chan struct{})
-	time.AfterFunc(minSilence+time.Duration(r.IntN(int((maxSilence-minSilence).Milliseconds())))*time.Millisecond, func() {
+	time.AfterFunc(least+time.Duration(r.Int64N(int64(maxSilence-least))), func() {
 		p.Continue()
 		end()
 		close(done)
@@ -141,13 +158,26 @@
 	return func() { <-done }
 }
 
-// leave lets a server leave and returns a function that starts it again.
-func (s *soak) leave(b *backend) func() {
+// leaveSome lets servers of a service leave, but not all.
+func (s *soak) leaveSome(r *rand.Rand, notice time.Duration) func() {
+	var ends []func()
+	for _, b := range s.someServers(r) {
+		if s.staying(b.service) > 1 && !b.absences.active() {
+			ends = append(ends, s.leave(b, notice))
+		}
+	}
+	return healAll(ends)
+}
+
+// leave lets a server leave, which is ended after the notice at the latest, and returns a
+// function that starts it again.
+func (s *soak) leave(b *backend, notice time.Duration) func() {
 	process := b.process()
 	end := b.absences.begin()
 	done := make(chan bool, 1)
 	go func() {
-		ended := process.Stop(grace)
+		ended := process.Stop(notice)
+		process.Kill()
 		b.exits.begin()()
 		done <- ended
 	}()
--- a/internal/trial/edgesoak/soak.go
+++ b/internal/trial/edgesoak/soak.go
@@ -108,6 +108,9 @@
 		for i := range plannedSeries {
 			group.Start(ctx, s.injectPlanned, uint64(1+i))
 		}
+		for i, b := range s.backends {
+			group.Start(ctx, s.fallSilent(b), uint64(1000+i))
+		}
 	case s.Storms:
 		group.Start(ctx, s.injectStorm, 1)
 	default:
