edgesoak: streams and calls that are given up while their callers wait are problems

Begun streams that a router cut were checked, but not what it answered 502 or 504, nor why it gave a stream up. Beside planned work a stream must not be given up for retries, attempts or blame over 2 s before its deadline; a call that gets 502 or 504 over 200 ms before its deadline is a problem unless a server ended within 200 ms of it.

Lines of streams that no engine ran are left out: they get 503, which promises that nothing ran.

--- a/internal/trial/edgesoak/callers.go
+++ b/internal/trial/edgesoak/callers.go
@@ -88,6 +88,7 @@
 	s.checkNotRejected(res, "/draft/")
 	if res.StatusCode != http.StatusOK {
 		s.count(fmt.Sprintf("drafts with status %d", res.StatusCode))
+		s.recordFailure(ctx, x, res.StatusCode)
 		return false
 	}
 	if !caller.Signed(res) {
@@ -185,6 +186,7 @@
 	if err != nil {
 		s.recordIncomplete(ctx, x, err)
 	}
+	s.recordFailure(ctx, x, status)
 	if method == http.MethodPost {
 		s.mu.Lock()
 		s.bookings[id] = append(s.bookings[id], status)
--- a/internal/trial/edgesoak/check.go
+++ b/internal/trial/edgesoak/check.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -141,7 +143,19 @@
 		status == http.StatusRequestTimeout || status == http.StatusMisdirectedRequest
 }
 
-// checkLogs searches the routers' logs for panics and data races.
+// needless are the reasons for which routers give up streams whose callers wait.
+var needless = []string{"RetryBudgetExhausted", "AttemptsUsed", "RequestQuarantined"}
+
+// abandoned is a router's line on a stream that it gave up.
+type abandoned struct {
+	Reason     string
+	CallerLeft bool
+	LeftMs     int64
+	Ran        int // 0 if it was refused with the promise that nothing ran
+}
+
+// checkLogs searches the routers' logs for panics and data races, and beside planned faults
+// only for streams that were given up.
 func (s *soak) checkLogs() {
 	for _, r := range s.routers {
 		text, err := os.ReadFile(r.logPath)
@@ -152,6 +166,11 @@
 			if strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") || strings.Contains(line, "DATA RACE") {
 				s.reportProblem("%s: %s", r.name, line)
 			}
+			var end abandoned
+			if s.Planned && strings.Contains(line, "stream abandoned") && json.Unmarshal([]byte(line), &end) == nil &&
+				slices.Contains(needless, end.Reason) && end.Ran > 0 && !end.CallerLeft && end.LeftMs > minTimeLeft.Milliseconds() {
+				s.reportProblem("%s gave up a stream: %s", r.name, line)
+			}
 		}
 	}
 	s.counts["versions written"] = int(s.version.Load())
--- a/internal/trial/edgesoak/incomplete.go
+++ b/internal/trial/edgesoak/incomplete.go
@@ -23,6 +23,8 @@
 	excusedCut   = grace * 5 / 6
 	// excusedDraft is how long a draft may last at most before its timeout excuses a cut.
 	excusedDraft = 14500 * time.Millisecond
+	// minTimeLeft is the time to its deadline with which a stream must not be given up.
+	minTimeLeft = 2 * time.Second
 )
 
 // exchange is what a caller sees of one request on its connection.
@@ -38,6 +40,7 @@
 	answered atomic.Bool // a byte of the answer came
 	eventAt  time.Time   // when the last event of a stream came
 	left     bool        // the caller gave up before the answer ended
+	failed   bool        // it was answered in time that a server may have run it in vain
 	err      error
 }
 
@@ -54,6 +57,15 @@
 	}))
 }
 
+// recordFailure keeps an answer that says that a server may have run the request in vain.
+func (s *soak) recordFailure(ctx context.Context, x *exchange, status int) {
+	deadline, _ := ctx.Deadline()
+	inTime := time.Until(deadline) > choose(x.kind == "stream", minTimeLeft, lossSlack)
+	if x.failed = inTime && (status == http.StatusBadGateway || status == http.StatusGatewayTimeout); x.failed && s.Planned {
+		s.recordIncomplete(ctx, x, fmt.Errorf("status %d", status))
+	}
+}
+
 // recordIncomplete keeps an answer that was not complete for checkIncomplete.
 func (s *soak) recordIncomplete(ctx context.Context, x *exchange, err error) {
 	x.endedAt, x.err, x.left = time.Now(), err, ctx.Err() != nil
@@ -91,6 +103,8 @@
 		return "connection refused", true
 	case x.left:
 		return "caller's deadline", true
+	case x.failed && x.kind == "call" && brokeOff(x, s.backends): // one that ended may not have logged the call
+		return "a server ended", true
 	case !x.conn.Load():
 		return "no connection", true
 	case x.wroteAt.Load() == 0 && len(servers) == 0:
--- a/internal/trial/edgesoak/incomplete_test.go
+++ b/internal/trial/edgesoak/incomplete_test.go
@@ -1,8 +1,12 @@
 package edgesoak
 
 import (
+	"context"
 	"encoding/json"
 	"io"
+	"net/http"
+	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -104,3 +108,58 @@
 		g.Expect(seen[change]).To(BeNumerically(">", 1), string(change))
 	}
 }
+
+func TestAFailureWithTimeLeftIsAProblemUnlessItsServerEnded(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	s, r := newTestSoak(now.Add(-time.Minute))
+	s.Planned = true
+	ended, other := &backend{name: "redattore-0"}, &backend{name: "redattore-1"}
+	ended.exits.begin()()
+	for _, tc := range []struct {
+		kind     string
+		status   int
+		left     time.Duration // to the caller's deadline
+		server   *backend
+		problems int
+	}{
+		{"stream", http.StatusBadGateway, 3 * time.Second, other, 1},
+		{"stream", http.StatusGatewayTimeout, 3 * time.Second, other, 1},
+		{"stream", http.StatusBadGateway, 3 * time.Second, ended, 0},
+		{"stream", http.StatusBadGateway, time.Second, other, 0},
+		{"stream", http.StatusServiceUnavailable, 3 * time.Second, other, 0},
+		{"call", http.StatusBadGateway, time.Second, other, 1},
+		{"call", http.StatusBadGateway, 100 * time.Millisecond, other, 0},
+	} {
+		s.counts, s.incomplete, s.problems = make(map[string]int), nil, nil
+		ctx, cancel := context.WithTimeout(context.Background(), tc.left)
+		x := sentOn(r, tc.kind, now.Add(-time.Second), 0)
+		x.answered.Store(true)
+		s.recordFailure(ctx, x, tc.status)
+		s.checkIncomplete(map[string][]*backend{x.id: {tc.server}})
+		cancel()
+		g.Expect(s.problems).To(HaveLen(tc.problems), "%+v", tc)
+	}
+}
+
+func TestAStreamThatWasGivenUpWithTimeLeftIsAProblem(t *testing.T) {
+	g := NewWithT(t)
+	s, r := newTestSoak(time.Now())
+	s.Planned, s.routers = true, []*router{r}
+	r.logPath = filepath.Join(t.TempDir(), "edge-0.log")
+	for line, problem := range map[string]bool{
+		`{"msg":"stream abandoned","reason":"RetryBudgetExhausted","begun":true,"ran":1,"callerLeft":false,"leftMs":2001}`:  true,
+		`{"msg":"stream abandoned","reason":"AttemptsUsed","begun":false,"ran":5,"callerLeft":false,"leftMs":3700}`:         true,
+		`{"msg":"stream abandoned","reason":"RequestQuarantined","begun":true,"ran":2,"callerLeft":false,"leftMs":3700}`:    true,
+		`{"msg":"stream abandoned","reason":"RetryBudgetExhausted","begun":true,"ran":1,"callerLeft":false,"leftMs":1999}`:  false,
+		`{"msg":"stream abandoned","reason":"RetryBudgetExhausted","begun":true,"ran":1,"callerLeft":true,"leftMs":3700}`:   false,
+		`{"msg":"stream abandoned","reason":"RetryBudgetExhausted","begun":false,"ran":0,"callerLeft":false,"leftMs":3700}`: false,
+		`{"msg":"stream abandoned","reason":"RouterStopped","begun":true,"ran":1,"callerLeft":false,"leftMs":3700}`:         false,
+		`{"msg":"stream served","leftMs":3700}`: false,
+	} {
+		g.Expect(os.WriteFile(r.logPath, []byte(line+"\n"), 0o600)).To(Succeed())
+		s.counts, s.problems = make(map[string]int), nil
+		s.checkLogs()
+		g.Expect(len(s.problems) > 0).To(Equal(problem), line)
+	}
+}
