http1: requests on idle connections are answered or refused at the end of a stop

What callers saw: a request that was under way on an idle connection, or that a busy router had not come to read, as the grace time ended got a reset: neither an answer nor a refusal.

Cause: EndReading waited for connections that were in use and for last answers only. Idle ones were to get 408, but the server was closed before that was written, or before what crossed it was discarded. A connection that net/http had just begun to serve got a new read deadline, its request was read and then dropped, as the server was closing.

Why it works: EndReading waits until no connection is left, to the same deadline as before, and repeats the end of reading, except on connections that are ending already.

--- a/internal/caller/http1/drain.go
+++ b/internal/caller/http1/drain.go
@@ -46,11 +46,14 @@
 	}
 }
 
-// EndReading lets the reading of all requests fail, and waits until no connection is in use
+// EndReading lets the reading of all requests fail, and waits until all connections have ended
 // and callers have read their last answers, at most until a deadline.
 func (cs *Conns) EndReading(deadline time.Time) {
-	cs.each((*callerConn).failRead)
-	for (cs.inUse() || cs.Count()[Closing] > 0) && time.Now().Before(deadline) {
+	for {
+		cs.each((*callerConn).failRead) // again: net/http may just have set a deadline of its own
+		if cs.ended() || !time.Now().Before(deadline) {
+			return
+		}
 		time.Sleep(drainCheckInterval)
 	}
 }
--- a/internal/caller/http1/linger.go
+++ b/internal/caller/http1/linger.go
@@ -62,11 +62,11 @@
 	return true
 }
 
-// failRead lets a read of a request fail.
+// failRead lets a read of a request fail, unless the connection is ending already.
 func (c *callerConn) failRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != Closing {
+	if !c.ended && c.phase != Closing {
 		_ = c.SetReadDeadline(time.Now())
 	}
 }
