http1: a drain that missed the end of accepting takes the kernel's queue

What callers saw: a router that was held up over the last half second of its stop reset the connections that the kernel had accepted for it, with whole requests on them.

Cause: Drain looked at the end of the drain first and returned with the listener open, so that closing the server reset the queue.

Evidence: TestQueuedRequestsAreAnsweredIfTheEndOfAcceptingWasMissed failed in 6 of 6 runs before (end of file without an answer) and held in 6 of 6 after.

Why it works: Drain ends accepting before it returns in any case, and EndReading has the connections answered or refused.

--- a/internal/caller/http1/drain.go
+++ b/internal/caller/http1/drain.go
@@ -29,6 +29,9 @@
 	defer ticker.Stop()
 	for now := range ticker.C {
 		if !now.Before(s.End) {
+			if accepting { // the end of accepting was missed, as on a busy host
+				cs.stopAccepting()
+			}
 			return
 		}
 		if now.Before(s.LameDuckEnd) {
--- a/internal/caller/http1/graceend_test.go
+++ b/internal/caller/http1/graceend_test.go
@@ -83,3 +83,29 @@
 	_, err = http.ReadResponse(bufio.NewReader(conn), nil)
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+func TestQueuedRequestsAreAnsweredIfTheEndOfAcceptingWasMissed(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	s := newTestServer(func(http.ResponseWriter, *http.Request) {})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	s.serveOn(lateListener{ln.(*net.TCPListener)}, t)
+	var conns []net.Conn
+	for range 100 {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		conns = append(conns, conn)
+	}
+	now := time.Now()
+	s.conns.Drain(Schedule{LameDuckEnd: now, AcceptEnd: now, End: now}, s.conns.log)
+	s.conns.EndReading(time.Now().Add(500 * time.Millisecond))
+	_ = s.server.Close()
+	for _, conn := range conns {
+		_, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
