keeper: a sound engine's silence does not end its attempt before another one answers

Callers of our own interface got "interrupted" with 0 tokens, after 20 to 38 s and with time left, when all engines fell silent for 1.3 s every 3 s beside planned stops: 4 of 8 generations, all with a prompt of 3 s, in a trial of four engines and three routers in one process (113 attempts).

The prompt was read from its beginning again, at an engine that was silent too; six attempts in a row without a token interrupt a generation.

An attempt whose engine leaves a probe unanswered is ended if another engine with room answers now and would get as far sooner than the silence of a sound engine can last, or after 2 s without a token or reply. Other errors of a probe end it as before. The time of an unanswered probe does not count as a stall of an engine that answers again.

--- a/internal/decision/admission/queue.go
+++ b/internal/decision/admission/queue.go
@@ -178,6 +178,17 @@
 	return false
 }
 
+// FreeServers returns the names of the servers, but for one, that admit an item now.
+func (q *Queue) FreeServers(item Item, except string) []string {
+	var free []string
+	for _, name := range q.ServerNames() {
+		if name != except && q.servers[name].admits(item) {
+			free = append(free, name)
+		}
+	}
+	return free
+}
+
 func (q *Queue) totalWaiting() int {
 	var n int
 	for _, queue := range q.waiting {
--- a/internal/decision/admission/queue_test.go
+++ b/internal/decision/admission/queue_test.go
@@ -220,3 +220,16 @@
 		}
 	})
 }
+
+func TestFreeServersAdmitTheItem(t *testing.T) {
+	g := NewWithT(t)
+	q := admission.NewQueue()
+	carries := map[string]bool{"m": true}
+	q.PutServer(admission.Server{Name: "a", Slots: 1, Carries: carries})
+	q.PutServer(admission.Server{Name: "down", Slots: 1, Carries: carries, Down: true})
+	q.PutServer(admission.Server{Name: "full", Slots: 1, Carries: carries, Foreign: 1})
+	q.PutServer(admission.Server{Name: "leaving", Slots: 1, Carries: carries, Leaving: true})
+	q.PutServer(admission.Server{Name: "other", Slots: 1, Carries: map[string]bool{"n": true}})
+	q.PutServer(admission.Server{Name: "z", Slots: 1, Carries: carries})
+	g.Expect(q.FreeServers(admission.Item{ModelKey: "m", Class: admission.Resume}, "a")).To(Equal([]string{"z"}))
+}
--- a/internal/router/keeper/watchdog.go
+++ b/internal/router/keeper/watchdog.go
@@ -25,13 +25,17 @@
 	k            *Keeper
 	attempt      *attempt
 	address      string
+	startedAt    time.Time
 	cancelStream context.CancelFunc
 	ctx          context.Context
 	cancel       context.CancelFunc
 
 	mu             sync.Mutex
 	lastProgressAt time.Time
-	position       int // of the last token that arrived
+	heardAt        time.Time     // last token or reply, or the start
+	missedAt       time.Time     // last probe without a reply; zero if there was none
+	firstToken     time.Duration // after the start; zero until it arrived
+	position       int           // of the last token that arrived
 	tokenCount     int
 	lossCause      string // empty until the watchdog abandons the attempt
 	timer          *time.Timer
@@ -39,7 +43,9 @@
 
 func newWatchdog(k *Keeper, attempt *attempt, address string, cancelStream context.CancelFunc) *watchdog {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &watchdog{k: k, attempt: attempt, address: address, cancelStream: cancelStream, ctx: ctx, cancel: cancel, lastProgressAt: time.Now(), position: attempt.req.Accepted()}
+	w := &watchdog{k: k, attempt: attempt, address: address, cancelStream: cancelStream, ctx: ctx, cancel: cancel, position: attempt.req.Accepted()}
+	w.startedAt = time.Now()
+	w.lastProgressAt, w.heardAt = w.startedAt, w.startedAt
 	w.timer = time.AfterFunc(time.Hour, w.check)
 	w.timer.Reset(w.silenceTimeout())
 	return w
@@ -51,7 +57,10 @@
 	w.mu.Lock()
 	gap := now.Sub(w.lastProgressAt)
 	first := w.tokenCount == 0
-	w.lastProgressAt = now
+	if first {
+		w.firstToken = gap
+	}
+	w.lastProgressAt, w.heardAt = now, now
 	w.tokenCount++
 	w.position++
 	w.mu.Unlock()
@@ -104,19 +113,21 @@
 	if w.ctx.Err() != nil {
 		return
 	}
-	before, silentFor := w.snapshot()
+	before := w.snapshot()
 	probesTotal.Inc()
 	progress, err := w.k.deps.Engines.AttemptProgress(w.ctx, w.address, w.attempt.req.Generation, w.attempt.req.Attempt)
 	if w.ctx.Err() != nil || w.progressedSince(before) {
 		return
 	}
 	switch {
+	case isTimeout(err):
+		w.decideSilent(before)
 	case err != nil:
-		w.abandon("silent, probe failed")
 		w.k.markDown(w.attempt.serverName())
+		w.abandon(silentCause)
 	case progress.Position > before:
 		w.checkConnection(before)
-	case w.stalled(progress, silentFor):
+	case w.stalled(progress, w.recordReply(time.Now())):
 		w.abandon("stalled")
 	default:
 		w.timer.Reset(w.silenceTimeout())
@@ -154,16 +165,14 @@
 	return silentFor > stallFactor*w.silenceTimeout()
 }
 
-func (w *watchdog) snapshot() (position int, silentFor time.Duration) {
+// snapshot returns the position of the last token that arrived.
+func (w *watchdog) snapshot() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.position, time.Since(w.lastProgressAt)
+	return w.position
 }
 
-func (w *watchdog) progressedSince(before int) bool {
-	position, _ := w.snapshot()
-	return position != before
-}
+func (w *watchdog) progressedSince(before int) bool { return w.snapshot() != before }
 
 // abandon ends the stream with a cause for the loss of the attempt.
 func (w *watchdog) abandon(cause string) {
