resume: silences of sound servers do not interrupt a generation

A generation of our own interface would be interrupted, with time left until its deadline, after seven attempts in a row that each met a silence of a sound engine before their first token.

Cause: every loss without a new token counted. The count is there to stop what loses each attempt; requests that crash engines are stopped by the quarantine besides.

Evidence: TestSilencesDoNotEndAGenerationBeforeItsDeadline fails before.

The keeper tells the entry that an attempt was lost by silence alone, and such a loss does not count.

--- a/internal/decision/resume/machine.go
+++ b/internal/decision/resume/machine.go
@@ -4,7 +4,7 @@
 
 const (
 	maxKeepersAsked      = 3 // for a free slot, before the request joins the queue of one keeper
-	maxConsecutiveLosses = 6 // attempts lost in a row without a new token
+	maxConsecutiveLosses = 6 // attempts lost in a row without a new token, but for silences
 
 	// Exponential backoff, used once a keeper has refused to queue the request.
 	firstDelay        = 50 * time.Millisecond
@@ -108,7 +108,9 @@
 		m.consecutiveLosses = 0
 	}
 	m.acceptedTokens = e.Tokens
-	m.consecutiveLosses++
+	if !e.Silent {
+		m.consecutiveLosses++
+	}
 	if m.consecutiveLosses > maxConsecutiveLosses {
 		return m.fail(Interrupted, now)
 	}
--- a/internal/decision/resume/machine_test.go
+++ b/internal/decision/resume/machine_test.go
@@ -89,6 +89,21 @@
 	g.Expect(kind).To(Equal(resume.Fail))
 }
 
+// Sound servers that were silent for a moment each ended a generation with a long prompt.
+func TestSilencesDoNotEndAGenerationBeforeItsDeadline(t *testing.T) {
+	g := NewWithT(t)
+	m := newMachine()
+	m.Next(start, resume.Event{Kind: resume.Begin})
+	now := start
+	for range 20 {
+		now = now.Add(2 * time.Second)
+		action := m.Next(now, resume.Event{Kind: resume.Lost, Server: "engine", Silent: true})
+		g.Expect(action.Kind).To(Equal(resume.StartAttempt))
+		g.Expect(action.Avoid).To(Equal("engine"))
+	}
+	g.Expect(m.Next(start.Add(time.Minute), resume.Event{Kind: resume.Lost, Silent: true}).Code).To(Equal(resume.TimedOut))
+}
+
 func TestTheAnswerDeadlineEndsTheGeneration(t *testing.T) {
 	m := newMachine()
 	action := m.Next(start.Add(time.Hour), resume.Event{Kind: resume.Lost})
--- a/internal/decision/resume/types.go
+++ b/internal/decision/resume/types.go
@@ -29,6 +29,7 @@
 	BetterKeeper string    // on Refused, a keeper that may have a free slot
 	RetryAt      time.Time // on Refused, when a retry may succeed
 	Tokens       int       // accepted so far
+	Silent       bool      // on Lost, the server was silent and may be sound
 	Reason       string    // on Refused and Lost
 }
 
--- a/internal/router/entry/attempt.go
+++ b/internal/router/entry/attempt.go
@@ -148,7 +148,7 @@
 			return g.handleRefused(event, source)
 		case keeper.Lost:
 			g.recordCrash(event, source)
-			return resume.Event{Kind: resume.Lost, Server: event.Server, Reason: event.Reason}
+			return resume.Event{Kind: resume.Lost, Server: event.Server, Silent: event.Silent, Reason: event.Reason}
 		}
 	}
 }
--- a/internal/router/keeper/attempt.go
+++ b/internal/router/keeper/attempt.go
@@ -31,6 +31,7 @@
 	started         chan Event // gets one event: Started, Refused, or Lost if the engine crashed
 	cancelRequested atomic.Bool
 	crashedAt       atomic.Int64    // see Event.CrashedAt
+	silent          atomic.Bool     // see Event.Silent
 	suspect         *server.Request // the request, as one that may crash engines
 }
 
--- a/internal/router/keeper/reader.go
+++ b/internal/router/keeper/reader.go
@@ -115,7 +115,7 @@
 		return Event{Kind: Done, Reason: state.FinishReason}, true
 	case state.Failure != "":
 		r.ended = true
-		return Event{Kind: Lost, Reason: state.Failure, Server: r.attempt.serverName(), CrashedAt: r.attempt.crashedAt.Load()}, true
+		return Event{Kind: Lost, Reason: state.Failure, Server: r.attempt.serverName(), Silent: r.attempt.silent.Load(), CrashedAt: r.attempt.crashedAt.Load()}, true
 	default:
 		return Event{Kind: Heartbeat}, true
 	}
--- a/internal/router/keeper/silence.go
+++ b/internal/router/keeper/silence.go
@@ -41,6 +41,7 @@
 	switch {
 	case w.ctx.Err() != nil || w.progressedSince(before):
 	case overdue.Decide() == suspicion.Retry:
+		w.attempt.silent.Store(true)
 		w.abandon(silentCause)
 	default:
 		w.timer.Reset(reprobeDelay)
--- a/internal/router/keeper/types.go
+++ b/internal/router/keeper/types.go
@@ -84,6 +84,7 @@
 	BetterKeeper string        // in Refused: a keeper that may have capacity
 	ExpectedWait time.Duration // at this keeper, see Keeper.ExpectedWait
 	RetryAfter   time.Duration // in Refused: delay before a retry
+	Silent       bool          // in Lost: the server was silent and may be sound
 	CrashedAt    int64         // in Lost: incarnation of the server that is gone since, which the request may have crashed; 0 if not
 }
 
--- a/internal/router/stream/wire.go
+++ b/internal/router/stream/wire.go
@@ -66,6 +66,7 @@
 	WaitMillis  int64                `json:"WaitMillis,omitempty"`
 	RetryMillis int64                `json:"RetryMillis,omitempty"`
 	CrashedAt   int64                `json:"CrashedAt,omitempty"`
+	Silent      bool                 `json:"Silent,omitempty"`
 }
 
 // newStartBody returns the body for a request.
@@ -93,7 +94,7 @@
 func newEventLine(e keeper.Event) eventLine {
 	line := eventLine{
 		Kind: e.Kind, Attempt: e.Attempt, Segments: e.Segments, Server: e.Server, Keeper: e.Keeper, Version: e.Version, Digest: e.Digest, Reason: e.Reason,
-		Better: e.BetterKeeper, WaitMillis: e.ExpectedWait.Milliseconds(), RetryMillis: e.RetryAfter.Milliseconds(), CrashedAt: e.CrashedAt,
+		Better: e.BetterKeeper, WaitMillis: e.ExpectedWait.Milliseconds(), RetryMillis: e.RetryAfter.Milliseconds(), CrashedAt: e.CrashedAt, Silent: e.Silent,
 	}
 	if e.Kind == keeper.Token {
 		line.Attempt, line.Position, line.Text = e.Token.Attempt, e.Token.Position, e.Token.Text
@@ -105,7 +106,7 @@
 func (l eventLine) event(generationID string) keeper.Event {
 	e := keeper.Event{
 		Kind: l.Kind, Attempt: l.Attempt, Segments: l.Segments, Server: l.Server, Keeper: l.Keeper, Version: l.Version, Digest: l.Digest, Reason: l.Reason,
-		BetterKeeper: l.Better, ExpectedWait: time.Duration(l.WaitMillis) * time.Millisecond, RetryAfter: time.Duration(l.RetryMillis) * time.Millisecond, CrashedAt: l.CrashedAt,
+		BetterKeeper: l.Better, ExpectedWait: time.Duration(l.WaitMillis) * time.Millisecond, RetryAfter: time.Duration(l.RetryMillis) * time.Millisecond, CrashedAt: l.CrashedAt, Silent: l.Silent,
 	}
 	if l.Kind == keeper.Token {
 		e.Token = generation.Token{Generation: generationID, Attempt: l.Attempt, Position: l.Position, Text: l.Text}
