resume: keepers that end at once do not interrupt a generation

Cause: such a loss, of which nothing shows that the request has to do with it, counted as one of the attempts that may be lost without a new token.

Evidence: TestKeepersThatEndAtOnceDoNotEndAGeneration fails before.

Lost keepers no longer count. After three without a new token the next one is asked after a delay that grows to a second, until the deadline or until the caller has left. An answer with an unexpected status counts as before.

--- a/internal/decision/resume/machine.go
+++ b/internal/decision/resume/machine.go
@@ -4,9 +4,10 @@
 
 const (
 	maxKeepersAsked      = 3 // for a free slot, before the request joins the queue of one keeper
-	maxConsecutiveLosses = 6 // attempts lost in a row without a new token, but for silences
+	maxConsecutiveLosses = 6 // attempts lost in a row without a new token, but for silences and lost keepers
 
-	// Exponential backoff, used once a keeper has refused to queue the request.
+	// Exponential backoff, used once a keeper has refused to queue the request, or several
+	// keepers were lost in a row.
 	firstDelay        = 50 * time.Millisecond
 	maxDelay          = time.Second
 	maxDelayDoublings = 5
@@ -27,6 +28,7 @@
 	keepersAsked      int       // since the last loss or wait
 	waits             int       // since the last loss
 	consecutiveLosses int       // without a new token
+	keepersLost       int       // without a new token
 	acceptedTokens    int
 	avoid             string          // the server that was lost last, if known
 	exclude           map[string]bool // keepers that refused or were lost
@@ -90,7 +92,7 @@
 		}
 		return m.startAttempt(e.BetterKeeper)
 	}
-	delay := min(firstDelay<<min(m.waits, maxDelayDoublings), maxDelay)
+	delay := backoff(m.waits)
 	m.waits++
 	m.keepersAsked = 0
 	m.exclude = nil
@@ -105,10 +107,13 @@
 	m.started = true
 	m.resuming = true
 	if e.Tokens > m.acceptedTokens {
-		m.consecutiveLosses = 0
+		m.consecutiveLosses, m.keepersLost = 0, 0
 	}
 	m.acceptedTokens = e.Tokens
-	if !e.Silent {
+	switch {
+	case e.KeeperGone:
+		m.keepersLost++
+	case !e.Silent:
 		m.consecutiveLosses++
 	}
 	if m.consecutiveLosses > maxConsecutiveLosses {
@@ -121,9 +126,17 @@
 	}
 	m.avoid = e.Server
 	m.startBy = now.Add(m.ResumeWait)
+	if e.KeeperGone && m.keepersLost > maxKeepersAsked {
+		return Action{Kind: Wait, Until: now.Add(backoff(m.keepersLost - maxKeepersAsked - 1))}
+	}
 	return m.startAttempt("")
 }
 
+// backoff returns the delay before the next attempt after n others.
+func backoff(n int) time.Duration {
+	return min(firstDelay<<min(n, maxDelayDoublings), maxDelay)
+}
+
 func (m *Machine) failureCode() Code {
 	if m.resuming {
 		return Interrupted
--- a/internal/decision/resume/machine_test.go
+++ b/internal/decision/resume/machine_test.go
@@ -104,6 +104,27 @@
 	g.Expect(m.Next(start.Add(time.Minute), resume.Event{Kind: resume.Lost, Silent: true}).Code).To(Equal(resume.TimedOut))
 }
 
+// Keepers that end refuse connections, so a generation had asked seven of them within milliseconds.
+func TestKeepersThatEndAtOnceDoNotEndAGeneration(t *testing.T) {
+	g := NewWithT(t)
+	m := newMachine()
+	m.Next(start, resume.Event{Kind: resume.Begin})
+	now, attempts := start, 0
+	for now.Before(start.Add(2 * time.Second)) {
+		action := m.Next(now, resume.Event{Kind: resume.Lost, Keeper: "a", KeeperGone: true})
+		if action.Kind == resume.Wait {
+			now = action.Until
+			action = m.Next(now, resume.Event{Kind: resume.Tick})
+		}
+		g.Expect(action.Kind).To(Equal(resume.StartAttempt))
+		attempts++
+		g.Expect(attempts).To(BeNumerically("<", 15), "they are not asked in a loop")
+		now = now.Add(time.Millisecond)
+	}
+	g.Expect(attempts).To(BeNumerically(">", 7))
+	g.Expect(m.Next(start.Add(time.Minute), resume.Event{Kind: resume.Lost, KeeperGone: true}).Code).To(Equal(resume.TimedOut))
+}
+
 func TestTheAnswerDeadlineEndsTheGeneration(t *testing.T) {
 	m := newMachine()
 	action := m.Next(start.Add(time.Hour), resume.Event{Kind: resume.Lost})
--- a/internal/decision/resume/types.go
+++ b/internal/decision/resume/types.go
@@ -30,6 +30,7 @@
 	RetryAt      time.Time // on Refused, when a retry may succeed
 	Tokens       int       // accepted so far
 	Silent       bool      // on Lost, the server was silent and may be sound
+	KeeperGone   bool      // on Lost, the keeper did not answer or broke off; nothing is known of the server
 	Reason       string    // on Refused and Lost
 }
 
--- a/internal/router/entry/attempt.go
+++ b/internal/router/entry/attempt.go
@@ -4,11 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/decision/admission"
 	"wisteriafield/internal/decision/generation"
 	"wisteriafield/internal/decision/resume"
 	"wisteriafield/internal/router/keeper"
+	"wisteriafield/internal/router/stream"
 )
 
 // noKeeperRetryDelay is the delay before the next choice of a keeper if no server
@@ -30,7 +33,8 @@
 	if err != nil {
 		g.close()
 		g.entry.deps.Members.RecordFailure(choice.name, time.Now())
-		return resume.Event{Kind: resume.Lost, Keeper: choice.name, Reason: err.Error()}
+		gone := choice.name != g.entry.deps.Members.Self().Name && !errors.Is(err, stream.ErrUnexpectedStatus)
+		return resume.Event{Kind: resume.Lost, Keeper: choice.name, KeeperGone: gone, Reason: err.Error()}
 	}
 	event := g.consume(events, choice.name)
 	events.Close()
@@ -125,7 +129,7 @@
 	for {
 		event, err := events.Next()
 		if err != nil {
-			return resume.Event{Kind: resume.Lost, Keeper: source, Reason: reasonSilent}
+			return resume.Event{Kind: resume.Lost, Keeper: source, KeeperGone: true, Reason: reasonSilent}
 		}
 		switch event.Kind {
 		case keeper.Started:
--- a/internal/router/stream/client.go
+++ b/internal/router/stream/client.go
@@ -21,6 +21,8 @@
 	// ErrUnreachable means that the keeper did not answer the request, or answered it
 	// with an unexpected status.
 	ErrUnreachable = errors.New("keeper unreachable")
+	// ErrUnexpectedStatus means that the keeper answered the request with an unexpected status.
+	ErrUnexpectedStatus = errors.New("unexpected status")
 	// ErrSilent means that a keeper's stream stopped without a final event.
 	ErrSilent = errors.New("keeper silent")
 )
@@ -92,7 +94,7 @@
 		return nil, keeper.ErrUnknownGeneration
 	default:
 		stop()
-		return nil, fmt.Errorf("status %d: %w", res.StatusCode, ErrUnreachable)
+		return nil, fmt.Errorf("%w %d: %w", ErrUnexpectedStatus, res.StatusCode, ErrUnreachable)
 	}
 }
 
