storereader, freshness: each router makes its first try of an outage in time for a change

What callers saw, in a simulation only: if all routers but one lost the store and went on to hear each other, that one went on with an older configuration or server list for up to 2.75 s at 36 routers, 5.75 s at 79 and 7.3 s at 195 (2, 3 and 4 allowed). `make test` of a clean clone was red for it.

Cause: a router that hears of no answer of the store can't tell its own path from an outage, and waited for its turn, of which a fleet has 8 + 0.02 n a second. `Overdue`, which sends a router to the store in time, was put aside while turns were taken.

Fix: the elector remembers whether this router called the store since no router had a recent answer. The first try does not wait for a turn: it is made once nothing has confirmed what the router has for 0.7 of the time that a change may take, and later by a part of the rest, drawn at the start of each router, so that routers whose last confirmation is the same one are not at the store in one instant. It is a stale read of a prefix without keys, a tenth of a call and outside the store's rate; only if that is answered does the router watch. All later tries take turns. A router that a peer confirms, or that hears of a recent answer, makes none.

The tests of storereader, storehistory, listing, freshness, discovery, edge, gossip and platform hold.

What it does not keep: tries in the first seconds of an outage grow with the fleet. A rate of 16 + 0.05 n a second, which tests of storereader and storehistory ask of the turns and which holds there, can't find one router in time: from the readers' first failure on it allows about 52 calls at 79 and 93 at 195.

--- a/internal/decision/freshness/freshness.go
+++ b/internal/decision/freshness/freshness.go
@@ -68,7 +68,17 @@
 // store. The rest is for the next check of its role and the call.
 const maxAgeShare = 0.7
 
+// firstTryMargin is the time that the next check of a router's role and its calls may take.
+const firstTryMargin = 400 * time.Millisecond
+
 // MaxAge returns the age of the last confirmation from which a router reads the store itself.
 func MaxAge(changeTime time.Duration) time.Duration {
 	return time.Duration(maxAgeShare * float64(changeTime))
 }
+
+// FirstTryDelay returns by how much a router's first try in an outage of the store follows the
+// moment at which its last confirmation has MaxAge, given a random number in [0, 1). All routers
+// reach that age at the same time.
+func FirstTryDelay(changeTime time.Duration, random float64) time.Duration {
+	return time.Duration(random * float64(max(0, changeTime-MaxAge(changeTime)-firstTryMargin)))
+}
--- a/internal/decision/freshness/freshness_test.go
+++ b/internal/decision/freshness/freshness_test.go
@@ -53,3 +53,16 @@
 	g.Expect(tracker.ConfigAt()).To(Equal(at(50)))
 	g.Expect(tracker.ConfirmedAt()).To(Equal(now))
 }
+
+// Routers whose last confirmation is the same one must not all call the store at once.
+func TestFirstTriesAreSpreadOverTheTimeThatIsLeft(t *testing.T) {
+	g := NewWithT(t)
+	const check, call = 200 * time.Millisecond, 100 * time.Millisecond
+	for _, change := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		last := freshness.FirstTryDelay(change, 0.999)
+		g.Expect(freshness.FirstTryDelay(change, 0)).To(BeZero())
+		g.Expect(last).To(BeNumerically(">=", change/12))
+		g.Expect(freshness.MaxAge(change) + last + check + call).To(BeNumerically("<", change))
+	}
+	g.Expect(freshness.FirstTryDelay(time.Second, 0.5)).To(BeZero())
+}
--- a/internal/decision/storereader/storereader.go
+++ b/internal/decision/storereader/storereader.go
@@ -86,6 +86,9 @@
 	// Outage means that the store answers no known router: it has not for minOutage, or not
 	// for staleAfter and this router's own call failed.
 	Outage bool
+	// CheapFirst means that a call at a tenth of the price has to show first whether the store
+	// answers this router.
+	CheapFirst bool
 }
 
 // Elector decides the role of one router. It is not safe for concurrent use.
@@ -94,6 +97,7 @@
 	outage     bool
 	nextTry    time.Time // while no router has a recent answer; zero otherwise
 	stale      bool      // no router had a recent answer at the last decision
+	tried      bool      // this router called the store since then
 	foundEnd   bool      // this router got the first answer after that, and no other reads yet
 	random     func() float64
 }
@@ -112,11 +116,13 @@
 	e.observeOutage(self, peers, now)
 	if !anyFresh(self, peers, now) {
 		e.stale, e.foundEnd = true, false
-		return Decision{Role: e.staleRole(self, peers, now), Outage: e.outage}
+		role := e.staleRole(self, peers, now)
+		e.tried = e.tried || self.ReadsStore || role != Idle
+		return Decision{Role: role, Outage: e.outage}
 	}
 	selfFresh := now.Sub(self.ReachedAt) < staleAfter
 	e.foundEnd = selfFresh && (e.stale || e.foundEnd)
-	e.stale, e.nextTry = false, time.Time{}
+	e.stale, e.tried, e.nextTry = false, false, time.Time{}
 	var candidates []Router
 	otherReaders := 0
 	for _, p := range peers {
@@ -137,9 +143,14 @@
 	return Decision{Role: role, Outage: e.outage}
 }
 
-// TakingTurns reports whether no known router had a recent answer at the last decision, so that
-// those that are not elected take turns at trying the store.
-func (e *Elector) TakingTurns() bool { return e.stale }
+// TakingTurns reports whether no known router had a recent answer at the last decision, and this
+// router tried the store since then, so that it leaves the next try to its turn. The first try
+// does not wait for that, since this router may be the only one that reaches the store.
+func (e *Elector) TakingTurns() bool { return e.stale && e.tried }
+
+// FirstTryDue reports whether no known router had a recent answer at the last decision, and this
+// router has not tried the store since then.
+func (e *Elector) FirstTryDue() bool { return e.stale && !e.tried }
 
 // observeOutage decides whether the store answers no known router. An outage lasts until one
 // of them has an answer.
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -53,6 +53,8 @@
 	// lost when it was restored, are kept after it: live servers register again within two
 	// seconds.
 	recoveryGrace = 2200 * time.Millisecond
+	// unusedPrefix is one of no keys. A stale read of it costs a tenth of a call.
+	unusedPrefix = "unused/"
 	// minRereadInterval is the time between two reads of all entries because a watch was
 	// refused. A change must take effect within two seconds also if every watch is refused.
 	minRereadInterval = time.Second
@@ -89,8 +91,9 @@
 type Follower struct {
 	cfg Config
 
-	wake     chan struct{} // ends a pause or a watch
-	probeDue bool          // the next watch waits for probeWatchTimeout; used only by Run
+	wake       chan struct{} // ends a pause or a watch
+	probeDue   bool          // the next watch waits for probeWatchTimeout; used only by Run
+	cheapFirst bool          // a stale read has to succeed before other calls; used only by Run
 
 	mu               sync.Mutex
 	position         storehistory.Position // up to which the server list is known
@@ -167,6 +170,11 @@
 	if f.probeDue {
 		f.cfg.Store.CloseIdle() // one that was kept may have gone silent
 	}
+	if f.cheapFirst {
+		if _, _, err := f.cfg.Store.Range(ctx, unusedPrefix, true); err != nil {
+			return err
+		}
+	}
 	applied := f.Position()
 	// A peer may have told this router more than its last call did.
 	after := storehistory.Later(*position, storehistory.Earlier(applied, f.configAt()))
--- a/internal/router/discovery/role.go
+++ b/internal/router/discovery/role.go
@@ -28,9 +28,10 @@
 // yet reads it for itself.
 func (f *Follower) nextRole(now time.Time) storereader.Role {
 	role := storereader.Primary
+	f.cheapFirst = false
 	if f.initialized() {
 		d := f.cfg.Decide()
-		role = d.Role
+		role, f.cheapFirst = d.Role, d.CheapFirst
 		f.observeOutage(d, now)
 		if role == storereader.Idle && f.eraOverdue(now) {
 			role = storereader.Trial
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -21,6 +22,7 @@
 	"wisteriafield/internal/caller/http1"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/answermemory"
+	"wisteriafield/internal/decision/freshness"
 	"wisteriafield/internal/decision/link"
 	decision "wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/decision/retrybudget"
@@ -101,6 +103,7 @@
 	self            gossip.Host
 	follower        *discovery.Follower
 	elector         *storereader.Elector // used by the follower's goroutine only
+	firstTryDelay   time.Duration        // of this router's first try in an outage of the store
 	gossip          *gossip.Gossip
 	quarantine      *quarantine.Guard
 	limits          *ratelimit.Limiter
@@ -115,7 +118,10 @@
 
 // New returns a router, which Run starts.
 func New(cfg Config) *Edge {
-	e := &Edge{cfg: cfg, log: cfg.Log, servers: registry.New(), elector: storereader.NewElector(nil)}
+	e := &Edge{
+		cfg: cfg, log: cfg.Log, servers: registry.New(), elector: storereader.NewElector(nil),
+		firstTryDelay: freshness.FirstTryDelay(cfg.ChangeTime, rand.Float64()),
+	}
 	e.callerConns = http1.New(headerTimeout, e.logger("front"))
 	e.callerConns.RequestID = func(r *http.Request) string { return cfg.Protocol.DecodeRequest(r, time.Now()).ID }
 	e.self = gossip.Host{Name: cfg.Host, Domain: cfg.Domain, Address: cfg.PeerAddress, DatagramAddress: cfg.DatagramAddress, Started: time.Now().UnixNano(), LinkMbps: cfg.LinkMbps}
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -119,7 +119,15 @@
 		Name: e.cfg.Host, ReadsStore: e.StoreRole() != storereader.Idle, Failing: e.StoreFailing(), ReachedAt: e.StoreReached(), LinkRate: e.cfg.LinkMbps,
 	}
 	d := e.elector.Decide(self, e.gossip.StoreReaderCandidates(now), now)
-	if d.Role == storereader.Idle && (e.gossip.Lagging(now) || !e.elector.TakingTurns() && e.follower.Overdue(now)) {
+	switch {
+	case d.Role != storereader.Idle:
+	case e.gossip.Lagging(now):
+		d.Role = storereader.Trial
+	case e.elector.FirstTryDue():
+		if e.follower.Overdue(now.Add(-e.firstTryDelay)) {
+			d.Role, d.CheapFirst = storereader.Trial, true
+		}
+	case !e.elector.TakingTurns() && e.follower.Overdue(now):
 		d.Role = storereader.Trial
 	}
 	return d
