--- a/internal/caller/http1/conns.go
+++ b/internal/caller/http1/conns.go
@@ -174,7 +174,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, ok := r.Context().Value(connKey{}).(*callerConn)
 		if ok {
-			c.beginServing(cs.requestID(r))
+			c.beginServing(r)
 		}
 		cw := &closingWriter{ResponseWriter: w, stopping: &cs.stopping}
 		h.ServeHTTP(cw, r)
--- a/internal/caller/http1/unanswered.go
+++ b/internal/caller/http1/unanswered.go
@@ -16,11 +16,11 @@
 
 // exchange is what has passed on a connection since its last answer.
 type exchange struct {
-	read    int       // bytes of requests
-	written int       // bytes of the answer
-	request string    // ID of the request that is served
-	since   time.Time // when its handler began
-	logged  bool      // as one that ended without an answer
+	read    int           // bytes of requests
+	written int           // bytes of the answer
+	request *http.Request // that is served
+	since   time.Time     // when its handler began
+	logged  bool          // as one that ended without an answer
 }
 
 // Write writes a part of an answer.
@@ -35,11 +35,11 @@
 }
 
 // beginServing records that the handler of a request has begun.
-func (c *callerConn) beginServing(request string) {
+func (c *callerConn) beginServing(r *http.Request) {
 	c.setPhase(Serving)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange.request, c.exchange.since = request, time.Now()
+	c.exchange.request, c.exchange.since = r, time.Now()
 }
 
 // takeUnanswered returns what has passed on a connection whose request is served and has got
@@ -68,7 +68,7 @@
 		return
 	}
 	unansweredTotal.Inc()
-	cs.log.WithField("id", x.request).WithField("caller", c.RemoteAddr().String()).WithField("bytes", x.read).
+	cs.log.WithField("id", cs.requestID(x.request)).WithField("caller", c.RemoteAddr().String()).WithField("bytes", x.read).
 		WithField("ms", time.Since(x.since).Milliseconds()).Info("connection ended without an answer")
 }
 
