relay: a retry is not spent on a backup that was lost in a restart

Cause: the engine was looked up by its address, whichever incarnation was there. A new one has the backup only if it was there when the backup began.

Evidence: TestAStreamDoesNotSpendARetryOnABackupThatWasLostInARestart fails before.

A request that is failed for lack of an engine has a line (NoEngine), and nextMs is left out if no retry is expected.

--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -32,6 +33,7 @@
 	outcome      outcome
 	reason       string
 	answer       *bufferedAnswer    // of outcome answered
+	sentAt       time.Time          // when the attempt began
 	backup       *registry.Entry    // has the backup of the lost attempt
 	replacement  *replacementBackup // made if the first backup was lost during the attempt
 	began        bool               // the engine began to answer
--- a/internal/router/relay/end.go
+++ b/internal/router/relay/end.go
@@ -18,6 +18,7 @@
 	timeIsUp             endReason = "TimeIsUp" // of the caller or the route
 	routerStopped        endReason = "RouterStopped"
 	enginesRefused       endReason = "EnginesRefused"
+	noEngine             endReason = "NoEngine" // that is usable
 	notResumable         endReason = "NotResumable"
 	attemptsUsed         endReason = "AttemptsUsed"
 	retryBudgetExhausted endReason = "RetryBudgetExhausted"
--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -29,8 +29,15 @@
 		now := time.Now()
 		next := s.relay.cfg.RetryBudget.NextAt(s.service.Name, now)
 		if denied == 0 {
-			s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).WithField("begun", s.headersSent).
-				WithField("nextMs", time.Until(next).Milliseconds()).WithField("waitsMs", time.Until(s.callerWaitsUntil()).Milliseconds()).Info("retry budget exhausted")
+			log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).WithField("begun", s.headersSent).
+				WithField("waitsMs", time.Until(s.callerWaitsUntil()).Milliseconds())
+			if !next.IsZero() {
+				log = log.WithField("nextMs", time.Until(next).Milliseconds())
+			}
+			log.Info("retry budget exhausted")
+		}
+		if s.executed == 0 && !s.headersSent && s.req.LastEventID == 0 {
+			return false // it is refused, and its caller may go to another router at once
 		}
 		expected := !next.IsZero() && next.Before(s.callerWaitsUntil())
 		if s.silent != nil || !expected && (!s.headersSent || now.Sub(start) >= maxRetryBudgetWait) {
--- a/internal/router/relay/run.go
+++ b/internal/router/relay/run.go
@@ -118,7 +118,7 @@
 // failed, and ends it. Only one goes on whose silent engine is left for another one.
 func (s *stream) follow(a *attempt) (r result) {
 	defer func() {
-		r.replacement, r.events, r.began = a.replacement, s.lastEventID-a.startEvent, a.answer != nil
+		r.replacement, r.events, r.began, r.sentAt = a.replacement, s.lastEventID-a.startEvent, a.answer != nil, a.sentAt
 		if !r.goesOn {
 			a.end()
 		}
--- a/internal/router/relay/serve.go
+++ b/internal/router/relay/serve.go
@@ -96,6 +96,9 @@
 				return a
 			}
 			if !s.headersSent && !s.engineReturns(start) {
+				if s.executed > 0 {
+					s.recordAbandoned(ctx, noEngine)
+				}
 				s.refuse("no engine")
 				return nil
 			}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -32,7 +32,9 @@
 	momentary           map[server.Key]bool // of these, those that were full or silent, maybe for a moment only
 	backupAddress       string              // of the engine that has the lost attempt's backup; empty without one
 	backupRef           server.KVBackup     // names the backup to that engine
-	backupExpiresAt     time.Time           // when that engine may delete it; zero if that is not known
+	backupEngine        *registry.Entry     // as it was known when the backup began; nil if it is known by its address only
+	backupSince         time.Time           // when the backup began
+	backupExpiresAt     time.Time           // when the engine may delete it; zero if that is not known
 	promptEngine        *registry.Entry     // has the prompt cached, if it is still alive; may be nil
 	lostDomain          string              // failure domain of the last lost engine
 	choice              choice              // of the last attempt; empty if a backup or a cached prompt decided
@@ -126,11 +128,12 @@
 		// resumed from one and its engine was not silent all the time.
 		if r.backup != nil && (r.events > 0 || restoreFrom != nil && !r.silent) {
 			s.backupAddress, s.backupRef = r.backup.Address, server.KVBackup{Address: r.backup.Address, ID: s.req.ID}
-			s.backupExpiresAt = s.backupExpiry(now)
+			s.backupEngine, s.backupSince, s.backupExpiresAt = r.backup, r.sentAt, s.backupExpiry(now)
 		}
 		if r.replacement != nil {
 			if engine, ref, expiresAt := r.replacement.get(now); ref != nil {
-				s.backupAddress, s.backupRef, s.backupExpiresAt = engine.Address, *ref, expiresAt
+				s.backupAddress, s.backupRef = engine.Address, *ref
+				s.backupEngine, s.backupSince, s.backupExpiresAt = engine, now, expiresAt
 			}
 		}
 		if !r.unresponsive && !r.erred && (!r.silent || r.doubted) && s.lastEventID > s.req.LastEventID {
--- a/internal/router/relay/target.go
+++ b/internal/router/relay/target.go
@@ -25,7 +25,7 @@
 		// restarted before the backup was sent, so that its new incarnation has it. An engine
 		// without the backup refuses the stream, which uses up a retry.
 		expired := !s.backupExpiresAt.IsZero() && time.Now().After(s.backupExpiresAt)
-		if engine := s.usableEngineAt(address); engine != nil && !expired && s.relay.cfg.Limits.Take(&engine.Server) {
+		if engine := s.usableEngineAt(address); engine != nil && !expired && s.hasBackup(engine) && s.relay.cfg.Limits.Take(&engine.Server) {
 			ref := s.backupRef
 			return engine, &ref
 		}
@@ -48,6 +48,12 @@
 	}
 }
 
+// hasBackup reports whether the incarnation of an engine that is there now was there when the
+// backup began.
+func (s *stream) hasBackup(e *registry.Entry) bool {
+	return s.backupEngine == nil || e.Key() == s.backupEngine.Key() || e.Started <= s.backupSince.UnixMilli()
+}
+
 // engineReturns reports whether a request that a server may have run, and that can't be refused
 // for that, may get an engine in a moment: one that was full or silent, or is so for others. It
 // has waited for one since the given time.
--- a/internal/router/relay/waits_test.go
+++ b/internal/router/relay/waits_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/router/relay"
 )
 
@@ -173,3 +175,45 @@
 		h.Expect(len(h.engines.sentTo())).To(BeNumerically("<=", 1+3*5))
 	})
 }
+
+// The engine at the address of the backup has restarted since, and has it no more.
+func TestAStreamDoesNotSpendARetryOnABackupThatWasLostInARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.patientCallers()
+		h.setFirstEngine(engineFaults{breakAfter: 7})
+		h.budget.exhaustedUntil, h.budget.most = time.Now().Add(2*time.Second), 1
+		time.AfterFunc(time.Second, func() {
+			backup := h.engines.dispatched()[0].BackupServer
+			var all []server.Server
+			for i := range 3 {
+				s := h.servers.Get(fmt.Sprintf("i-%d", i)).Server
+				if s.ID == backup.ID {
+					s.ID, s.Started = s.ID+"0", time.Now().UnixMilli()
+				}
+				all = append(all, s)
+			}
+			h.servers.Set(storehistory.Position{Revision: 2}, all)
+			h.engines.dropBackups()
+			h.engines.setFaults(nil)
+		})
+		res, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+		h.Expect(h.engines.sentTo()).To(HaveLen(2))
+	})
+}
+
+// Its caller is told that nothing ran, and may go to another router at once.
+func TestARequestThatNoEngineRanIsRefusedAtOnceWithoutARetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.patientCallers()
+		h.setFirstEngine(engineFaults{refuses: true})
+		start := time.Now()
+		h.budget.exhaustedUntil = start.Add(3 * time.Second)
+		res, _ := h.serve(h.newRequest(0))
+		h.Expect(res.Code).To(Equal(http.StatusServiceUnavailable))
+		h.Expect(time.Since(start)).To(BeNumerically("<", 500*time.Millisecond))
+	})
+}
