discovery: an answer to a watch that was held up confirms nothing after it

What callers would see: a router that can't fetch the newer configuration from peers goes on with the older one for longer than a change may take, after a reader of the store stood still.

Cause: the answer to a watch counted as of the moment at which this process read it. A reader that stood still meanwhile took an answer that was seconds old for one of now, and said so to its peers; those with the same version or a newer one left the store alone for 1.4 s more.

Fix: an answer without changes confirms up to the end of the watch at most, which the store waits for, and one with changes that comes later than that as of its start.

--- a/internal/decision/freshness/freshness.go
+++ b/internal/decision/freshness/freshness.go
@@ -82,3 +82,17 @@
 func FirstTryDelay(changeTime time.Duration, random float64) time.Duration {
 	return time.Duration(random * float64(max(0, changeTime-MaxAge(changeTime)-firstTryMargin)))
 }
+
+// WatchedAt returns the moment as of which the answer to a watch is known to be the newest: not
+// after the watch was to end, since this process or its host may have stood still meanwhile. The
+// store may have given an answer with changes at any time since the start.
+func WatchedAt(start, now time.Time, wait time.Duration, changed bool) time.Time {
+	switch {
+	case now.Sub(start) <= wait:
+		return now
+	case changed:
+		return start
+	default:
+		return start.Add(wait)
+	}
+}
--- a/internal/decision/freshness/freshness_test.go
+++ b/internal/decision/freshness/freshness_test.go
@@ -66,3 +66,15 @@
 	}
 	g.Expect(freshness.FirstTryDelay(time.Second, 0.5)).To(BeZero())
 }
+
+func TestAWatchConfirmsUpToItsEndAtMost(t *testing.T) {
+	g := NewWithT(t)
+	const wait = time.Second
+	watched := func(after time.Duration, changed bool) time.Duration {
+		return freshness.WatchedAt(now, now.Add(after), wait, changed).Sub(now)
+	}
+	g.Expect(watched(300*time.Millisecond, true)).To(Equal(300 * time.Millisecond))
+	g.Expect(watched(wait+4*time.Millisecond, false)).To(Equal(wait))
+	g.Expect(watched(4*time.Second, false)).To(Equal(wait), "the process stood still")
+	g.Expect(watched(4*time.Second, true)).To(BeZero(), "the answer may be as old as the watch")
+}
--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -228,6 +228,7 @@
 	}
 	f.mu.Unlock()
 	watchCtx, interrupted := f.interruptible(ctx)
+	start := time.Now()
 	values, next, err := f.cfg.Store.WatchPrefix(watchCtx, "", after, wait)
 	isInterrupted := interrupted()
 	if isInterrupted && err != nil {
@@ -242,7 +243,7 @@
 	}
 	f.mu.Lock()
 	f.applyChanges(next, values)
-	f.fresh.Read(next, time.Now())
+	f.fresh.Read(next, freshness.WatchedAt(start, time.Now(), wait, len(values) > 0))
 	f.mu.Unlock()
 	f.cfg.OnChange()
 	if len(values) > 0 && !isInterrupted {
