freshness: what waited for a router that stood still confirms nothing after the pause began

Cause: a process that stood still goes on with the messages, and the answer to its watch, that came meanwhile, and counted their ages from the moment at which it read them. It took its old version for the newest as of now and said so; a peer with that version or a newer one left the store alone for 1.4 s more.

Fix: decision/freshness.Arrivals. A router says every 100 ms that it runs; after a gap of 500 ms or more, what it reads counts as of the last sign before the gap, for 200 ms. Gossip and the follower date confirmations by it. The router reads the store itself then: a call for each that stood still.

Evidence: TestAMessageThatWaitedWhileTheRouterStoodStillConfirmsAsOfBefore fails without the change of receive.go.

Not mended: pauses below 500 ms, and the time of the store's last answer.

--- a/internal/router/discovery/follower.go
+++ b/internal/router/discovery/follower.go
@@ -98,6 +98,7 @@
 	mu               sync.Mutex
 	position         storehistory.Position // up to which the server list is known
 	fresh            freshness.Tracker
+	arrivals         freshness.Arrivals
 	eras             storehistory.Tracker
 	raw              map[string]kv.Value // server entries as the store holds them, by key
 	changeLog        *storehistory.Log[kv.Value]
@@ -134,6 +135,7 @@
 // Run reads and watches the store until ctx ends, while this router has the role to.
 func (f *Follower) Run(ctx context.Context) error {
 	go loop.Every(ctx, eraCheckInterval, f.checkEra)
+	go loop.Every(ctx, freshness.AliveInterval, func(time.Time) { f.arrivals.Alive(time.Now()) })
 	var position storehistory.Position
 	var nextReread time.Time // after a refused watch
 	delay := minRetryDelay
@@ -243,7 +245,8 @@
 	}
 	f.mu.Lock()
 	f.applyChanges(next, values)
-	f.fresh.Read(next, freshness.WatchedAt(start, time.Now(), wait, len(values) > 0))
+	now := time.Now()
+	f.fresh.Read(next, freshness.WatchedAt(start, f.arrivals.Earliest(now), wait, len(values) > 0))
 	f.mu.Unlock()
 	f.cfg.OnChange()
 	if len(values) > 0 && !isInterrupted {
--- a/internal/router/gossip/export_test.go
+++ b/internal/router/gossip/export_test.go
@@ -1,5 +1,7 @@
 package gossip
 
+import "time"
+
 // The types of the messages between routers, for the test of their encoded names.
 type (
 	Message        = message
@@ -12,3 +14,6 @@
 
 // MethodConfig is the method by which peers fetch the configuration.
 const MethodConfig = methodConfig
+
+// Alive records that the router ran at a moment.
+func (g *Gossip) Alive(at time.Time) { g.arrivals.Alive(at) }
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/dissemination"
+	"wisteriafield/internal/decision/freshness"
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/decision/uplink"
@@ -58,6 +59,7 @@
 	announced Announcement
 
 	pullingConfig, pullingServerList atomic.Bool // a fetch is in progress
+	arrivals                         freshness.Arrivals
 
 	joined       atomic.Bool // a peer has told what the fleet knew before this router started
 	sendRounds   atomic.Int64
@@ -183,6 +185,7 @@
 func (g *Gossip) Run(ctx context.Context) error {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
+	go loop.Every(ctx, freshness.AliveInterval, func(time.Time) { g.arrivals.Alive(time.Now()) })
 	g.Trigger()
 	var lastSent time.Time
 	var sentChanges uint64
--- a/internal/router/gossip/receive.go
+++ b/internal/router/gossip/receive.go
@@ -11,6 +11,7 @@
 // configuration or server list.
 func (g *Gossip) handle(m message) {
 	now := time.Now()
+	arrived := g.arrivals.Earliest(now)
 	g.Add(m.Host)
 	for _, h := range m.Peers {
 		g.Add(h)
@@ -29,10 +30,10 @@
 		go func() {
 			defer g.pullingConfig.Store(false)
 			g.pull(m, func() bool { return g.cfg.State.ConfigVersion() >= m.Version }, g.pullConfig)
-			g.observeFreshness(m, now)
+			g.observeFreshness(m, arrived)
 		}()
 	}
-	g.observeFreshness(m, now)
+	g.observeFreshness(m, arrived)
 	g.cfg.State.ObserveStoreEra(max(m.Era, m.StoreEra))
 	own := g.cfg.State.ServerPosition()
 	ahead := own.Before(m.position(own.Era))
@@ -43,7 +44,7 @@
 		go func() {
 			defer g.pullingServerList.Store(false)
 			g.pull(m, func() bool { return !g.cfg.State.ServerPosition().Before(m.position(own.Era)) }, g.pullServerList)
-			g.observeFreshness(m, now)
+			g.observeFreshness(m, arrived)
 		}()
 	}
 }
