--- a/internal/router/node/silence_test.go
+++ b/internal/router/node/silence_test.go
@@ -21,13 +21,13 @@
 const soundSilence = 1300 * time.Millisecond
 
 // slowEngines starts engines that take a millisecond for each token of a prompt.
-func (b *builder) slowEngines(n int) []*engine.Engine {
+func (b *builder) slowEngines(n int, speed float64) []*engine.Engine {
 	var all []*engine.Engine
 	for i := range n {
 		name := fmt.Sprintf("redattore-%d", i+1)
-		e := engine.New(engine.Config{Name: name, Slots: 4, Speed: 20, Prefill: time.Second, Models: map[string]string{"redattore": "1"}})
+		e := engine.New(engine.Config{Name: name, Slots: 4, Speed: speed, Prefill: time.Second, Models: map[string]string{"redattore": "1"}})
 		all = append(all, e)
-		b.engines = append(b.engines, fmt.Sprintf("[Engine %s]\nAddress = %s\nDomain = catania\nRegion = sicilia\nSlots = 4\nSpeed = 20\nModels = redattore\n", name, b.serve(&e.Faults, e.Handler())))
+		b.engines = append(b.engines, fmt.Sprintf("[Engine %s]\nAddress = %s\nDomain = catania\nRegion = sicilia\nSlots = 4\nSpeed = %g\nModels = redattore\n", name, b.serve(&e.Faults, e.Handler()), speed))
 	}
 	return all
 }
@@ -43,23 +43,37 @@
 	}
 }
 
+func setSlowdown(engines []*engine.Engine, factor float64) {
+	for _, e := range engines {
+		e.SetSlowdown(factor)
+	}
+}
+
 func TestAMomentOfSilenceOfAllEnginesCostsNoAttempt(t *testing.T) {
 	for i, c := range []struct {
 		name           string
 		engines, words int
 		silentAt       time.Duration
+		speed          float64
+		slowdown       float64 // from the silence on, for one token
 	}{
-		{name: "in the answer, one engine", engines: 1, words: 1, silentAt: time.Second},
-		{name: "in the answer", engines: 2, words: 1, silentAt: time.Second},
-		{name: "in the prefill", engines: 2, words: 3000, silentAt: 1200 * time.Millisecond},
+		{name: "in the answer, one engine", engines: 1, words: 1, silentAt: time.Second, speed: 20, slowdown: 1},
+		{name: "in the answer", engines: 2, words: 1, silentAt: time.Second, speed: 20, slowdown: 1},
+		{name: "in the prefill", engines: 2, words: 3000, silentAt: 1200 * time.Millisecond, speed: 20, slowdown: 1},
+		{name: "in a pause of the answer", engines: 1, words: 1, silentAt: 200 * time.Millisecond, speed: 100, slowdown: 200},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newBuilder(t)
-			engines := b.slowEngines(c.engines)
-			n, address := b.router("catania-1", 32300+10*i)
+			engines := b.slowEngines(c.engines, c.speed)
+			n, address := b.router("catania-1", 32260+10*i)
 			b.publishConfiguration()
 			b.awaitPlan(n)
-			time.AfterFunc(c.silentAt, func() { silence(engines) })
+			time.AfterFunc(c.silentAt, func() {
+				setSlowdown(engines, c.slowdown)
+				time.Sleep(50 * time.Millisecond) // in which the tokens that were due are sent
+				silence(engines)
+				setSlowdown(engines, 1)
+			})
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
 			req := caller.Request{Key: "key", Model: "redattore", MaxTokens: 40, Prompt: strings.Repeat("x ", c.words)}
@@ -79,7 +93,7 @@
 	for routers := 1; routers <= 2; routers++ { // with two, each may manage one of the engines
 		t.Run(fmt.Sprintf("%d routers", routers), func(t *testing.T) {
 			b := newBuilder(t)
-			engines := b.slowEngines(2)
+			engines := b.slowEngines(2, 20)
 			var nodes []*node.Node
 			var address string
 			for i := range routers {
@@ -121,7 +135,7 @@
 // Generations with a long prompt were interrupted: they had lost an attempt to each silence.
 func TestSilencesOfAllEnginesBesidePlannedStopsEndNoGeneration(t *testing.T) {
 	b := newBuilder(t)
-	engines := b.slowEngines(4)
+	engines := b.slowEngines(4, 20)
 	var nodes []*node.Node
 	var addresses []string
 	for i := range 3 {
