--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -18,9 +18,9 @@
 	patienceMargin = 200 * time.Millisecond
 )
 
-// awaitRetry reserves a retry for the next attempt. It waits for the budget to have one, after
-// the streams that have waited for longer. It returns false if none is expected while the caller waits, or
-// if the stream can return to a silent engine.
+// awaitRetry reserves a retry for the next attempt. It waits for the budget to have one, behind
+// the streams that have waited for longer. It returns false if none is expected before the
+// caller leaves, or if the stream can return to a silent engine.
 func (s *stream) awaitRetry(ctx context.Context) bool {
 	defer s.relay.retryQueue.leave(s)
 	start := time.Now()
--- a/internal/router/relay/target.go
+++ b/internal/router/relay/target.go
@@ -21,9 +21,8 @@
 	}
 	if address := s.backupAddress; address != "" {
 		s.backupAddress = ""
-		// The engine is looked up by address: it may be leaving or gone by now, or have
-		// restarted before the backup was sent, so that its new incarnation has it. An engine
-		// without the backup refuses the stream, which uses up a retry.
+		// The engine is looked up by address: it may be leaving or gone by now, or have restarted.
+		// An engine without the backup refuses the stream, which uses up a retry.
 		expired := !s.backupExpiresAt.IsZero() && time.Now().After(s.backupExpiresAt)
 		if engine := s.usableEngineAt(address); engine != nil && !expired && s.hasBackup(engine) && s.relay.cfg.Limits.Take(&engine.Server) {
 			ref := s.backupRef
@@ -48,15 +47,15 @@
 	}
 }
 
-// hasBackup reports whether the incarnation of an engine that is there now was there when the
-// backup began.
+// hasBackup reports whether an engine at the backup's address has it: the incarnation that was
+// chosen, or one that had replaced it, unknown to this router, before the backup began.
 func (s *stream) hasBackup(e *registry.Entry) bool {
 	return s.backupEngine == nil || e.Key() == s.backupEngine.Key() || e.Started <= s.backupSince.UnixMilli()
 }
 
-// engineReturns reports whether a request that a server may have run, and that can't be refused
-// for that, may get an engine in a moment: one that was full or silent, or is so for others. It
-// has waited for one since the given time.
+// engineReturns reports whether an engine that is full or down may soon get a stream that has
+// waited for one since a time. A request that no engine has run does not wait: it is refused, and
+// its caller may go to another router.
 func (s *stream) engineReturns(since time.Time) bool {
 	if s.executed == 0 || time.Since(since) >= maxEngineWait || s.relay.cfg.Quarantine.SparesLastServer(s.req, func() []string { return s.relay.cfg.Servers.Usable(s.service.Name, time.Now()) }) {
 		return false
