--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -22,7 +22,6 @@
 	"wisteriafield/internal/caller/http1"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/answermemory"
-	"wisteriafield/internal/decision/freshness"
 	"wisteriafield/internal/decision/link"
 	decision "wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/decision/retrybudget"
@@ -103,7 +102,7 @@
 	self            gossip.Host
 	follower        *discovery.Follower
 	elector         *storereader.Elector // used by the follower's goroutine only
-	firstTryDelay   time.Duration        // of this router's first try in an outage of the store
+	firstTryPlace   float64              // of this router's first try in an outage of the store, among those of all routers
 	gossip          *gossip.Gossip
 	quarantine      *quarantine.Guard
 	limits          *ratelimit.Limiter
@@ -120,7 +119,7 @@
 func New(cfg Config) *Edge {
 	e := &Edge{
 		cfg: cfg, log: cfg.Log, servers: registry.New(), elector: storereader.NewElector(nil),
-		firstTryDelay: freshness.FirstTryDelay(cfg.ChangeTime, rand.Float64()),
+		firstTryPlace: rand.Float64(),
 	}
 	e.callerConns = http1.New(headerTimeout, e.logger("front"))
 	e.callerConns.RequestID = func(r *http.Request) string { return cfg.Protocol.DecodeRequest(r, time.Now()).ID }
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -124,7 +124,7 @@
 	case e.gossip.Lagging(now):
 		d.Role = storereader.Trial
 	case e.elector.FirstTryDue():
-		if e.follower.Overdue(now.Add(-e.firstTryDelay)) {
+		if e.follower.Overdue(now.Add(-freshness.FirstTryDelay(e.cfg.ChangeTime, e.firstTryPlace))) {
 			d.Role, d.CheapFirst = storereader.Trial, true
 		}
 	case !e.elector.TakingTurns() && e.follower.Overdue(now):
