edgesoak: a cut at the timeout of its route is no problem

The router's log has it cut by TimeIsUp after 15,001 ms, the timeout of its route: its two engines had ended, and it had waited 5.8 s for a retry in between.

--- a/internal/trial/edgesoak/incomplete_test.go
+++ b/internal/trial/edgesoak/incomplete_test.go
@@ -172,6 +172,16 @@
 	}
 }
 
+func TestACutAtTheTimeoutOfItsRouteIsExcused(t *testing.T) {
+	g := NewWithT(t)
+	for lasted, problems := range map[time.Duration]int{excusedDraft: 0, excusedDraft - time.Second: 1} {
+		s, r := newTestSoak(time.Now().Add(-time.Minute))
+		s.Planned, s.counts = true, make(map[string]int)
+		s.recordCut(context.Background(), r, time.Now().Add(-lasted), "session")
+		g.Expect(s.problems).To(HaveLen(problems), "after %s", lasted)
+	}
+}
+
 func TestACutAtTheDeadlineIsExcused(t *testing.T) {
 	g := NewWithT(t)
 	for left, problems := range map[time.Duration]int{5 * time.Millisecond: 0, 500 * time.Millisecond: 2} {
