relay: a stream that waits for a retry is logged once

Evidence: TestAStreamThatWaitsForARetryIsLoggedOnce fails before. The line is written again after the next attempt.

--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -24,11 +24,12 @@
 func (s *stream) awaitRetry(ctx context.Context) bool {
 	defer s.relay.retryQueue.leave(s)
 	start := time.Now()
-	for denied := 0; !s.reserveRetry(); denied++ {
+	for !s.reserveRetry() {
 		s.relay.retryQueue.join(s)
 		now := time.Now()
 		next := s.relay.cfg.RetryBudget.NextAt(s.service.Name, now)
-		if denied == 0 {
+		if !s.denialLogged {
+			s.denialLogged = true
 			log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("sends", s.delivered).WithField("begun", s.headersSent).
 				WithField("waitsMs", time.Until(s.callerWaitsUntil()).Milliseconds())
 			if !next.IsZero() {
--- a/internal/router/relay/serve.go
+++ b/internal/router/relay/serve.go
@@ -110,7 +110,7 @@
 			s.readmitEngines()
 			continue
 		}
-		s.retryReserved, s.retryUnused = false, false
+		s.retryReserved, s.retryUnused, s.denialLogged = false, false, false
 		return s.begin(ctx, target, restoreFrom)
 	}
 }
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -42,6 +42,7 @@
 	answerTimer         *time.Timer         // ends the stream if no event has left in time for the caller to get an answer
 	retryReserved       bool                // the next attempt is within the retry budget
 	retryUnused         bool                // the last attempt took a retry from the budget and was not sent
+	denialLogged        bool                // the budget's denial of the next attempt
 	retryTakenAt        time.Time           // when the last retry was taken from the budget
 	releaseBackupTokens func()              // ends the reservation at the backup's engine; may be nil
 
--- a/internal/router/relay/waits_test.go
+++ b/internal/router/relay/waits_test.go
@@ -217,3 +217,37 @@
 		h.Expect(time.Since(start)).To(BeNumerically("<", 500*time.Millisecond))
 	})
 }
+
+// The budget has a retry each time that the other stream has just taken it.
+func TestAStreamThatWaitsForARetryIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.patientCallers()
+		h.setFirstEngine(engineFaults{breakAfter: 7})
+		h.cfg.RetryBudget = &pulsedBudget{fakeBudget: h.budget}
+		h.relay = relay.New(h.cfg)
+		time.AfterFunc(100*time.Millisecond, func() { h.setServers(map[string]bool{"i-0": true, "i-1": true, "i-2": true}) })
+		time.AfterFunc(2*time.Second, func() { h.setServers(nil) })
+		res, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(res.Body.String()).To(Equal(eventText(1, 20)))
+		denied := 0
+		for _, entry := range h.hook.AllEntries() {
+			if entry.Message == "retry budget exhausted" {
+				denied++
+			}
+		}
+		h.Expect(denied).To(Equal(1))
+	})
+}
+
+// pulsedBudget is a retry budget that denies every other request.
+type pulsedBudget struct {
+	*fakeBudget
+	asked int
+}
+
+func (b *pulsedBudget) Allow(service string, now time.Time) bool {
+	b.asked++
+	return b.asked%2 == 0 && b.fakeBudget.Allow(service, now)
+}
