retrybudget: routers lend each other retries

Callers of streams whose engines crashed waited for seconds for a retry at routers whose share of the budget was used up. Routers with no retry left borrowed by the mean of what peers had reported, at most while the mean was under half, and kept to 0.7 of the budget since that estimate can exceed it.

Now a router without a retry asks peers for some of theirs. The lender counts what it lends as its own until the borrower can't use it any more, so the sum over all routers stays within the budget whatever is lost on the way, and the routers may use 0.8 of it. A crash hits many streams at once: one request asks for all that wait, those whose backups expire first go first, and the next in the queue is woken at once.

--- a/internal/decision/retrybudget/budget.go
+++ b/internal/decision/retrybudget/budget.go
@@ -40,6 +40,9 @@
 	Window time.Duration
 	// Routers returns the number of routers known to share the slack.
 	Routers func() int
+	// Lending means that routers lend each other retries on request. They then borrow nothing by
+	// the mean of what peers report, which together with loans could exceed the budget.
+	Lending bool
 }
 
 // Counts holds the attempts of one router in a window.
@@ -63,7 +66,9 @@
 	peerMean      Counts // moving average of the counts that peers report
 	firstAttempts [keptBuckets]int
 	retries       [keptBuckets]int
-	newest        int64 // number of the newest bucket
+	lent          [keptBuckets]int // retries lent to peers
+	loans         []loan           // retries that peers lent to this router
+	newest        int64            // number of the newest bucket
 }
 
 // sum adds up the buckets of the window that ended the given number of buckets ago. A negative
@@ -98,7 +103,7 @@
 	defer b.mu.Unlock()
 	w := b.currentWindow(service, now)
 	if own := w.counts(0); own.Retries >= b.allowed(w, own, now) {
-		return false
+		return w.spendLoan(now)
 	}
 	w.retries[w.newest%keptBuckets]++
 	return true
@@ -110,7 +115,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.currentWindow(service, now)
-	for ahead := range int64(buckets + 1) {
+	if w.borrowed(now) > 0 {
+		return now
+	}
+	for ahead := range int64(buckets + loanBuckets + 1) {
 		if own := w.counts(ahead); own.Retries >= b.allowed(w, own, now) {
 			continue
 		}
@@ -126,6 +134,9 @@
 func (b *Budget) allowed(w *window, own Counts, now time.Time) float64 {
 	slack := b.slack(now)
 	allowed := b.cfg.Ratio*own.FirstAttempts + slack
+	if b.cfg.Lending {
+		return allowed
+	}
 	if meanAllowed := b.cfg.Ratio*w.peerMean.FirstAttempts + slack; w.peerMean.FirstAttempts > 0 && w.peerMean.Retries+ownWeight*(own.Retries-w.peerMean.Retries) < borrowBelow*meanAllowed {
 		return max(allowed, borrowFactor*meanAllowed)
 	}
@@ -182,7 +193,7 @@
 // current one, and the first attempts that they are measured against.
 func (w *window) counts(ahead int64) Counts {
 	firstAttempts := max(w.sum(&w.firstAttempts, -ahead), w.sum(&w.firstAttempts, buckets/2-ahead), w.sum(&w.firstAttempts, buckets-ahead))
-	return Counts{FirstAttempts: float64(firstAttempts), Retries: float64(w.sum(&w.retries, -ahead))}
+	return Counts{FirstAttempts: float64(firstAttempts), Retries: float64(w.sum(&w.retries, -ahead) + w.lentRetries(ahead))}
 }
 
 // slack returns this router's part of the shared slack.
@@ -207,7 +218,7 @@
 			w.newest = newest - keptBuckets
 		}
 		next := (w.newest + 1) % keptBuckets
-		w.firstAttempts[next], w.retries[next] = 0, 0
+		w.firstAttempts[next], w.retries[next], w.lent[next] = 0, 0, 0
 	}
 	return w
 }
--- a/internal/operator/cli/edge.go
+++ b/internal/operator/cli/edge.go
@@ -37,10 +37,9 @@
 	// they are answered. On a host of 128 MB the largest body, of 16 MB by default, fits.
 	requestMemoryShare = 0.15
 	// retryBudgetShare is the share of the fleet's retry budget that the routers use.
-	// The rest covers the error of the distributed count: a burst is over before
-	// peers have reported it, routers count by their own clocks, and the counts of
-	// routers that died are lost.
-	retryBudgetShare = 0.7
+	// The rest covers the error of the distributed count: routers count by their own clocks and
+	// in buckets of a tenth of the window, and the counts of routers that died are lost.
+	retryBudgetShare = 0.8
 )
 
 type edgeCommand struct {
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -131,6 +131,8 @@
 		HasConfig: func() bool { return e.routeTable.Load() != nil }, Decide: e.decideStoreRole, ChangeTime: cfg.ChangeTime, Log: e.logger("store"),
 	})
 	cfg.RetryBudget.Routers = func() int { return 1 + len(e.gossip.LivePeers(time.Now())) }
+	cfg.RetryBudget.Lending = cfg.PeerAddress != ""
+	borrow := func(ctx context.Context, service string, n int) { e.gossip.Borrow(ctx, service, n) }
 	retryBudget := retrybudget.New(cfg.RetryBudget, time.Now())
 	links := link.New()
 	e.limits = ratelimit.New(decision.Config{
@@ -138,7 +140,7 @@
 	}, e.logger("limits"))
 	e.quarantine = quarantine.New(cfg.ContactTime, func() { e.gossip.Trigger() }, e.logger("quarantine"))
 	streams := relay.New(relay.Config{
-		Servers: e.servers, Client: cfg.Client, RetryBudget: retryBudget,
+		Servers: e.servers, Client: cfg.Client, RetryBudget: retryBudget, Borrow: borrow,
 		Links: links, Domain: cfg.Domain, Sessions: e, Quarantine: e.quarantine, Limits: e.limits, Memory: cfg.AnswerMemory, OnUnresponsive: func() { e.gossip.Trigger() },
 		KnowsLoads: func() bool { return e.gossip.KnowsLoads(time.Now()) }, Log: e.logger("stream"),
 	})
@@ -150,7 +152,7 @@
 		Protocol:     cfg.Protocol,
 		Table:        e.callersTable,
 		Streaming:    streams,
-		NonStreaming: forward.New(forward.Config{Servers: e.servers, Client: cfg.Client, RetryBudget: retryBudget, Quarantine: e.quarantine, Limits: e.limits, Memory: cfg.AnswerMemory, Links: links, Domain: cfg.Domain, Log: e.logger("plain")}),
+		NonStreaming: forward.New(forward.Config{Servers: e.servers, Client: cfg.Client, RetryBudget: retryBudget, Borrow: borrow, Quarantine: e.quarantine, Limits: e.limits, Memory: cfg.AnswerMemory, Links: links, Domain: cfg.Domain, Log: e.logger("plain")}),
 		RetryBudget:  retryBudget,
 		Accepts:      e.accepts,
 		Stopping:     e.Stopping,
--- a/internal/router/forward/retry.go
+++ b/internal/router/forward/retry.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"wisteriafield/internal/backend/server"
@@ -9,6 +10,9 @@
 // retryBudgetInterval is the least time between two questions for a retry.
 const retryBudgetInterval = 100 * time.Millisecond
 
+// borrowedRetries is how many retries a denied call borrows. Failures come in groups.
+const borrowedRetries = 3
+
 // spendRetry takes a retry or a hedge from the retry budget if a server could get it, and
 // reports whether the budget allowed it.
 func (c *call) spendRetry() bool {
@@ -24,6 +28,9 @@
 	}
 	now := time.Now()
 	if c.denied = !c.f.cfg.RetryBudget.Allow(c.service.Name, now); c.denied {
+		if c.f.cfg.Borrow != nil {
+			go c.f.cfg.Borrow(context.Background(), c.service.Name, borrowedRetries)
+		}
 		return false
 	}
 	c.takenAt = now
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -57,6 +57,7 @@
 	laggingSince    time.Time             // when a peer was first seen with a newer list; zero if none
 
 	announced Announcement
+	borrowing borrowing
 
 	pullingConfig, pullingServerList atomic.Bool // a fetch is in progress
 	arrivals                         freshness.Arrivals
@@ -101,6 +102,7 @@
 // Register adds the methods that peers call to s.
 func (g *Gossip) Register(s *control.Server) {
 	g.registerSessions(s)
+	g.registerLending(s)
 	s.Handle(methodExchange, func(_ context.Context, params json.RawMessage) (any, error) {
 		m, err := control.DecodeParams[message](params)
 		if err != nil {
--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"wisteriafield/internal/base/loop"
 )
 
 const (
@@ -16,6 +14,9 @@
 	maxRetryBudgetWait = 1800 * time.Millisecond
 	// patienceMargin is how long before its caller leaves a stream is given up.
 	patienceMargin = 200 * time.Millisecond
+	// spareRetries is how many retries more than streams wait are borrowed: engines are often lost
+	// in groups, and more streams follow within their loan.
+	spareRetries = 2
 )
 
 // awaitRetry reserves a retry for the next attempt. It waits for the budget to have one, behind
@@ -25,7 +26,10 @@
 	defer s.relay.retryQueue.leave(s)
 	start := time.Now()
 	for !s.reserveRetry() {
-		s.relay.retryQueue.join(s)
+		released := s.relay.retryQueue.join(s)
+		if s.borrowRetries(ctx) {
+			break
+		}
 		now := time.Now()
 		next := s.relay.cfg.RetryBudget.NextAt(s.service.Name, now)
 		if !s.denialLogged {
@@ -44,13 +48,36 @@
 		if s.silent != nil || !expected && (!s.headersSent || now.Sub(start) >= maxRetryBudgetWait) {
 			return false
 		}
-		if !s.headersSent && !s.engineUsable(s.excluded) && !s.engineReturns(start) || !loop.Sleep(ctx, retryBudgetInterval) {
+		if !s.headersSent && !s.engineUsable(s.excluded) && !s.engineReturns(start) || !waitForRetry(ctx, released) {
 			return false
 		}
 	}
 	return true
 }
 
+// waitForRetry waits until it is time to ask for a retry again: after a while, or when the stream
+// becomes the first of those that wait. It returns false if ctx has ended.
+func waitForRetry(ctx context.Context, first <-chan struct{}) bool {
+	timer := time.NewTimer(retryBudgetInterval)
+	defer timer.Stop()
+	select {
+	case <-first:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// borrowRetries asks peers for as many retries as streams wait, and reports whether this stream
+// got one.
+func (s *stream) borrowRetries(ctx context.Context) bool {
+	if s.relay.cfg.Borrow == nil || !s.relay.retryQueue.mayTake(s) {
+		return false
+	}
+	s.relay.cfg.Borrow(ctx, s.service.Name, s.relay.retryQueue.length(s.service.Name)+spareRetries)
+	return s.reserveRetry()
+}
+
 // callerWaitsUntil returns how long the caller waits for the next event before it leaves.
 func (s *stream) callerWaitsUntil() time.Time {
 	since := s.req.ArrivedAt
