retrybudget: lend by the routers that the borrower knows

A router that was cut off from its peers divides the slack by one router. A peer that heard it again first got loans of half of the slack of the whole fleet. The request names the number of routers that the borrower knows; the larger of the two numbers counts.

Not lending for a while after the number of routers grows was weighed; it also denies loans after each start of a fleet.

--- a/internal/decision/retrybudget/budget.go
+++ b/internal/decision/retrybudget/budget.go
@@ -132,7 +132,7 @@
 
 // allowed returns the retries that this router may use in a window with its own counts.
 func (b *Budget) allowed(w *window, own Counts, now time.Time) float64 {
-	slack := b.slack(now)
+	slack := b.slack(1, now)
 	allowed := b.cfg.Ratio*own.FirstAttempts + slack
 	if b.cfg.Lending {
 		return allowed
@@ -196,9 +196,10 @@
 	return Counts{FirstAttempts: float64(firstAttempts), Retries: float64(w.sum(&w.retries, -ahead) + w.lentRetries(ahead))}
 }
 
-// slack returns this router's part of the shared slack.
-func (b *Budget) slack(now time.Time) float64 {
-	routers := max(b.cfg.Routers(), 1)
+// slack returns this router's part of the shared slack among the routers that it knows of, or the
+// given number if that is larger.
+func (b *Budget) slack(routers int, now time.Time) float64 {
+	routers = max(b.cfg.Routers(), routers, 1)
 	if now.Sub(b.started) < discoveryTime {
 		routers = max(routers, minDiscoveryRouters)
 	}
--- a/internal/decision/retrybudget/loan.go
+++ b/internal/decision/retrybudget/loan.go
@@ -23,15 +23,17 @@
 	until   time.Time
 }
 
-// Lend takes up to n retries for a peer from this router's own share, and returns how many. They
-// count as this router's until the peer can't use them any more and the window has passed, so the
-// retries of all routers together stay within the budget even if the answer is lost.
-func (b *Budget) Lend(service string, n int, now time.Time) int {
+// Lend takes up to n retries for a peer from this router's own share, and returns how many. The
+// share is that by the number of routers that the peer knows of, if it is larger than this router's:
+// a router that was cut off takes the whole slack for its own. What is lent counts as this router's
+// until the peer can't use it any more and the window has passed, so the retries of all routers
+// together stay within the budget even if the answer is lost.
+func (b *Budget) Lend(service string, n, routers int, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.currentWindow(service, now)
 	own := w.counts(0)
-	left := b.cfg.Ratio*own.FirstAttempts + b.slack(now) - own.Retries
+	left := b.cfg.Ratio*own.FirstAttempts + b.slack(routers, now) - own.Retries
 	lent := min(n, int(math.Ceil(lendFraction*math.Floor(left))))
 	if lent <= 0 {
 		return 0
--- a/internal/decision/retrybudget/loan_test.go
+++ b/internal/decision/retrybudget/loan_test.go
@@ -29,14 +29,14 @@
 	for range 8 {
 		b.RecordFirstAttempt("desk", now)
 	}
-	g.Expect(b.Lend("desk", 10, now)).To(Equal(4), "half of the eight that are left")
-	g.Expect(b.Lend("desk", 10, now)).To(Equal(2))
+	g.Expect(b.Lend("desk", 10, 1, now)).To(Equal(4), "half of the eight that are left")
+	g.Expect(b.Lend("desk", 10, 1, now)).To(Equal(2))
 	allowed := 0
 	for b.Allow("desk", now) {
 		allowed++
 	}
 	g.Expect(allowed).To(Equal(2))
-	g.Expect(b.Lend("desk", 1, now)).To(BeZero())
+	g.Expect(b.Lend("desk", 1, 1, now)).To(BeZero())
 	g.Expect(b.OwnCounts(now.Add(10 * time.Second))["desk"].Retries).To(BeEquivalentTo(6))
 	g.Expect(b.OwnCounts(now.Add(12 * time.Second))["desk"].Retries).To(BeZero())
 }
@@ -67,7 +67,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
 			i := rapid.IntRange(0, 1).Draw(t, "router")
 			if rapid.Bool().Draw(t, "lend") {
-				n := fleet[1-i].Lend("desk", rapid.IntRange(0, 9).Draw(t, "n"), now)
+				n := fleet[1-i].Lend("desk", rapid.IntRange(0, 9).Draw(t, "n"), 2, now)
 				delay := time.Duration(rapid.IntRange(0, 1200).Draw(t, "delay")) * time.Millisecond
 				if rapid.Bool().Draw(t, "arrives") {
 					fleet[i].AddLoan("desk", n, now, now.Add(delay))
@@ -144,7 +144,7 @@
 					askedAt[s.router] = now
 					for range 3 {
 						if lender := r.IntN(n); lender != s.router && r.Float64() > 0.05 {
-							if got := fleet[lender].Lend("engines", 3, now); r.Float64() > 0.05 {
+							if got := fleet[lender].Lend("engines", 3, n, now); r.Float64() > 0.05 {
 								b.AddLoan("engines", got, now, now.Add(5*time.Millisecond))
 							}
 						}
--- /dev/null
+++ b/internal/decision/retrybudget/loanlimits_test.go
@@ -0,0 +1,20 @@
+package retrybudget_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/decision/retrybudget"
+)
+
+// A router that was cut off from its peers takes the whole slack for its own. Peers that hear it
+// again before it hears them would get loans from it.
+func TestALenderThatKnowsFewRoutersLendsByThoseThatTheBorrowerKnows(t *testing.T) {
+	g := NewWithT(t)
+	cfg := retrybudget.Config{Slack: 120, Window: 10 * time.Second, Lending: true, Routers: func() int { return 1 }}
+	b := retrybudget.New(cfg, time.Unix(0, 0))
+	g.Expect(b.Lend("desk", 16, 36, time.Unix(100, 0))).To(Equal(2), "half of 120 for 36")
+	g.Expect(b.Lend("desk", 16, -1, time.Unix(100, 0))).To(Equal(16))
+}
--- a/internal/router/gossip/lend.go
+++ b/internal/router/gossip/lend.go
@@ -36,6 +36,7 @@
 type lendRequest struct {
 	Service string
 	Retries int
+	Routers int // that the borrower knows of, itself included
 }
 
 type lendReply struct {
@@ -60,7 +61,7 @@
 		if err != nil {
 			return nil, err
 		}
-		lent := g.cfg.RetryBudget.Lend(req.Service, min(req.Retries, maxLoan), time.Now())
+		lent := g.cfg.RetryBudget.Lend(req.Service, min(req.Retries, maxLoan), req.Routers, time.Now())
 		retriesLentTotal.Add(lent)
 		return lendReply{lent}, nil
 	})
@@ -85,12 +86,13 @@
 	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
 	defer cancel()
 	hosts := g.LivePeers(time.Now())
+	routers := 1 + len(hosts)
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	hosts = hosts[:min(len(hosts), lenders)]
 	if len(hosts) == 0 {
 		return
 	}
-	req := lendRequest{Service: service, Retries: min(maxLoan, (n+len(hosts)-1)/len(hosts))}
+	req := lendRequest{Service: service, Retries: min(maxLoan, (n+len(hosts)-1)/len(hosts)), Routers: routers}
 	replies := make(chan int, len(hosts))
 	requestedAt := time.Now()
 	for _, h := range hosts {
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -154,7 +154,7 @@
 type RetryBudget interface {
 	OwnCounts(now time.Time) map[string]retrybudget.Counts
 	MergePeerCounts(counts map[string]retrybudget.Counts, now time.Time)
-	Lend(service string, n int, now time.Time) int
+	Lend(service string, n, routers int, now time.Time) int
 	AddLoan(service string, n int, requestedAt, now time.Time)
 }
 
