retrybudget: a returned loan does not free an own retry

A router that borrowed a retry and could not send it returned it, which took one of its own retries out of the count: the fleet had one more than the budget. Loans that are used are counted by bucket, and a return takes from these first. The loan itself is lost: its lender counts it. Keeping its end to give it back was weighed; it is for streams that find no engine, for which its second passes.

--- a/internal/decision/retrybudget/budget.go
+++ b/internal/decision/retrybudget/budget.go
@@ -68,6 +68,7 @@
 	retries       [keptBuckets]int
 	lent          [keptBuckets]int // retries lent to peers
 	loans         []loan           // retries that peers lent to this router
+	loansUsed     [keptBuckets]int // retries of loans that Allow gave
 	newest        int64            // number of the newest bucket
 }
 
@@ -143,14 +144,21 @@
 	return allowed
 }
 
-// Return gives back a retry that Allow gave at takenAt, and that was not sent.
+// Return gives back a retry that Allow gave at takenAt, and that was not sent. One of a loan is
+// lost: its lender counts it.
 func (b *Budget) Return(service string, takenAt, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.currentWindow(service, now)
 	bucket := takenAt.UnixNano() / int64(b.cfg.Window/buckets)
-	if bucket > w.newest-keptBuckets && bucket <= w.newest && w.retries[bucket%keptBuckets] > 0 {
-		w.retries[bucket%keptBuckets]--
+	if bucket <= w.newest-keptBuckets || bucket > w.newest {
+		return
+	}
+	switch i := bucket % keptBuckets; {
+	case w.loansUsed[i] > 0: // it may be an own one, which stays counted then
+		w.loansUsed[i]--
+	case w.retries[i] > 0:
+		w.retries[i]--
 	}
 }
 
@@ -219,7 +227,7 @@
 			w.newest = newest - keptBuckets
 		}
 		next := (w.newest + 1) % keptBuckets
-		w.firstAttempts[next], w.retries[next], w.lent[next] = 0, 0, 0
+		w.firstAttempts[next], w.retries[next], w.lent[next], w.loansUsed[next] = 0, 0, 0, 0
 	}
 	return w
 }
--- a/internal/decision/retrybudget/loan.go
+++ b/internal/decision/retrybudget/loan.go
@@ -62,6 +62,7 @@
 		return false
 	}
 	w.loans[0].retries--
+	w.loansUsed[w.newest%keptBuckets]++
 	return true
 }
 
--- a/internal/decision/retrybudget/loanlimits_test.go
+++ b/internal/decision/retrybudget/loanlimits_test.go
@@ -18,3 +18,19 @@
 	g.Expect(b.Lend("desk", 16, 36, time.Unix(100, 0))).To(Equal(2), "half of 120 for 36")
 	g.Expect(b.Lend("desk", 16, -1, time.Unix(100, 0))).To(Equal(16))
 }
+
+// The lender counts a loan. A returned one once freed an own retry, so that the fleet had one more.
+func TestALoanThatIsReturnedDoesNotFreeAnOwnRetry(t *testing.T) {
+	g := NewWithT(t)
+	b := retrybudget.New(config, time.Unix(0, 0))
+	now := time.Unix(100, 0)
+	for b.Allow("desk", now) {
+	}
+	b.AddLoan("desk", 1, now, now)
+	g.Expect(b.Allow("desk", now)).To(BeTrue())
+	b.Return("desk", now, now)
+	g.Expect(b.OwnCounts(now)["desk"].Retries).To(BeEquivalentTo(4))
+	g.Expect(b.Allow("desk", now)).To(BeFalse())
+	b.Return("desk", now, now)
+	g.Expect(b.Allow("desk", now)).To(BeTrue(), "an own one that is returned is free")
+}
