retrybudget: a loan ends within the time that its lender counts it

In windows shorter than 10 s, a loan of a second was usable after its lender had stopped to count it, since the lender counts two buckets of a tenth of the window more. A loan now lasts a bucket at most. Counting more buckets was weighed; the kept ones do not suffice for windows near a second.

--- a/internal/decision/retrybudget/loan.go
+++ b/internal/decision/retrybudget/loan.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	// LoanTime is how long a router may use the retries that a peer has lent it.
+	// LoanTime is how long a router may use the retries that a peer has lent it, or a bucket if
+	// that is shorter.
 	LoanTime = time.Second
 	// loanBuckets is by how many buckets longer than its own a lender counts the retries that it
-	// has lent, since the borrower may use them up to LoanTime later. It covers LoanTime in windows
-	// of 5 s and more.
+	// has lent: one for the time of the loan, and one since it may begin at the end of a bucket.
 	loanBuckets = 2
 	// lendFraction of what is left of its own retries is what a router lends at most at a time, so
 	// that a failure that hits all routers finds some left at each.
@@ -45,7 +45,7 @@
 // AddLoan adds retries that a peer has lent in answer to a request that was sent at a time. Allow
 // uses them once this router's own share is used up.
 func (b *Budget) AddLoan(service string, n int, requestedAt, now time.Time) {
-	until := requestedAt.Add(LoanTime)
+	until := requestedAt.Add(min(LoanTime, b.cfg.Window/buckets))
 	if n <= 0 || !now.Before(until) {
 		return
 	}
--- a/internal/decision/retrybudget/loanlimits_test.go
+++ b/internal/decision/retrybudget/loanlimits_test.go
@@ -34,3 +34,30 @@
 	b.Return("desk", now, now)
 	g.Expect(b.Allow("desk", now)).To(BeTrue(), "an own one that is returned is free")
 }
+
+// Buckets are shorter than LoanTime in short windows, and lenders count two more of them.
+func TestALoanEndsWhileItsLenderCountsItInAShortWindow(t *testing.T) {
+	for _, window := range []time.Duration{time.Second, 5 * time.Second, 10 * time.Second} {
+		g := NewWithT(t)
+		cfg := retrybudget.Config{Slack: 4, Window: window, Lending: true, Routers: func() int { return 1 }}
+		lender, borrower := retrybudget.New(cfg, time.Unix(0, 0)), retrybudget.New(cfg, time.Unix(0, 0))
+		lentAt := time.Unix(100, 0).Add(window/10 - time.Millisecond)
+		lent := lender.Lend("desk", 1, 1, lentAt)
+		g.Expect(lent).To(Equal(1))
+		for borrower.Allow("desk", lentAt) {
+		}
+		borrower.AddLoan("desk", lent, lentAt, lentAt)
+		usedAt := lentAt
+		for at := lentAt; at.Before(lentAt.Add(2 * time.Second)); at = at.Add(10 * time.Millisecond) {
+			probe := retrybudget.New(cfg, time.Unix(0, 0))
+			for probe.Allow("desk", at) {
+			}
+			probe.AddLoan("desk", lent, lentAt, at)
+			if probe.Allow("desk", at) {
+				usedAt = at
+			}
+		}
+		end := usedAt.Add(window - time.Millisecond)
+		g.Expect(lender.OwnCounts(end)["desk"].Retries).To(BeEquivalentTo(1), window.String())
+	}
+}
