retrybudget: count by the monotonic clock

A step of the wall clock forward made a router forget its retries and what it had lent, so that the fleet could exceed the budget; a step back kept them counted until the clock had caught up. Buckets are numbered from the start of the router by the monotonic clock. A step can't be made in a test, so the test checks that times foretold have a monotonic reading.

--- a/internal/decision/retrybudget/budget.go
+++ b/internal/decision/retrybudget/budget.go
@@ -126,7 +126,7 @@
 		if ahead == 0 {
 			return now
 		}
-		return time.Unix(0, (w.newest+ahead)*int64(b.cfg.Window/buckets))
+		return b.bucketStart(w.newest + ahead)
 	}
 	return time.Time{}
 }
@@ -150,7 +150,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.currentWindow(service, now)
-	bucket := takenAt.UnixNano() / int64(b.cfg.Window/buckets)
+	bucket := b.bucketAt(takenAt)
 	if bucket <= w.newest-keptBuckets || bucket > w.newest {
 		return
 	}
@@ -214,9 +214,20 @@
 	return b.cfg.Slack / float64(routers)
 }
 
+// bucketAt returns the number of the bucket at a time. Buckets are numbered from the start of this
+// router, by the monotonic clock: after a step of the wall clock, no retry or all of them would be past.
+func (b *Budget) bucketAt(at time.Time) int64 {
+	return 2*keptBuckets + max(0, int64(at.Sub(b.started)/(b.cfg.Window/buckets)))
+}
+
+// bucketStart returns when a bucket begins.
+func (b *Budget) bucketStart(bucket int64) time.Time {
+	return b.started.Add(time.Duration(bucket-2*keptBuckets) * (b.cfg.Window / buckets))
+}
+
 // currentWindow returns the window of a service, advanced to now. The caller holds mu.
 func (b *Budget) currentWindow(service string, now time.Time) *window {
-	newest := now.UnixNano() / int64(b.cfg.Window/buckets)
+	newest := b.bucketAt(now)
 	w := b.services[service]
 	if w == nil {
 		w = &window{newest: newest}
--- a/internal/decision/retrybudget/loanlimits_test.go
+++ b/internal/decision/retrybudget/loanlimits_test.go
@@ -61,3 +61,13 @@
 		g.Expect(lender.OwnCounts(end)["desk"].Retries).To(BeEquivalentTo(1), window.String())
 	}
 }
+
+// After a step of the wall clock, a router counted no retry as past, or all of them.
+func TestRetriesAreForetoldByTheMonotonicClock(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	b := retrybudget.New(config, now.Add(-time.Minute))
+	for b.Allow("desk", now) {
+	}
+	g.Expect(b.NextAt("desk", now).String()).To(ContainSubstring(" m="), "the time has a monotonic reading")
+}
