--- a/internal/decision/retrybudget/loan.go
+++ b/internal/decision/retrybudget/loan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -52,7 +53,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.currentWindow(service, now)
-	w.loans = append(w.loans, loan{n, until})
+	at := len(w.loans)
+	for at > 0 && w.loans[at-1].until.After(until) {
+		at--
+	}
+	w.loans = slices.Insert(w.loans, at, loan{n, until})
 }
 
 // spendLoan uses a retry that a peer has lent, the one that ends first, and reports whether there
@@ -73,9 +78,7 @@
 	}
 	sum := 0
 	for _, l := range w.loans {
-		if now.Before(l.until) {
-			sum += l.retries
-		}
+		sum += l.retries
 	}
 	return sum
 }
--- a/internal/decision/retrybudget/loanlimits_test.go
+++ b/internal/decision/retrybudget/loanlimits_test.go
@@ -71,3 +71,16 @@
 	}
 	g.Expect(b.NextAt("desk", now).String()).To(ContainSubstring(" m="), "the time has a monotonic reading")
 }
+
+// Loans that end were behind one that ends later, if answers overtake each other.
+func TestTheLoanThatEndsFirstIsUsedFirst(t *testing.T) {
+	g := NewWithT(t)
+	b := retrybudget.New(config, time.Unix(0, 0))
+	now := time.Unix(100, 0)
+	for b.Allow("desk", now) {
+	}
+	b.AddLoan("desk", 1, now.Add(300*time.Millisecond), now.Add(310*time.Millisecond))
+	b.AddLoan("desk", 1, now, now.Add(320*time.Millisecond))
+	g.Expect(b.Allow("desk", now.Add(900*time.Millisecond))).To(BeTrue())
+	g.Expect(b.Allow("desk", now.Add(1200*time.Millisecond))).To(BeTrue())
+}
