router: ask peers for retries without holding streams up

Streams waited for the answers of peers, for up to 80 ms, before anything else: a request that had run nowhere was refused late, a stream found a retry of its own only afterwards, and those behind it got no loan before every peer had answered or was given up. After a request, the next stream waited 100 ms although another request was allowed after 50 ms. If the caller that had asked left, the request of all waiting streams ended, and if a peer answered after 80 ms, the control connection to it was closed with the calls on it, and what it had lent was lost.

A request now runs on its own, for each service one at a time, and is planned if the last one was just made. Streams wait for a retry of their own, for the stream before them and for the next loan at once. A stream that has not begun, and expects no retry of its own, waits 100 ms for a loan. Late answers within the 400 ms of other calls still count. A lender's number is bounded on both sides: a negative one was added to the counter. Services that a router does not know get no loan, as the budget would keep and report their counts.

A deadline of 80 ms for the call that only cancels was weighed; a silent peer would then hold the opening of a connection without end.

--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -132,7 +132,10 @@
 	})
 	cfg.RetryBudget.Routers = func() int { return 1 + len(e.gossip.LivePeers(time.Now())) }
 	cfg.RetryBudget.Lending = cfg.PeerAddress != ""
-	borrow := func(ctx context.Context, service string, n int) { e.gossip.Borrow(ctx, service, n) }
+	var borrow func(service string, n int) <-chan struct{}
+	if cfg.RetryBudget.Lending {
+		borrow = func(service string, n int) <-chan struct{} { return e.gossip.Borrow(service, n) }
+	}
 	retryBudget := retrybudget.New(cfg.RetryBudget, time.Now())
 	links := link.New()
 	e.limits = ratelimit.New(decision.Config{
--- a/internal/router/forward/retry.go
+++ b/internal/router/forward/retry.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"time"
 
 	"wisteriafield/internal/backend/server"
@@ -29,7 +28,7 @@
 	now := time.Now()
 	if c.denied = !c.f.cfg.RetryBudget.Allow(c.service.Name, now); c.denied {
 		if c.f.cfg.Borrow != nil {
-			go c.f.cfg.Borrow(context.Background(), c.service.Name, borrowedRetries)
+			c.f.cfg.Borrow(c.service.Name, borrowedRetries)
 		}
 		return false
 	}
--- a/internal/router/gossip/export_test.go
+++ b/internal/router/gossip/export_test.go
@@ -10,6 +10,8 @@
 	ServersReply   = serversReply
 	SessionRequest = sessionRequest
 	SessionReply   = sessionReply
+	LendRequest    = lendRequest
+	LendReply      = lendReply
 )
 
 // MethodConfig is the method by which peers fetch the configuration.
@@ -17,3 +19,6 @@
 
 // Alive records that the router ran at a moment.
 func (g *Gossip) Alive(at time.Time) { g.arrivals.Alive(at) }
+
+// RetriesBorrowed returns the counter of retries that peers have lent.
+func RetriesBorrowed() uint64 { return retriesBorrowedTotal.Get() }
--- a/internal/router/gossip/fixture_test.go
+++ b/internal/router/gossip/fixture_test.go
@@ -95,6 +95,7 @@
 	servers      *registry.Registry
 	quarantine   *quarantine.Guard
 	limits       *ratelimit.Limiter
+	budget       *retrybudget.Budget
 	unresponsive []string // engines that peers reported
 
 	role            storereader.Role
@@ -210,6 +211,7 @@
 		test(NewWithT(t), net, all)
 		stop()
 		wg.Wait()
+		time.Sleep(time.Second) // calls to peers end by their timeouts
 		synctest.Wait()
 	})
 }
@@ -226,9 +228,10 @@
 	r.limits = ratelimit.New(decision.Config{Self: fmt.Sprintf("router-%d", i), Peers: r.peerNames, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
 	r.quarantine = quarantine.New(net.contactTime, func() { r.gossip.Trigger() }, log.WithField("part", "quarantine"))
 	r.servers.Set(storehistory.Position{Revision: 1}, []server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
+	r.budget = retrybudget.New(retrybudget.Config{Ratio: 1, Window: 10 * time.Second, Lending: true, Routers: func() int { return routers }}, time.Now())
 	self := gossip.Host{Name: fmt.Sprintf("router-%d", i), Address: fmt.Sprintf("call-%d", i), DatagramAddress: fmt.Sprintf("notice-%d", i)}
 	r.gossip = gossip.New(gossip.Config{
-		Self: self, Seeds: seeds, Caller: net, Datagrams: sender{net, r}, State: r, Servers: r.servers, Sessions: sessions.NewTable(), RetryBudget: retrybudget.New(retrybudget.Config{Window: time.Second, Routers: func() int { return routers }}, time.Now()),
+		Self: self, Seeds: seeds, Caller: net, Datagrams: sender{net, r}, State: r, Servers: r.servers, Sessions: sessions.NewTable(), RetryBudget: r.budget,
 		Quarantine:         r.quarantine,
 		Limits:             r.limits,
 		EngineUnresponsive: func(e *registry.Entry) { r.mu.Lock(); r.unresponsive = append(r.unresponsive, e.ID); r.mu.Unlock() },
--- a/internal/router/gossip/lend.go
+++ b/internal/router/gossip/lend.go
@@ -50,8 +50,10 @@
 }
 
 type borrowState struct {
-	done   chan struct{} // closed when the request in progress ends; nil without one
-	nextAt time.Time     // when another one may begin
+	busy    bool          // a request is planned or in progress
+	wanted  int           // retries that the planned request asks for
+	nextAt  time.Time     // when the next request may begin
+	changed chan struct{} // closed when a loan arrives or the request ends
 }
 
 // registerLending adds the method by which peers ask for retries.
@@ -61,90 +63,141 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(g.cfg.Servers.Service(req.Service)) == 0 {
+			return lendReply{}, nil // the budget keeps counts of each service that it is asked for
+		}
 		lent := g.cfg.RetryBudget.Lend(req.Service, min(req.Retries, maxLoan), req.Routers, time.Now())
 		retriesLentTotal.Add(lent)
 		return lendReply{lent}, nil
 	})
 }
 
-// Borrow asks some peers for retries of a service, which the budget then allows for
-// retrybudget.LoanTime. It returns after their answers, or those to a request that another
-// caller has made.
-func (g *Gossip) Borrow(ctx context.Context, service string, n int) {
-	done, first := g.borrowing.begin(service, time.Now())
-	if !first {
-		if done != nil {
-			select {
-			case <-done:
-			case <-ctx.Done():
-			}
-		}
-		return
+// Borrow has some peers asked for n retries of a service, which the budget then allows for
+// retrybudget.LoanTime, unless a request is under way. The channel is closed when the next loan
+// arrives, or when the request has ended.
+func (g *Gossip) Borrow(service string, n int) <-chan struct{} {
+	changed, beginAt := g.borrowing.plan(service, n, time.Now())
+	if !beginAt.IsZero() {
+		go func() {
+			time.Sleep(time.Until(beginAt))
+			g.requestRetries(service)
+		}()
 	}
-	got := 0
-	defer func() { g.borrowing.end(service, got, time.Now()) }()
-	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
-	defer cancel()
-	hosts := g.LivePeers(time.Now())
+	return changed
+}
+
+// requestRetries makes the planned request of a service. Answers that come after lendTimeout still
+// add to the budget: their retries count at the lenders.
+func (g *Gossip) requestRetries(service string) {
+	n := g.borrowing.wanted(service)
+	requestedAt := time.Now()
+	hosts := g.LivePeers(requestedAt)
 	routers := 1 + len(hosts)
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	hosts = hosts[:min(len(hosts), lenders)]
-	if len(hosts) == 0 {
-		return
+	got := 0
+	if len(hosts) > 0 {
+		req := lendRequest{Service: service, Retries: min(maxLoan, (n+len(hosts)-1)/len(hosts)), Routers: routers}
+		got = g.collectLoans(hosts, req, requestedAt)
+		g.cfg.Log.WithField("service", service).WithField("wanted", n).WithField("peers", len(hosts)).WithField("got", got).
+			WithField("ms", time.Since(requestedAt).Milliseconds()).Info("retries borrowed")
 	}
-	req := lendRequest{Service: service, Retries: min(maxLoan, (n+len(hosts)-1)/len(hosts)), Routers: routers}
+	g.borrowing.end(service, got, time.Now())
+}
+
+// collectLoans asks the hosts for loans, and returns how many retries came within lendTimeout. The
+// calls go on for longer: a call that ends for its time closes the connection, which others use.
+func (g *Gossip) collectLoans(hosts []Host, req lendRequest, requestedAt time.Time) (got int) {
 	replies := make(chan int, len(hosts))
-	requestedAt := time.Now()
 	for _, h := range hosts {
 		go func() {
-			var reply lendReply
-			if err := g.cfg.Caller.Call(ctx, h.Address, methodLend, req, &reply); err != nil {
-				g.cfg.Log.WithField("peer", h.Name).WithError(err).Debug("peer did not lend retries")
+			lent := g.requestLoan(h, req)
+			g.cfg.RetryBudget.AddLoan(req.Service, lent, requestedAt, time.Now())
+			retriesBorrowedTotal.Add(lent)
+			if lent > 0 {
+				g.borrowing.notify(req.Service)
 			}
-			replies <- min(reply.Retries, req.Retries)
+			replies <- lent
 		}()
 	}
+	timeout := time.After(lendTimeout)
 	for range hosts {
-		lent := <-replies
-		g.cfg.RetryBudget.AddLoan(service, lent, requestedAt, time.Now())
-		got += lent
+		select {
+		case lent := <-replies:
+			got += lent
+		case <-timeout:
+			return got
+		}
 	}
-	retriesBorrowedTotal.Add(got)
-	g.cfg.Log.WithField("service", service).WithField("wanted", n).WithField("peers", len(hosts)).WithField("got", got).
-		WithField("ms", time.Since(requestedAt).Milliseconds()).Info("retries borrowed")
+	return got
 }
 
-// begin reports whether the caller is to make a request. If not, the channel is closed when the one
-// in progress ends; it is nil if the last one was just made.
-func (b *borrowing) begin(service string, now time.Time) (done <-chan struct{}, first bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+// requestLoan asks a peer for a loan and returns the retries that it lends.
+func (g *Gossip) requestLoan(h Host, req lendRequest) int {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var reply lendReply
+	if err := g.cfg.Caller.Call(ctx, h.Address, methodLend, req, &reply); err != nil {
+		g.cfg.Log.WithField("peer", h.Name).WithError(err).Debug("peer did not lend retries")
+		return 0
+	}
+	return max(0, min(reply.Retries, req.Retries))
+}
+
+// state returns the state of a service. The caller holds mu.
+func (b *borrowing) state(service string) *borrowState {
 	if b.services == nil {
 		b.services = make(map[string]*borrowState)
 	}
 	s := b.services[service]
 	if s == nil {
-		s = &borrowState{}
+		s = &borrowState{changed: make(chan struct{})}
 		b.services[service] = s
 	}
-	if s.done != nil {
-		return s.done, false
+	return s
+}
+
+// plan returns when the caller is to begin a request, or the zero time if one is planned or in
+// progress.
+func (b *borrowing) plan(service string, n int, now time.Time) (changed <-chan struct{}, beginAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(service)
+	s.wanted = max(s.wanted, n)
+	if s.busy {
+		return s.changed, time.Time{}
 	}
-	if now.Before(s.nextAt) {
-		return nil, false
+	s.busy = true
+	if s.nextAt.After(now) {
+		return s.changed, s.nextAt
 	}
-	s.done = make(chan struct{})
-	return nil, true
+	return s.changed, now
+}
+
+// wanted returns how many retries the planned request asks for.
+func (b *borrowing) wanted(service string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state(service).wanted
+}
+
+// notify wakes those who wait for a loan.
+func (b *borrowing) notify(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(service)
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // end records that the request of a service has ended, and how many retries it got.
 func (b *borrowing) end(service string, got int, now time.Time) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.services[service]
-	close(s.done)
-	s.done, s.nextAt = nil, now.Add(borrowInterval)
+	s := b.state(service)
+	s.busy, s.wanted, s.nextAt = false, 0, now.Add(borrowInterval)
 	if got == 0 {
 		s.nextAt = now.Add(emptyBorrowInterval)
 	}
+	b.mu.Unlock()
+	b.notify(service)
 }
--- a/internal/router/gossip/wire_test.go
+++ b/internal/router/gossip/wire_test.go
@@ -44,6 +44,8 @@
 		{gossip.ServersReply{Gap: &storehistory.Gap{To: storehistory.Position{Era: 2, Revision: 3}}},
 			`{"Revision":0,"Values":null,"Whole":false,"Gap":{"From":{"Revision":0},"To":{"Era":2,"Revision":3}},"Busy":false}`},
 		{gossip.SessionRequest{Request: "s"}, `{"Session":"s"}`},
+		{gossip.LendRequest{Service: "s", Retries: 1, Routers: 2}, `{"Service":"s","Retries":1,"Routers":2}`},
+		{gossip.LendReply{Retries: 1}, `{"Retries":1}`},
 		{gossip.SessionReply{Found: true}, `{"Found":true,"Record":{"Session":"","Run":"","Server":"","Backup":""}}`},
 	} {
 		g := NewWithT(t)
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -88,9 +88,9 @@
 		NextAt(service string, now time.Time) time.Time
 		Return(service string, takenAt, now time.Time)
 	}
-	// Borrow asks peers for n retries of a service, which the budget then allows for a moment. It
-	// returns after their answers; nil without peers.
-	Borrow     func(ctx context.Context, service string, n int)
+	// Borrow has peers asked for n retries of a service, which the budget then allows for a moment.
+	// The channel is closed when some have arrived, or none will. Borrow may be nil.
+	Borrow     func(service string, n int) <-chan struct{}
 	Sessions   Sessions
 	Quarantine Quarantine
 	Limits     Limits
--- a/internal/router/relay/retry.go
+++ b/internal/router/relay/retry.go
@@ -14,6 +14,9 @@
 	maxRetryBudgetWait = 1800 * time.Millisecond
 	// patienceMargin is how long before its caller leaves a stream is given up.
 	patienceMargin = 200 * time.Millisecond
+	// loanWait is how long a stream waits for a loan if no retry can be foreseen. Peers are asked
+	// for 80 ms.
+	loanWait = 100 * time.Millisecond
 	// spareRetries is how many retries more than streams wait are borrowed: engines are often lost
 	// in groups, and more streams follow within their loan.
 	spareRetries = 2
@@ -27,9 +30,6 @@
 	start := time.Now()
 	for !s.reserveRetry() {
 		released := s.relay.retryQueue.join(s)
-		if s.borrowRetries(ctx) {
-			break
-		}
 		now := time.Now()
 		next := s.relay.cfg.RetryBudget.NextAt(s.service.Name, now)
 		if !s.denialLogged {
@@ -44,38 +44,46 @@
 		if s.executed == 0 && !s.headersSent && s.req.LastEventID == 0 {
 			return false // it is refused, and its caller may go to another router at once
 		}
-		expected := !next.IsZero() && next.Before(s.callerWaitsUntil())
+		expected := !next.IsZero() && next.Before(s.callerWaitsUntil()) || s.relay.cfg.Borrow != nil && now.Sub(start) < loanWait
 		if s.silent != nil || !expected && (!s.headersSent || now.Sub(start) >= maxRetryBudgetWait) {
 			return false
 		}
-		if !s.headersSent && !s.engineUsable(s.excluded) && !s.engineReturns(start) || !waitForRetry(ctx, released) {
+		if !s.headersSent && !s.engineUsable(s.excluded) && !s.engineReturns(start) {
+			return false
+		}
+		borrowed := s.borrowRetries()
+		if borrowed != nil && s.reserveRetry() {
+			break // a loan arrived just before
+		}
+		if !waitForRetry(ctx, released, borrowed) {
 			return false
 		}
 	}
 	return true
 }
 
-// waitForRetry waits until it is time to ask for a retry again: after a while, or when the stream
-// becomes the first of those that wait. It returns false if ctx has ended.
-func waitForRetry(ctx context.Context, first <-chan struct{}) bool {
+// waitForRetry waits until it is time to ask for a retry again: after a while, when the stream
+// becomes the first of those that wait, or when peers have lent some. It returns false if ctx has
+// ended.
+func waitForRetry(ctx context.Context, first, borrowed <-chan struct{}) bool {
 	timer := time.NewTimer(retryBudgetInterval)
 	defer timer.Stop()
 	select {
 	case <-first:
+	case <-borrowed:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	return ctx.Err() == nil
 }
 
-// borrowRetries asks peers for as many retries as streams wait, and reports whether this stream
-// got one.
-func (s *stream) borrowRetries(ctx context.Context) bool {
+// borrowRetries has peers asked for as many retries as streams wait, if this is the first one. The
+// channel is closed when some may have arrived.
+func (s *stream) borrowRetries() <-chan struct{} {
 	if s.relay.cfg.Borrow == nil || !s.relay.retryQueue.mayTake(s) {
-		return false
+		return nil
 	}
-	s.relay.cfg.Borrow(ctx, s.service.Name, s.relay.retryQueue.length(s.service.Name)+spareRetries)
-	return s.reserveRetry()
+	return s.relay.cfg.Borrow(s.service.Name, s.relay.retryQueue.length(s.service.Name)+spareRetries)
 }
 
 // callerWaitsUntil returns how long the caller waits for the next event before it leaves.
--- a/internal/router/relay/run.go
+++ b/internal/router/relay/run.go
@@ -162,7 +162,7 @@
 				break // this router was held up
 			}
 			unresponsive := a.detector.ProbePending()
-			if decision := s.decideSilent(a.ctx, a.target, a.detector); decision != suspicion.Keep {
+			if decision := s.decideSilent(a.target, a.detector); decision != suspicion.Keep {
 				return result{outcome: lost, reason: "silent", backup: a.backup, silent: true, unresponsive: unresponsive, doubted: a.detector.Doubted(), goesOn: decision == suspicion.Retry}
 			}
 			if unresponsive {
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"maps"
 	"slices"
 	"time"
@@ -14,7 +13,7 @@
 
 // decideSilent decides what to do with the attempt at a silent engine. If another attempt is
 // to follow, its retry is reserved: the caller's stream depends on it.
-func (s *stream) decideSilent(ctx context.Context, target *registry.Entry, detector *suspicion.Detector) suspicion.Decision {
+func (s *stream) decideSilent(target *registry.Entry, detector *suspicion.Detector) suspicion.Decision {
 	_, quarantined := s.relay.cfg.Quarantine.Refuses(s.req)
 	decision := suspicion.Alternative{
 		Replaced:     s.relay.replaced(target),
@@ -34,7 +33,7 @@
 	}
 	if !s.reserveRetry() {
 		if s.relay.cfg.Borrow != nil {
-			go s.relay.cfg.Borrow(context.WithoutCancel(ctx), s.service.Name, 1+spareRetries)
+			s.relay.cfg.Borrow(s.service.Name, 1+spareRetries)
 		}
 		return suspicion.Keep
 	}
