relay: a stream whose backup has expired waits like one without

Streams that wait for a retry were ordered when they began to wait, by the expiry of their backups. One whose backup expired meanwhile stayed before all others, though it is prefilled again like those that had waited for longer. The order is now found each time.

--- a/internal/router/relay/loan_test.go
+++ b/internal/router/relay/loan_test.go
@@ -175,3 +175,8 @@
 func TestAStreamWithABackupComesBeforeOneWithout(t *testing.T) {
 	NewWithT(t).Expect(slices.Compact(resumedOrder(t, 2*time.Second))).To(Equal([]string{"with", "without"}))
 }
+
+// A stream whose backup had expired stayed before all others.
+func TestAStreamWhoseBackupExpiredComesAfterOneThatWaitsForLonger(t *testing.T) {
+	NewWithT(t).Expect(slices.Compact(resumedOrder(t, 5*time.Second))).To(Equal([]string{"without", "with"}))
+}
--- a/internal/router/relay/retryqueue.go
+++ b/internal/router/relay/retryqueue.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// retryQueue orders the streams that wait for a retry, by service. The others take none
-// meanwhile: a stream that waits has lost its engine.
+// retryQueue holds the streams that wait for a retry, by service and in the order of their arrival.
+// The others take none meanwhile: a stream that waits has lost its engine.
 type retryQueue struct {
 	mu      sync.Mutex
 	waiting map[string][]*waitingStream
@@ -20,12 +20,25 @@
 	first     chan struct{} // gets a value when the stream becomes the first one
 }
 
+// first returns the stream that gets the next retry, or nil. A stream whose backup still exists
+// comes before those without one, which are prefilled again anyway; the backup that expires first
+// comes first, the others come by arrival. The caller holds mu.
+func (q *retryQueue) first(service string, now time.Time) *waitingStream {
+	var first *waitingStream
+	for _, w := range q.waiting[service] {
+		if first == nil || w.expiresAt.After(now) && (!first.expiresAt.After(now) || w.expiresAt.Before(first.expiresAt)) {
+			first = w
+		}
+	}
+	return first
+}
+
 // mayTake reports whether a stream is the first one that waits, or none does.
 func (q *retryQueue) mayTake(s *stream) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	waiting := q.waiting[s.service.Name]
-	return len(waiting) == 0 || waiting[0].stream == s
+	first := q.first(s.service.Name, time.Now())
+	return first == nil || first.stream == s
 }
 
 // length returns how many streams of a service wait.
@@ -35,9 +48,8 @@
 	return len(q.waiting[service])
 }
 
-// join adds a stream, unless it waits already: before those whose backups expire later, or that
-// have none, since without its backup a stream is prefilled again. The channel gets a value when
-// the stream becomes the first one.
+// join adds a stream, unless it waits already. The channel gets a value when the stream becomes
+// the first one.
 func (q *retryQueue) join(s *stream) <-chan struct{} {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -52,13 +64,7 @@
 	if s.backupAddress != "" {
 		w.expiresAt = s.backupExpiresAt
 	}
-	at := slices.IndexFunc(waiting, func(other *waitingStream) bool {
-		return !w.expiresAt.IsZero() && (other.expiresAt.IsZero() || w.expiresAt.Before(other.expiresAt))
-	})
-	if at < 0 {
-		at = len(waiting)
-	}
-	q.waiting[s.service.Name] = slices.Insert(waiting, at, w)
+	q.waiting[s.service.Name] = append(waiting, w)
 	return w.first
 }
 
@@ -73,7 +79,7 @@
 	}
 	q.waiting[s.service.Name] = waiting
 	select {
-	case waiting[0].first <- struct{}{}:
+	case q.first(s.service.Name, time.Now()).first <- struct{}{}:
 	default:
 	}
 }
