forward: a call waits for the loan that it asked for

A plain call that the budget denied a retry had peers asked, but failed at once if no retry of its own was in sight, so the loan came for later calls only. Calls that do not wait, since no server has executed them or a server answered with an error, do not have peers asked any more: lenders counted what nobody used.

--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -29,6 +29,9 @@
 	denied    bool      // the budget had no retry when it was last asked
 	takenAt   time.Time // when the last retry was taken from the budget
 	blocked   time.Time // until when the request's prompt is blocked; zero if it is not
+
+	loan        <-chan struct{} // closed when peers may have lent a retry; nil if none were asked
+	awaitedLoan bool            // the call has waited for a loan without another retry in sight
 }
 
 // runNonIdempotent sends a request that may be executed at most once. It tries another
@@ -156,6 +159,11 @@
 			if c.crashes > 0 && inFlight > 0 {
 				next.Reset(time.Until(newestAt.Add(maxSilence)))
 			}
+		case <-c.loan:
+			c.loan = nil
+			if waiting && (c.crashes <= 1 || inFlight == 0) && c.attemptsLeft(inFlight) > 0 {
+				retry()
+			}
 		case <-next.C:
 			if (c.crashes <= 1 || inFlight == 0) && c.attemptsLeft(inFlight) > 0 {
 				retry()
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -41,6 +41,7 @@
 		NextAt(service string, now time.Time) time.Time
 		Return(service string, takenAt, now time.Time)
 	} // fixedBudget(true) if nil
+	borrow func(service string, n int) <-chan struct{}
 }
 
 func (s *fakeService) Send(ctx context.Context, dispatch server.Dispatch) (*server.Answer, error) {
@@ -137,7 +138,7 @@
 	if s.budget == nil {
 		s.budget = fixedBudget(true)
 	}
-	f := forward.New(forward.Config{Servers: servers, Client: s, RetryBudget: s.budget, Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")), Limits: limits, Memory: answermemory.New(16 << 20), Links: link.New(), Log: log.WithField("part", "plain")})
+	f := forward.New(forward.Config{Servers: servers, Client: s, RetryBudget: s.budget, Borrow: s.borrow, Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")), Limits: limits, Memory: answermemory.New(16 << 20), Links: link.New(), Log: log.WithField("part", "plain")})
 	sessions := 0
 	return func(kind routes.Kind, attempts int, part string) *httptest.ResponseRecorder {
 		res := httptest.NewRecorder()
--- a/internal/router/forward/retry.go
+++ b/internal/router/forward/retry.go
@@ -27,8 +27,8 @@
 	}
 	now := time.Now()
 	if c.denied = !c.f.cfg.RetryBudget.Allow(c.service.Name, now); c.denied {
-		if c.f.cfg.Borrow != nil {
-			c.f.cfg.Borrow(c.service.Name, borrowedRetries)
+		if c.f.cfg.Borrow != nil && c.executed > 0 && !c.best.hasAnswer() {
+			c.loan = c.f.cfg.Borrow(c.service.Name, borrowedRetries)
 		}
 		return false
 	}
@@ -45,9 +45,10 @@
 }
 
 // askAgainAt returns when to ask again for a retry, or the zero time unless the budget has denied
-// it and is expected to have one that can still be answered. A hedge, which is one while another server
-// has the request, asks less often: requests that no server has come first. One that no server
-// has executed is refused at once, and a server's own error is not held back.
+// it and is expected to have one that can still be answered, or peers may lend one. A hedge, which
+// is one while another server has the request, asks less often: requests that no server has come
+// first. One that no server has executed is refused at once, and a server's own error is not held
+// back.
 func (c *call) askAgainAt(now time.Time, hedge bool) time.Time {
 	if !c.denied || !hedge && (c.executed == 0 || c.best.hasAnswer()) {
 		return time.Time{}
@@ -55,7 +56,12 @@
 	answerTime := max(c.hedgeDelay(), c.f.leastLatency(c.service.Name, c.excluded, now))
 	next := c.f.cfg.RetryBudget.NextAt(c.service.Name, now)
 	if next.IsZero() || next.Add(answerTime).After(c.req.AnswerBy()) {
-		return time.Time{}
+		askAt := now.Add(retryBudgetInterval)
+		if c.loan == nil || c.awaitedLoan || askAt.Add(answerTime).After(c.req.AnswerBy()) {
+			return time.Time{}
+		}
+		c.awaitedLoan = true
+		return askAt
 	}
 	if hedge {
 		return now.Add(max(c.hedgeDelay(), retryBudgetInterval))
