relay: the expiry of a backup counts from the last event

An engine keeps a backup for 4 s after its last part. Routers counted from the time at which they gave the attempt up: if its engine had been silent for seconds, since no retry was there, they resumed from backups that were gone, which cost the retry. The time now counts from the last event.

--- a/internal/router/relay/backup.go
+++ b/internal/router/relay/backup.go
@@ -81,3 +81,12 @@
 	}
 	return arrivedAt.Add(s.service.Engine.BackupTTL)
 }
+
+// lastSign returns when the engine of a lost attempt may have sent the last part of the backup. An
+// engine that was silent, or that is gone, has sent none since its last event.
+func (s *stream) lastSign(r result, now time.Time) time.Time {
+	if r.events > 0 {
+		return s.lastEventAt
+	}
+	return now
+}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -129,7 +129,7 @@
 		// resumed from one and its engine was not silent all the time.
 		if r.backup != nil && (r.events > 0 || restoreFrom != nil && !r.silent) {
 			s.backupAddress, s.backupRef = r.backup.Address, server.KVBackup{Address: r.backup.Address, ID: s.req.ID}
-			s.backupEngine, s.backupSince, s.backupExpiresAt = r.backup, r.sentAt, s.backupExpiry(now)
+			s.backupEngine, s.backupSince, s.backupExpiresAt = r.backup, r.sentAt, s.backupExpiry(s.lastSign(r, now))
 		}
 		if r.replacement != nil {
 			if engine, ref, expiresAt := r.replacement.get(now); ref != nil {
