relay: no retry for a backup or a cached prompt at a full engine

An engine that has just refused a request for lack of capacity also refuses a stream whose backup or prompt it has, which uses up a retry. Waiting for the engine was weighed; nothing says when it has room.

--- a/internal/router/relay/lostbackup_test.go
+++ b/internal/router/relay/lostbackup_test.go
@@ -48,3 +48,18 @@
 		h.expectResumeWithoutBackup(20)
 	})
 }
+
+// An engine that is full refuses a stream whether it has its backup or not.
+func TestARetryIsNotSpentOnABackupAtAFullEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{breakAfter: 7})
+		h.budget.most = 1
+		time.AfterFunc(100*time.Millisecond, func() {
+			h.servers.Get(h.engines.dispatched()[0].BackupServer.ID).Load.MarkFull(time.Now().Add(time.Minute))
+			h.engines.dropBackups()
+			h.engines.setFaults(nil)
+		})
+		h.expectResumeWithoutBackup(20)
+	})
+}
--- a/internal/router/relay/target.go
+++ b/internal/router/relay/target.go
@@ -86,7 +86,10 @@
 func (s *stream) usableEngineAt(address string) *registry.Entry {
 	now := time.Now()
 	engine := s.relay.cfg.Servers.ByAddress(address)
-	if engine == nil || engine.Service != s.service.Name || engine.Leaving || engine.Load.State(now).Down || !s.relay.cfg.Limits.Allows(&engine.Server, now) {
+	if engine == nil || engine.Service != s.service.Name || engine.Leaving || !s.relay.cfg.Limits.Allows(&engine.Server, now) {
+		return nil
+	}
+	if state := engine.Load.State(now); state.Down || state.Full {
 		return nil
 	}
 	return engine
