relay: a replacement backup is lost with its engine's restart

Whether an engine has a backup is judged by its start if it is not the incarnation that was chosen. For a replacement backup, its start was compared with the time at which the attempt was lost, so an engine that had restarted after the copy seemed to have it: it refused the stream, which used up a retry. The time at which the copy began counts now.

--- a/internal/router/relay/lostbackup_test.go
+++ b/internal/router/relay/lostbackup_test.go
@@ -49,6 +49,28 @@
 	})
 }
 
+func TestAReplacementBackupIsNotUsedOnceItsEngineHasRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.engines.eventCount = 60
+		h.setFirstEngine(engineFaults{breakAfter: 40})
+		h.budget.most = 1
+		time.AfterFunc(300*time.Millisecond, func() {
+			backup := h.engines.dispatched()[0].BackupServer.ID
+			h.servers.Get(backup).Load.MarkDownAndShare(time.Now().Add(time.Minute))
+		})
+		time.AfterFunc(750*time.Millisecond, func() {
+			for _, id := range []string{"i-1", "i-2"} {
+				if id != h.engines.dispatched()[0].BackupServer.ID {
+					h.restart(id)
+				}
+			}
+			h.engines.setFaults(nil)
+		})
+		h.expectResumeWithoutBackup(60)
+	})
+}
+
 // An engine that is full refuses a stream whether it has its backup or not.
 func TestARetryIsNotSpentOnABackupAtAFullEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/router/relay/replacement.go
+++ b/internal/router/relay/replacement.go
@@ -30,25 +30,26 @@
 	mu        sync.Mutex
 	engine    *registry.Entry
 	ref       *server.KVBackup // has the address of the engine that made the copy, which gave it its ID
+	since     time.Time        // when the copy began
 	expiresAt time.Time        // when the engine may delete the backup
 }
 
-// get returns the backup, its engine and when that may delete it, or nil if there is none or it
-// has expired.
-func (b *replacementBackup) get(now time.Time) (engine *registry.Entry, ref *server.KVBackup, expiresAt time.Time) {
+// get returns the backup, its engine, when it began and when the engine may delete it, or nil if
+// there is none or it has expired.
+func (b *replacementBackup) get(now time.Time) (engine *registry.Entry, ref *server.KVBackup, since, expiresAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ref == nil || now.After(b.expiresAt) {
-		return nil, nil, time.Time{}
+		return nil, nil, time.Time{}, time.Time{}
 	}
-	return b.engine, b.ref, b.expiresAt
+	return b.engine, b.ref, b.since, b.expiresAt
 }
 
 // set records a backup and its engine.
-func (b *replacementBackup) set(engine *registry.Entry, ref *server.KVBackup, expiresAt time.Time) {
+func (b *replacementBackup) set(engine *registry.Entry, ref *server.KVBackup, since, expiresAt time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.engine, b.ref, b.expiresAt = engine, ref, expiresAt
+	b.engine, b.ref, b.since, b.expiresAt = engine, ref, since, expiresAt
 }
 
 // maintainReplacement has the attempt's KV cache copied to another engine if the backup
@@ -93,7 +94,7 @@
 		}
 		log.Info("replacement backup created")
 		replacementBackupsTotal.Inc()
-		replacement.set(engine, &server.KVBackup{Address: target.Address, ID: backupID}, time.Now().Add(lifetime))
+		replacement.set(engine, &server.KVBackup{Address: target.Address, ID: backupID}, startedAt, time.Now().Add(lifetime))
 		nextCopyAt = time.Now().Add(lifetime / 2)
 	}
 }
@@ -125,7 +126,7 @@
 // deleteReplacement deletes a replacement backup that is no longer needed. If that
 // fails, the backup expires.
 func (r *Relay) deleteReplacement(replacement *replacementBackup) {
-	_, ref, _ := replacement.get(time.Now())
+	_, ref, _, _ := replacement.get(time.Now())
 	if ref == nil {
 		return
 	}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -132,9 +132,9 @@
 			s.backupEngine, s.backupSince, s.backupExpiresAt = r.backup, r.sentAt, s.backupExpiry(s.lastSign(r, now))
 		}
 		if r.replacement != nil {
-			if engine, ref, expiresAt := r.replacement.get(now); ref != nil {
+			if engine, ref, since, expiresAt := r.replacement.get(now); ref != nil {
 				s.backupAddress, s.backupRef = engine.Address, *ref
-				s.backupEngine, s.backupSince, s.backupExpiresAt = engine, now, expiresAt
+				s.backupEngine, s.backupSince, s.backupExpiresAt = engine, since, expiresAt
 			}
 		}
 		if !r.unresponsive && !r.erred && (!r.silent || r.doubted) && s.lastEventID > s.req.LastEventID {
