relay: no last retry for a backup that may not have arrived

The first part of a backup arrives some time after the first event. Such a backup is now tried only while the budget has another retry. Never trying it was weighed: where retries are left, a refusal costs some 20 ms, and a prompt that is prefilled again about a second.

--- a/internal/router/relay/lostbackup_test.go
+++ b/internal/router/relay/lostbackup_test.go
@@ -71,6 +71,32 @@
 	})
 }
 
+// The first part of a backup arrives some time after the first event. In two trials on fleet B, 15
+// of 24 resumes after one event were refused.
+func TestABackupThatMayNotHaveArrivedIsNotTriedWithTheLastRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{breakAfter: 1})
+		h.budget.most = 1
+		time.AfterFunc(10*time.Millisecond, func() {
+			h.engines.dropBackups()
+			h.engines.setFaults(nil)
+		})
+		h.expectResumeWithoutBackup(20)
+	})
+}
+
+func TestABackupThatMayNotHaveArrivedIsTriedWhileThereIsAnotherRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{breakAfter: 1})
+		_, cut := h.serve(h.newRequest(0))
+		h.Expect(cut).To(BeFalse())
+		h.Expect(h.engines.dispatched()).To(HaveLen(2))
+		h.Expect(h.engines.dispatched()[1].RestoreFrom).NotTo(BeNil())
+	})
+}
+
 // An engine that is full refuses a stream whether it has its backup or not.
 func TestARetryIsNotSpentOnABackupAtAFullEngine(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -35,6 +35,7 @@
 	backupEngine        *registry.Entry     // as it was known when the backup began; nil if it is known by its address only
 	backupSince         time.Time           // when the backup began
 	backupExpiresAt     time.Time           // when the engine may delete it; zero if that is not known
+	backupUncertain     bool                // the first part of the backup may not have arrived
 	promptEngine        *registry.Entry     // has the prompt cached, if it is still alive; may be nil
 	lostDomain          string              // failure domain of the last lost engine
 	choice              choice              // of the last attempt; empty if a backup or a cached prompt decided
@@ -131,10 +132,12 @@
 			s.backupAddress, s.backupRef = r.backup.Address, server.KVBackup{Address: r.backup.Address, ID: s.req.ID}
 			s.backupEngine, s.backupSince, s.backupExpiresAt = r.backup, r.sentAt, s.backupExpiry(s.lastSign(r, now))
 		}
+		s.backupUncertain = r.events < certainBackupEvents
 		if r.replacement != nil {
 			if engine, ref, since, expiresAt := r.replacement.get(now); ref != nil {
 				s.backupAddress, s.backupRef = engine.Address, *ref
 				s.backupEngine, s.backupSince, s.backupExpiresAt = engine, since, expiresAt
+				s.backupUncertain = false
 			}
 		}
 		if !r.unresponsive && !r.erred && (!r.silent || r.doubted) && s.lastEventID > s.req.LastEventID {
--- a/internal/router/relay/target.go
+++ b/internal/router/relay/target.go
@@ -12,6 +12,10 @@
 // for which one that was silent gets no work.
 const maxEngineWait = unresponsiveBackoff + 500*time.Millisecond
 
+// certainBackupEvents is after how many events of an attempt its backup is likely to have arrived:
+// in two trials on fleet B, 15 of 24 resumes after a single event were refused, and 3 of 15 after two.
+const certainBackupEvents = 2
+
 // nextTarget chooses the engine of the next attempt, and the backup to resume from, if
 // any. An engine that has the backup comes first, then one that has the prompt cached.
 func (s *stream) nextTarget(ctx context.Context) (*registry.Entry, *server.KVBackup) {
@@ -24,7 +28,7 @@
 		// The engine is looked up by address: it may be leaving or gone by now, or have restarted.
 		// An engine without the backup refuses the stream, which uses up a retry.
 		expired := !s.backupExpiresAt.IsZero() && time.Now().After(s.backupExpiresAt)
-		if engine := s.usableEngineAt(address); engine != nil && !expired && s.hasBackup(engine) && s.relay.cfg.Limits.Take(&engine.Server) {
+		if engine := s.usableEngineAt(address); engine != nil && !expired && s.hasBackup(engine) && s.affordsBackup() && s.relay.cfg.Limits.Take(&engine.Server) {
 			ref := s.backupRef
 			return engine, &ref
 		}
@@ -53,6 +57,17 @@
 	return s.backupEngine == nil || e.Key() == s.backupEngine.Key() || e.Started <= s.backupSince.UnixMilli()
 }
 
+// affordsBackup reports whether a resume from the backup may be tried. If the backup may not have
+// arrived, there must be another retry in case the engine refuses.
+func (s *stream) affordsBackup() bool {
+	if !s.backupUncertain {
+		return true
+	}
+	now := time.Now()
+	next := s.relay.cfg.RetryBudget.NextAt(s.service.Name, now)
+	return !next.IsZero() && !next.After(now)
+}
+
 // engineReturns reports whether an engine that is full or down may soon get a stream that has
 // waited for one since a time. A request that no engine has run does not wait: it is refused, and
 // its caller may go to another router.
