gossip: ask the peers that have the most retries left

Peers were asked at random, also those that had reported that nothing is left. Of a random sample of six, the three with the most left by their last reports are asked now. Choosing among all peers was weighed; routers that have heard the same reports would all ask the same ones.

--- a/internal/decision/retrybudget/loan.go
+++ b/internal/decision/retrybudget/loan.go
@@ -43,6 +43,10 @@
 	return lent
 }
 
+// Left returns how many retries a router with the given counts has left, without its part of the
+// slack.
+func (b *Budget) Left(c Counts) float64 { return b.cfg.Ratio*c.FirstAttempts - c.Retries }
+
 // AddLoan adds retries that a peer has lent in answer to a request that was sent at a time. Allow
 // uses them once this router's own share is used up.
 func (b *Budget) AddLoan(service string, n int, requestedAt, now time.Time) {
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/decision/dissemination"
 	"wisteriafield/internal/decision/freshness"
+	"wisteriafield/internal/decision/retrybudget"
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/decision/storereader"
 	"wisteriafield/internal/decision/uplink"
@@ -79,7 +80,8 @@
 	addedAt         time.Time
 	stopping        bool
 	loads           map[string]registry.Share
-	calling         bool // an exchange call is in progress
+	attempts        map[string]retrybudget.Counts // by service, as it last reported
+	calling         bool                          // an exchange call is in progress
 	readsStore      bool
 	storeFailing    bool                  // the store did not answer its last call
 	version         int64                 // of its configuration
--- a/internal/router/gossip/lend.go
+++ b/internal/router/gossip/lend.go
@@ -1,9 +1,11 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,10 +17,12 @@
 const (
 	methodLend = "Gossip.Lend"
 
-	// lenders is how many peers are asked for retries at once, and lendTimeout bounds the wait for
-	// their answers, which take a round trip.
-	lenders     = 3
-	lendTimeout = 80 * time.Millisecond
+	// lenders is how many peers are asked for retries at once, of a random sample: routers that have
+	// heard the same reports would all ask the same peers. lendTimeout bounds the wait for their
+	// answers, which take a round trip.
+	lenders      = 3
+	lenderSample = 2 * lenders
+	lendTimeout  = 80 * time.Millisecond
 	// borrowInterval is the least time between two requests for retries of one service, and
 	// emptyBorrowInterval that after one that got none, so that routers that have none left do
 	// not flood each other.
@@ -91,10 +95,7 @@
 func (g *Gossip) requestRetries(service string) {
 	n := g.borrowing.wanted(service)
 	requestedAt := time.Now()
-	hosts := g.LivePeers(requestedAt)
-	routers := 1 + len(hosts)
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	hosts = hosts[:min(len(hosts), lenders)]
+	hosts, routers := g.chooseLenders(service, requestedAt)
 	got := 0
 	if len(hosts) > 0 {
 		req := lendRequest{Service: service, Retries: min(maxLoan, (n+len(hosts)-1)/len(hosts)), Routers: routers}
@@ -105,6 +106,23 @@
 	g.borrowing.end(service, got, time.Now())
 }
 
+// chooseLenders returns the peers to ask: of a random sample, those with the most retries left by
+// their last reports. It also returns how many routers there are, this one included.
+func (g *Gossip) chooseLenders(service string, now time.Time) (hosts []Host, routers int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	peers := g.livePeers(g.plan(), now)
+	routers = 1 + len(peers)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers = peers[:min(len(peers), lenderSample)]
+	left := func(p *peer) float64 { return g.cfg.RetryBudget.Left(p.attempts[service]) }
+	slices.SortStableFunc(peers, func(p, q *peer) int { return cmp.Compare(left(q), left(p)) })
+	for _, p := range peers[:min(len(peers), lenders)] {
+		hosts = append(hosts, p.host)
+	}
+	return hosts, routers
+}
+
 // collectLoans asks the hosts for loans, and returns how many retries came within lendTimeout. The
 // calls go on for longer: a call that ends for its time closes the connection, which others use.
 func (g *Gossip) collectLoans(hosts []Host, req lendRequest, requestedAt time.Time) (got int) {
--- a/internal/router/gossip/lend_test.go
+++ b/internal/router/gossip/lend_test.go
@@ -99,6 +99,21 @@
 	})
 }
 
+// Peers that have no retry left were asked as often as the others.
+func TestARouterAsksThePeersThatHaveTheMostRetriesLeft(t *testing.T) {
+	runRouters(t, 7, func(g *WithT, net *network, all []*router) {
+		for _, r := range all[4:] {
+			r.budget.RecordFirstAttempt("engines", time.Now())
+		}
+		time.Sleep(4 * time.Second) // their reports arrive
+		l := &lender{}
+		net.replaceLenders(map[string]*lender{"call-4": l, "call-5": l, "call-6": l})
+		borrow(all[0], 1)
+		synctest.Wait()
+		g.Expect(l.asked()).To(Equal(3))
+	})
+}
+
 // The request waited for each peer, dead ones too.
 func TestALoanIsUsableBeforeOtherPeersAnswer(t *testing.T) {
 	runRouters(t, 3, func(g *WithT, net *network, all []*router) {
--- a/internal/router/gossip/receive.go
+++ b/internal/router/gossip/receive.go
@@ -92,6 +92,7 @@
 	appeared := now.Sub(p.lastHeartbeatAt) > g.plan().PeerTimeout
 	oldLoads := p.loads
 	p.host, p.lastHeartbeatAt, p.lastMessageAt, p.loads, p.stopping, p.readsStore = m.Host, now, now, m.Loads, m.Stopping, m.ReadsStore
+	p.attempts = m.Attempts
 	p.version, p.position, p.storeFailing = m.Version, m.position(ownEra), m.StoreFailing
 	p.storeReachedAt = time.Time{}
 	if m.StoreAgeMs >= 0 {
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -155,6 +155,7 @@
 	OwnCounts(now time.Time) map[string]retrybudget.Counts
 	MergePeerCounts(counts map[string]retrybudget.Counts, now time.Time)
 	Lend(service string, n, routers int, now time.Time) int
+	Left(c retrybudget.Counts) float64
 	AddLoan(service string, n int, requestedAt, now time.Time)
 }
 
