--- a/internal/decision/retrybudget/budget.go
+++ b/internal/decision/retrybudget/budget.go
@@ -103,7 +103,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.currentWindow(service, now)
-	if own := w.counts(0); own.Retries >= b.allowed(w, own, now) {
+	if own := w.counts(0); own.Retries >= b.allowed(w, own, b.slack(1, now)) {
 		return w.spendLoan(now)
 	}
 	w.retries[w.newest%keptBuckets]++
@@ -119,8 +119,9 @@
 	if w.borrowed(now) > 0 {
 		return now
 	}
+	slack := b.slack(1, now)
 	for ahead := range int64(buckets + loanBuckets + 1) {
-		if own := w.counts(ahead); own.Retries >= b.allowed(w, own, now) {
+		if own := w.counts(ahead); own.Retries >= b.allowed(w, own, slack) {
 			continue
 		}
 		if ahead == 0 {
@@ -131,9 +132,9 @@
 	return time.Time{}
 }
 
-// allowed returns the retries that this router may use in a window with its own counts.
-func (b *Budget) allowed(w *window, own Counts, now time.Time) float64 {
-	slack := b.slack(1, now)
+// allowed returns the retries that this router may use in a window with its own counts and its part
+// of the slack.
+func (b *Budget) allowed(w *window, own Counts, slack float64) float64 {
 	allowed := b.cfg.Ratio*own.FirstAttempts + slack
 	if b.cfg.Lending {
 		return allowed
