--- a/internal/router/forward/loan_test.go
+++ b/internal/router/forward/loan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,16 +12,43 @@
 	"wisteriafield/internal/config/routes"
 )
 
-// lend makes peers lend retries to the service's router: they answer after a while.
+// lentBudget is a retry budget that is exhausted until peers lend retries.
+type lentBudget struct {
+	mu    sync.Mutex
+	until time.Time
+}
+
+func (b *lentBudget) Allow(_ string, now time.Time) bool { return !now.Before(b.NextAt("", now)) }
+
+func (b *lentBudget) NextAt(_ string, now time.Time) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Before(b.until) {
+		return b.until
+	}
+	return now
+}
+
+func (b *lentBudget) Return(string, time.Time, time.Time) {}
+
+func (b *lentBudget) release() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.until = time.Time{}
+}
+
+// lend exhausts the service's budget for a minute and makes peers lend retries: they answer after
+// a while.
 func (s *fakeService) lend(retries bool, after time.Duration) (requests *int) {
 	requests = new(int)
-	budget := s.budget.(*countingBudget)
+	budget := &lentBudget{until: time.Now().Add(time.Minute)}
+	s.budget = budget
 	s.borrow = func(string, int) <-chan struct{} {
 		*requests++
 		changed := make(chan struct{})
 		time.AfterFunc(after, func() {
 			if retries {
-				budget.exhaustedUntil = time.Time{}
+				budget.release()
 			}
 			close(changed)
 		})
