--- a/internal/decision/balance/engine.go
+++ b/internal/decision/balance/engine.go
@@ -141,7 +141,12 @@
 	}
 	cost := slowness * (float64(c.QueuedTokens+prompt)/typicalPrefillTokensPerMs + float64(c.Running)*runningCostMs)
 	cost += slowness * float64(output) // an output token takes some 5 ms and counts for a fifth of that
-	cost += errorCostMs * c.ErrorRate
+	return cost + riskCost(c) + capacityCost(c, prompt, output)
+}
+
+// riskCost is the cost of what an engine's link, failure domain and recent failures risk.
+func riskCost(c Engine) float64 {
+	cost := errorCostMs * c.ErrorRate
 	cost += stallCostMs * min(1, stallWeight*c.StallRate)
 	if c.OtherDomain {
 		cost += otherDomainCostMs
@@ -149,7 +154,6 @@
 	if c.Reserved {
 		cost += reservedCostMs
 	}
-	cost += capacityCost(c, prompt, output)
 	return cost
 }
 
