registry: learn the speed of engines from the relay's attempts

Each attempt records when it was sent, its first event, and every four events after that, beside the pace, which stays as it was. Load.Speed returns what this router has learned, zero while unknown. An engine that restarts at its address inherits it as the pace. The dump shows it as TokenTimeMs and PrefillTokensPerMs.

Weighed: a time in BeginAttempt; RecordSent leaves its callers as they are.

Tests: go test and go test -race of registry, edge and relay pass, go test of gossip too.

--- a/internal/backend/registry/load.go
+++ b/internal/backend/registry/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wisteriafield/internal/base/ewma"
+	"wisteriafield/internal/decision/enginespeed"
 )
 
 // Weights of the newest value in the moving averages.
@@ -20,6 +21,8 @@
 	// paceSampleEvents is the number of events over which one pace sample is taken:
 	// single gaps are short where a link held events up.
 	paceSampleEvents = 8
+	// speedSampleEvents is the same for a sample of the speed, whose outliers do not count.
+	speedSampleEvents = 4
 
 	// downRounding rounds the remaining down time in a Share, so that the share does
 	// not change at each exchange with peers.
@@ -35,10 +38,11 @@
 	latency      time.Duration // moving average of the time to a service's answer
 	errorRate    float64       // moving average of failed or lost answers, 0 to 1
 	pace         time.Duration // moving average of the time between two events while nothing disturbs them
-	queuedTokens int           // prompt tokens of this router's attempts, not prefilled yet
-	usedTokens   int           // KV cache tokens of this router's attempts
-	backupTokens int           // KV cache tokens of backups that this router's attempts keep there
-	running      int           // this router's attempts
+	speed        enginespeed.Tracker
+	queuedTokens int // prompt tokens of this router's attempts, not prefilled yet
+	usedTokens   int // KV cache tokens of this router's attempts
+	backupTokens int // KV cache tokens of backups that this router's attempts keep there
+	running      int // this router's attempts
 	downUntil    time.Time
 	downShared   bool // peers are notified that the server is down
 	fullUntil    time.Time
@@ -79,6 +83,13 @@
 	}
 }
 
+// Speed returns the speed of an engine as far as the answers to this router's attempts show it.
+func (l *Load) Speed() enginespeed.Speed {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.speed.Speed()
+}
+
 // OwnShare returns this router's share of the load, which is sent to peers.
 func (l *Load) OwnShare(now time.Time) Share {
 	l.mu.Lock()
@@ -106,12 +117,13 @@
 	l.mu.Unlock()
 }
 
-// inherit copies what stays valid after the server has restarted: pace and latency.
+// inherit copies what stays valid after the server has restarted: pace, speed and latency.
 func (l *Load) inherit(previous *Load) {
 	previous.mu.Lock()
 	defer previous.mu.Unlock()
 	l.pace, l.latency = previous.pace, previous.latency
 	l.peers.PaceMs = previous.peers.PaceMs
+	l.speed = previous.speed.Restarted()
 }
 
 // BeginRequest counts a request to a service as in flight.
@@ -171,6 +183,11 @@
 	prefilled    bool      // the first event has arrived
 	sampleStart  time.Time // start of the current pace sample
 	sampleEvents int       // events of the current pace sample
+	alone        bool      // no other prompt was known to be queued at the beginning
+	sentAt       time.Time // zero if not known
+	speedStart   time.Time // start of the current speed sample
+	speedEvents  int       // events of the current speed sample
+	speedTokens  int       // output tokens of the current speed sample
 }
 
 // BeginAttempt counts an attempt of a generation as running. The engine has to prefill
@@ -178,18 +195,23 @@
 func (l *Load) BeginAttempt(queued, used int) *Attempt {
 	l.changes.Add(1)
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := &Attempt{load: l, queuedTokens: queued, usedTokens: used, alone: l.queuedTokens+l.peers.QueuedTokens == 0}
 	l.running++
 	l.queuedTokens += queued
 	l.usedTokens += used
-	l.mu.Unlock()
-	return &Attempt{load: l, queuedTokens: queued, usedTokens: used}
+	return a
 }
 
+// RecordSent records when the attempt was sent to the engine.
+func (a *Attempt) RecordSent(at time.Time) { a.sentAt = at }
+
 // RecordEvent records an event of the attempt, which adds tokens to the KV cache. The
 // first event shows that the prompt is prefilled.
 func (a *Attempt) RecordEvent(now time.Time, tokens int) {
 	a.load.mu.Lock()
 	defer a.load.mu.Unlock()
+	a.recordSpeed(now, tokens)
 	if !a.prefilled {
 		a.prefilled = true
 		a.load.changes.Add(1)
@@ -208,6 +230,22 @@
 	a.load.usedTokens += tokens
 }
 
+// recordSpeed records what an event shows of the engine's speed. The caller holds the lock.
+func (a *Attempt) recordSpeed(now time.Time, tokens int) {
+	if !a.prefilled {
+		if !a.sentAt.IsZero() {
+			a.load.speed.RecordFirstEvent(a.queuedTokens, now.Sub(a.sentAt), a.alone)
+		}
+		a.speedStart = now
+		return
+	}
+	a.speedTokens += tokens
+	if a.speedEvents++; a.speedEvents == speedSampleEvents {
+		a.load.speed.RecordEvents(a.speedTokens, now.Sub(a.speedStart))
+		a.speedStart, a.speedEvents, a.speedTokens = now, 0, 0
+	}
+}
+
 // End counts the attempt as ended.
 func (a *Attempt) End() {
 	a.load.changes.Add(1)
--- a/internal/backend/registry/registry_test.go
+++ b/internal/backend/registry/registry_test.go
@@ -9,6 +9,7 @@
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/enginespeed"
 	"wisteriafield/internal/decision/storehistory"
 )
 
@@ -89,6 +90,31 @@
 	g.Expect(l.State(time.Now()).Pace).To(Equal(20*time.Millisecond), "a share without a pace keeps the known one")
 }
 
+// The speed must not include the waits of a queue or the pauses of a prefill, and an engine that
+// restarts must not be unknown again.
+func TestLoadLearnsTheUndisturbedSpeed(t *testing.T) {
+	g := NewWithT(t)
+	r := registry.New()
+	r.Set(storehistory.Position{Revision: 1}, []server.Server{newServer("i-1", 5)})
+	l := r.Get("i-1").Load
+	g.Expect(l.Speed()).To(BeZero())
+	now := time.Unix(1_000, 0)
+	first, second := l.BeginAttempt(5000, 5000), l.BeginAttempt(5000, 5000)
+	first.RecordSent(now)
+	second.RecordSent(now)
+	for i := range 130 {
+		first.RecordEvent(now.Add(time.Second+time.Duration(i)*30*time.Millisecond), 5)
+	}
+	second.RecordEvent(now.Add(2*time.Second), 5)
+	resumed := l.BeginAttempt(0, 5000)
+	resumed.RecordSent(now)
+	resumed.RecordEvent(now.Add(20*time.Millisecond), 5)
+	want := enginespeed.Speed{TokenTime: 6 * time.Millisecond, PrefillTokensPerMs: 5}
+	g.Expect(l.Speed()).To(Equal(want))
+	r.Set(storehistory.Position{Revision: 2}, []server.Server{newServer("i-2", 9)})
+	g.Expect(r.Get("i-2").Load.Speed()).To(Equal(want))
+}
+
 // Peers decode a share and operators' tools read the state in dumps, so the encoded
 // names must not follow the Go names.
 func TestEncodedNamesStayTheSame(t *testing.T) {
--- a/internal/router/edge/admin.go
+++ b/internal/router/edge/admin.go
@@ -55,6 +55,9 @@
 	Domain  string
 	Leaving bool
 	State   registry.State
+	// The speed of an engine, as far as this router has learned it from its own attempts.
+	TokenTimeMs        float64 `json:",omitempty"`
+	PrefillTokensPerMs float64 `json:",omitempty"`
 }
 
 // Dump returns the state of this router.
@@ -70,8 +73,10 @@
 		d.ConfigSince = time.Unix(0, at)
 	}
 	for _, s := range e.servers.All() {
+		speed := s.Load.Speed()
 		d.Servers = append(d.Servers, ServerDump{
 			ID: s.ID, Service: s.Service, Address: s.Address, Domain: s.Domain, Leaving: s.Leaving || e.limits.Leaving(&s.Server), State: s.Load.State(now),
+			TokenTimeMs: speed.TokenTime.Seconds() * 1000, PrefillTokensPerMs: speed.PrefillTokensPerMs,
 		})
 	}
 	for _, l := range e.limits.Limits(now) {
--- a/internal/router/relay/relay_test.go
+++ b/internal/router/relay/relay_test.go
@@ -45,6 +45,19 @@
 	})
 }
 
+// An engine whose speed no stream taught would count as a typical one for ever.
+func TestAStreamTeachesTheSpeedOfItsEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.setFirstEngine(engineFaults{})
+		h.engines.eventCount = 40
+		h.serve(h.newRequest(0))
+		speed := h.servers.Get("i-0").Load.Speed()
+		h.Expect(speed.TokenTime).To(BeNumerically("~", h.engines.gap/6, time.Microsecond))
+		h.Expect(speed.PrefillTokensPerMs).To(BeNumerically("~", 5000/20.0, 1))
+	})
+}
+
 func TestAfterACrashStreamResumesFromBackupWithEachEventOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
--- a/internal/router/relay/run.go
+++ b/internal/router/relay/run.go
@@ -91,6 +91,7 @@
 	a.load = target.Load.BeginAttempt(queuedTokens, s.req.PromptTokens)
 	go s.readAnswer(a, dispatch)
 	a.sentAt = time.Now()
+	a.load.RecordSent(a.sentAt)
 	a.detector = suspicion.NewDetector(s.timeouts(), a.sentAt)
 	return a
 }
