front: requests wait for the first configuration of a router that has just started

Callers that came back to routers which had just been started, after all had been killed while the store was away, were refused at once with 503, which used up their last retry; the configuration arrived a second later.

Now such a request waits for an eighth of the time that its caller has left, at most 2 s, and is refused as before if there is no configuration by then. Its body is read meanwhile, within the memory for bodies, since callers abandon requests that are not read. Short calls wait for some 100 ms at most and are told to come back.

--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -81,6 +81,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	table := h.cfg.Table()
+	if table == nil {
+		var release func()
+		table, release = h.awaitTable(w, r, now)
+		defer release()
+	}
 	if table == nil {
 		h.refuseWithoutConfig(w, r, now)
 		return
