placing: routers of large fleets place attempts by the owners of engines

A router that does not know the loads of the others probed four engines for each choice, about 15 for each dispatched attempt, and chose from answers that many others got at the same moment. Now it asks two owners and its own table, takes the cheapest usable offer, and picks the backup's engine from the same offers. Without a usable offer, and where it has a part of an engine's request limit, it probes as before. Small fleets send nothing and choose as before.

A notice carries the whole state of an attempt, so begin, first event and repeat are one message and any of them may be lost. It goes to the owner that made the offer and to the one in the sender's view, so that no two views have to agree. Attempts have random numbers instead of the request's ID, which several attempts share. The message is encoded without the fields of an exchange. An owner that did not answer is not asked for 2 s; the growing backoff of placement.Suspects was weighed and left out, since the engines of an owner that is not asked get no work from this router.

Tests of internal/router/... and internal/decision/balance pass; placing also under the race detector.

--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -22,6 +22,8 @@
 	"wisteriafield/internal/caller/http1"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/answermemory"
+	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/enginetable"
 	"wisteriafield/internal/decision/link"
 	decision "wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/decision/retrybudget"
@@ -30,6 +32,7 @@
 	"wisteriafield/internal/router/discovery"
 	"wisteriafield/internal/router/forward"
 	"wisteriafield/internal/router/gossip"
+	"wisteriafield/internal/router/placing"
 	"wisteriafield/internal/router/quarantine"
 	"wisteriafield/internal/router/ratelimit"
 	"wisteriafield/internal/router/relay"
@@ -106,6 +109,7 @@
 	gossip          *gossip.Gossip
 	quarantine      *quarantine.Guard
 	limits          *ratelimit.Limiter
+	placing         *placing.Placing
 	datagrams       atomic.Pointer[gossip.Datagrams]
 	callerServer    *http.Server
 	callerConns     *http1.Conns
@@ -142,14 +146,19 @@
 		Self: cfg.Host, Peers: e.peerNames, Demand: retryBudget.Demand, ContactTime: cfg.ContactTime,
 	}, e.logger("limits"))
 	e.quarantine = quarantine.New(cfg.ContactTime, func() { e.gossip.Trigger() }, e.logger("quarantine"))
+	e.placing = placing.New(placing.Config{
+		Self: cfg.Host, Servers: e.servers, Limits: e.limits, Cost: engineCost,
+		Active: func() bool { return e.gossip.LargeFleet() }, Peers: func(now time.Time) []gossip.Host { return e.gossip.LivePeers(now) },
+		Send: func(address string, message []byte) error { return e.gossip.SendPlacement(address, message) }, Log: e.logger("placing"),
+	})
 	streams := relay.New(relay.Config{
 		Servers: e.servers, Client: cfg.Client, RetryBudget: retryBudget, Borrow: borrow,
-		Links: links, Domain: cfg.Domain, Sessions: e, Quarantine: e.quarantine, Limits: e.limits, Memory: cfg.AnswerMemory, OnUnresponsive: func() { e.gossip.Trigger() },
+		Links: links, Domain: cfg.Domain, Placement: e.placing, Sessions: e, Quarantine: e.quarantine, Limits: e.limits, Memory: cfg.AnswerMemory, OnUnresponsive: func() { e.gossip.Trigger() },
 		KnowsLoads: func() bool { return e.gossip.KnowsLoads(time.Now()) }, Log: e.logger("stream"),
 	})
 	e.gossip = gossip.New(gossip.Config{
 		Self: e.self, Seeds: cfg.Seeds, Caller: control.NewClient(""), Datagrams: e, State: e, Servers: e.servers,
-		Sessions: sessions.NewTable(), RetryBudget: retryBudget, Quarantine: e.quarantine, Limits: e.limits, EngineUnresponsive: streams.EngineUnresponsive, Log: e.logger("gossip"),
+		Sessions: sessions.NewTable(), RetryBudget: retryBudget, Quarantine: e.quarantine, Limits: e.limits, Placement: e.placing, EngineUnresponsive: streams.EngineUnresponsive, Log: e.logger("gossip"),
 	})
 	handler := front.New(front.Config{
 		Protocol:     cfg.Protocol,
@@ -175,6 +184,11 @@
 	return e
 }
 
+// engineCost is the cost by which this router offers the engines that it owns.
+func engineCost(e balance.Engine, _ enginetable.Speed, prompt, output int) float64 {
+	return balance.EngineCost(e, prompt, output)
+}
+
 func (e *Edge) logger(part string) *logrus.Entry { return e.log.WithField("part", part) }
 
 func (e *Edge) newServer(h http.Handler) *http.Server {
@@ -256,7 +270,7 @@
 	}
 	registrar := &discovery.Registrar{Store: e.cfg.Store, Key: hostsPrefix + e.cfg.Host, Value: value, ShouldList: e.shouldList, Era: e.follower.Era, Turn: e.listingTurn, Log: e.logger("store")}
 	receive := func(ctx context.Context) error { return datagrams.Run(ctx, e.gossip.Receive) }
-	return append(loops, e.gossip.Run, registrar.Run, receive), nil
+	return append(loops, e.gossip.Run, e.placing.Run, registrar.Run, receive), nil
 }
 
 // Send sends a datagram to a peer.
--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -37,6 +37,8 @@
 	RetryBudget RetryBudget
 	Quarantine  Quarantine
 	Limits      Limits
+	// Placement handles the placement messages of peers; nil to ignore them.
+	Placement interface{ Receive(message []byte) }
 	// EngineUnresponsive is called when a peer reports an engine as unresponsive.
 	EngineUnresponsive func(entry *registry.Entry)
 	Log                *logrus.Entry
@@ -291,5 +293,11 @@
 		g.cfg.Sessions.Put(*m.SessionRecord, time.Now())
 		return
 	}
+	if m.Placement != nil {
+		if g.cfg.Placement != nil {
+			g.cfg.Placement.Receive(m.Placement)
+		}
+		return
+	}
 	g.handle(m)
 }
--- a/internal/router/gossip/types.go
+++ b/internal/router/gossip/types.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"wisteriafield/internal/backend/registry"
@@ -69,6 +70,8 @@
 	// SessionRecord is a record for one of its owners. A message that has one
 	// carries nothing else.
 	SessionRecord *sessions.Record `json:"Run,omitempty"`
+	// Placement is a message of package placing. A message that has one carries nothing else.
+	Placement json.RawMessage `json:"Pl,omitempty"`
 }
 
 // configReply holds the configuration, or reports that the link is busy.
--- a/internal/router/gossip/wire_test.go
+++ b/internal/router/gossip/wire_test.go
@@ -35,6 +35,7 @@
 			`"Version":0,"Revision":0,"AgeMs":0,"ConfirmedMs":0,"ConfigAt":{"Era":2,"Revision":3}}`},
 		{gossip.Message{Attempts: map[string]retrybudget.Counts{"s": {}}}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},` +
 			`"Version":0,"Revision":0,"AgeMs":0,"Sends":{"s":{"Firsts":0,"Repeats":0}}}`},
+		{gossip.Message{Placement: []byte(`{"N":[]}`)}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},"Version":0,"Revision":0,"AgeMs":0,"Pl":{"N":[]}}`},
 		{gossip.Message{Era: 2, StoreEra: 3}, `{"Host":{"Name":"","Domain":"","Address":"","Notices":"","Started":0},"Version":0,"Revision":0,"Era":2,"StoreEra":3,"AgeMs":0}`},
 		{gossip.ConfigReply{Compressed: []byte("c"), Busy: true}, `{"Packed":"Yw==","Busy":true}`},
 		{gossip.ServersRequest{Revision: 1}, `{"Revision":1}`},
--- /dev/null
+++ b/internal/router/placing/message.go
@@ -0,0 +1,115 @@
+package placing
+
+import (
+	"encoding/json"
+	"time"
+
+	"wisteriafield/internal/decision/enginetable"
+)
+
+// maxMessageBytes keeps a datagram within one packet.
+const maxMessageBytes = 1400
+
+// message is a datagram to another router. It has one of its fields besides the sender.
+type message struct {
+	Question *question `json:"Q,omitempty"`
+	Answer   *answer   `json:"A,omitempty"`
+	Notices  []notice  `json:"N,omitempty"`
+}
+
+type question struct {
+	From     string   `json:"F"` // name of the sender
+	Number   uint64   `json:"N"`
+	Service  string   `json:"S"`
+	Prompt   int      `json:"P"`
+	Output   int      `json:"O"`
+	Capacity int      `json:"C,omitempty"`
+	Domain   string   `json:"D"`
+	Avoid    []string `json:"A,omitempty"`
+}
+
+type answer struct {
+	From   string  `json:"F"`
+	Number uint64  `json:"N"` // of the question
+	Offers []offer `json:"O,omitempty"`
+}
+
+type offer struct {
+	ID           string `json:"E"`
+	Started      int64  `json:"T,omitempty"`
+	Running      int    `json:"R,omitempty"`
+	QueuedTokens int    `json:"P,omitempty"`
+	UsedTokens   int    `json:"U,omitempty"`
+	Warming      bool   `json:"W,omitempty"`
+}
+
+// notice is the state of an attempt or a backup. One that repeats it is the same.
+type notice struct {
+	Attempt       uint64  `json:"I"`
+	ID            string  `json:"E"` // of the engine
+	Started       int64   `json:"T,omitempty"`
+	PrefillTokens int     `json:"P,omitempty"`
+	UsedTokens    int     `json:"U,omitempty"`
+	Backup        bool    `json:"B,omitempty"`
+	Ended         bool    `json:"X,omitempty"`
+	Question      uint64  `json:"Q,omitempty"` // that has been decided
+	TokenMicros   int     `json:"M,omitempty"` // with Ended: time per output token, if it was measured
+	PrefillPerMs  float64 `json:"R,omitempty"` // with Ended: prompt tokens prefilled per ms, if measured
+}
+
+func encodeNotice(a enginetable.Attempt) notice {
+	return notice{Attempt: a.ID, ID: a.Engine.ID, Started: a.Engine.Started, PrefillTokens: a.PrefillTokens, UsedTokens: a.UsedTokens, Backup: a.Backup}
+}
+
+func (n notice) attempt() enginetable.Attempt {
+	return enginetable.Attempt{ID: n.Attempt, Engine: n.engine(), PrefillTokens: max(0, n.PrefillTokens), UsedTokens: max(0, n.UsedTokens), Backup: n.Backup}
+}
+
+func (n notice) engine() enginetable.Key { return enginetable.Key{ID: n.ID, Started: n.Started} }
+
+// Receive handles a message of a peer. It must return soon: datagrams are received one at a time.
+func (p *Placing) Receive(encoded []byte) {
+	var m message
+	if err := json.Unmarshal(encoded, &m); err != nil {
+		p.cfg.Log.WithError(err).Info("invalid placement message ignored")
+		return
+	}
+	now := time.Now()
+	if len(m.Notices) > 0 {
+		p.mu.Lock()
+		for _, n := range m.Notices {
+			p.record(n, now)
+		}
+		p.mu.Unlock()
+	}
+	if m.Question != nil {
+		p.reply(*m.Question, now)
+	}
+	if m.Answer != nil {
+		p.deliver(*m.Answer)
+	}
+}
+
+// record records a notice in the table. The caller holds mu.
+func (p *Placing) record(n notice, now time.Time) {
+	if n.Question != 0 {
+		p.table.Withdraw(n.Question)
+	}
+	if !n.Ended {
+		p.table.Record(n.attempt(), now)
+		return
+	}
+	p.table.End(n.Attempt, n.engine(), now)
+	p.table.RecordSpeed(n.engine(), enginetable.Speed{TokenMicros: n.TokenMicros, PrefillPerMs: n.PrefillPerMs})
+}
+
+// send sends a message to a peer. A lost one is made up for by a timeout or a repeat.
+func (p *Placing) send(address string, m message) {
+	encoded, err := json.Marshal(m)
+	if err == nil {
+		err = p.cfg.Send(address, encoded)
+	}
+	if err != nil {
+		p.cfg.Log.WithField("address", address).WithError(err).Debug("cannot send placement message")
+	}
+}
--- a/internal/router/relay/backup.go
+++ b/internal/router/relay/backup.go
@@ -34,7 +34,7 @@
 	}
 	log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).WithField("address", target.Address).
 		WithField("config", s.req.ConfigVersion).WithField("servers", s.relay.cfg.Servers.Position().Revision).WithField("era", s.relay.cfg.Servers.Position().Era).WithField("prompt", s.req.PromptTokens).WithField("waiting", candidate.QueuedTokens).WithField("runs", candidate.Running).
-		WithField("memory", candidate.UsedTokens).WithField("paceMs", candidate.Pace.Milliseconds()).WithField("asked", s.choice.probed).WithField("after", s.lastEventID)
+		WithField("memory", candidate.UsedTokens).WithField("paceMs", candidate.Pace.Milliseconds()).WithField("asked", s.choice.probed).WithField("owners", s.choice.owners).WithField("offers", len(s.choice.offers)).WithField("offered", s.choice.offer.Owner).WithField("backupAsked", s.choice.backupProbed).WithField("after", s.lastEventID)
 	if backup != nil {
 		log = log.WithField("backup", backup.Address).WithField("backupID", backup.ID)
 	}
@@ -63,14 +63,18 @@
 			unlimited[e.Key()] = true
 		}
 	}
-	e := s.relay.choose(ctx, s.service, s.req, unlimited, target.Domain, s.lostDomain).entry
-	if e == nil && len(unlimited) > len(excluded) {
-		e = s.relay.choose(ctx, s.service, s.req, excluded, target.Domain, s.lostDomain).entry
+	c := s.chooseBackupOffered(unlimited, target.Domain, s.lostDomain)
+	if c.entry == nil {
+		c = s.relay.choose(ctx, s.service, s.req, unlimited, target.Domain, s.lostDomain)
 	}
-	if e != nil {
-		s.releaseBackupTokens = e.Load.ReserveBackup(s.req.PromptTokens)
+	if c.entry == nil && len(unlimited) > len(excluded) {
+		c = s.relay.choose(ctx, s.service, s.req, excluded, target.Domain, s.lostDomain)
 	}
-	return e
+	s.choice.backupProbed = c.probed
+	if c.entry != nil {
+		s.releaseBackupTokens = s.reserveBackup(c.entry, c.offer)
+	}
+	return c.entry
 }
 
 // backupExpiry returns when a backup whose last part arrived at a time may be deleted, or zero
--- a/internal/router/relay/metrics.go
+++ b/internal/router/relay/metrics.go
@@ -13,6 +13,7 @@
 	reconnectsTotal         = metrics.NewCounter("wisteriafield_callers_came_back_total")
 	domainChecksTotal       = metrics.NewCounter("wisteriafield_surveys_total")
 	probesTotal             = metrics.NewCounter("wisteriafield_engine_questions_total")
+	probedInsteadTotal      = metrics.NewCounter("wisteriafield_placement_probed_instead_total")
 	replacementBackupsTotal = metrics.NewCounter("wisteriafield_runs_copied_again_total")
 	firstEventSeconds       = metrics.NewHistogram("wisteriafield_first_event_seconds")
 	resumePauseSeconds      = metrics.NewHistogram("wisteriafield_resume_pause_seconds")
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -16,6 +16,7 @@
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/answermemory"
 	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/enginetable"
 	"wisteriafield/internal/decision/link"
 	"wisteriafield/internal/decision/suspicion"
 	"wisteriafield/internal/router/sessions"
@@ -101,9 +102,11 @@
 	// KnowsLoads reports whether the registry has the loads that all routers put on the
 	// engines. If not, some engines are probed for their load before one is chosen.
 	KnowsLoads func() bool
-	Links      *link.Health
-	Domain     string // failure domain of this router
-	Log        *logrus.Entry
+	// Placement finds engines where the loads are not known, without probes; nil to probe always.
+	Placement Placement
+	Links     *link.Health
+	Domain    string // failure domain of this router
+	Log       *logrus.Entry
 }
 
 // Relay serves the streams of this router's callers.
@@ -177,14 +180,26 @@
 	entry     *registry.Entry
 	candidate balance.Engine
 	probed    int // engines that were probed for their load
+	owners    int // owners that answered
+	// backupProbed is how many engines were probed to choose the backup's.
+	backupProbed int
+	offers       []enginetable.Offer
+	offer        enginetable.Offer // of the engine; empty if it was probed
 }
 
 // choose picks an engine; the choice has no entry if none can be used. While the loads
-// of other routers are not known, some engines are probed for their load first.
+// of other routers are not known, owners are asked for engines or, without a usable offer, some
+// engines are probed for their load first.
 func (r *Relay) choose(ctx context.Context, service *routes.Service, req *server.Request, excluded map[server.Key]bool, avoid ...string) choice {
 	entries, candidates := r.candidates(service, excluded)
 	var c choice
 	if service.Engine != nil && !r.cfg.KnowsLoads() {
+		if c = r.chooseOffered(ctx, service, req, entries, candidates, avoid); c.entry != nil {
+			return c
+		}
+		if r.cfg.Placement != nil {
+			probedInsteadTotal.Inc()
+		}
 		sample := balance.SampleEngines(candidates, req.PromptTokens, req.MaxOutputTokens, avoid, rand.Float64(), loadProbeCount)
 		entries, candidates = r.probeLoads(ctx, entries, candidates, sample, req.PromptTokens)
 		c.probed = len(sample)
--- a/internal/router/relay/replacement.go
+++ b/internal/router/relay/replacement.go
@@ -65,12 +65,13 @@
 				continue
 			}
 			excluded[backup.Key()] = true
-			engine = s.relay.choose(ctx, s.service, s.req, excluded, target.Domain, backup.Domain).entry
+			c := s.relay.choose(ctx, s.service, s.req, excluded, target.Domain, backup.Domain)
+			engine = c.entry
 			if engine == nil {
 				continue
 			}
 			excluded[engine.Key()] = true
-			defer engine.Load.ReserveBackup(s.req.PromptTokens)()
+			defer s.reserveBackup(engine, c.offer)()
 		}
 		if s.relay.lostOrRestarted(engine) {
 			backup, engine, nextCopyAt = engine, nil, time.Time{}
--- a/internal/router/relay/run.go
+++ b/internal/router/relay/run.go
@@ -33,6 +33,7 @@
 	answer      *server.Answer // nil until the engine begins to answer
 	replacement *replacementBackup
 	load        *registry.Attempt
+	placed      *placed
 	memory      *answermemory.Account // of the events that were read and not yet forwarded
 	reads       chan readResult
 	reports     chan server.Report
@@ -89,6 +90,7 @@
 		queuedTokens = 0
 	}
 	a.load = target.Load.BeginAttempt(queuedTokens, s.req.PromptTokens)
+	a.placed = s.place(target, queuedTokens, false, s.choice.offer)
 	go s.readAnswer(a, dispatch)
 	a.sentAt = time.Now()
 	a.load.RecordSent(a.sentAt)
@@ -100,6 +102,7 @@
 func (a *attempt) end() {
 	a.cancel()
 	a.load.End()
+	a.placed.end()
 	a.memory.Close()
 }
 
@@ -198,6 +201,7 @@
 	now := time.Now()
 	a.arrivals.ObserveEvent(now)
 	a.load.RecordEvent(now, s.eventTokens())
+	a.placed.recordEvent()
 	if got.event.ID == 0 && a.startEvent > 0 && s.lastEventID == a.startEvent {
 		return result{outcome: lost, reason: "resumed stream begins without an ID", backup: a.backup}, false
 	}
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -8,6 +8,7 @@
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/enginetable"
 	"wisteriafield/internal/decision/suspicion"
 )
 
@@ -58,7 +59,7 @@
 	}
 	s.releaseBackup()
 	if a.backup != nil {
-		s.releaseBackupTokens = a.backup.Load.ReserveBackup(s.req.PromptTokens)
+		s.releaseBackupTokens = s.reserveBackup(a.backup, enginetable.Offer{})
 	}
 	s.publishSession(a.target, a.backup)
 	s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", a.target.ID).WithField("event", s.lastEventID).
