placing: owners check the engines of a failure domain after a loss

After a loss each router probed up to twelve engines of the domain, up to 24 probes, so an engine was probed by all routers at once. Now the router tells two owners, the first one to hear of it tells the others, and each checks the engines that it owns. An owner that finds one down tells the routers whose attempts and backups its table names, so that their streams probe at once; gossip reaches only four peers for each exchange.

An owner that hears from one router that an engine is down offers it no more, but checks it before others are told: that router may be cut off from the engine. Sending each loss to all owners was weighed: with 340 routers and 64 groups it is 850 datagrams a second at each owner, by calculation.

Tests of placing, relay, edge, gossip and enginetable pass; placing, and relay's tests of offers, also under the race detector.

--- a/internal/decision/enginetable/table.go
+++ b/internal/decision/enginetable/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 )
 
@@ -31,6 +32,7 @@
 	PrefillTokens int // that the engine has not prefilled yet
 	UsedTokens    int // of the KV cache
 	Backup        bool
+	Router        string // that runs it
 }
 
 // Speed is what a router measured of an engine. Zero means unknown.
@@ -93,6 +95,17 @@
 	return t.loads[engine]
 }
 
+// Routers returns the routers that have attempts or backups at an engine.
+func (t *Table) Routers(engine Key) []string {
+	var names []string
+	for element := t.order.Front(); element != nil; element = element.Next() {
+		if e := element.Value.(*entry); e.Engine == engine && !e.ended && !slices.Contains(names, e.Router) {
+			names = append(names, e.Router)
+		}
+	}
+	return names
+}
+
 // Record records the state of an attempt that has begun, has got its first event, or goes on.
 func (t *Table) Record(a Attempt, now time.Time) {
 	t.expire(now)
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -146,12 +146,13 @@
 		Self: cfg.Host, Peers: e.peerNames, Demand: retryBudget.Demand, ContactTime: cfg.ContactTime,
 	}, e.logger("limits"))
 	e.quarantine = quarantine.New(cfg.ContactTime, func() { e.gossip.Trigger() }, e.logger("quarantine"))
+	var streams *relay.Relay
 	e.placing = placing.New(placing.Config{
-		Self: cfg.Host, Servers: e.servers, Limits: e.limits, Cost: engineCost,
+		Self: cfg.Host, Servers: e.servers, Limits: e.limits, Cost: engineCost, Checks: engineChecks{func() *relay.Relay { return streams }},
 		Active: func() bool { return e.gossip.LargeFleet() }, Peers: func(now time.Time) []gossip.Host { return e.gossip.LivePeers(now) },
 		Send: func(address string, message []byte) error { return e.gossip.SendPlacement(address, message) }, Log: e.logger("placing"),
 	})
-	streams := relay.New(relay.Config{
+	streams = relay.New(relay.Config{
 		Servers: e.servers, Client: cfg.Client, RetryBudget: retryBudget, Borrow: borrow,
 		Links: links, Domain: cfg.Domain, Placement: e.placing, Sessions: e, Quarantine: e.quarantine, Limits: e.limits, Memory: cfg.AnswerMemory, OnUnresponsive: func() { e.gossip.Trigger() },
 		KnowsLoads: func() bool { return e.gossip.KnowsLoads(time.Now()) }, Log: e.logger("stream"),
@@ -184,6 +185,13 @@
 	return e
 }
 
+// engineChecks are those of the relay, which is made after the placing that uses them.
+type engineChecks struct{ relay func() *relay.Relay }
+
+func (c engineChecks) CheckEngines(engines []*registry.Entry) { c.relay().CheckEngines(engines) }
+
+func (c engineChecks) EngineUnresponsive(e *registry.Entry) { c.relay().EngineUnresponsive(e) }
+
 // engineCost is the cost by which this router offers the engines that it owns.
 func engineCost(e balance.Engine, _ enginetable.Speed, prompt, output int) float64 {
 	return balance.EngineCost(e, prompt, output)
--- a/internal/router/placing/message.go
+++ b/internal/router/placing/message.go
@@ -10,11 +10,14 @@
 // maxMessageBytes keeps a datagram within one packet.
 const maxMessageBytes = 1400
 
-// message is a datagram to another router. It has one of its fields besides the sender.
+// message is a datagram to another router. Besides From, it has one of its fields.
 type message struct {
 	Question *question `json:"Q,omitempty"`
 	Answer   *answer   `json:"A,omitempty"`
 	Notices  []notice  `json:"N,omitempty"`
+	From     string    `json:"F,omitempty"` // name of the sender of notices
+	Loss     *loss     `json:"L,omitempty"`
+	Down     *down     `json:"W,omitempty"`
 }
 
 type question struct {
@@ -78,7 +81,7 @@
 	if len(m.Notices) > 0 {
 		p.mu.Lock()
 		for _, n := range m.Notices {
-			p.record(n, now)
+			p.record(n, m.From, now)
 		}
 		p.mu.Unlock()
 	}
@@ -88,15 +91,23 @@
 	if m.Answer != nil {
 		p.deliver(*m.Answer)
 	}
+	if m.Loss != nil {
+		p.handleLoss(*m.Loss, now)
+	}
+	if m.Down != nil {
+		p.handleDown(*m.Down, now)
+	}
 }
 
-// record records a notice in the table. The caller holds mu.
-func (p *Placing) record(n notice, now time.Time) {
+// record records a notice of a router in the table. The caller holds mu.
+func (p *Placing) record(n notice, from string, now time.Time) {
 	if n.Question != 0 {
 		p.table.Withdraw(n.Question)
 	}
 	if !n.Ended {
-		p.table.Record(n.attempt(), now)
+		a := n.attempt()
+		a.Router = from
+		p.table.Record(a, now)
 		return
 	}
 	p.table.End(n.Attempt, n.engine(), now)
--- a/internal/router/placing/metrics.go
+++ b/internal/router/placing/metrics.go
@@ -7,6 +7,7 @@
 	answersTotal      = metrics.NewCounter("wisteriafield_placement_answers_total")
 	timeoutsTotal     = metrics.NewCounter("wisteriafield_placement_timeouts_total")
 	offersMadeTotal   = metrics.NewCounter("wisteriafield_placement_offers_made_total")
+	lossChecksTotal   = metrics.NewCounter("wisteriafield_placement_loss_checks_total")
 	noticesSentTotal  = metrics.NewCounter("wisteriafield_placement_notices_total")
 	tableEntries      = metrics.NewGauge("wisteriafield_placement_table_entries", nil)
 	runningReportable = metrics.NewGauge("wisteriafield_placement_running", nil)
--- a/internal/router/placing/placing.go
+++ b/internal/router/placing/placing.go
@@ -29,6 +29,7 @@
 	Servers *registry.Registry
 	Limits  Limits
 	Cost    enginetable.Cost
+	Checks  EngineChecks
 	// Active reports whether the fleet is too large for every router to know all loads.
 	Active func() bool
 	// Peers returns the live peers.
@@ -49,8 +50,10 @@
 	names     []string // of the live routers, sorted
 	namesAt   time.Time
 	running   map[uint64]*running
-	waiting   map[uint64]chan answer // by the number of the question
-	silent    map[string]time.Time   // until when owners that did not answer are not asked
+	waiting   map[uint64]chan answer        // by the number of the question
+	silent    map[string]time.Time          // until when owners that did not answer are not asked
+	lossAt    map[string]time.Time          // when the domain of a service was checked last
+	excluded  map[enginetable.Key]time.Time // until when engines that a router reported as down are not offered
 }
 
 // New returns a Placing.
@@ -58,6 +61,7 @@
 	return &Placing{
 		cfg: cfg, table: enginetable.New(cfg.Cost), views: make(map[string]*view),
 		running: make(map[uint64]*running), waiting: make(map[uint64]chan answer), silent: make(map[string]time.Time),
+		lossAt: make(map[string]time.Time), excluded: make(map[enginetable.Key]time.Time),
 	}
 }
 
--- a/internal/router/placing/placing_test.go
+++ b/internal/router/placing/placing_test.go
@@ -26,6 +26,8 @@
 	*WithT
 	t       *testing.T
 	routers map[string]*placing.Placing
+	servers map[string]*registry.Registry
+	checks  map[string]*checks
 	dead    map[string]bool
 	small   atomic.Bool
 	mu      sync.Mutex
@@ -38,20 +40,55 @@
 func (noLimits) Allows(*server.Server, time.Time) bool  { return true }
 func (noLimits) Limited(*server.Server, time.Time) bool { return false }
 
+// checks records checks of engines. They are called one at a time.
+type checks struct {
+	mu      sync.Mutex
+	checked []string
+	told    []string
+}
+
+func (c *checks) CheckEngines(engines []*registry.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range engines {
+		c.checked = append(c.checked, e.ID)
+	}
+}
+
+func (c *checks) EngineUnresponsive(e *registry.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told = append(c.told, e.ID)
+}
+
+// checkedBy returns the engines that were checked, by router.
+func (f *fleet) checkedBy() map[string][]string {
+	all := make(map[string][]string)
+	for name, c := range f.checks {
+		c.mu.Lock()
+		if len(c.checked) > 0 {
+			all[name], c.checked = c.checked, nil
+		}
+		c.mu.Unlock()
+	}
+	return all
+}
+
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{WithT: NewWithT(t), t: t, routers: map[string]*placing.Placing{}, dead: map[string]bool{}}
-	servers := registry.New()
+	f := &fleet{WithT: NewWithT(t), t: t, routers: map[string]*placing.Placing{}, dead: map[string]bool{}, servers: map[string]*registry.Registry{}, checks: map[string]*checks{}}
 	var all []server.Server
 	for i := range 48 {
 		all = append(all, server.Server{ID: fmt.Sprintf("i-%03d", i), Service: "engines", Domain: string(rune('a' + i%3)), Slots: 48, Started: 1_790_000_000_000})
 	}
-	servers.Set(storehistory.Position{Revision: 1}, all)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i := range 12 {
 		name := fmt.Sprint("r-", i)
+		servers := registry.New()
+		servers.Set(storehistory.Position{Revision: 1}, all)
+		f.servers[name], f.checks[name] = servers, &checks{}
 		f.routers[name] = placing.New(placing.Config{
-			Self: name, Servers: servers, Limits: noLimits{}, Active: func() bool { return !f.small.Load() }, Send: f.send, Log: log.WithField("part", "placing"),
+			Self: name, Servers: servers, Limits: noLimits{}, Checks: f.checks[name], Active: func() bool { return !f.small.Load() }, Send: f.send, Log: log.WithField("part", "placing"),
 			Cost:  func(e balance.Engine, _ enginetable.Speed, p, o int) float64 { return balance.EngineCost(e, p, o) },
 			Peers: func(time.Time) []gossip.Host { return f.peers() },
 		})
--- a/internal/router/placing/running.go
+++ b/internal/router/placing/running.go
@@ -86,7 +86,7 @@
 	for _, name := range []string{r.owner, owner} {
 		switch {
 		case name == p.cfg.Self:
-			p.record(n, now)
+			p.record(n, p.cfg.Self, now)
 		case p.addresses[name] != "":
 			to = append(to, addressed{p.addresses[name], n})
 		}
@@ -116,7 +116,7 @@
 func (p *Placing) sendAll(notices []addressed) {
 	noticesSentTotal.Add(len(notices))
 	if len(notices) == 1 {
-		p.send(notices[0].address, message{Notices: []notice{notices[0].notice}})
+		p.send(notices[0].address, message{From: p.cfg.Self, Notices: []notice{notices[0].notice}})
 		return
 	}
 	byAddress := make(map[string][]notice)
@@ -125,6 +125,7 @@
 	}
 	for address, all := range byAddress {
 		for _, m := range split(all) {
+			m.From = p.cfg.Self
 			p.send(address, m)
 		}
 	}
@@ -132,7 +133,7 @@
 
 // split returns messages of at most maxMessageBytes with the notices.
 func split(notices []notice) []message {
-	const overhead = 32 // of a datagram around its notices
+	const overhead = 100 // of a datagram around its notices, with the name of a router
 	var messages []message
 	size := maxMessageBytes
 	for _, n := range notices {
--- a/internal/router/placing/view.go
+++ b/internal/router/placing/view.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		st := e.Load.State(now)
-		if st.Down || st.Full {
+		if st.Down || st.Full || now.Before(p.excluded[keyOf(e.Key())]) {
 			continue
 		}
 		all = append(all, enginetable.Candidate{
--- a/internal/router/relay/domaincheck.go
+++ b/internal/router/relay/domaincheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,13 +49,25 @@
 	if !r.domainChecks.tryStart(lostEngine.Service+" "+lostEngine.Domain, now) {
 		return
 	}
+	if r.cfg.Placement != nil && r.cfg.Placement.ReportLoss(&lostEngine.Server) {
+		return // owners check them
+	}
 	domainChecksTotal.Inc()
 	var engines []*registry.Entry
 	for _, e := range r.cfg.Servers.Service(lostEngine.Service) {
-		if e.Domain == lostEngine.Domain && !e.Load.State(now).Down && !r.cfg.Limits.Paused(&e.Server, now) {
+		if e.Domain == lostEngine.Domain {
 			engines = append(engines, e)
 		}
 	}
+	r.CheckEngines(engines)
+}
+
+// CheckEngines probes some of the engines that are not known to be down or to want no requests.
+func (r *Relay) CheckEngines(engines []*registry.Entry) {
+	now := time.Now()
+	engines = slices.DeleteFunc(slices.Clone(engines), func(e *registry.Entry) bool {
+		return e.Load.State(now).Down || r.cfg.Limits.Paused(&e.Server, now)
+	})
 	rand.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
 	for _, e := range engines[:min(len(engines), maxEnginesChecked)] {
 		go r.checkEngine(e)
@@ -69,6 +82,15 @@
 	}
 }
 
+// markDown keeps new work away from a server. A service without engines has no owners.
+func (s *stream) markDown(e *registry.Entry, until time.Time) {
+	if s.service.Engine == nil {
+		e.Load.MarkDownAndShare(until)
+		return
+	}
+	s.relay.markDown(e, until)
+}
+
 // checkEngine probes an engine and, if it is unresponsive, marks it as down and notifies
 // streams and peers.
 func (r *Relay) checkEngine(e *registry.Entry) {
@@ -79,12 +101,20 @@
 	if e.Load.State(now).Down {
 		return
 	}
-	e.Load.MarkDownAndShare(now.Add(unresponsiveBackoff))
+	r.markDown(e, now.Add(unresponsiveBackoff))
 	r.cfg.Log.WithField("server", e.ID).WithField("domain", e.Domain).Info("engine is unresponsive")
 	r.listeners.notify(e.Domain, now)
 	r.cfg.OnUnresponsive()
 }
 
+// markDown keeps new work away from an engine and tells peers, its owner first.
+func (r *Relay) markDown(e *registry.Entry, until time.Time) {
+	e.Load.MarkDownAndShare(until)
+	if r.cfg.Placement != nil {
+		r.cfg.Placement.ReportDown(&e.Server, until)
+	}
+}
+
 // answersProbes reports whether an engine answers one of maxFailedProbes probes.
 func (r *Relay) answersProbes(ctx context.Context, e *registry.Entry) bool {
 	for range maxFailedProbes {
--- a/internal/router/relay/offers.go
+++ b/internal/router/relay/offers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
@@ -17,6 +18,8 @@
 	Begin(a enginetable.Attempt, o enginetable.Offer) (id uint64)
 	FirstEvent(id uint64)
 	End(id uint64, s enginetable.Speed)
+	ReportLoss(s *server.Server) bool
+	ReportDown(s *server.Server, until time.Time)
 }
 
 // chooseOffered asks owners and picks the cheapest usable offer. The choice has no entry if there
--- a/internal/router/relay/offers_test.go
+++ b/internal/router/relay/offers_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/decision/enginetable"
 	"wisteriafield/internal/router/relay"
 )
@@ -21,6 +22,8 @@
 	begun  []enginetable.Attempt
 	by     []string // owner of each begun attempt's offer
 	first  int
+	losses int
+	down   []string
 	ended  map[uint64]bool
 }
 
@@ -50,6 +53,19 @@
 	o.ended[id] = true
 }
 
+func (o *fakeOwners) ReportLoss(*server.Server) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.losses++
+	return true
+}
+
+func (o *fakeOwners) ReportDown(s *server.Server, _ time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.down = append(o.down, s.ID)
+}
+
 func (h *harness) ownersOffer(ids ...string) *fakeOwners {
 	o := &fakeOwners{ended: map[uint64]bool{}}
 	for i, id := range ids {
@@ -110,7 +126,7 @@
 func TestResumedAttemptIsNotifiedWithoutAnOffer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t)
-		o := h.ownersOffer("i-1", "i-2")
+		o := h.ownersOffer("i-1", "i-2", "i-0")
 		h.engines.faults["i-1"] = engineFaults{breakAfter: 5}
 		res, _ := h.serve(h.newRequest(0))
 		synctest.Wait()
@@ -120,5 +136,7 @@
 		h.Expect(last).To(Equal(enginetable.Attempt{Engine: enginetable.Key{ID: "i-2"}, UsedTokens: 5120}))
 		h.Expect(o.by[len(o.by)-1]).To(BeEmpty())
 		h.Expect(o.ended).To(HaveLen(len(o.begun)))
+		h.Expect(o.losses).To(Equal(1))
+		h.Expect(h.engines.probes).To(BeZero(), "owners check the domain")
 	})
 }
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -112,7 +112,7 @@
 // recordUnresponsive keeps new work away from an engine that does not answer probes, and
 // notifies the streams of its failure domain and the peers.
 func (s *stream) recordUnresponsive(target *registry.Entry, now time.Time) {
-	target.Load.MarkDownAndShare(now.Add(unresponsiveBackoff))
+	s.markDown(target, now.Add(unresponsiveBackoff))
 	s.relay.listeners.notify(target.Domain, now)
 	s.relay.cfg.OnUnresponsive()
 }
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -96,7 +96,7 @@
 		case r.replaced:
 			// That incarnation does not return, but its entry stays listed for a while.
 			s.excluded[target.Key()] = true
-			target.Load.MarkDownAndShare(now.Add(replacedBackoff))
+			s.markDown(target, now.Add(replacedBackoff))
 		case restoreFrom != nil: // only the backup was missing
 		default:
 			s.refusals++
@@ -106,7 +106,7 @@
 	case notSent:
 		s.excluded[target.Key()] = true
 		if !r.unanswered {
-			target.Load.MarkDownAndShare(now.Add(unresponsiveBackoff))
+			s.markDown(target, now.Add(unresponsiveBackoff))
 		}
 		s.checkDomain(target, now)
 	case lost:
