placing: offers carry the owner's cost

A router that compares offers by its own cost function needs what the owner measured of each engine's speed. An offer now has the cost by which the owner ranked it, and the router adds what it knows better: stalls of its link and its own lost attempts.

The simulation compares offers in the same way.

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 # A fuzz target for each parser of bytes from outside.
 FUZZTIME ?= 1m
 FUZZ = internal/base/jsonwalk/FuzzEachElement internal/config/document/FuzzParse internal/decision/generation/FuzzParseEventID internal/backend/sse/FuzzNext \
-	platform/FuzzDecodeConfig platform/FuzzDecodeServer platform/FuzzDecodeRequest platform/kv/FuzzRange internal/router/gossip/FuzzReceive internal/router/gossip/FuzzDecodeHost
+	platform/FuzzDecodeConfig platform/FuzzDecodeServer platform/FuzzDecodeRequest platform/kv/FuzzRange internal/router/gossip/FuzzReceive internal/router/placing/FuzzReceive internal/router/gossip/FuzzDecodeHost
 
 fuzz:
 	@for t in $(FUZZ); do $(GO) test ./$$(dirname $$t) -run '^$$' -fuzz "^$$(basename $$t)$$" -fuzztime $(FUZZTIME) -parallel 2 || exit 1; done
--- a/internal/decision/enginetable/fleet_test.go
+++ b/internal/decision/enginetable/fleet_test.go
@@ -1,6 +1,7 @@
 package enginetable_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -130,7 +131,6 @@
 	if f.tables[name] != nil {
 		asked = append(asked, name)
 	}
-	var candidates []balance.Engine
 	var offers []enginetable.Offer
 	q := enginetable.Question{Number: f.Uint64(), Prompt: prompt, Output: output, Capacity: 55000, Domain: domainOf(name)}
 	for _, owner := range asked {
@@ -143,15 +143,13 @@
 		}
 		for _, o := range made {
 			o.Owner = owner
-			c := f.engines[f.index(o.Engine)].candidate(name)
-			c.Running, c.QueuedTokens, c.UsedTokens = o.Running, o.QueuedTokens, o.UsedTokens
-			offers, candidates = append(offers, o), append(candidates, c)
+			offers = append(offers, o)
 		}
 	}
 	if len(offers) == 0 {
 		return f.probe(router)
 	}
-	o := offers[balance.PickEngine(candidates, prompt, output, nil, f.Float64())]
+	o := slices.MinFunc(offers, func(a, b enginetable.Offer) int { return cmp.Compare(a.Cost, b.Cost) })
 	f.after(2*time.Millisecond, func() { f.tables[o.Owner].Withdraw(q.Number) })
 	return f.index(o.Engine)
 }
--- a/internal/decision/enginetable/offer.go
+++ b/internal/decision/enginetable/offer.go
@@ -32,6 +32,7 @@
 type Offer struct {
 	Engine Key
 	Load
+	Cost     float64 // in ms, as the owner knows the engine
 	Warming  bool
 	Owner    string // who made the offer
 	Question uint64
@@ -76,9 +77,9 @@
 		second = cheapest(usable, costs, func(c Candidate) bool { return c.Engine.Domain != domain })
 	}
 	// The second one is most likely taken for the backup, which uses its KV cache only.
-	offers := []Offer{t.offer(q, usable[best], Load{Running: 1, QueuedTokens: q.Prompt, UsedTokens: q.Prompt + q.Output}, now)}
+	offers := []Offer{t.offer(q, usable[best], costs[best], Load{Running: 1, QueuedTokens: q.Prompt, UsedTokens: q.Prompt + q.Output}, now)}
 	if second >= 0 {
-		offers = append(offers, t.offer(q, usable[second], Load{UsedTokens: q.Prompt}, now))
+		offers = append(offers, t.offer(q, usable[second], costs[second], Load{UsedTokens: q.Prompt}, now))
 	}
 	return offers
 }
@@ -94,8 +95,8 @@
 	}
 }
 
-func (t *Table) offer(q Question, c Candidate, counts Load, now time.Time) Offer {
-	o := Offer{Engine: c.Key, Load: t.loads[c.Key], Warming: c.Warming, Question: q.Number}
+func (t *Table) offer(q Question, c Candidate, cost float64, counts Load, now time.Time) Offer {
+	o := Offer{Engine: c.Key, Load: t.loads[c.Key], Cost: cost, Warming: c.Warming, Question: q.Number}
 	t.offers.PushBack(&offered{question: q.Number, engine: c.Key, load: counts, expiresAt: now.Add(offerTTL)})
 	t.add(c.Key, counts, 1)
 	return o
--- a/internal/router/placing/ask.go
+++ b/internal/router/placing/ask.go
@@ -85,7 +85,7 @@
 	var offers []enginetable.Offer
 	for _, o := range a.Offers {
 		offers = append(offers, enginetable.Offer{
-			Engine: enginetable.Key{ID: o.ID, Started: o.Started}, Warming: o.Warming, Owner: a.From, Question: a.Number,
+			Engine: enginetable.Key{ID: o.ID, Started: o.Started}, Cost: float64(o.CostMs), Warming: o.Warming, Owner: a.From, Question: a.Number,
 			Load: enginetable.Load{Running: max(0, o.Running), QueuedTokens: max(0, o.QueuedTokens), UsedTokens: max(0, o.UsedTokens)},
 		})
 	}
@@ -143,7 +143,7 @@
 	offersMadeTotal.Add(len(offers))
 	a := &answer{From: p.cfg.Self, Number: q.Number}
 	for _, o := range offers {
-		a.Offers = append(a.Offers, offer{ID: o.Engine.ID, Started: o.Engine.Started, Running: o.Running, QueuedTokens: o.QueuedTokens, UsedTokens: o.UsedTokens, Warming: o.Warming})
+		a.Offers = append(a.Offers, offer{ID: o.Engine.ID, Started: o.Engine.Started, Running: o.Running, QueuedTokens: o.QueuedTokens, UsedTokens: o.UsedTokens, CostMs: int(o.Cost), Warming: o.Warming})
 	}
 	p.send(address, message{Answer: a})
 }
--- a/internal/router/placing/message.go
+++ b/internal/router/placing/message.go
@@ -43,6 +43,7 @@
 	Running      int    `json:"R,omitempty"`
 	QueuedTokens int    `json:"P,omitempty"`
 	UsedTokens   int    `json:"U,omitempty"`
+	CostMs       int    `json:"C,omitempty"`
 	Warming      bool   `json:"W,omitempty"`
 }
 
--- a/internal/router/relay/offers.go
+++ b/internal/router/relay/offers.go
@@ -50,8 +50,7 @@
 			byKey[enginetable.Key(e.Key())] = i
 		}
 	}
-	var usable []balance.Engine
-	var usableOffers []enginetable.Offer
+	lowest := 0.0
 	for _, o := range offers {
 		i := byKey[o.Engine]
 		if i < 0 {
@@ -62,10 +61,9 @@
 		if e.Down || e.Domain != "" && slices.Contains(avoid, e.Domain) || !balance.HasRoom(e, req.PromptTokens, req.MaxOutputTokens) {
 			continue
 		}
-		usable, usableOffers = append(usable, e), append(usableOffers, o)
-	}
-	if i := balance.PickEngine(usable, req.PromptTokens, req.MaxOutputTokens, nil, 0); i >= 0 {
-		c.entry, c.candidate, c.offer = entries[byKey[usableOffers[i].Engine]], usable[i], usableOffers[i]
+		if cost := o.Cost + balance.RouterCost(e); c.entry == nil || cost < lowest {
+			c.entry, c.candidate, c.offer, lowest = entries[i], e, o, cost
+		}
 	}
 	return c
 }
--- a/internal/router/relay/offers_test.go
+++ b/internal/router/relay/offers_test.go
@@ -69,7 +69,7 @@
 func (h *harness) ownersOffer(ids ...string) *fakeOwners {
 	o := &fakeOwners{ended: map[uint64]bool{}}
 	for i, id := range ids {
-		o.offers = append(o.offers, enginetable.Offer{Engine: enginetable.Key{ID: id}, Owner: "owner", Load: enginetable.Load{QueuedTokens: 5000 * i}})
+		o.offers = append(o.offers, enginetable.Offer{Engine: enginetable.Key{ID: id}, Owner: "owner", Cost: float64(1000 * i)})
 	}
 	h.loadsUnknown, h.cfg.Placement = true, o
 	h.relay = relay.New(h.cfg)
