placing: bound the output that an attempt counts for, count the bytes sent

An attempt counted for the caller's stated maximum of output in the owner's table. Callers may state any number, and one such request would have kept its engine out of all offers. It counts for at most a tenth of the engine's KV cache now.

--- a/internal/router/placing/message.go
+++ b/internal/router/placing/message.go
@@ -119,6 +119,7 @@
 func (p *Placing) send(address string, m message) {
 	encoded, err := json.Marshal(m)
 	if err == nil {
+		bytesSentTotal.Add(len(encoded))
 		err = p.cfg.Send(address, encoded)
 	}
 	if err != nil {
--- a/internal/router/relay/offers.go
+++ b/internal/router/relay/offers.go
@@ -68,6 +68,10 @@
 	return c
 }
 
+// maxOutputFraction bounds the output that an attempt counts for by a fraction of its engine's KV
+// cache. Callers may state any maximum, and one request must not make its engine look full.
+const maxOutputFraction = 10
+
 // placed is an attempt or a backup that owners were notified of. It is nil for others.
 type placed struct {
 	placement Placement
@@ -84,7 +88,7 @@
 	}
 	a := enginetable.Attempt{Engine: enginetable.Key(e.Key()), PrefillTokens: prefillTokens, UsedTokens: s.req.PromptTokens, Backup: backup}
 	if !backup {
-		a.UsedTokens += s.req.MaxOutputTokens
+		a.UsedTokens += min(s.req.MaxOutputTokens, s.service.Engine.MemoryTokens/maxOutputFraction)
 	}
 	if enginetable.Key(e.Key()) != offer.Engine {
 		offer = enginetable.Offer{}
--- a/internal/router/relay/offers_test.go
+++ b/internal/router/relay/offers_test.go
@@ -121,6 +121,18 @@
 	}
 }
 
+// A caller who states a huge maximum of output must not keep other requests from its engine.
+func TestStatedOutputDoesNotFillAnEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		o := h.ownersOffer()
+		req := h.newRequest(0)
+		req.MaxOutputTokens, req.Deadline = 40_000, time.Now().Add(time.Hour)
+		h.serve(req)
+		h.Expect(o.begun[len(o.begun)-1].UsedTokens).To(Equal(5000 + 5500))
+	})
+}
+
 // An attempt that resumes from a backup has no offer; its owner hears of it all the same, without
 // a prompt to prefill.
 func TestResumedAttemptIsNotifiedWithoutAnOffer(t *testing.T) {
