placing: owners place by the expected completion, with speeds of all routers

Routers report the speed that they have measured of an engine with the end of an attempt. Its owner offers engines by balance.FinishCost with the median of the newest five reports and its own; an engine that nobody has measured counts as the median of the others. What is known of an engine's speed is kept when another incarnation starts at its address.

--- a/internal/backend/registry/load.go
+++ b/internal/backend/registry/load.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,7 +47,8 @@
 	downUntil    time.Time
 	downShared   bool // peers are notified that the server is down
 	fullUntil    time.Time
-	peers        Share // sum of the other routers' shares
+	peers        Share               // sum of the other routers' shares
+	peerSpeeds   []enginespeed.Speed // the newest that peers have measured
 }
 
 // State is a snapshot of a Load, with the shares of all routers added up.
@@ -83,13 +85,6 @@
 	}
 }
 
-// Speed returns the speed of an engine as far as the answers to this router's attempts show it.
-func (l *Load) Speed() enginespeed.Speed {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.speed.Speed()
-}
-
 // OwnShare returns this router's share of the load, which is sent to peers.
 func (l *Load) OwnShare(now time.Time) Share {
 	l.mu.Lock()
@@ -121,7 +116,7 @@
 func (l *Load) inherit(previous *Load) {
 	previous.mu.Lock()
 	defer previous.mu.Unlock()
-	l.pace, l.latency = previous.pace, previous.latency
+	l.pace, l.latency, l.peerSpeeds = previous.pace, previous.latency, slices.Clone(previous.peerSpeeds)
 	l.peers.PaceMs = previous.peers.PaceMs
 	l.speed = previous.speed.Restarted()
 }
--- a/internal/decision/enginetable/fleet_test.go
+++ b/internal/decision/enginetable/fleet_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/enginespeed"
 	"wisteriafield/internal/decision/enginetable"
 )
 
@@ -74,7 +75,7 @@
 	}
 	f.view = enginetable.NewView("engines", enginetable.GroupCount(len(f.engines), 0), f.names)
 	for _, name := range f.view.Names() {
-		f.tables[name] = enginetable.New(func(e balance.Engine, _ enginetable.Speed, prompt, output int) float64 {
+		f.tables[name] = enginetable.New(func(e balance.Engine, _ enginespeed.Speed, prompt, output int) float64 {
 			return balance.EngineCost(e, prompt, output)
 		})
 	}
--- a/internal/decision/enginetable/offer.go
+++ b/internal/decision/enginetable/offer.go
@@ -6,10 +6,11 @@
 	"time"
 
 	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/enginespeed"
 )
 
 // Cost is the cost of placing an attempt at an engine of a speed.
-type Cost func(e balance.Engine, s Speed, prompt, output int) float64
+type Cost func(e balance.Engine, s enginespeed.Speed, prompt, output int) float64
 
 // Question asks an owner for engines.
 type Question struct {
@@ -25,7 +26,8 @@
 type Candidate struct {
 	Key     Key
 	Engine  balance.Engine // its load is filled in from the table
-	Warming bool           // the owner may not know all attempts there yet
+	Speed   enginespeed.Speed
+	Warming bool // the owner may not know all attempts there yet
 }
 
 // Offer is an engine that an owner offers, with its load.
@@ -52,6 +54,7 @@
 	t.expire(now)
 	usable := make([]Candidate, 0, len(candidates))
 	costs := make([]float64, 0, len(candidates))
+	median := medianSpeed(candidates)
 	for _, c := range candidates {
 		l := t.loads[c.Key]
 		c.Engine.Running, c.Engine.QueuedTokens, c.Engine.UsedTokens = l.Running, l.QueuedTokens, l.UsedTokens
@@ -60,7 +63,7 @@
 			continue
 		}
 		usable = append(usable, c)
-		costs = append(costs, t.cost(c.Engine, t.speeds[c.Key], q.Prompt, q.Output))
+		costs = append(costs, t.cost(c.Engine, c.Speed.OrElse(median), q.Prompt, q.Output))
 	}
 	best := cheapest(usable, costs, func(c Candidate) bool { return !slices.Contains(q.Avoid, c.Engine.Domain) })
 	if best < 0 {
@@ -84,6 +87,15 @@
 	return offers
 }
 
+// medianSpeed returns the speed that counts for engines whose own is not known.
+func medianSpeed(candidates []Candidate) enginespeed.Speed {
+	speeds := make([]enginespeed.Speed, len(candidates))
+	for i, c := range candidates {
+		speeds[i] = c.Speed
+	}
+	return enginespeed.Median(speeds)
+}
+
 // Withdraw ends what the offers to a question count for: the router has decided.
 func (t *Table) Withdraw(question uint64) {
 	var next *list.Element
--- a/internal/decision/enginetable/table.go
+++ b/internal/decision/enginetable/table.go
@@ -35,12 +35,6 @@
 	Router        string // that runs it
 }
 
-// Speed is what a router measured of an engine. Zero means unknown.
-type Speed struct {
-	TokenMicros  int
-	PrefillPerMs float64
-}
-
 // Load is the load of an engine by the entries of a table.
 type Load struct {
 	Running      int
@@ -74,13 +68,12 @@
 	order    list.List                // of *entry, the oldest last notice first
 	offers   list.List                // of *offered, the oldest first
 	loads    map[Key]Load
-	speeds   map[Key]Speed
 	live     int // entries that have not ended
 }
 
 // New returns an empty table that offers engines by a cost function.
 func New(cost Cost) *Table {
-	return &Table{cost: cost, attempts: make(map[uint64]*list.Element), loads: make(map[Key]Load), speeds: make(map[Key]Speed)}
+	return &Table{cost: cost, attempts: make(map[uint64]*list.Element), loads: make(map[Key]Load)}
 }
 
 // Len returns the number of attempts and backups in the table.
@@ -145,22 +138,6 @@
 	t.order.MoveToBack(element)
 }
 
-// RecordSpeed records the last measured speed of an engine.
-func (t *Table) RecordSpeed(engine Key, s Speed) {
-	if s != (Speed{}) {
-		t.speeds[engine] = s
-	}
-}
-
-// Retain drops the speeds of engines that are not known any more.
-func (t *Table) Retain(known func(Key) bool) {
-	for engine := range t.speeds {
-		if !known(engine) {
-			delete(t.speeds, engine)
-		}
-	}
-}
-
 func (t *Table) insert(e *entry) {
 	if t.order.Len() >= maxEntries {
 		t.remove(t.order.Front())
--- a/internal/decision/enginetable/table_test.go
+++ b/internal/decision/enginetable/table_test.go
@@ -8,10 +8,11 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/enginespeed"
 	"wisteriafield/internal/decision/enginetable"
 )
 
-func byQueue(e balance.Engine, _ enginetable.Speed, _, _ int) float64 { return float64(e.QueuedTokens) }
+func byQueue(e balance.Engine, _ enginespeed.Speed, _, _ int) float64 { return float64(e.QueuedTokens) }
 
 func candidates(domains ...string) (all []enginetable.Candidate) {
 	for i, domain := range domains {
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -23,7 +23,6 @@
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/answermemory"
 	"wisteriafield/internal/decision/balance"
-	"wisteriafield/internal/decision/enginetable"
 	"wisteriafield/internal/decision/link"
 	decision "wisteriafield/internal/decision/ratelimit"
 	"wisteriafield/internal/decision/retrybudget"
@@ -148,7 +147,7 @@
 	e.quarantine = quarantine.New(cfg.ContactTime, func() { e.gossip.Trigger() }, e.logger("quarantine"))
 	var streams *relay.Relay
 	e.placing = placing.New(placing.Config{
-		Self: cfg.Host, Servers: e.servers, Limits: e.limits, Cost: engineCost, Checks: engineChecks{func() *relay.Relay { return streams }},
+		Self: cfg.Host, Servers: e.servers, Limits: e.limits, Cost: balance.FinishCost, Checks: engineChecks{func() *relay.Relay { return streams }},
 		Active: func() bool { return e.gossip.LargeFleet() }, Peers: func(now time.Time) []gossip.Host { return e.gossip.LivePeers(now) },
 		Send: func(address string, message []byte) error { return e.gossip.SendPlacement(address, message) }, Log: e.logger("placing"),
 	})
@@ -192,11 +191,6 @@
 
 func (c engineChecks) EngineUnresponsive(e *registry.Entry) { c.relay().EngineUnresponsive(e) }
 
-// engineCost is the cost by which this router offers the engines that it owns.
-func engineCost(e balance.Engine, _ enginetable.Speed, prompt, output int) float64 {
-	return balance.EngineCost(e, prompt, output)
-}
-
 func (e *Edge) logger(part string) *logrus.Entry { return e.log.WithField("part", part) }
 
 func (e *Edge) newServer(h http.Handler) *http.Server {
--- a/internal/router/placing/fuzz_test.go
+++ b/internal/router/placing/fuzz_test.go
@@ -12,6 +12,7 @@
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/enginespeed"
 	"wisteriafield/internal/decision/enginetable"
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/router/gossip"
@@ -32,7 +33,7 @@
 	servers.Set(storehistory.Position{Revision: 1}, []server.Server{{ID: "i", Service: "engines", Domain: "a"}})
 	p := placing.New(placing.Config{
 		Self: "self", Servers: servers, Limits: noLimits{}, Checks: &checks{}, Log: log.WithField("part", "placing"),
-		Cost:   func(e balance.Engine, _ enginetable.Speed, p, o int) float64 { return balance.EngineCost(e, p, o) },
+		Cost:   func(e balance.Engine, _ enginespeed.Speed, p, o int) float64 { return balance.EngineCost(e, p, o) },
 		Active: func() bool { return true }, Send: func(string, []byte) error { return nil },
 		Peers: func(time.Time) []gossip.Host { return []gossip.Host{{Name: "p", DatagramAddress: "p"}} },
 	})
--- a/internal/router/placing/message.go
+++ b/internal/router/placing/message.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/enginespeed"
 	"wisteriafield/internal/decision/enginetable"
 )
 
@@ -66,7 +67,7 @@
 	Backup        bool      `json:"B,omitempty"`
 	Ended         bool      `json:"X,omitempty"`
 	Question      uint64    `json:"Q,omitempty"` // that has been decided
-	TokenMicros   int       `json:"M,omitempty"` // with Ended: time per output token, if it was measured
+	TokenMicros   int64     `json:"M,omitempty"` // with Ended: time per output token, if it was measured
 	PrefillPerMs  float64   `json:"R,omitempty"` // with Ended: prompt tokens prefilled per ms, if measured
 }
 
@@ -121,7 +122,9 @@
 		return
 	}
 	p.table.End(n.Attempt, engine, now)
-	p.table.RecordSpeed(engine, enginetable.Speed{TokenMicros: n.TokenMicros, PrefillPerMs: n.PrefillPerMs})
+	if e := p.cfg.Servers.Get(engine.ID); e != nil && from != p.cfg.Self {
+		e.Load.RecordPeerSpeed(enginespeed.Speed{TokenTime: time.Duration(n.TokenMicros) * time.Microsecond, PrefillTokensPerMs: n.PrefillPerMs})
+	}
 }
 
 // send sends a message to a peer. A lost one is made up for by a timeout or a repeat.
--- a/internal/router/placing/placing_test.go
+++ b/internal/router/placing/placing_test.go
@@ -15,6 +15,7 @@
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/enginespeed"
 	"wisteriafield/internal/decision/enginetable"
 	"wisteriafield/internal/decision/storehistory"
 	"wisteriafield/internal/router/gossip"
@@ -89,7 +90,7 @@
 		f.servers[name], f.checks[name] = servers, &checks{}
 		f.routers[name] = placing.New(placing.Config{
 			Self: name, Servers: servers, Limits: noLimits{}, Checks: f.checks[name], Active: func() bool { return !f.small.Load() }, Send: f.send, Log: log.WithField("part", "placing"),
-			Cost:  func(e balance.Engine, _ enginetable.Speed, p, o int) float64 { return balance.EngineCost(e, p, o) },
+			Cost:  func(e balance.Engine, _ enginespeed.Speed, p, o int) float64 { return balance.EngineCost(e, p, o) },
 			Peers: func(time.Time) []gossip.Host { return f.peers() },
 		})
 	}
@@ -192,7 +193,7 @@
 		f.Expect(f.load(engine).UsedTokens).To(Equal(1))
 		time.Sleep(20 * time.Second)
 		f.Expect(f.load(engine).UsedTokens).To(Equal(1))
-		f.routers["r-0"].End(id, enginetable.Speed{})
+		f.routers["r-0"].End(id, enginespeed.Speed{})
 		time.Sleep(time.Second)
 		f.Expect(f.load(engine).UsedTokens).To(BeZero())
 		f.routers["r-11"].Begin(enginetable.Attempt{Engine: engine, UsedTokens: 2, Backup: true}, enginetable.Offer{}) // it repeats nothing, as if it had died
--- a/internal/router/placing/running.go
+++ b/internal/router/placing/running.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"wisteriafield/internal/decision/enginespeed"
 	"wisteriafield/internal/decision/enginetable"
 )
 
@@ -60,13 +61,13 @@
 
 // End notifies the owner that an attempt has ended or a backup is no longer needed, and what was
 // measured of the engine.
-func (p *Placing) End(id uint64, s enginetable.Speed) {
+func (p *Placing) End(id uint64, s enginespeed.Speed) {
 	now := time.Now()
 	p.mu.Lock()
 	var notices []addressed
 	if r := p.running[id]; r != nil {
 		delete(p.running, id)
-		n := notice{Attempt: id, Engine: refOf(r.Engine), Ended: true, TokenMicros: s.TokenMicros, PrefillPerMs: s.PrefillPerMs}
+		n := notice{Attempt: id, Engine: refOf(r.Engine), Ended: true, TokenMicros: s.TokenTime.Microseconds(), PrefillPerMs: s.PrefillTokensPerMs}
 		notices = p.notify(nil, r, n, now)
 	}
 	p.mu.Unlock()
--- a/internal/router/placing/view.go
+++ b/internal/router/placing/view.go
@@ -128,7 +128,7 @@
 			continue
 		}
 		all = append(all, enginetable.Candidate{
-			Key: keyOf(e.Key()), Warming: now.Before(v.warmings[i]),
+			Key: keyOf(e.Key()), Warming: now.Before(v.warmings[i]), Speed: e.Load.FleetSpeed(),
 			Engine: balance.Engine{Domain: e.Domain, Slots: e.Slots, Pace: st.Pace, ErrorRate: st.ErrorRate},
 		})
 	}
@@ -152,10 +152,6 @@
 		}
 		p.viewOf(service, now)
 	}
-	p.table.Retain(func(k enginetable.Key) bool {
-		e := p.cfg.Servers.Get(k.ID)
-		return e != nil && keyOf(e.Key()) == k
-	})
 	repeats := p.dueRepeats(now)
 	tableEntries.Set(float64(p.table.Len(now)))
 	p.mu.Unlock()
--- a/internal/router/relay/offers.go
+++ b/internal/router/relay/offers.go
@@ -9,6 +9,7 @@
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/balance"
+	"wisteriafield/internal/decision/enginespeed"
 	"wisteriafield/internal/decision/enginetable"
 )
 
@@ -17,7 +18,7 @@
 	Offers(ctx context.Context, service string, q enginetable.Question) (offers []enginetable.Offer, answered int)
 	Begin(a enginetable.Attempt, o enginetable.Offer) (id uint64)
 	FirstEvent(id uint64)
-	End(id uint64, s enginetable.Speed)
+	End(id uint64, s enginespeed.Speed)
 	ReportLoss(s *server.Server) bool
 	ReportDown(s *server.Server, until time.Time)
 }
@@ -76,6 +77,7 @@
 type placed struct {
 	placement Placement
 	id        uint64
+	engine    *registry.Entry
 	answered  bool // the first event has arrived
 }
 
@@ -93,7 +95,7 @@
 	if enginetable.Key(e.Key()) != offer.Engine {
 		offer = enginetable.Offer{}
 	}
-	return &placed{placement: placement, id: placement.Begin(a, offer)}
+	return &placed{placement: placement, id: placement.Begin(a, offer), engine: e}
 }
 
 // recordEvent notifies the owner of the first event.
@@ -104,10 +106,14 @@
 	}
 }
 
-// end notifies the owner of the end.
+// end notifies the owner of the end, and of the engine's speed if its answer has shown it.
 func (p *placed) end() {
-	if p != nil {
-		p.placement.End(p.id, enginetable.Speed{})
+	switch {
+	case p == nil:
+	case p.answered:
+		p.placement.End(p.id, p.engine.Load.Speed())
+	default:
+		p.placement.End(p.id, enginespeed.Speed{})
 	}
 }
 
--- a/internal/router/relay/offers_test.go
+++ b/internal/router/relay/offers_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/enginespeed"
 	"wisteriafield/internal/decision/enginetable"
 	"wisteriafield/internal/router/relay"
 )
@@ -47,7 +48,7 @@
 	o.first++
 }
 
-func (o *fakeOwners) End(id uint64, _ enginetable.Speed) {
+func (o *fakeOwners) End(id uint64, _ enginespeed.Speed) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.ended[id] = true
