relay: a dead engine stays down while it is listed

An owner offers an engine without attempts as idle, and after the 2 s for which one that does not answer gets no work, its entry is still listed, while another incarnation has its address. Now an engine that was found down by a check is probed again before it may be offered, and stays down until it answers as the same incarnation or is no longer listed.

--- a/internal/router/relay/domaincheck.go
+++ b/internal/router/relay/domaincheck.go
@@ -20,6 +20,10 @@
 	// maxFailedProbes in a row make an engine count as unresponsive. A single one does
 	// not, since a packet may be lost.
 	maxFailedProbes = 2
+	// recheckMargin is how long before an engine may be used again it is probed once more, and
+	// maxRechecks bounds these probes. The entry of a crashed one stays listed for some 4 s.
+	recheckMargin = 200 * time.Millisecond
+	maxRechecks   = 5
 )
 
 // domainChecks records when each failure domain of a service was checked last.
@@ -105,6 +109,21 @@
 	r.cfg.Log.WithField("server", e.ID).WithField("domain", e.Domain).Info("engine is unresponsive")
 	r.listeners.notify(e.Domain, now)
 	r.cfg.OnUnresponsive()
+	if r.cfg.Placement != nil {
+		time.AfterFunc(unresponsiveBackoff-recheckMargin, func() { r.recheckEngine(e, maxRechecks) })
+	}
+}
+
+// recheckEngine probes an engine that was down shortly before it may be offered again. One that has
+// crashed stays listed for some seconds while another incarnation answers at its address, and to an
+// owner it looks idle.
+func (r *Relay) recheckEngine(e *registry.Entry, left int) {
+	listed := r.cfg.Servers.Get(e.ID)
+	if left == 0 || listed == nil || listed.Key() != e.Key() || listed.Leaving || r.isAlive(context.Background(), e) {
+		return
+	}
+	r.markDown(e, time.Now().Add(unresponsiveBackoff+recheckMargin))
+	time.AfterFunc(unresponsiveBackoff, func() { r.recheckEngine(e, left-1) })
 }
 
 // markDown keeps new work away from an engine and tells peers, its owner first.
