connpool: keep connections to engines between control calls

Cause: each load report, list of cached prompts and deletion of a backup opened a connection of its own; on fleet B these are five of six new connections (docs/design/load-parts.md).

They now use kept connections if the settings list contracts holds "pool". Without it, and for all requests, each still opens its own. internal/backend/connpool has the state, which does no input or output and is tested against a model, the connection and the call: an end before the first byte of the answer makes the call once more on a new connection, and a kept connection that is silent for 40 ms, or for half of the caller's time, gets a new one beside it. If only the new one answers, all that were opened before it are closed.

Weighed: http.Transport with kept connections repeats requests by itself and can't close those older than another. Each kind of call has its own connections, since a list of prompts decodes as the report of an idle engine.

Not measured: new connections of a fleet.

--- a/internal/operator/cli/edge.go
+++ b/internal/operator/cli/edge.go
@@ -65,6 +65,10 @@
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(cfg.MemoryBytes)))
 	log := jsonlog.New(sink)
 	answerMemory := answermemory.New(int64(answerMemoryShare * float64(cfg.MemoryBytes)))
+	client := platform.NewBackendClient(answerMemory)
+	if cfg.KeepsConnections() {
+		client.KeepConnections(log.WithField("part", "connections"))
+	}
 	e := edge.New(edge.Config{
 		Host: cfg.Host, Domain: cfg.Domain, CallerAddress: cfg.CallerAddress, ReadyAddress: cfg.ReadyAddress,
 		AdminAddress: cfg.AdminAddress, PeerAddress: cfg.PeerAddress, DatagramAddress: cfg.DatagramAddress, Seeds: cfg.Seeds, LinkMbps: cfg.LinkMbps, Grace: cfg.Grace, ChangeTime: cfg.ChangeTime, ContactTime: cfg.ContactTime,
@@ -73,7 +77,7 @@
 		AnswerMemory: answerMemory, RequestMemory: answermemory.New(int64(requestMemoryShare * float64(cfg.MemoryBytes))),
 		ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
-		Protocol: platform.CallerProtocol{}, Client: platform.NewBackendClient(answerMemory), ReadyPath: platform.ReadyPath,
+		Protocol: platform.CallerProtocol{}, Client: client, Connections: client, ReadyPath: platform.ReadyPath,
 		Log: log,
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -51,6 +51,13 @@
 	forward.Client
 }
 
+// Connections are connections to backend servers that are kept between requests.
+type Connections interface {
+	// SetServers sets the servers to which connections are kept. maxIdle returns how many idle
+	// ones to one server of a service this router may keep.
+	SetServers(servers []server.Server, maxIdle func(service string) int)
+}
+
 // Store is the platform's store.
 type Store interface {
 	discovery.Store
@@ -85,6 +92,7 @@
 	DecodeServer  func(key string, value []byte) (server.Server, error)
 	Protocol      front.Protocol
 	Client        Client
+	Connections   Connections // to the backend servers; nil if none are kept
 	ReadyPath     string
 	Log           *logrus.Logger
 }
--- a/internal/router/edge/state.go
+++ b/internal/router/edge/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wisteriafield/internal/backend/connpool"
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/freshness"
@@ -157,9 +158,24 @@
 
 func (e *Edge) setServers(at storehistory.Position, servers []server.Server) {
 	e.servers.Set(at, servers)
+	if e.cfg.Connections != nil {
+		e.cfg.Connections.SetServers(servers, e.maxIdleConnections)
+	}
 	e.serversLoaded.Store(true)
 }
 
+// maxIdleConnections returns how many idle connections to one server of a service this router
+// may keep.
+func (e *Edge) maxIdleConnections(service string) int {
+	routers, maxConnections := 1+len(e.gossip.LivePeers(time.Now())), 0
+	if table := e.routeTable.Load(); table != nil {
+		if s := table.Service(service); s != nil {
+			maxConnections = s.MaxConnections
+		}
+	}
+	return connpool.IdleShare(maxConnections, routers)
+}
+
 // addHost adds a router that is registered in the store as a peer.
 func (e *Edge) addHost(value []byte) {
 	h, err := gossip.DecodeHost(value)
