connpool: keep connections for requests that may be repeated

Cause: each request opened a connection of its own, also where a second sending does no harm.

Idempotent calls and resumable streams use kept connections, under the setting that control calls use them under. Dispatch.MayRepeat marks them; a request without it, which runs at most once, gets a new connection as before. If a kept connection ends before the answer, the request is sent once more if the retry budget allows it: the server may count two arrivals. If no connection can be opened then, the result is server.ErrLost, never ErrNotSent.

Weighed: a late second answer may come together with the next request's own. Therefore only connections whose answers name the attempt are kept, none carries an ID twice, and an answer on a kept connection that names no or another attempt counts as that of another request. Requests are not sent on a second connection after 40 ms, since many take longer; a silent connection shows as on a new one. A host without power shows as a loss on a kept connection, while a new one would not have been opened.

Runs: go test ./platform/... ./internal/backend/... ./internal/router/relay ./internal/router/forward ./internal/router/edge ./internal/operator/cli passed; go test -race -count=5 ./internal/backend/connpool passed. Not measured: new connections of a fleet, and what the losses of hosts cost.

--- a/internal/backend/connpool/call.go
+++ b/internal/backend/connpool/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -17,8 +18,14 @@
 	Class   string // kind of call; a late second answer reaches calls of the same kind only
 	// NewRequest returns the request. It is called for each connection.
 	NewRequest func() (*http.Request, error)
+
+	id    string                        // of a caller's request; a connection carries none twice
+	named func(res *http.Response) bool // whether an answer names the request; nil for control calls
 }
 
+// keeps reports whether the connection of an answer may be kept.
+func (c *Call) keeps(res *http.Response) bool { return c.named == nil || c.named(res) }
+
 // attempt is a call on one connection.
 type attempt struct {
 	startedAt time.Time
@@ -37,7 +44,7 @@
 // the answer, or gives none in time, is made once more on a new connection to the same server.
 // The caller has to close the body.
 func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
-	kept := c.take(call.Address, call.Class)
+	kept := c.take(call)
 	if kept == nil {
 		return c.start(ctx, call, nil).wait(ctx)
 	}
@@ -113,6 +120,9 @@
 			return result{err: err}
 		}
 	}
+	if call.id != "" {
+		k.carried = append(k.carried, call.id)
+	}
 	req, err := call.NewRequest()
 	if err != nil {
 		_ = k.Close()
@@ -120,7 +130,7 @@
 	}
 	res, err := k.roundTrip(ctx, req, func(res *http.Response, reusable bool) {
 		end()
-		if reusable {
+		if reusable && call.keeps(res) {
 			c.put(k, res)
 		} else {
 			_ = k.Close()
@@ -132,10 +142,14 @@
 // wait returns the result of the attempt, or the error of ctx.
 func (a *attempt) wait(ctx context.Context) (*http.Response, error) {
 	r := <-a.done // the end of ctx ends the attempt
-	if r.err != nil && ctx.Err() != nil {
+	switch {
+	case r.err == nil || ctx.Err() == nil:
+		return r.res, r.err
+	case errors.Is(r.err, ErrNotOpened):
+		return nil, fmt.Errorf("%w: %w", ErrNotOpened, context.Cause(ctx))
+	default:
 		return nil, context.Cause(ctx)
 	}
-	return r.res, r.err
 }
 
 // waitOr is like wait, but an attempt without an answer returns err.
--- a/internal/backend/connpool/client.go
+++ b/internal/backend/connpool/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,6 +33,8 @@
 	// idleMargin is the time by which a connection is dropped before its server closes it. It
 	// covers the way of the answer and of the next request.
 	idleMargin = 500 * time.Millisecond
+	// maxRequests bounds the IDs that a connection remembers.
+	maxRequests = 100
 	// sweepInterval is the interval at which expired connections are closed.
 	sweepInterval = time.Second
 )
@@ -68,17 +71,17 @@
 	closeAll(dropped)
 }
 
-// take returns a kept connection that is still open and quiet, or nil.
-func (c *Client) take(address, class string) *conn {
+// take returns a kept connection for a call that is still open and quiet, or nil.
+func (c *Client) take(call Call) *conn {
 	for {
 		c.mu.Lock()
-		idle, ok, dropped := c.pool.Take(address, class, time.Now())
+		idle, ok, dropped := c.pool.Take(call.Address, call.Class, time.Now())
 		c.mu.Unlock()
 		closeAll(dropped)
 		if !ok {
 			return nil
 		}
-		if idle.Conn.quiet() {
+		if idle.Conn.quiet() && !slices.Contains(idle.Conn.carried, call.id) {
 			reusedTotal.Inc()
 			return idle.Conn
 		}
@@ -97,7 +100,7 @@
 func (c *Client) dial(ctx context.Context, m Member) (*conn, error) {
 	dialed, err := c.dialer.DialContext(ctx, "tcp", m.Address)
 	if err != nil {
-		return nil, fmt.Errorf("connect: %w", err)
+		return nil, fmt.Errorf("%w: %w", ErrNotOpened, err)
 	}
 	openedTotal.Inc()
 	return newConn(dialed, m), nil
@@ -108,7 +111,7 @@
 	c.mu.Lock()
 	limit := c.maxIdle
 	c.mu.Unlock()
-	if limit == nil || !k.quiet() {
+	if limit == nil || len(k.carried) >= maxRequests || !k.quiet() {
 		_ = k.Close()
 		return
 	}
--- a/internal/backend/connpool/conn.go
+++ b/internal/backend/connpool/conn.go
@@ -39,8 +39,11 @@
 type conn struct {
 	*resetconn.Conn
 	member Member
-	reader *bufio.Reader
-	limit  int64 // bytes that may still be read from the connection
+	// carried lists the IDs of the requests so far. A late second answer to one of them would be
+	// taken for that to another attempt of the same ID.
+	carried []string
+	reader  *bufio.Reader
+	limit   int64 // bytes that may still be read from the connection
 }
 
 func newConn(c net.Conn, m Member) *conn {
--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -171,6 +171,10 @@
 	LastEventID  int       // last event that the caller has received, 0 for none
 	BackupServer *Server   // engine that is to keep a backup of the attempt's KV cache; may be nil
 	RestoreFrom  *KVBackup // backup to resume from; may be nil
+	// MayRepeat takes a retry from the budget if the request is to be sent again to this server, since
+	// a kept connection ended before the answer. It is nil for a request that runs at most
+	// once, which gets a connection of its own.
+	MayRepeat func() bool
 }
 
 // Answer is a server's answer to an attempt.
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -237,7 +237,11 @@
 	sentAt := time.Now()
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answer, err := f.cfg.Client.Send(sendCtx, server.Dispatch{Request: req, Server: &e.Server, LastEventID: req.LastEventID})
+	dispatch := server.Dispatch{Request: req, Server: &e.Server, LastEventID: req.LastEventID}
+	if req.Route.Retryable() {
+		dispatch.MayRepeat = func() bool { return f.cfg.RetryBudget.Allow(e.Service, time.Now()) }
+	}
+	answer, err := f.cfg.Client.Send(sendCtx, dispatch)
 	if err != nil {
 		crashed := errors.Is(err, server.ErrLost) && ctx.Err() == nil && f.crashed(ctx, req, e)
 		return result{server: e, err: err, crashed: crashed}
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -33,7 +33,9 @@
 	responses map[string]func(ctx context.Context) (*server.Answer, error)
 	sentTo    []string
 	executed  int
-	servers   *registry.Registry
+	// repeatable counts the dispatches that allow the client to send the request again.
+	repeatable int
+	servers    *registry.Registry
 	// gone means that a server that breaks off an answer is not there any more.
 	gone   bool
 	budget interface {
@@ -47,6 +49,9 @@
 func (s *fakeService) Send(ctx context.Context, dispatch server.Dispatch) (*server.Answer, error) {
 	s.mu.Lock()
 	s.sentTo = append(s.sentTo, dispatch.Server.ID)
+	if dispatch.MayRepeat != nil {
+		s.repeatable++
+	}
 	respond := s.responses[dispatch.Server.ID]
 	s.mu.Unlock()
 	if respond == nil {
@@ -190,6 +195,20 @@
 	}
 }
 
+// Guards against a request that runs at most once on a kept connection, whose end would not tell
+// whether it has run.
+func TestOnlyIdempotentRequestsMayBeSentAgain(t *testing.T) {
+	for kind, want := range map[routes.Kind]int{routes.Idempotent: 1, routes.NonIdempotent: 0, routes.Streaming: 0} {
+		t.Run(string(kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &fakeService{}
+				NewWithT(t).Expect(serve(s, kind, 1).Code).To(Equal(http.StatusOK))
+				NewWithT(t).Expect(s.repeatable).To(Equal(want))
+			})
+		})
+	}
+}
+
 func TestRefusalMeansThatNothingWasExecuted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/router/relay/run.go
+++ b/internal/router/relay/run.go
@@ -79,6 +79,10 @@
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	a.memory = s.relay.cfg.Memory.Open(a.breakOff)
 	dispatch := server.Dispatch{Request: s.req, Server: &target.Server, LastEventID: s.lastEventID, RestoreFrom: restoreFrom}
+	if s.resumable() {
+		service := s.service.Name
+		dispatch.MayRepeat = func() bool { return s.relay.cfg.RetryBudget.Allow(service, time.Now()) }
+	}
 	a.backup = s.chooseBackup(a.ctx, target)
 	if a.backup != nil {
 		dispatch.BackupServer = &a.backup.Server
