backend: answers with an invalid status line are lost, for all clients

Callers got answers with a status of 600 to 999, and with a status line of HTTP/0.9, 1.2, 2.0, 3.0 or 9.9, as they came. A write to the store that was answered with a status of 000 counted as one without effect, an engine's order and its probes with 000 as refused, and a cancellation as done. Lists of hosts, keepers' streams and upgrades of peers accepted the odd versions.

net/http accepts any status of three digits, also signed ones such as "-00", and any version of the form HTTP/x.y. Package validanswer decides now for all clients: HTTP/1.0 or 1.1 and a status from 200 to 599, since none of them asks for an upgrade but that of peers, which checks from 101. Such an answer says nothing about whether its request ran: it is lost, a write is ambiguous, and nothing of its header is believed (X-Not-Executed, limits). HTTP/1.2 and later are refused too, though RFC 9110, 2.5 would let a reader take them as 1.1: no server sends them, and what else they change is not known.

The check in each client's own code was weighed: nine places. Versions of interim answers (1xx) are not checked, since net/http does not report them.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"wisteriafield/internal/backend/resetconn"
+	"wisteriafield/internal/base/validanswer"
 	"wisteriafield/internal/base/wholebody"
 )
 
@@ -51,13 +52,13 @@
 func New(credential string) *Client {
 	return &Client{
 		orderCredential: credential,
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: validanswer.Transport{Transport: &http.Transport{
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			ResponseHeaderTimeout:  headerTimeout,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 			DialContext:            resetconn.Dialer(&net.Dialer{Timeout: dialTimeout}),
-		}},
+		}}},
 	}
 }
 
@@ -131,7 +132,10 @@
 func (c *Client) SendOrder(ctx context.Context, address string, o Order) error {
 	ctx, stop := context.WithTimeout(ctx, orderTimeout)
 	defer stop()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}}
+	client := &http.Client{Transport: validanswer.Transport{Transport: &http.Transport{
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}}}
 	req, err := newPost(ctx, address, "/v1/order", c.orderCredential, o)
 	if err != nil {
 		return err
--- a/internal/backend/service/client.go
+++ b/internal/backend/service/client.go
@@ -15,6 +15,7 @@
 
 	"wisteriafield/internal/backend/answerbody"
 	"wisteriafield/internal/backend/resetconn"
+	"wisteriafield/internal/base/validanswer"
 	"wisteriafield/internal/decision/answermemory"
 )
 
@@ -98,7 +99,7 @@
 
 func (c *Client) roundTrip(conn net.Conn, req *http.Request, cancel context.CancelFunc) (*Answer, error) {
 	var dialed atomic.Bool
-	transport := &http.Transport{
+	transport := validanswer.Transport{Transport: &http.Transport{
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		// A head without end is an error.
@@ -109,7 +110,7 @@
 			}
 			return conn, nil
 		},
-	}
+	}}
 	res, err := transport.RoundTrip(req)
 	if err != nil {
 		return nil, err
--- a/internal/platform/hosts/list.go
+++ b/internal/platform/hosts/list.go
@@ -16,6 +16,7 @@
 
 	"wisteriafield/internal/base/jsonwalk"
 	"wisteriafield/internal/base/loop"
+	"wisteriafield/internal/base/validanswer"
 )
 
 // State is the state of a host according to the platform.
@@ -91,7 +92,7 @@
 	l := &List{
 		base:       "http://" + cfg.Address,
 		credential: cfg.Credential,
-		http:       &http.Client{Timeout: longPollTimeout},
+		http:       &http.Client{Timeout: longPollTimeout, Transport: validanswer.Transport{Transport: http.DefaultTransport.(*http.Transport)}},
 		onChange:   cfg.OnChange,
 	}
 	l.hosts.Store(&map[string]Host{})
--- a/internal/router/control/client.go
+++ b/internal/router/control/client.go
@@ -12,6 +12,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"wisteriafield/internal/base/validanswer"
 )
 
 // ErrUnreachable means that a peer could not be reached or did not answer in time.
@@ -153,6 +155,9 @@
 	if err != nil {
 		return fmt.Errorf("read upgrade: %w", err)
 	}
+	if err := validanswer.Check(res, http.StatusSwitchingProtocols); err != nil {
+		return fmt.Errorf("read upgrade: %w", err)
+	}
 	if res.StatusCode != http.StatusSwitchingProtocols {
 		return fmt.Errorf("upgrade refused with status %d", res.StatusCode)
 	}
--- a/internal/router/control/truncated_test.go
+++ b/internal/router/control/truncated_test.go
@@ -25,6 +25,11 @@
 // serveCutAnswers upgrades connections and answers their calls, and ends each connection
 // after the number of bytes that left returns.
 func serveCutAnswers(t *testing.T, left func() int, reset bool) (address string) {
+	return serveAnswers(t, upgradeAnswer, left, reset)
+}
+
+// serveAnswers is serveCutAnswers with another answer to the upgrade.
+func serveAnswers(t *testing.T, upgradeAnswer string, left func() int, reset bool) (address string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/router/stream/client.go
+++ b/internal/router/stream/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"wisteriafield/internal/base/validanswer"
 	"wisteriafield/internal/router/keeper"
 )
 
@@ -47,11 +48,11 @@
 func NewClient(credential string) *Client {
 	return &Client{
 		credential: credential,
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: validanswer.Transport{Transport: &http.Transport{
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		}},
+		}}},
 	}
 }
 
