--- a/internal/backend/service/earlyanswer_test.go
+++ b/internal/backend/service/earlyanswer_test.go
@@ -16,11 +16,16 @@
 func TestAServicesAnswerThatAResetEndsIsLost(t *testing.T) {
 	g := NewWithT(t)
 	address := truncate.NewEarlyServer(t, "HTTP/1.1 200 OK\r\n\r\nboo", truncate.Reset)
+	late := truncate.NewEarlyServer(t, "HTTP/1.1 200 OK\r\n\r\nboo", truncate.LateReset)
 	call := service.Call{Method: http.MethodPost, Target: "/bookings", Header: http.Header{}, Body: make([]byte, 4<<20)}
 	for range 200 {
 		_, err := service.New(answermemory.New(16<<20)).Do(context.Background(), address, call)
 		g.Expect(err).To(MatchError(service.ErrLost))
 	}
+	for range 10 {
+		_, err := service.New(answermemory.New(16<<20)).Do(context.Background(), late, call)
+		g.Expect(err).To(MatchError(service.ErrLost))
+	}
 }
 
 // The answer of a service that did not read the whole call was lost if a write failed first.
--- a/internal/trial/truncate/early.go
+++ b/internal/trial/truncate/early.go
@@ -33,11 +33,14 @@
 			}
 			go func() {
 				defer conn.Close()
-				if end == Reset {
+				if end == Reset || end == LateReset {
 					_ = conn.(*net.TCPConn).SetLinger(0)
 				}
 				_, _ = conn.Read(make([]byte, readBytes))
 				_, _ = io.WriteString(conn, answer)
+				if end == LateReset {
+					time.Sleep(fillTime)
+				}
 				if end == HalfClose {
 					time.Sleep(fillTime)
 					_ = conn.(*net.TCPConn).CloseWrite()
--- a/internal/trial/truncate/truncate.go
+++ b/internal/trial/truncate/truncate.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"time"
 )
 
 // End is how a connection ends after the last byte that is sent.
@@ -19,6 +20,9 @@
 	Close End = "Close"
 	// Reset ends it with a reset, which may overtake bytes that were sent.
 	Reset End = "Reset"
+	// LateReset answers before the body of the request is read, and resets the connection after
+	// a pause, in which the answer arrives.
+	LateReset End = "LateReset"
 	// HalfClose ends only the sending, and nothing more is read.
 	HalfClose End = "HalfClose"
 )
@@ -75,8 +79,13 @@
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, req.Body); err != nil {
-		return
+	s.mu.Lock()
+	answer, end := s.answer, s.end
+	s.mu.Unlock()
+	if end != LateReset {
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
 	}
 	if whole, ok := s.Whole[req.URL.Path]; ok {
 		_, _ = io.WriteString(conn, whole)
@@ -84,10 +93,12 @@
 	}
 	s.mu.Lock()
 	s.requests++
-	answer, end := s.answer, s.end
 	s.mu.Unlock()
 	_, _ = io.WriteString(conn, answer)
-	if end == Reset {
+	if end == LateReset {
+		time.Sleep(fillTime)
+	}
+	if end == Reset || end == LateReset {
 		_ = conn.SetLinger(0)
 	}
 }
