engine, stream: read early answers to orders and to peers' attempts

An engine that answered an order at once, without a length, and reset the connection while the order was written, had carried it out as far as the router knew: the write got the report of the reset, and the read saw a regular end. An engine's or a keeper's refusal of a part of a request was lost, since net/http does not read an answer after a failed write.

Both clients use package resetconn now, as those of attempts and of services do. The store's client goes without it: its connections are reused, where the dropping of failed writes would change when net/http sends a call again, and the answers that matter are JSON with an end of their own.

--- a/internal/backend/engine/client.go
+++ b/internal/backend/engine/client.go
@@ -135,6 +135,7 @@
 	client := &http.Client{Transport: validanswer.Transport{Transport: &http.Transport{
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxHeaderBytes,
+		DialContext:            resetconn.Dialer(&net.Dialer{}),
 	}}}
 	req, err := newPost(ctx, address, "/v1/order", c.orderCredential, o)
 	if err != nil {
--- a/internal/router/stream/client.go
+++ b/internal/router/stream/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"wisteriafield/internal/backend/resetconn"
 	"wisteriafield/internal/base/validanswer"
 	"wisteriafield/internal/router/keeper"
 )
@@ -51,7 +52,7 @@
 		http: &http.Client{Transport: validanswer.Transport{Transport: &http.Transport{
 			DisableKeepAlives:  true,
 			DisableCompression: true,
-			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:        resetconn.Dialer(&net.Dialer{Timeout: dialTimeout}),
 		}}},
 	}
 }
