answerbody: use the pieces of released bodies again

300 clients sent bodies of 1 MB to a router on a host of 128 MB, in chunks of 256 KB.

Pieces go to a pool now, also when they are joined. What Bytes returned is never pooled, since a request may still be written after its release, and a second release does nothing.

A bound on the bodies that are read at the same time was weighed: it would make small bodies wait for large ones.

--- a/internal/backend/answerbody/answerbody.go
+++ b/internal/backend/answerbody/answerbody.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -20,10 +21,30 @@
 	pieceBytes      = 32 << 10
 )
 
+// freePieces holds pieces of pieceBytes that no body has any more. Hundreds of bodies that are
+// read and broken off at once otherwise leave garbage faster than it is collected beside load.
+var freePieces = sync.Pool{New: func() any { return new([pieceBytes]byte) }}
+
+// newPiece returns an empty piece of n bytes.
+func newPiece(n int) []byte {
+	if n != pieceBytes {
+		return make([]byte, 0, n)
+	}
+	return freePieces.Get().(*[pieceBytes]byte)[:0]
+}
+
+// freePiece makes a piece available to other bodies.
+func freePiece(piece []byte) {
+	if cap(piece) == pieceBytes {
+		freePieces.Put((*[pieceBytes]byte)(piece[:pieceBytes]))
+	}
+}
+
 // Body is a complete body. It is kept in pieces, since a growing buffer takes up to twice the
 // memory and leaves as much behind.
 type Body struct {
 	pieces  [][]byte
+	joined  []byte // all of them, if not nil
 	size    int
 	account *answermemory.Account
 }
@@ -48,7 +69,7 @@
 		if err := b.account.Grow(next); err != nil {
 			return err
 		}
-		piece, err := readPiece(r, make([]byte, 0, next))
+		piece, err := readPiece(r, newPiece(next))
 		b.pieces = append(b.pieces, piece)
 		b.size += len(piece)
 		switch {
@@ -83,12 +104,26 @@
 	return b.size
 }
 
-// Bytes returns the body in one piece, which belongs to it.
+// Bytes returns the body in one piece, which stays valid after the release: a request may still
+// be written then.
 func (b *Body) Bytes() []byte {
-	if len(b.pieces) != 1 {
-		b.pieces = [][]byte{bytes.Join(b.pieces, nil)}
+	switch {
+	case b.joined != nil:
+	case len(b.pieces) == 1 && cap(b.pieces[0]) < pieceBytes:
+		b.joined = b.pieces[0]
+	default:
+		b.joined = bytes.Join(b.pieces, nil)
 	}
-	return b.pieces[0]
+	b.freeAll()
+	return b.joined
+}
+
+// freeAll gives the pieces to other bodies.
+func (b *Body) freeAll() {
+	for _, piece := range b.pieces {
+		freePiece(piece)
+	}
+	b.pieces = nil
 }
 
 // WriteTo writes the body. A nil body has no bytes.
@@ -97,7 +132,11 @@
 		return 0, nil
 	}
 	var written int64
-	for _, piece := range b.pieces {
+	pieces := b.pieces
+	if b.joined != nil {
+		pieces = [][]byte{b.joined}
+	}
+	for _, piece := range pieces {
 		n, err := w.Write(piece)
 		written += int64(n)
 		if err != nil {
@@ -107,9 +146,12 @@
 	return written, nil
 }
 
-// Release gives the memory back. A nil body has none.
+// Release gives the memory back. A nil body has none. The body is empty then, except for what
+// Bytes returned.
 func (b *Body) Release() {
-	if b != nil {
-		b.account.Close()
+	if b == nil {
+		return
 	}
+	b.freeAll()
+	b.account.Close()
 }
--- a/internal/backend/answerbody/answerbody_test.go
+++ b/internal/backend/answerbody/answerbody_test.go
@@ -63,3 +63,38 @@
 type zeros struct{}
 
 func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// Pieces are used again: no body may have those of another one, even if one is released twice.
+func TestReleasedBodiesDoNotShareMemory(t *testing.T) {
+	g := NewWithT(t)
+	budget := answermemory.New(1 << 30)
+	read := func(letter string, size int) *answerbody.Body {
+		b, err := answerbody.Read(strings.NewReader(strings.Repeat(letter, size)), limit, budget, func() {})
+		g.Expect(err).NotTo(HaveOccurred())
+		return b
+	}
+	for _, size := range []int{100, 40 << 10, 300 << 10} {
+		first := read("a", size)
+		kept := first.Bytes() // of a request that is still written
+		unjoined := read("u", size)
+		first.Release()
+		first.Release()
+		unjoined.Release()
+		unjoined.Release()
+		var bodies []*answerbody.Body
+		for _, letter := range []string{"b", "c", "d"} {
+			bodies = append(bodies, read(letter, size))
+		}
+		for i, letter := range []string{"b", "c", "d"} {
+			var written bytes.Buffer
+			_, err := bodies[i].WriteTo(&written)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(written.String() == strings.Repeat(letter, size)).To(BeTrue(), "body of %d bytes", size)
+		}
+		g.Expect(string(kept) == strings.Repeat("a", size)).To(BeTrue())
+		var written bytes.Buffer
+		_, err := unjoined.WriteTo(&written)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(written.Len()).To(BeZero(), "a released body has no bytes")
+	}
+}
