openai, service: bound the memory of all request bodies

Bodies had a bound each (MaxBody), and none of all.

Both handlers read bodies within a budget, as the platform's interface does: Bounds.BodyMemory, 64 MB by default and at least MaxBody. The largest body that is not complete is given up first, with 503 not_run and Retry-After, and the first 16 KB of a body don't count, so small requests are never refused. A body is held until its request is answered, since the prompt is a part of it. The digest of a completion no longer copies the body.

--- a/internal/caller/openai/body_test.go
+++ b/internal/caller/openai/body_test.go
@@ -6,12 +6,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/caller/openai"
+	"wisteriafield/internal/decision/answermemory"
 )
 
 // wrappedWriter hides the methods of net/http's writer, like that of package http1.
@@ -30,7 +32,7 @@
 			g := NewWithT(t)
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				w = wrappedWriter{w}
-				_, refusal := openai.ReadBody(w, r, 10, 10*time.Second)
+				_, refusal := openai.Bodies{MaxBytes: 10, Timeout: 10 * time.Second, Memory: answermemory.New(1 << 20)}.Read(w, r)
 				refusal.Write(w)
 			}))
 			t.Cleanup(s.Close)
@@ -46,3 +48,42 @@
 		})
 	}
 }
+
+// Bodies had a bound each and none of all.
+func TestBodiesShareABound(t *testing.T) {
+	g := NewWithT(t)
+	bodies := openai.Bodies{MaxBytes: 1 << 20, Timeout: 10 * time.Second, Memory: answermemory.New(1 << 20)}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, refusal := bodies.Read(wrappedWriter{w}, r)
+		if refusal != nil {
+			refusal.Write(w)
+			return
+		}
+		defer body.Release()
+		_, _ = w.Write(body.Bytes())
+	}))
+	t.Cleanup(s.Close)
+	var conns []net.Conn
+	for range 2 {
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900001\r\n\r\n%s", strings.Repeat("x", 900_000))
+		g.Expect(err).NotTo(HaveOccurred())
+		conns = append(conns, conn)
+	}
+	answers := make(chan int, len(conns))
+	for _, conn := range conns {
+		go func() {
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil {
+				answers <- res.StatusCode
+			}
+		}()
+	}
+	g.Eventually(answers).WithTimeout(5 * time.Second).Should(Receive(Equal(http.StatusServiceUnavailable)))
+	res, err := http.Post("http://"+s.Listener.Addr().String(), "text/plain", strings.NewReader("small"))
+	g.Expect(err).NotTo(HaveOccurred())
+	_ = res.Body.Close()
+	g.Expect(res.StatusCode).To(Equal(http.StatusOK))
+}
--- a/internal/caller/openai/handler.go
+++ b/internal/caller/openai/handler.go
@@ -7,12 +7,14 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"wisteriafield/internal/backend/answerbody"
 	"wisteriafield/internal/caller/apierror"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/generation"
@@ -28,8 +30,7 @@
 	Entry         *entry.Entry
 	Limits        *limits.Limiter
 	ServedVersion func(model string) (version string, ok bool) // the version that new requests get
-	MaxBodyBytes  int64
-	BodyTimeout   time.Duration
+	Bodies        Bodies
 }
 
 // Handler serves the API.
@@ -55,6 +56,7 @@
 			refusal.Write(w)
 			return
 		}
+		defer call.body.Release() // its text is a part of the request
 		defer func() { h.deps.Limits.Release(call.organisation, call.unusedTokens()) }()
 		g, err := h.deps.Entry.Open(r.Context(), call.request, call.lastEvent)
 		if err != nil {
@@ -78,6 +80,7 @@
 	parsed       *parsedRequest
 	request      entry.Request
 	lastEvent    *generation.EventID
+	body         *answerbody.Body
 	generation   *entry.Generation
 	created      time.Time
 }
@@ -101,10 +104,26 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	body, refusal := ReadBody(w, r, h.deps.MaxBodyBytes, h.deps.BodyTimeout)
+	body, refusal := h.deps.Bodies.Read(w, r)
 	if refusal != nil {
 		return nil, refusal
 	}
+	c, refusal := h.check(o, view, r, parse, body.Bytes())
+	if refusal != nil {
+		body.Release()
+		return nil, refusal
+	}
+	c.body = body
+	verdict := h.deps.Limits.Acquire(r.Context(), o, float64(c.request.MaxTokens))
+	if !verdict.Allowed {
+		body.Release()
+		return nil, apierror.NewRetryable(apierror.RateLimited, "limit of the organisation: "+verdict.Cause, verdict.RetryAt)
+	}
+	return c, nil
+}
+
+// check parses a body and checks the request against the document.
+func (h *Handler) check(o *document.Organisation, view *document.View, r *http.Request, parse parseFunc, body []byte) (*call, *apierror.Error) {
 	p, refusal := parse(body)
 	if refusal != nil {
 		return nil, refusal
@@ -113,10 +132,6 @@
 	if refusal := h.resolve(c, view, r, body); refusal != nil {
 		return nil, refusal
 	}
-	verdict := h.deps.Limits.Acquire(r.Context(), o, float64(c.request.MaxTokens))
-	if !verdict.Allowed {
-		return nil, apierror.NewRetryable(apierror.RateLimited, "limit of the organisation: "+verdict.Cause, verdict.RetryAt)
-	}
 	return c, nil
 }
 
@@ -146,10 +161,12 @@
 		}
 		c.lastEvent = &id
 	}
-	sum := sha256.Sum256(append([]byte(r.URL.Path+"\n"), body...))
+	digest := sha256.New()
+	_, _ = io.WriteString(digest, r.URL.Path+"\n")
+	_, _ = digest.Write(body)
 	class, wait := classOf(c.parsed, &view.Policy)
 	c.request = entry.Request{
-		Organisation: c.organisation, Key: key, Digest: hex.EncodeToString(sum[:]),
+		Organisation: c.organisation, Key: key, Digest: hex.EncodeToString(digest.Sum(nil)),
 		Model: m, Version: version, Adapter: adapter,
 		Prompt: c.parsed.prompt, MaxTokens: c.parsed.maxTokens, Class: class,
 		StartBy: c.created.Add(wait), AnswerBy: c.created.Add(view.Policy.AnswerTimeout),
--- a/internal/caller/service/handler.go
+++ b/internal/caller/service/handler.go
@@ -30,8 +30,7 @@
 	Quarantine    *quarantine.Guard    // knows which calls crash servers
 	AnswerMemory  *answermemory.Budget // of the services' answers until they are written
 	Log           *logrus.Entry
-	MaxBodyBytes  int64
-	BodyTimeout   time.Duration
+	Bodies        openai.Bodies
 }
 
 // Handler serves the paths under /services/.
@@ -70,12 +69,13 @@
 		apierror.New(apierror.ServiceNotFound, "no such service").Write(w)
 		return
 	}
-	body, refusal := openai.ReadBody(w, r, h.deps.MaxBodyBytes, h.deps.BodyTimeout)
+	body, refusal := h.deps.Bodies.Read(w, r)
 	if refusal != nil {
 		refusal.Write(w)
 		return
 	}
-	call := newCall(r, body)
+	defer body.Release()
+	call := newCall(r, body.Bytes())
 	path, _, _ := strings.Cut(call.Target, "?")
 	if s.IsIdempotent(r.Method, path) {
 		ctx, cancel := context.WithTimeout(r.Context(), s.Timeout)
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -45,6 +45,7 @@
 // Bounds limits the resources that one caller may use and the time that a stop takes.
 type Bounds struct {
 	MaxBody       int           // bytes of a request body
+	BodyMemory    int           // bytes of all request bodies that are held at the same time
 	MaxHeader     int           // bytes of all headers
 	HeaderTimeout time.Duration // maximum time to receive all headers
 	BodyTimeout   time.Duration // maximum time to receive the body
@@ -68,6 +69,7 @@
 		Log:      Log{Level: "info", Format: "text"},
 		Bounds: Bounds{
 			MaxBody:       1 << 20,
+			BodyMemory:    64 << 20,
 			MaxHeader:     16 << 10,
 			HeaderTimeout: 5 * time.Second,
 			BodyTimeout:   10 * time.Second,
@@ -141,6 +143,9 @@
 	if cfg.Bounds.MaxBody < 1<<10 {
 		f.AddError("Bounds", "MaxBody", "%d is too small; expected at least 1024 bytes", cfg.Bounds.MaxBody)
 	}
+	if cfg.Bounds.BodyMemory < cfg.Bounds.MaxBody {
+		f.AddError("Bounds", "BodyMemory", "%d is too small; expected at least MaxBody", cfg.Bounds.BodyMemory)
+	}
 }
 
 func validateAddress(f *inifile.File, section, key, value string) {
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -150,13 +150,13 @@
 func (n *Node) buildServers() {
 	b := n.cfg.Bounds
 	callers := http.NewServeMux()
+	bodies := openai.Bodies{MaxBytes: int64(b.MaxBody), Timeout: b.BodyTimeout, Memory: answermemory.New(int64(b.BodyMemory))}
 	openai.New(openai.Deps{
-		View: n.configure.View, Entry: n.entry, Limits: n.limits, ServedVersion: n.planner.ChooseVersion,
-		MaxBodyBytes: int64(b.MaxBody), BodyTimeout: b.BodyTimeout,
+		View: n.configure.View, Entry: n.entry, Limits: n.limits, ServedVersion: n.planner.ChooseVersion, Bodies: bodies,
 	}).Register(callers)
 	service.New(service.Deps{
 		View: n.configure.View, Hosts: n.hosts, NonIdempotent: n.nonIdempotent, Quarantine: n.quarantine, Log: n.logger("service"),
-		AnswerMemory: answermemory.New(answerMemoryBytes), MaxBodyBytes: int64(b.MaxBody), BodyTimeout: b.BodyTimeout,
+		AnswerMemory: answermemory.New(answerMemoryBytes), Bodies: bodies,
 	}).Register(callers)
 	n.registerHealth(callers)
 	callers.HandleFunc("/", notFound)
--- a/internal/trial/fleet/fleet.go
+++ b/internal/trial/fleet/fleet.go
@@ -68,6 +68,7 @@
 	Engines            []Engine
 	Services           map[string]string // addresses by server name
 	WeightStoreAddress string
+	ExtraBounds        string // additional lines of the Bounds section of the routers' settings
 	ExtraPolicy        string // additional lines of the Policy section of the environment document
 	ExtraSections      string // additional sections of the environment document
 
--- a/internal/trial/fleet/router.go
+++ b/internal/trial/fleet/router.go
@@ -51,8 +51,8 @@
 
 [Bounds]
 LameDuck = 200ms
-`, host.Name, host.Environment, host.Domain, host.Region, host.CallerAddress, peerAddress, host.AdminAddress,
-		storeLink.Address, platformCredential, peerCredential, adminCredential, ordersCredential)
+%s`, host.Name, host.Environment, host.Domain, host.Region, host.CallerAddress, peerAddress, host.AdminAddress,
+		storeLink.Address, platformCredential, peerCredential, adminCredential, ordersCredential, f.ExtraBounds)
 	return r, os.WriteFile(r.settingsPath, []byte(text), 0o600)
 }
 
