relay: a stream that a server cuts for its slow caller is no loss

A server cuts off an answer that is not read for some seconds. A router reads no further while its caller reads nothing, and took the cut for a loss: the engine got an error (which costs it requests), its failure domain was probed, and the stream went on at another engine with a retry of the budget.

The reader measures for how long the caller held it up since it had last read all that had arrived. If that was a second or more, at most 2 s before the answer broke off, and the engine still listens, the stream ends: its connection is cut, and the caller may come back with Last-Event-ID. The reason is CallerReadsSlowly. An engine that is gone was lost as before, and so was one whose check has no result within 50 ms.

Resuming once the caller reads again was weighed. It would serve a caller that stalled once, for a retry and up to 5,200 prompt tokens each time, which a caller that stalls again uses up for others.

--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -46,6 +46,7 @@
 	replaced     bool               // another incarnation has the address
 
 	callerDisconnected bool
+	callerSlow         bool // the engine cut off an answer that the caller did not read
 	unanswered         bool // the connection attempt timed out; a packet may have been lost
 }
 
--- a/internal/router/relay/end.go
+++ b/internal/router/relay/end.go
@@ -23,6 +23,7 @@
 	attemptsUsed         endReason = "AttemptsUsed"
 	retryBudgetExhausted endReason = "RetryBudgetExhausted"
 	requestQuarantined   endReason = "RequestQuarantined"
+	callerReadsSlowly    endReason = "CallerReadsSlowly"
 )
 
 // contextEndReason returns why a stream's context has ended.
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -31,6 +32,7 @@
 	deadlyPart    string // a part of prompts that crashes every engine after its header
 	deadlySession string // crashes every engine before its header
 
+	gone        bool                 // no engine listens
 	probes      int                  // reports that were requested
 	pausedUntil map[string]time.Time // by server ID
 	sent        []time.Time          // of the dispatches
@@ -60,6 +62,7 @@
 	hangsAfter      int           // sends no more events after this many, but answers probes
 	lostAttempt     bool          // does not have the attempt and sends nothing, but answers probes
 	leaving         bool          // says so in its answers
+	cutsUnread      time.Duration // breaks off an answer of which nothing was read for so long
 	retryIn         time.Duration // with refuses, for which it wants nothing more
 }
 
@@ -186,7 +189,10 @@
 		if e.withoutIDs {
 			id = ""
 		}
-		if _, err := fmt.Fprintf(w, "%sdata: event %d%s\n\n", id, i, e.padding); err != nil {
+		unread := time.AfterFunc(cmp.Or(f.cutsUnread, time.Hour), func() { _ = w.CloseWithError(io.ErrUnexpectedEOF) })
+		_, err := fmt.Fprintf(w, "%sdata: event %d%s\n\n", id, i, e.padding)
+		unread.Stop()
+		if err != nil {
 			return
 		}
 	}
@@ -195,7 +201,7 @@
 
 // Listens says that engines are gone if requests crash them.
 func (e *fakeEngines) Listens(context.Context, string) (bool, error) {
-	return e.deadlySession == "" && e.deadlyPart == "", nil
+	return e.deadlySession == "" && e.deadlyPart == "" && !e.gone, nil
 }
 
 func (e *fakeEngines) Report(ctx context.Context, address string) (server.Report, error) {
--- a/internal/router/relay/run.go
+++ b/internal/router/relay/run.go
@@ -64,6 +64,7 @@
 	answer *server.Answer
 	event  sse.Event
 	err    error
+	held   bool // with err: the caller may be the cause
 }
 
 // begin sends the request to an engine.
@@ -199,6 +200,9 @@
 		a.answer = got.answer
 		return result{}, true
 	}
+	if got.err != nil && got.err != io.EOF && s.cutForCaller(a.ctx, got, a.target) {
+		return result{outcome: lost, reason: "caller reads too slowly: " + got.err.Error(), callerDisconnected: true, callerSlow: true}, false
+	}
 	if got.err != nil {
 		return s.classifyReadError(a.ctx, got.err, a.answer, a.target, a.backup), false
 	}
@@ -245,10 +249,14 @@
 	}
 	defer answer.Body.Close()
 	events := sse.NewReader(accountedReader{answer.Body, a.memory})
+	var held hold
 	for {
+		start := time.Now()
 		event, err := events.Next()
-		if !send(readResult{event: event, err: err}) || err != nil {
+		end := time.Now()
+		if !send(readResult{event: event, err: err, held: err != nil && held.explains(end)}) || err != nil {
 			return
 		}
+		held.observe(start, end, time.Now())
 	}
 }
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -183,6 +183,8 @@
 		return enginesRefused // with headers, the next search includes engines that refused
 	case r.outcome != lost:
 		return ""
+	case r.callerSlow:
+		return callerReadsSlowly
 	case !s.resumable():
 		return notResumable
 	case s.countedAttempts() >= s.req.Route.MaxAttempts:
