front: bound the writing of answers to callers that read nothing

A caller that read nothing of its answer held it without end: complete answers count against the memory for answers until they are written, and are never broken off for others. A write to it had no deadline: in the test it had not ended 20 s after a request with a deadline of 0.2 s.

A stream may be written until 2 s after its deadline, when its caller has stopped waiting, and a plain answer until 30 s after it, since it only has to begin before. 4 MB, the largest plain answer, leave within 30 s at 1.1 Mbit/s. net/http lifts the bound before the connection's next request, which a test checks.

--- a/internal/caller/front/handler.go
+++ b/internal/caller/front/handler.go
@@ -120,6 +120,7 @@
 		return
 	}
 	h.cfg.RetryBudget.RecordFirstAttempt(req.Service, now)
+	limitWriting(w, req)
 	if req.Route.Kind == routes.Streaming {
 		h.cfg.Streaming.Serve(w, r.Context(), req, service)
 		return
