openai, service: bound the writing of complete answers

Streams have had a bound of 30 s for each flush; answers of services and complete generations have the same now.

--- a/internal/caller/openai/answer.go
+++ b/internal/caller/openai/answer.go
@@ -48,9 +48,16 @@
 	out.Choices = []choice{completion}
 	out.Usage = c.usage(len(texts))
 	w.Header().Set("Content-Type", "application/json")
+	LimitWriting(w)
 	_ = json.NewEncoder(w).Encode(out)
 }
 
+// LimitWriting bounds the writing of a complete answer, whose memory counts until it is written.
+// net/http lifts the bound before the connection's next request.
+func LimitWriting(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+}
+
 // writeStream sends the answer token by token. The status is not written before the
 // first token, so that a refusal can still set it.
 func (c *call) writeStream(w http.ResponseWriter, r *http.Request) {
--- a/internal/caller/service/idempotent.go
+++ b/internal/caller/service/idempotent.go
@@ -11,6 +11,7 @@
 	routed "wisteriafield/internal/backend/server"
 	backend "wisteriafield/internal/backend/service"
 	"wisteriafield/internal/caller/apierror"
+	"wisteriafield/internal/caller/openai"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/limit"
 )
@@ -162,6 +163,7 @@
 	if v := a.Header.Get("Content-Type"); v != "" {
 		w.Header().Set("Content-Type", v)
 	}
+	openai.LimitWriting(w)
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
--- a/internal/caller/service/nonidempotent.go
+++ b/internal/caller/service/nonidempotent.go
@@ -14,6 +14,7 @@
 	backend "wisteriafield/internal/backend/service"
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/caller/apierror"
+	"wisteriafield/internal/caller/openai"
 	"wisteriafield/internal/config/document"
 	"wisteriafield/internal/decision/claim"
 	"wisteriafield/internal/decision/invariant"
@@ -116,6 +117,7 @@
 		w.Header().Set("Wisteriafield-Truncated", "true")
 	}
 	w.Header().Set("Content-Type", r.outcome.ContentType)
+	openai.LimitWriting(w)
 	w.WriteHeader(r.outcome.Status)
 	_, _ = w.Write(r.outcome.Body)
 }
