--- a/internal/backend/connpool/conn.go
+++ b/internal/backend/connpool/conn.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"wisteriafield/internal/backend/resetconn"
+	"wisteriafield/internal/base/validanswer"
 )
 
 const (
@@ -149,6 +150,9 @@
 		}
 		if res.StatusCode < 100 || res.StatusCode >= 200 || res.StatusCode == http.StatusSwitchingProtocols {
 			c.limit = math.MaxInt64
+			if err := validanswer.Check(res, http.StatusOK); err != nil {
+				return nil, fmt.Errorf("read answer: %w", err)
+			}
 			return res, nil
 		}
 	}
