openai: events after a long pause have time to be written

Each flush of a stream may take 30 s, and the bound of the last one still held when tokens came after a longer pause. More of them than a buffer of 4 KB are written before their own flush, which then failed at once and cut the stream. It is set anew for each event.

--- a/internal/caller/openai/answer.go
+++ b/internal/caller/openai/answer.go
@@ -11,7 +11,7 @@
 	"wisteriafield/internal/decision/resume"
 )
 
-// writeTimeout is how long a caller may take to read what each flush sends.
+// writeTimeout is how long a caller may take to read what is sent at once.
 const writeTimeout = 30 * time.Second
 
 // writeComplete waits for the complete answer and sends it in one reply.
@@ -52,8 +52,8 @@
 	_ = json.NewEncoder(w).Encode(out)
 }
 
-// LimitWriting bounds the writing of a complete answer, whose memory counts until it is written.
-// net/http lifts the bound before the connection's next request.
+// LimitWriting bounds the writing of an answer, or of its next part: the memory of an answer counts
+// until it is written. net/http lifts the bound before the connection's next request.
 func LimitWriting(w http.ResponseWriter) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 }
--- a/internal/caller/openai/events.go
+++ b/internal/caller/openai/events.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"wisteriafield/internal/caller/apierror"
 )
@@ -39,6 +38,7 @@
 
 // writeData writes an event; an empty id is omitted.
 func (e *eventWriter) writeData(id string, data []byte) {
+	LimitWriting(e.w) // a full buffer is written before the flush
 	if id != "" {
 		_, _ = e.w.Write([]byte("id: " + id + "\n"))
 	}
@@ -48,7 +48,7 @@
 }
 
 func (e *eventWriter) flush() error {
-	_ = e.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	LimitWriting(e.w)
 	return e.control.Flush()
 }
 
