--- a/internal/router/gossip/gossip.go
+++ b/internal/router/gossip/gossip.go
@@ -169,24 +169,6 @@
 	return g.plan().IdleInterval - checkInterval/2
 }
 
-// KnowsLoads reports whether this router knows the loads of all peers, at most one
-// exchange old. It does not in a large fleet, nor while it discovers its peers after
-// its start, nor while a peer is silent that may only be cut off from this router.
-func (g *Gossip) KnowsLoads(now time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if now.Sub(g.started) <= loadTTL || !g.plan().FullMesh {
-		return false
-	}
-	for _, p := range g.peers {
-		silence := now.Sub(p.lastMessageAt)
-		if p.host.Name != "" && !p.stopping && silence > loadTTL && silence < peerTTL {
-			return false
-		}
-	}
-	return true
-}
-
 // Run exchanges state with peers until ctx ends.
 func (g *Gossip) Run(ctx context.Context) error {
 	ticker := time.NewTicker(checkInterval)
--- a/internal/router/gossip/placement.go
+++ b/internal/router/gossip/placement.go
@@ -1,6 +1,9 @@
 package gossip
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // SendPlacement sends a placement message, which is JSON, to the datagram address of a peer. It is
 // encoded without the fields that other messages always have: there are several for each attempt.
@@ -14,3 +17,21 @@
 	defer g.mu.Unlock()
 	return !g.plan().FullMesh
 }
+
+// KnowsLoads reports whether this router knows the loads of all peers, at most one
+// exchange old. It does not in a large fleet, nor while it discovers its peers after
+// its start, nor while a peer is silent that may only be cut off from this router.
+func (g *Gossip) KnowsLoads(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Sub(g.started) <= loadTTL || !g.plan().FullMesh {
+		return false
+	}
+	for _, p := range g.peers {
+		silence := now.Sub(p.lastMessageAt)
+		if p.host.Name != "" && !p.stopping && silence > loadTTL && silence < peerTTL {
+			return false
+		}
+	}
+	return true
+}
