--- a/internal/router/relay/domaincheck.go
+++ b/internal/router/relay/domaincheck.go
@@ -122,7 +122,8 @@
 	if left == 0 || listed == nil || listed.Key() != e.Key() || listed.Leaving || r.isAlive(context.Background(), e) {
 		return
 	}
-	r.markDown(e, time.Now().Add(unresponsiveBackoff+recheckMargin))
+	// Peers are not told: this router may only be cut off from it.
+	e.Load.MarkDown(time.Now().Add(unresponsiveBackoff + recheckMargin))
 	time.AfterFunc(unresponsiveBackoff, func() { r.recheckEngine(e, left-1) })
 }
 
