--- a/internal/caller/front/handler_test.go
+++ b/internal/caller/front/handler_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -59,6 +60,7 @@
 	served       []string
 	nonStreaming *recordingServer
 	stopping     bool
+	mu           sync.Mutex // held for the table, once requests are served
 	acceptedAt   time.Time
 	memory       *answermemory.Budget
 	held         int64       // of memory, when the last request was accepted
@@ -82,7 +84,7 @@
 	log.SetOutput(io.Discard)
 	h.nonStreaming = &recordingServer{name: "plain", served: &h.served}
 	h.handler = front.New(front.Config{
-		Protocol: fakeProtocol{}, Table: func() *routes.Table { return h.table },
+		Protocol: fakeProtocol{}, Table: h.currentTable,
 		Streaming: &recordingServer{name: "stream", served: &h.served}, NonStreaming: h.nonStreaming, RetryBudget: noRetryBudget{},
 		Accepts: func(req *server.Request, now time.Time) bool {
 			h.acceptedAt, h.held = now, h.memory.Used()
@@ -93,6 +95,18 @@
 	return h
 }
 
+func (h *testHandler) currentTable() *routes.Table {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table
+}
+
+func (h *testHandler) setTable(t *routes.Table) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table = t
+}
+
 func (h *testHandler) post(path, key, body string, header ...string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader(body))
 	r.Header.Set("Id", "r-1")
--- a/internal/caller/front/startup_test.go
+++ b/internal/caller/front/startup_test.go
@@ -31,7 +31,7 @@
 				table := h.table
 				h.table = nil
 				start := time.Now()
-				time.AfterFunc(c.comesAfter, func() { h.table = table })
+				time.AfterFunc(c.comesAfter, func() { h.setTable(table) })
 				w := h.post("/draft/1", "k", "x", "Left", c.left.String())
 				g.Expect(w.Code).To(Equal(c.status))
 				g.Expect(time.Since(start)).To(BeNumerically("~", c.took, 25*time.Millisecond))
