--- a/internal/backend/connpool/pool_test.go
+++ b/internal/backend/connpool/pool_test.go
@@ -131,7 +131,7 @@
 			},
 			"put": func(t *rapid.T) {
 				if len(m.inUse) == 0 {
-					t.Skip("no connection is in use")
+					m.inUse = append(m.inUse, p.Open(address(), class()))
 				}
 				i := rapid.IntRange(0, len(m.inUse)-1).Draw(t, "connection")
 				member := m.inUse[i]
--- a/internal/backend/connpool/send_test.go
+++ b/internal/backend/connpool/send_test.go
@@ -15,7 +15,7 @@
 	"wisteriafield/internal/backend/connpool"
 )
 
-const namedAnswer = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nContent-Length: 2\r\n\r\nok"
+const namedAnswer = "HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nContent-Length: 2\r\n\r\nok"
 
 // send sends a request whose answers name a1, and returns whether it was sent on a kept connection.
 func send(c *connpool.Client, address, id string, mayRepeat bool) (reused bool, err error) {
@@ -24,7 +24,7 @@
 	res, reused, err := c.Send(ctx, connpool.Request{
 		Address: address, ID: id, MayRepeat: func() bool { return mayRepeat },
 		NewRequest: func() (*http.Request, error) { return http.NewRequest(http.MethodGet, "http://"+address+"/", nil) },
-		Named:      func(res *http.Response) bool { return res.Header.Get("X-Attempt-Id") == "a1" },
+		Named:      func(res *http.Response) bool { return res.Header.Get("Request-Id") == "a1" },
 	})
 	if err != nil {
 		return reused, err
--- a/internal/router/relay/lostbackup_test.go
+++ b/internal/router/relay/lostbackup_test.go
@@ -35,7 +35,7 @@
 	h.Expect(h.engines.dispatched()[1].RestoreFrom).To(BeNil())
 }
 
-// An engine that is silent sends no parts of the backup. In a trial on fleet B, all 23 streams that
+// An engine that is silent sends no parts of the backup. In a trial of 36 routers and 224 engines, all 23 streams that
 // resumed from a backup 4 s after their last event were refused, though their engines were left
 // later.
 func TestTheBackupOfASilentEngineExpiresByItsLastEvent(t *testing.T) {
@@ -71,7 +71,7 @@
 	})
 }
 
-// The first part of a backup arrives some time after the first event. In two trials on fleet B, 15
+// The first part of a backup arrives some time after the first event. In two trials of 36 routers and 224 engines, 15
 // of 24 resumes after one event were refused.
 func TestABackupThatMayNotHaveArrivedIsNotTriedWithTheLastRetry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/router/relay/recheck_test.go
+++ b/internal/router/relay/recheck_test.go
@@ -11,7 +11,7 @@
 )
 
 // Engines that had crashed were offered again after 2 s under their old incarnations, which stay
-// listed for longer: 238 of 3,063 attempts on a calm day of fleet B were rejected as misdirected.
+// listed for longer: 238 of 3,063 attempts on a calm day of 36 routers and 224 engines were rejected as misdirected.
 func TestADeadEngineStaysDownWhileItIsListed(t *testing.T) {
 	for name, c := range map[string]struct {
 		faults map[string]engineFaults
