enginetable, registry, relay: comments that a newcomer would misread

Found by reading the whole change: an entry of an owner's table was said to be an offer too, which has a type of its own, and what a report without a rate means was unclear. Comments only.

--- a/internal/backend/registry/speed.go
+++ b/internal/backend/registry/speed.go
@@ -20,8 +20,8 @@
 	return enginespeed.Median(append([]enginespeed.Speed{l.speed.Speed()}, l.peerSpeeds...))
 }
 
-// RecordPeerSpeed records the speed of an engine that a peer has measured. One that it does not know
-// counts as zero.
+// RecordPeerSpeed records the speed of an engine that a peer has measured. A report without a token
+// time says nothing; a prefill rate of 0 is not known.
 func (l *Load) RecordPeerSpeed(s enginespeed.Speed) {
 	if s.TokenTime <= 0 || !(s.PrefillTokensPerMs >= 0) {
 		return
--- a/internal/decision/enginetable/table.go
+++ b/internal/decision/enginetable/table.go
@@ -42,8 +42,8 @@
 	UsedTokens   int
 }
 
-// entry is an attempt, an offer that counts like one, or, for a while, an attempt that has ended:
-// a late notice must not bring it back.
+// entry is an attempt or a backup or, for a while, one that has ended: a late notice must not bring
+// it back.
 type entry struct {
 	Attempt
 	ended     bool
--- a/internal/router/relay/target.go
+++ b/internal/router/relay/target.go
@@ -13,7 +13,8 @@
 const maxEngineWait = unresponsiveBackoff + 500*time.Millisecond
 
 // certainBackupEvents is after how many events of an attempt its backup is likely to have arrived:
-// in two trials of 36 routers and 224 engines, 15 of 24 resumes after a single event were refused, and 3 of 15 after two.
+// in two trials of 36 routers and 224 engines, 15 of 24 resumes after a single event were refused,
+// and 3 of 15 after two.
 const certainBackupEvents = 2
 
 // nextTarget chooses the engine of the next attempt, and the backup to resume from, if
