--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -29,11 +29,12 @@
 type backend struct {
 	id, address, service, zone, store string
 	pieceGap                          time.Duration // between two pieces of a body
-	unframed                          bool          // answers have no length and end with their connections
 	loseFrom                          int64         // Unix milliseconds
 	loseFor, losePause                time.Duration // answers are lost, and then not
 	loseTimes                         int
 	loseShare                         float64
+	deadly                            string        // a request with this text in its path crashes the server
+	crashAfter                        time.Duration // from the start of its run to the crash
 	born                              int64
 	mu                                sync.Mutex // held while a line is written
 }
@@ -48,11 +49,12 @@
 	flags.StringVar(&b.zone, "zone", "gulberg", "zone")
 	flags.StringVar(&b.store, "store", "", "IP:PORT of the store")
 	flags.DurationVar(&b.pieceGap, "gap", 0, "time between two pieces of a body")
-	flags.BoolVar(&b.unframed, "unframed", false, "answers have no length and end with their connections")
 	flags.Int64Var(&b.loseFrom, "lose-from", 0, "Unix milliseconds from which answers are lost")
 	flags.DurationVar(&b.loseFor, "lose-for", 0, "how long answers are lost")
 	flags.DurationVar(&b.losePause, "lose-pause", 0, "how long they are not lost afterwards")
 	flags.IntVar(&b.loseTimes, "lose-times", 0, "how often answers are lost so")
+	flags.StringVar(&b.deadly, "deadly", "", "a request with this text in its path crashes the server")
+	flags.DurationVar(&b.crashAfter, "crash-after", 0, "time from the start of its run to the crash")
 	flags.Float64Var(&b.loseShare, "lose", 0, "share of the answers that are lost")
 	_ = flags.Parse(args)
 	ln, err := net.Listen("tcp", b.address)
@@ -124,6 +126,11 @@
 		return
 	}
 	b.logf("run %s line %q tenant %q body %q", id, strings.TrimSpace(first), req.Header.Get("X-Tenant"), sent[:min(len(sent), 40)])
+	if b.deadly != "" && strings.Contains(first, b.deadly) {
+		time.Sleep(b.crashAfter)
+		b.logf("crash by %s", id)
+		os.Exit(1)
+	}
 	if b.loses(time.Now()) && rand.Float64() < b.loseShare {
 		b.logf("answer to %s is lost", id)
 		if c, ok := conn.(*net.TCPConn); ok {
@@ -132,11 +139,7 @@
 		return
 	}
 	whole := body(id)
-	length := fmt.Sprintf("Content-Length: %d\r\n", len(whole))
-	if b.unframed {
-		length = ""
-	}
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Type: text/plain\r\n%sConnection: close\r\n\r\n", id, b.id, length)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\nConnection: close\r\n\r\n", id, b.id, len(whole))
 	if _, err := io.WriteString(conn, head); err != nil {
 		return
 	}
