http1, front: a request that is not read ends its connection within bounds

Cause: after the answer to a request that was not read, net/http waits 0.5 s before it closes the connection, callerConn discards for another 0.5 s, and nothing counts either. front read the rest of a refused body through net/http, chunk by chunk, for up to a second. For what is left of a small body net/http sets no deadline: a caller that stalled after its answer stayed for good.

Such an answer is now written by the connection itself, which then discards raw bytes for at most 0.5 s and 16 MB, the largest body by default; 256 at a time, the oldest gives way. The caller that is still sending gets its answer as before (TestARefusalIsNotLostOnTheConnectionsOfARouter), and 12 MB are still discarded for it. What is left of a small body may take 0.5 s.

--- a/internal/caller/front/body.go
+++ b/internal/caller/front/body.go
@@ -10,6 +10,7 @@
 
 	"wisteriafield/internal/backend/answerbody"
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/caller/http1"
 	"wisteriafield/internal/config/routes"
 	"wisteriafield/internal/decision/answermemory"
 )
@@ -17,6 +18,9 @@
 // discardTimeout bounds the wait for the body of a request that is refused.
 const discardTimeout = time.Second
 
+// maxDiscard is the largest body, in bytes, of a refused request whose connection is kept.
+const maxDiscard = 64 << 10
+
 // bodyLimit returns the largest body, in bytes, that is read.
 func bodyLimit(table *routes.Table) int64 {
 	if table.Limits.MaxBody > 0 {
@@ -42,6 +46,9 @@
 	if r.Header.Get("Expect") != "" {
 		return // the caller sends the body only if it is asked to
 	}
+	if http1.DiscardsUnread(r) {
+		limit = min(limit, maxDiscard) // reading it by chunks takes more time than the connection does
+	}
 	defer limitReading(w, r, time.Now().Add(discardTimeout))()
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, limit)); err != nil {
 		w.Header().Set("Connection", "close")
--- a/internal/caller/http1/announce.go
+++ b/internal/caller/http1/announce.go
@@ -11,31 +11,51 @@
 	http.ResponseWriter
 	stopping *atomic.Bool
 	written  bool
+	c        *callerConn // nil if the connection is not a caller's
+	r        *http.Request
+	refusal  *refusal // nil unless the request was not read
 }
 
 // begin is called before the header of the answer is written.
-func (w *closingWriter) begin() {
-	if !w.written && w.stopping.Load() {
-		w.Header().Set("Connection", "close")
+func (w *closingWriter) begin(status int) {
+	if w.written {
+		return
 	}
 	w.written = true
+	if w.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if w.refuses() {
+		w.beginRefusal(status)
+	}
 }
 
 func (w *closingWriter) WriteHeader(status int) {
 	if status >= http.StatusOK {
-		w.begin()
+		w.begin(status)
+	}
+	if w.refusal == nil {
+		w.ResponseWriter.WriteHeader(status)
 	}
-	w.ResponseWriter.WriteHeader(status)
 }
 
 func (w *closingWriter) Write(p []byte) (int, error) {
-	w.begin()
-	return w.ResponseWriter.Write(p)
+	w.begin(http.StatusOK)
+	if w.refusal == nil {
+		return w.ResponseWriter.Write(p)
+	}
+	if w.refusal.body.Len()+len(p) > maxRefusal {
+		return 0, http.ErrContentLength
+	}
+	return w.refusal.body.Write(p)
 }
 
 // FlushError writes the header if it is not written yet.
 func (w *closingWriter) FlushError() error {
-	w.begin()
+	w.begin(http.StatusOK)
+	if w.refusal != nil {
+		return nil // until finish
+	}
 	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
--- a/internal/caller/http1/conns.go
+++ b/internal/caller/http1/conns.go
@@ -3,7 +3,6 @@
 package http1
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -48,7 +47,9 @@
 
 	accepting atomic.Int32 // calls of Accept
 	open      sync.Map     // of *callerConn
-	usedAt    atomic.Int64 // Unix nanoseconds when a connection last began or ended to be in use
+	refusals  refusals
+
+	usedAt atomic.Int64 // Unix nanoseconds when a connection last began or ended to be in use
 
 	stopping atomic.Bool // answers tell callers to close their connections
 }
@@ -65,13 +66,16 @@
 	log           *logrus.Entry
 	onClosed      func(*callerConn) // after Closing
 
-	mu        sync.Mutex
-	phase     Phase
-	idleSince time.Time
-	ending    bool // while idle, by closeIdle
-	ended     bool // no request is read any more
-	answered  bool // the handler of the request has returned, with a complete answer
-	exchange  exchange
+	mu       sync.Mutex
+	phase    Phase
+	since    time.Time // when the phase began
+	unread   bool      // the request that is served was not read completely
+	ending   bool      // while idle, by closeIdle
+	ended    bool      // no request is read any more
+	answered bool      // the handler of the request has returned, with a complete answer
+	exchange exchange
+
+	refusals *refusals
 }
 
 func (c *callerConn) Read(p []byte) (int, error) {
@@ -89,7 +93,9 @@
 func (c *callerConn) end() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ended = c.ended || c.phase != Serving
+	if !c.ended && c.phase != Serving {
+		c.ended, c.since = true, time.Now()
+	}
 	return c.ended
 }
 
@@ -113,7 +119,7 @@
 		deadline = time.Now().Add(c.headerTimeout)
 	}
 	if c.phase == Idle {
-		c.phase = Reading
+		c.phase, c.since = Reading, time.Now()
 		c.ending = c.ending || !deadline.IsZero()
 	}
 	c.goOn(deadline)
@@ -130,7 +136,7 @@
 func (c *callerConn) setPhase(phase Phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase, c.idleSince, c.answered = phase, time.Now(), false
+	c.phase, c.since, c.answered = phase, time.Now(), false
 	if phase == Idle {
 		c.exchange = exchange{}
 	}
@@ -142,7 +148,7 @@
 func (c *callerConn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.phase != Idle || now.Sub(c.idleSince) < minIdle {
+	if c.ended || c.phase != Idle || now.Sub(c.since) < minIdle {
 		return
 	}
 	c.ending = true
@@ -155,71 +161,6 @@
 	return c.phase
 }
 
-type connKey struct{}
-
-// Attach makes a server with a handler record what happens on its connections, which come
-// from a listener of Listen.
-func (cs *Conns) Attach(s *http.Server) {
-	s.Handler = cs.markServing(s.Handler)
-	s.DisableGeneralOptionsHandler = true // all requests are marked
-	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, conn)
-	}
-	s.ConnState = cs.stateChanged
-}
-
-// markServing records that the handler of a request has begun, and has its answer say that
-// the connection closes if the server stops before the answer begins.
-func (cs *Conns) markServing(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c, ok := r.Context().Value(connKey{}).(*callerConn)
-		if ok {
-			c.beginServing(r)
-		}
-		cw := &closingWriter{ResponseWriter: w, stopping: &cs.stopping}
-		h.ServeHTTP(cw, r)
-		cw.begin()
-		if ok {
-			c.setAnswered()
-		}
-	})
-}
-
-// ResetOnClose makes the connection of a request end with a reset, so that an answer that
-// ends with its connection, as for HTTP/1.0, does not look complete.
-func ResetOnClose(r *http.Request) {
-	c, ok := r.Context().Value(connKey{}).(*callerConn)
-	if !ok || r.ProtoAtLeast(1, 1) {
-		return
-	}
-	if conn, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = conn.SetLinger(0)
-	}
-}
-
-// stateChanged is the ConnState hook of the server.
-func (cs *Conns) stateChanged(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*callerConn)
-	if !ok {
-		return
-	}
-	cs.used(c)
-	switch state {
-	case http.StateIdle:
-		c.setPhase(Idle)
-	case http.StateClosed, http.StateHijacked:
-		if c.currentPhase() == Closing {
-			return // until it has closed
-		}
-		cs.open.Delete(c)
-		cs.logUnanswered(c)
-		if c.currentPhase() == Reading {
-			endedWhileReadTotal.Inc()
-			cs.log.WithField("caller", c.RemoteAddr().String()).WithField("bytes", c.bytesRead()).Info("connection ended while a request was read")
-		}
-	}
-}
-
 // used records that a connection begins or ends to be in use.
 func (cs *Conns) used(c *callerConn) {
 	c.mu.Lock()
--- a/internal/caller/http1/linger.go
+++ b/internal/caller/http1/linger.go
@@ -10,6 +10,9 @@
 const (
 	// lingerTime is above the time that the end of a connection takes to reach its caller.
 	lingerTime = 500 * time.Millisecond
+	// maxDiscard is what is discarded of one connection, in bytes: the largest body of a request
+	// by default.
+	maxDiscard = 16 << 20
 	// timeoutAnswer (RFC 9110, 15.5.9) tells a caller whose request is under way that it
 	// was not read. Clients drop an idle connection on which it arrives.
 	timeoutAnswer = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -27,11 +30,11 @@
 }
 
 // discard ends the sending and discards what arrives until the caller ends the connection,
-// at most for lingerTime.
+// at most for lingerTime and maxDiscard.
 func (c *callerConn) discard() {
 	_ = c.CloseWrite()
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-	if n, _ := io.Copy(io.Discard, c.Conn); n > 0 {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	if n, _ := io.CopyN(io.Discard, c.Conn, maxDiscard); n > 0 {
 		requestsCrossedTotal.Inc()
 		c.log.WithField("caller", c.RemoteAddr().String()).WithField("bytes", n).Info("request crossed the end of its connection")
 	}
@@ -58,7 +61,7 @@
 	if c.phase != Serving || !c.answered {
 		return false
 	}
-	c.phase = Closing
+	c.phase, c.since = Closing, time.Now()
 	return true
 }
 
@@ -71,8 +74,13 @@
 	}
 }
 
+// setAnswered records that the handler of a request has returned. net/http reads what is left of
+// a small body, for which it sets no deadline.
 func (c *callerConn) setAnswered() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answered = true
+	if c.unread {
+		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	}
 }
--- a/internal/caller/http1/listener.go
+++ b/internal/caller/http1/listener.go
@@ -43,13 +43,16 @@
 
 func (cs *Conns) add(conn net.Conn) *callerConn {
 	c := &callerConn{
-		Conn: conn, headerTimeout: cs.headerTimeout, log: cs.log, phase: Idle, idleSince: time.Now(),
-		onClosed: func(c *callerConn) { cs.open.Delete(c) },
+		Conn: conn, headerTimeout: cs.headerTimeout, log: cs.log, phase: Idle, since: time.Now(),
+		onClosed: cs.remove, refusals: &cs.refusals,
 	}
 	cs.open.Store(c, true)
 	return c
 }
 
+// remove forgets a connection that has closed.
+func (cs *Conns) remove(c *callerConn) { cs.open.Delete(c) }
+
 // stopAccepting closes the listener. The connections that the kernel has accepted, which that
 // would reset, are kept until they are served.
 func (cs *Conns) stopAccepting() {
--- a/internal/caller/http1/unanswered.go
+++ b/internal/caller/http1/unanswered.go
@@ -40,6 +40,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange.request, c.exchange.since = r, time.Now()
+	c.unread = r.ContentLength != 0
 }
 
 // takeUnanswered returns what has passed on a connection whose request is served and has got
--- a/internal/caller/openai/body.go
+++ b/internal/caller/openai/body.go
@@ -10,6 +10,7 @@
 
 	"wisteriafield/internal/backend/answerbody"
 	"wisteriafield/internal/caller/apierror"
+	"wisteriafield/internal/caller/http1"
 	"wisteriafield/internal/decision/answermemory"
 )
 
@@ -45,7 +46,7 @@
 	case errors.Is(err, answermemory.ErrExhausted):
 		bodiesRefusedTotal.Inc()
 		w.Header().Set("Connection", "close")
-		if r.Header.Get("Expect") == "" {
+		if r.Header.Get("Expect") == "" && !http1.DiscardsUnread(r) {
 			// A caller who is still sending would lose the answer.
 			_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
 			_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, limit))
