http1, connlimit: bound the connections of callers by those of the host

Clients that only held connections took as many descriptors as they liked: 1,512 for 1,500 clients on a host that has 700 for sockets, which then could accept nobody.

Cause: limits.maxFds of the settings was read by nothing, and connections of callers had no bound. A stop accepted the whole queue of the kernel at once.

A router holds at most 0.4 of its descriptors for sockets, or a quarter of its memory at 32 KB each, in connections of callers: 1,560 with 284 MB and 4,100 descriptors. From seven eighths on it ends others for a new one, decided by decision/connlimit: connections without a request first, then idle ones, then those whose request is not complete, the oldest first; the last get 408, since they have not run. A request that was read completely never gives way. If all are in use, a new connection is closed at once, without being read; if some may end soon, it waits for them for at most 0.1 s.

--- a/internal/caller/http1/conns.go
+++ b/internal/caller/http1/conns.go
@@ -38,6 +38,8 @@
 	log           *logrus.Entry
 	// RequestID returns the ID of a request for the log; may be nil. It is set before Attach.
 	RequestID func(*http.Request) string
+	// Limits bound the connections. They are set before Listen.
+	Limits Limits
 
 	mu       sync.Mutex // locked by no connection: many would hold up the end of accepting
 	listener net.Listener
@@ -45,18 +47,21 @@
 	stopped  bool          // only connections that the kernel had accepted are accepted
 	queued   []*callerConn // these, until they are served
 
-	accepting atomic.Int32 // calls of Accept
-	open      sync.Map     // of *callerConn
+	accepting atomic.Int32  // calls of Accept
+	open      sync.Map      // of *callerConn
+	n         atomic.Int64  // connections that are open
+	removed   chan struct{} // has a value after one of them has closed
 	refusals  refusals
 
-	usedAt atomic.Int64 // Unix nanoseconds when a connection last began or ended to be in use
+	endingLogged atomic.Int64 // Unix nanoseconds when it was logged that connections end for others
+	usedAt       atomic.Int64 // Unix nanoseconds when a connection last began or ended to be in use
 
 	stopping atomic.Bool // answers tell callers to close their connections
 }
 
 // New returns the connections of a server with a timeout for the headers of requests.
 func New(headerTimeout time.Duration, log *logrus.Entry) *Conns {
-	return &Conns{headerTimeout: headerTimeout, log: log}
+	return &Conns{headerTimeout: headerTimeout, log: log, removed: make(chan struct{}, 1)}
 }
 
 // callerConn is the connection of a caller.
@@ -66,23 +71,29 @@
 	log           *logrus.Entry
 	onClosed      func(*callerConn) // after Closing
 
-	mu       sync.Mutex
-	phase    Phase
-	since    time.Time // when the phase began
-	unread   bool      // the request that is served was not read completely
-	ending   bool      // while idle, by closeIdle
-	ended    bool      // no request is read any more
-	answered bool      // the handler of the request has returned, with a complete answer
-	exchange exchange
+	mu        sync.Mutex
+	phase     Phase
+	since     time.Time // when the phase began
+	used      bool      // a request was read
+	unread    bool      // the request that is served was not read completely
+	ending    bool      // while idle, by closeIdle or to accept others
+	forOthers bool      // the request is not read any more, to accept others
+	ended     bool      // no request is read any more
+	answered  bool      // the handler of the request has returned, with a complete answer
+	exchange  exchange
 
 	refusals *refusals
 }
 
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	// net/http reads one byte while a request is served, which shows the end of the connection.
+	if len(p) == 1 && errors.Is(err, os.ErrDeadlineExceeded) && c.goOnServing() {
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 {
 		c.beginReading(n)
-	} else if errors.Is(err, os.ErrDeadlineExceeded) && c.end() {
+	} else if errors.Is(err, os.ErrDeadlineExceeded) && c.end() && !c.endsIdleForOthers() {
 		c.linger()
 	}
 	return n, err
@@ -99,6 +110,14 @@
 	return c.ended
 }
 
+// endsIdleForOthers reports whether the connection ends without a request, to accept others. It
+// does not wait for what its caller may send.
+func (c *callerConn) endsIdleForOthers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.forOthers && c.phase == Idle
+}
+
 // CloseWrite lets net/http end an answer whose request was not read completely without
 // resetting the connection.
 func (c *callerConn) CloseWrite() error {
@@ -119,7 +138,8 @@
 		deadline = time.Now().Add(c.headerTimeout)
 	}
 	if c.phase == Idle {
-		c.phase, c.since = Reading, time.Now()
+		c.phase, c.since, c.used = Reading, time.Now(), true
+		c.forOthers = false
 		c.ending = c.ending || !deadline.IsZero()
 	}
 	c.goOn(deadline)
@@ -129,7 +149,7 @@
 func (c *callerConn) goOn(deadline time.Time) {
 	if c.ending {
 		c.ending = false
-		_ = c.SetReadDeadline(deadline)
+		_ = c.setReadDeadline(deadline)
 	}
 }
 
@@ -152,7 +172,7 @@
 		return
 	}
 	c.ending = true
-	_ = c.SetReadDeadline(time.Now())
+	_ = c.setReadDeadline(time.Now())
 }
 
 func (c *callerConn) currentPhase() Phase {
--- /dev/null
+++ b/internal/caller/http1/limits.go
@@ -0,0 +1,186 @@
+package http1
+
+import (
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"wisteriafield/internal/decision/connlimit"
+)
+
+var (
+	endedForOthersTotal = metrics.NewCounter("wisteriafield_connections_ended_for_others_total")
+	refusedAtLimitTotal = metrics.NewCounter("wisteriafield_connections_refused_at_limit_total")
+)
+
+const (
+	// roomTime bounds the wait of a new connection for others that are ending.
+	roomTime = 100 * time.Millisecond
+	// endCheckInterval bounds the wait for a connection that is ending.
+	endCheckInterval = 5 * time.Millisecond
+	// endingLogInterval is the least time between two log lines of connections that end for others.
+	endingLogInterval = time.Second
+	// minLingering is how long a connection may discard what arrives after its answer, though
+	// others want its place.
+	minLingering = 20 * time.Millisecond
+)
+
+// Limits bound what the connections of callers take of a host. A zero value bounds nothing.
+type Limits struct {
+	Connections int // that are open at the same time
+}
+
+// admit reports whether there is room for a new connection, for which it ends others and waits at
+// most for a time. Otherwise it closes the connection.
+func (cs *Conns) admit(conn net.Conn, wait time.Duration) bool {
+	limit := cs.Limits.Connections
+	if limit <= 0 || connlimit.Excess(int(cs.n.Load()), limit) == 0 {
+		return true
+	}
+	deadline := time.Now().Add(wait)
+	for {
+		next := cs.endForOthers(limit)
+		if !cs.isFull() {
+			return true
+		}
+		if next.IsZero() || next.After(deadline) {
+			break
+		}
+		select {
+		case <-cs.removed:
+		case <-time.After(time.Until(next)):
+		}
+	}
+	refusedAtLimitTotal.Inc()
+	_ = conn.Close()
+	return false
+}
+
+func (cs *Conns) isFull() bool { return int(cs.n.Load()) >= cs.Limits.Connections }
+
+// endForOthers ends connections that are not in use if there are too many. It returns when another
+// one may have ended or may be ended, zero if all are in use.
+func (cs *Conns) endForOthers(limit int) (next time.Time) {
+	now := time.Now()
+	var all []*callerConn
+	var conns []connlimit.Conn
+	ending := 0
+	cs.each(func(c *callerConn) {
+		state, since, ends := c.use()
+		if ends {
+			ending++
+			c.endLingering(now)
+			return
+		}
+		all = append(all, c)
+		conns = append(conns, connlimit.Conn{State: state, Since: since})
+	})
+	chosen, next := connlimit.Choose(conns, connlimit.Excess(len(conns), limit), now)
+	endedForOthersTotal.Add(len(chosen))
+	if last := cs.endingLogged.Load(); len(chosen) > 0 && now.UnixNano()-last > int64(endingLogInterval) && cs.endingLogged.CompareAndSwap(last, now.UnixNano()) {
+		oldest := conns[chosen[0]]
+		cs.log.WithField("open", len(conns)).WithField("ending", ending).WithField("ended", len(chosen)).
+			WithField("state", string(oldest.State)).WithField("ms", now.Sub(oldest.Since).Milliseconds()).Info("connections ended to accept others")
+	}
+	for _, i := range chosen {
+		all[i].endForOthers()
+	}
+	if ending+len(chosen) > 0 {
+		return now.Add(endCheckInterval)
+	}
+	return next
+}
+
+// use returns what a connection is used for and since when, and whether it is ending.
+func (c *callerConn) use() (state connlimit.State, since time.Time, ending bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ending = c.ended || c.forOthers || c.phase == Closing
+	switch {
+	case c.phase == Idle && !c.used:
+		return connlimit.New, c.since, ending
+	case c.phase == Idle:
+		return connlimit.Idle, c.since, ending
+	case c.phase == Reading || c.unread && !c.answered:
+		return connlimit.Incomplete, c.since, ending
+	}
+	return connlimit.InUse, c.since, ending
+}
+
+// endForOthers lets the reading of a request fail, which has not run then. An idle connection
+// closes, unless a request arrives first.
+func (c *callerConn) endForOthers() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.ended || c.phase == Closing:
+	case c.phase == Idle:
+		if !c.hasUnread() {
+			c.ending, c.forOthers = true, true
+			_ = c.setReadDeadline(time.Now())
+		}
+	case c.phase == Reading || c.unread && !c.answered:
+		c.forOthers = true
+		_ = c.setReadDeadline(time.Now())
+	}
+}
+
+// endLingering ends a connection that only discards what arrives.
+func (c *callerConn) endLingering(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if (c.ended || c.phase == Closing) && now.Sub(c.since) > minLingering {
+		_ = c.Conn.SetReadDeadline(now)
+	}
+}
+
+// goOnServing lets a request be served whose last bytes had been read before its connection was to
+// end for others.
+func (c *callerConn) goOnServing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.forOthers || c.phase != Serving || c.answered {
+		return false
+	}
+	c.forOthers, c.unread = false, false
+	return c.setReadDeadline(time.Time{}) == nil
+}
+
+// hasUnread reports whether the kernel has bytes of the connection that were not read. A busy
+// router may read those of a request late.
+func (c *callerConn) hasUnread() bool {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	var peeked [1]byte
+	_ = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n > 0
+}
+
+// SetReadDeadline sets the deadline of reads, unless the connection ends for others.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.forOthers {
+		t = time.Now()
+	}
+	return c.setReadDeadline(t)
+}
+
+func (c *callerConn) setReadDeadline(t time.Time) error {
+	if err := c.Conn.SetReadDeadline(t); err != nil {
+		return fmt.Errorf("set read deadline: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/caller/http1/limits_test.go
@@ -0,0 +1,108 @@
+package http1
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const testConnections = 32
+
+// newLimitedServer returns a server with a bound on its connections.
+func newLimitedServer(handler http.HandlerFunc) *testServer {
+	s := newTestServer(handler)
+	s.conns.Limits = Limits{Connections: testConnections}
+	return s
+}
+
+// Clients that hold connections left none for others.
+func TestConnectionsThatAreNotInUseGiveWay(t *testing.T) {
+	for name, c := range map[string]struct {
+		text   string
+		status int // of what gives way
+	}{
+		"open and silent":      {"", 0},
+		"header stopped short": {"POST / HTTP/1.1\r\nHost: h\r\n", http.StatusRequestTimeout},
+		"length":               {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nx", http.StatusBadRequest},
+		"chunks":               {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n64\r\nx", http.StatusBadRequest},
+		"answered":             {"GET / HTTP/1.1\r\nHost: h\r\n\r\n", http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			s := newLimitedServer(func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.Copy(io.Discard, r.Body); err != nil {
+					w.Header().Set("Connection", "close")
+					w.WriteHeader(http.StatusBadRequest)
+				}
+			})
+			address := s.listen(g, t)
+			var crowd []net.Conn
+			for range 4 * testConnections {
+				crowd = append(crowd, dial(g, t, address, c.text))
+				time.Sleep(10 * time.Millisecond)
+				g.Expect(s.conns.n.Load()).To(BeNumerically("<=", testConnections))
+			}
+			g.Expect(answerStatus(dial(g, t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"))).To(Equal(http.StatusOK))
+			g.Expect(answerStatus(crowd[0])).To(Equal(c.status))
+			g.Eventually(s.logged).WithArguments("connections ended to accept others").ShouldNot(BeEmpty())
+		})
+	}
+}
+
+func TestARequestThatIsServedDoesNotGiveWay(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan bool)
+	s := newLimitedServer(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-release
+	})
+	address := s.listen(g, t)
+	var served []net.Conn
+	for range testConnections {
+		served = append(served, dial(g, t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx"))
+	}
+	g.Eventually(s.conns.Count, testTimeout).Should(Equal(map[Phase]int{Serving: testConnections}))
+	time.Sleep(200 * time.Millisecond)
+	g.Expect(answerStatus(dial(g, t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"))).To(BeZero(), "no room")
+	close(release)
+	for _, conn := range served {
+		g.Expect(answerStatus(conn)).To(Equal(http.StatusOK))
+	}
+	g.Eventually(func() int { return answerStatus(dial(g, t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")) }, testTimeout).Should(Equal(http.StatusOK))
+}
+
+// A request whose last bytes had been read when its connection was to end is served.
+func TestARequestThatIsCompleteAfterAllIsServed(t *testing.T) {
+	g := NewWithT(t)
+	served := make(chan error, 1)
+	var s *testServer
+	s = newLimitedServer(func(w http.ResponseWriter, r *http.Request) {
+		s.conns.each((*callerConn).endForOthers)
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(100 * time.Millisecond)
+		served <- r.Context().Err()
+	})
+	conn := dial(g, t, s.listen(g, t), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+	g.Expect(answerStatus(conn)).To(Equal(http.StatusOK))
+	g.Expect(served).To(Receive(BeNil()))
+}
+
+// A stop accepts what is in the kernel's queue, which may be more than a host can hold.
+func TestAStopAcceptsNoMoreThanTheLimit(t *testing.T) {
+	g := NewWithT(t)
+	s := newLimitedServer(func(http.ResponseWriter, *http.Request) {})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer ln.Close()
+	s.conns.Listen(ln)
+	for range 3 * testConnections {
+		dial(g, t, ln.Addr().String(), "")
+	}
+	s.conns.stopAccepting()
+	g.Expect(s.conns.queued).To(HaveLen(testConnections))
+}
--- a/internal/caller/http1/linger.go
+++ b/internal/caller/http1/linger.go
@@ -70,7 +70,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.ended && c.phase != Closing {
-		_ = c.SetReadDeadline(time.Now())
+		_ = c.setReadDeadline(time.Now())
 	}
 }
 
@@ -81,6 +81,6 @@
 	defer c.mu.Unlock()
 	c.answered = true
 	if c.unread {
-		_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+		_ = c.setReadDeadline(time.Now().Add(lingerTime))
 	}
 }
--- a/internal/caller/http1/listener.go
+++ b/internal/caller/http1/listener.go
@@ -22,14 +22,18 @@
 	if l.conns.isStopped() {
 		return l.conns.nextQueued()
 	}
-	conn, err := l.Listener.Accept()
-	switch {
-	case err == nil:
-		return l.conns.add(conn), nil
-	case l.conns.isStopped():
-		return l.conns.nextQueued()
-	default:
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			if l.conns.admit(conn, roomTime) {
+				return l.conns.add(conn), nil
+			}
+		case l.conns.isStopped():
+			return l.conns.nextQueued()
+		default:
+			return nil, err
+		}
 	}
 }
 
@@ -47,11 +51,20 @@
 		onClosed: cs.remove, refusals: &cs.refusals,
 	}
 	cs.open.Store(c, true)
+	cs.n.Add(1)
 	return c
 }
 
 // remove forgets a connection that has closed.
-func (cs *Conns) remove(c *callerConn) { cs.open.Delete(c) }
+func (cs *Conns) remove(c *callerConn) {
+	if _, open := cs.open.LoadAndDelete(c); open {
+		cs.n.Add(-1)
+		select {
+		case cs.removed <- struct{}{}:
+		default:
+		}
+	}
+}
 
 // stopAccepting closes the listener. The connections that the kernel has accepted, which that
 // would reset, are kept until they are served.
@@ -62,13 +75,14 @@
 	if cs.listener == nil {
 		return
 	}
-	queue, err := acceptQueue(cs.listener)
+	err := acceptQueue(cs.listener, func(conn net.Conn) {
+		if cs.admit(conn, 0) {
+			cs.queued = append(cs.queued, cs.add(conn))
+		}
+	})
 	if err != nil {
 		cs.log.WithError(err).Warn("connections in the kernel's queue were not accepted")
 	}
-	for _, conn := range queue {
-		cs.queued = append(cs.queued, cs.add(conn))
-	}
 	_ = cs.listener.Close()
 	cs.accepts = false
 }
--- a/internal/caller/http1/queue.go
+++ b/internal/caller/http1/queue.go
@@ -13,32 +13,31 @@
 // all the time.
 const queueTime = 100 * time.Millisecond
 
-// acceptQueue returns the connections that the kernel has accepted for a listener, and does not
-// wait for others. A deadline of the listener would not do: once it has passed, Accept does not
-// look at the queue, and on a busy host it may pass before the call.
-func acceptQueue(ln net.Listener) ([]net.Conn, error) {
+// acceptQueue calls a function with the connections that the kernel has accepted for a listener, and
+// does not wait for others. A deadline of the listener would not do: once it has passed, Accept does
+// not look at the queue, and on a busy host it may pass before the call.
+func acceptQueue(ln net.Listener, accept func(net.Conn)) error {
 	listener, ok := ln.(syscall.Conn)
 	if !ok {
-		return nil, nil
+		return nil
 	}
 	raw, err := listener.SyscallConn()
 	if err != nil {
-		return nil, fmt.Errorf("get listener: %w", err)
+		return fmt.Errorf("get listener: %w", err)
 	}
-	var conns []net.Conn
 	for end := time.Now().Add(queueTime); time.Now().Before(end); {
 		conn, err := acceptQueued(raw)
 		switch {
 		case errors.Is(err, syscall.EAGAIN):
-			return conns, nil
+			return nil
 		case errors.Is(err, syscall.ECONNABORTED), errors.Is(err, syscall.EINTR):
 		case err != nil:
-			return conns, err
+			return err
 		default:
-			conns = append(conns, conn)
+			accept(conn)
 		}
 	}
-	return conns, nil
+	return nil
 }
 
 // acceptQueued returns a connection, or an error at once.
--- a/internal/caller/http1/unread.go
+++ b/internal/caller/http1/unread.go
@@ -35,6 +35,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unread = false
+	if c.forOthers {
+		c.forOthers = false
+		_ = c.setReadDeadline(time.Time{})
+	}
 }
 
 // DiscardsUnread reports whether the connection of a request discards by itself what its caller
--- a/internal/operator/cli/edge.go
+++ b/internal/operator/cli/edge.go
@@ -14,7 +14,9 @@
 	"github.com/sirupsen/logrus"
 
 	"wisteriafield/internal/base/jsonlog"
+	"wisteriafield/internal/caller/http1"
 	"wisteriafield/internal/decision/answermemory"
+	"wisteriafield/internal/decision/connlimit"
 	"wisteriafield/internal/decision/retrybudget"
 	"wisteriafield/internal/router/edge"
 	"wisteriafield/platform"
@@ -75,7 +77,8 @@
 		RetryBudget:  retrybudget.Config{Ratio: retryBudgetShare * cfg.RetryRatio, Slack: retryBudgetShare * cfg.RetrySlack, Window: cfg.RetryWindow},
 		Store:        kv.New(kv.Config{Address: cfg.StoreAddress, Timeout: storeTimeout}),
 		AnswerMemory: answerMemory, RequestMemory: answermemory.New(int64(requestMemoryShare * float64(cfg.MemoryBytes))),
-		ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
+		CallerLimits: http1.Limits{Connections: connlimit.MaxConnections(cfg.MemoryBytes, cfg.MaxSockets)},
+		ConfigKey:    platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
 		Protocol: platform.CallerProtocol{}, Client: client, Connections: client, ReadyPath: platform.ReadyPath,
 		Log: log,
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -84,6 +84,7 @@
 	RetryBudget     retrybudget.Config
 	AnswerMemory    *answermemory.Budget // of the answers of backend servers
 	RequestMemory   *answermemory.Budget // of the bodies of callers' requests
+	CallerLimits    http1.Limits
 
 	Store         Store
 	ConfigKey     string
@@ -133,6 +134,7 @@
 		firstTryPlace: rand.Float64(),
 	}
 	e.callerConns = http1.New(headerTimeout, e.logger("front"))
+	e.callerConns.Limits = cfg.CallerLimits
 	e.callerConns.RequestID = func(r *http.Request) string { return cfg.Protocol.DecodeRequest(r, time.Now()).ID }
 	e.self = gossip.Host{Name: cfg.Host, Domain: cfg.Domain, Address: cfg.PeerAddress, DatagramAddress: cfg.DatagramAddress, Started: time.Now().UnixNano(), LinkMbps: cfg.LinkMbps}
 	e.follower = discovery.New(discovery.Config{
