http1, connlimit: bound what callers have sent and a router has not read

Beside 400 clients with bodies in chunks of three bytes a router had up to 142 MB unread, 204 MB together on a host of 128 MB: it falls behind, and the kernel lets the receive buffer of a connection grow to megabytes.

A quarter of the host's memory is for what was not read, shared by as many connections as a router holds, between 8 and 128 KB each: 46 KB with 284 MB and 4,100 descriptors. The listener's buffer is set to half of it, which Linux doubles; connections inherit it.

A window of some 23 KB carries a body of 55 KB in three or four round trips; a body of 4 MB takes longer than before on a link with a long delay.

--- a/internal/caller/http1/limits.go
+++ b/internal/caller/http1/limits.go
@@ -30,7 +30,8 @@
 
 // Limits bound what the connections of callers take of a host. A zero value bounds nothing.
 type Limits struct {
-	Connections int // that are open at the same time
+	Connections  int // that are open at the same time
+	ReceiveBytes int // that the kernel keeps for one connection
 }
 
 // admit reports whether there is room for a new connection, for which it ends others and waits at
@@ -184,3 +185,30 @@
 	}
 	return nil
 }
+
+// limitReceiving bounds the receive buffers of the connections that a listener accepts. The kernel
+// lets them grow to megabytes otherwise, and all of it counts as memory of the host.
+func limitReceiving(ln net.Listener, n int) error {
+	listener, ok := ln.(syscall.Conn)
+	if !ok || n <= 0 {
+		return nil
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("get listener: %w", err)
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, n/kernelOverhead)
+	})
+	if err != nil {
+		return fmt.Errorf("limit receive buffer: %w", err)
+	}
+	if setErr != nil {
+		return fmt.Errorf("limit receive buffer: %w", setErr)
+	}
+	return nil
+}
+
+// kernelOverhead is the factor by which Linux raises a receive buffer that is set.
+const kernelOverhead = 2
--- a/internal/caller/http1/limits_test.go
+++ b/internal/caller/http1/limits_test.go
@@ -106,3 +106,22 @@
 	s.conns.stopAccepting()
 	g.Expect(s.conns.queued).To(HaveLen(testConnections))
 }
+
+// The kernel let the receive buffer of a connection grow to megabytes.
+func TestWhatIsNotReadHasABound(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan bool)
+	s := newTestServer(func(http.ResponseWriter, *http.Request) { <-release })
+	s.conns.Limits.ReceiveBytes = 32 << 10
+	t.Cleanup(func() { close(release) })
+	conn := dial(g, t, s.listen(g, t), "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(conn.(*net.TCPConn).SetWriteBuffer(32 << 10)).To(Succeed())
+	sent := 0
+	for err := error(nil); err == nil; {
+		g.Expect(conn.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))).To(Succeed())
+		var n int
+		n, err = conn.Write(make([]byte, 4<<10))
+		sent += n
+	}
+	g.Expect(sent).To(BeNumerically("<", 256<<10))
+}
--- a/internal/caller/http1/listener.go
+++ b/internal/caller/http1/listener.go
@@ -42,6 +42,9 @@
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.listener, cs.accepts = ln, true
+	if err := limitReceiving(ln, cs.Limits.ReceiveBytes); err != nil {
+		cs.log.WithError(err).Warn("receive buffers of callers are not bounded")
+	}
 	return callerListener{ln, cs}
 }
 
--- a/internal/decision/connlimit/connlimit.go
+++ b/internal/decision/connlimit/connlimit.go
@@ -42,6 +42,12 @@
 	// which takes up to connectionBytes besides its request.
 	connectionShare = 0.25
 	connectionBytes = 32 << 10
+	// receiveShare is the share of a host's memory for what callers have sent and the router has
+	// not read.
+	receiveShare = 0.25
+	// minReceiveBytes and maxReceiveBytes bound the receive buffer of one connection.
+	minReceiveBytes = 8 << 10
+	maxReceiveBytes = 128 << 10
 	// easeDivisor is the part of the connections that is kept free: from there on, connections
 	// that are not in use are ended.
 	easeDivisor = 8
@@ -68,6 +74,19 @@
 	return max(n, minConnections)
 }
 
+// ReceiveMemory returns the bytes that callers may have sent and a router on a host with so many
+// bytes of memory has not read.
+func ReceiveMemory(memory int64) int64 { return int64(receiveShare * float64(memory)) }
+
+// ReceiveBytes returns the bytes of such memory that the kernel may keep for one of so many
+// connections, 0 for no bound.
+func ReceiveBytes(memory int64, connections int) int {
+	if memory <= 0 || connections <= 0 {
+		return 0
+	}
+	return int(min(max(memory/int64(connections), minReceiveBytes), maxReceiveBytes))
+}
+
 // Excess returns how many connections should end if n of at most limit are open, 0 if there is
 // room. Several end at once, so that the choice among all is made rarely.
 func Excess(n, limit int) int {
--- a/internal/decision/connlimit/connlimit_test.go
+++ b/internal/decision/connlimit/connlimit_test.go
@@ -58,3 +58,14 @@
 	// 400
 	// 0
 }
+
+func ExampleReceiveBytes() {
+	memory := connlimit.ReceiveMemory(284 << 20)
+	fmt.Println(connlimit.ReceiveBytes(memory, 1560))
+	fmt.Println(connlimit.ReceiveBytes(memory, 100))
+	fmt.Println(connlimit.ReceiveBytes(0, 100))
+	// Output:
+	// 47723
+	// 131072
+	// 0
+}
--- a/internal/operator/cli/edge.go
+++ b/internal/operator/cli/edge.go
@@ -71,14 +71,17 @@
 	if cfg.KeepsConnections() {
 		client.KeepConnections(log.WithField("part", "connections"))
 	}
+	connections := connlimit.MaxConnections(cfg.MemoryBytes, cfg.MaxSockets)
 	e := edge.New(edge.Config{
 		Host: cfg.Host, Domain: cfg.Domain, CallerAddress: cfg.CallerAddress, ReadyAddress: cfg.ReadyAddress,
 		AdminAddress: cfg.AdminAddress, PeerAddress: cfg.PeerAddress, DatagramAddress: cfg.DatagramAddress, Seeds: cfg.Seeds, LinkMbps: cfg.LinkMbps, Grace: cfg.Grace, ChangeTime: cfg.ChangeTime, ContactTime: cfg.ContactTime,
 		RetryBudget:  retrybudget.Config{Ratio: retryBudgetShare * cfg.RetryRatio, Slack: retryBudgetShare * cfg.RetrySlack, Window: cfg.RetryWindow},
 		Store:        kv.New(kv.Config{Address: cfg.StoreAddress, Timeout: storeTimeout}),
 		AnswerMemory: answerMemory, RequestMemory: answermemory.New(int64(requestMemoryShare * float64(cfg.MemoryBytes))),
-		CallerLimits: http1.Limits{Connections: connlimit.MaxConnections(cfg.MemoryBytes, cfg.MaxSockets)},
-		ConfigKey:    platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
+		CallerLimits: http1.Limits{
+			Connections: connections, ReceiveBytes: connlimit.ReceiveBytes(connlimit.ReceiveMemory(cfg.MemoryBytes), connections),
+		},
+		ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
 		Protocol: platform.CallerProtocol{}, Client: client, Connections: client, ReadyPath: platform.ReadyPath,
 		Log: log,
