http1, connlimit: bound the memory of requests' headers

A short line of 8 bytes takes some 30 times as much: net/http keeps the lines in a map, and the lines that are passed on stand in a second one, both until the request is answered. The budget of requests counted bodies only.

Each connection now counts its header from the first byte that is read: 256 bytes a line and 4 a byte, from the sum that 900 such requests took. What exceeds 16 KB comes out of a tenth of the host's memory and stays taken until the request is answered. If nothing is left, a header that is still read gets 408 and one that has been read 503 with Retry-After; neither has run. Headers of the usual size need none of it.

--- a/internal/caller/http1/attach.go
+++ b/internal/caller/http1/attach.go
@@ -6,6 +6,9 @@
 	"net/http"
 )
 
+// headerRetryAfter, in seconds, is when a caller whose header found no memory should come again.
+const headerRetryAfter = "1"
+
 type connKey struct{}
 
 // Attach makes a server with a handler record what happens on its connections, which come
@@ -26,18 +29,30 @@
 		cw := &closingWriter{ResponseWriter: w, stopping: &cs.stopping, r: r}
 		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
 			cw.c = c
-			c.beginServing(r)
+			fits := c.beginServing(r)
 			if r.ContentLength != 0 {
 				tracked := *r // net/http looks at the type of the body that it made
 				tracked.Body = trackedBody{r.Body, c}
 				r = &tracked
 			}
+			if !fits {
+				refuseHeader(cw)
+				cw.finish()
+				return
+			}
 		}
 		h.ServeHTTP(cw, r)
 		cw.finish()
 	})
 }
 
+// refuseHeader answers a request whose header takes too much memory beside others.
+func refuseHeader(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", headerRetryAfter)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // ResetOnClose makes the connection of a request end with a reset, so that an answer that
 // ends with its connection, as for HTTP/1.0, does not look complete.
 func ResetOnClose(r *http.Request) {
--- a/internal/caller/http1/conns.go
+++ b/internal/caller/http1/conns.go
@@ -82,6 +82,7 @@
 	answered  bool      // the handler of the request has returned, with a complete answer
 	exchange  exchange
 
+	header   headerMeter // of the request
 	refusals *refusals
 }
 
@@ -92,7 +93,10 @@
 		n, err = c.Conn.Read(p)
 	}
 	if n > 0 {
-		c.beginReading(n)
+		if !c.beginReading(p[:n]) && c.end() {
+			c.linger()
+			return 0, os.ErrDeadlineExceeded
+		}
 	} else if errors.Is(err, os.ErrDeadlineExceeded) && c.end() && !c.endsIdleForOthers() {
 		c.linger()
 	}
@@ -127,12 +131,13 @@
 	return nil
 }
 
-// beginReading records that bytes of a request were read. A connection that was about to
-// end as idle goes on. net/http bounds the reading of a header only from its fourth byte on.
-func (c *callerConn) beginReading(n int) {
+// beginReading records that bytes of a request were read, and returns false if there is no memory
+// for its header. A connection that was about to end as idle goes on. net/http bounds the reading
+// of a header only from its fourth byte on.
+func (c *callerConn) beginReading(p []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange.read += n
+	c.exchange.read += len(p)
 	var deadline time.Time
 	if c.headerTimeout > 0 {
 		deadline = time.Now().Add(c.headerTimeout)
@@ -140,9 +145,11 @@
 	if c.phase == Idle {
 		c.phase, c.since, c.used = Reading, time.Now(), true
 		c.forOthers = false
+		c.header.begin()
 		c.ending = c.ending || !deadline.IsZero()
 	}
 	c.goOn(deadline)
+	return c.phase != Reading || c.header.read(p)
 }
 
 // goOn replaces the read deadline of a connection that was about to end. The caller holds mu.
@@ -159,6 +166,7 @@
 	c.phase, c.since, c.answered = phase, time.Now(), false
 	if phase == Idle {
 		c.exchange = exchange{}
+		c.header.end()
 	}
 	c.goOn(time.Time{})
 }
--- a/internal/caller/http1/limits.go
+++ b/internal/caller/http1/limits.go
@@ -32,6 +32,8 @@
 type Limits struct {
 	Connections  int // that are open at the same time
 	ReceiveBytes int // that the kernel keeps for one connection
+	// HeaderMemory is what the headers of requests take until they are answered.
+	HeaderMemory *connlimit.Memory
 }
 
 // admit reports whether there is room for a new connection, for which it ends others and waits at
--- a/internal/caller/http1/limits_test.go
+++ b/internal/caller/http1/limits_test.go
@@ -4,10 +4,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/decision/connlimit"
 )
 
 const testConnections = 32
@@ -125,3 +128,47 @@
 	}
 	g.Expect(sent).To(BeNumerically("<", 256<<10))
 }
+
+func headerOf(lines int) string {
+	return "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("x: \r\n", lines)
+}
+
+// A header of short lines takes many times its size.
+func TestHeadersShareABound(t *testing.T) {
+	const lines, memory = 500, 4 << 20
+	for name, end := range map[string]string{"complete": "\r\n", "stopped short": ""} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			release := make(chan bool)
+			s := newTestServer(func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("X") == "" && len(r.Header["X"]) > 0 {
+					<-release
+				}
+			})
+			s.conns.Limits.HeaderMemory = connlimit.NewMemory(memory)
+			address := s.listen(g, t)
+			var conns []net.Conn
+			for range 100 {
+				conns = append(conns, dial(g, t, address, headerOf(lines)+end))
+			}
+			g.Eventually(func() int64 { return s.conns.Limits.HeaderMemory.Used() }, testTimeout).Should(BeNumerically(">", memory/2))
+			g.Expect(answerStatus(dial(g, t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"))).To(Equal(http.StatusOK), "a small one does not count")
+			close(release)
+			refused := 0
+			for _, conn := range conns {
+				g.Expect(conn.SetDeadline(time.Now().Add(200 * time.Millisecond))).To(Succeed())
+				switch status := answerStatus(conn); status {
+				case http.StatusServiceUnavailable, http.StatusRequestTimeout:
+					refused++
+				case http.StatusOK, 0:
+				default:
+					g.Expect(status).To(BeZero())
+				}
+				_ = conn.Close()
+			}
+			g.Expect(refused).To(BeNumerically(">", 50))
+			g.Eventually(func() int64 { return s.conns.Limits.HeaderMemory.Used() }, testTimeout).Should(BeZero())
+		})
+	}
+}
--- a/internal/caller/http1/listener.go
+++ b/internal/caller/http1/listener.go
@@ -51,7 +51,7 @@
 func (cs *Conns) add(conn net.Conn) *callerConn {
 	c := &callerConn{
 		Conn: conn, headerTimeout: cs.headerTimeout, log: cs.log, phase: Idle, since: time.Now(),
-		onClosed: cs.remove, refusals: &cs.refusals,
+		onClosed: cs.remove, header: headerMeter{memory: cs.Limits.HeaderMemory}, refusals: &cs.refusals,
 	}
 	cs.open.Store(c, true)
 	cs.n.Add(1)
@@ -66,6 +66,7 @@
 		case cs.removed <- struct{}{}:
 		default:
 		}
+		c.endHeader()
 	}
 }
 
--- a/internal/caller/http1/unanswered.go
+++ b/internal/caller/http1/unanswered.go
@@ -34,13 +34,22 @@
 	return n, err
 }
 
-// beginServing records that the handler of a request has begun.
-func (c *callerConn) beginServing(r *http.Request) {
+// beginServing records that the handler of a request has begun. It returns false if there is no
+// memory for its header.
+func (c *callerConn) beginServing(r *http.Request) bool {
 	c.setPhase(Serving)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange.request, c.exchange.since = r, time.Now()
 	c.unread = r.ContentLength != 0
+	return c.header.settle(r)
+}
+
+// endHeader gives the memory of a header back.
+func (c *callerConn) endHeader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.header.end()
 }
 
 // takeUnanswered returns what has passed on a connection whose request is served and has got
--- a/internal/decision/connlimit/connlimit_test.go
+++ b/internal/decision/connlimit/connlimit_test.go
@@ -69,3 +69,14 @@
 	// 131072
 	// 0
 }
+
+func TestMemoryIsTakenUpToItsLimit(t *testing.T) {
+	g := NewWithT(t)
+	m := connlimit.NewMemory(100)
+	g.Expect(m.Take(60)).To(BeTrue())
+	g.Expect(m.Take(41)).To(BeFalse())
+	g.Expect(m.Take(40)).To(BeTrue())
+	g.Expect(m.Take(0)).To(BeTrue())
+	g.Expect(m.Take(-70)).To(BeTrue())
+	g.Expect(m.Used()).To(Equal(int64(30)))
+}
--- a/internal/operator/cli/edge.go
+++ b/internal/operator/cli/edge.go
@@ -38,6 +38,9 @@
 	// requestMemoryShare is the share of the host's memory for the bodies of requests until
 	// they are answered. On a host of 128 MB the largest body, of 16 MB by default, fits.
 	requestMemoryShare = 0.15
+	// headerMemoryShare is the share of the host's memory for the headers of requests until they
+	// are answered.
+	headerMemoryShare = 0.1
 	// retryBudgetShare is the share of the fleet's retry budget that the routers use.
 	// The rest covers the error of the distributed count: routers count by their own clocks and
 	// in buckets of a tenth of the window, and the counts of routers that died are lost.
@@ -80,6 +83,7 @@
 		AnswerMemory: answerMemory, RequestMemory: answermemory.New(int64(requestMemoryShare * float64(cfg.MemoryBytes))),
 		CallerLimits: http1.Limits{
 			Connections: connections, ReceiveBytes: connlimit.ReceiveBytes(connlimit.ReceiveMemory(cfg.MemoryBytes), connections),
+			HeaderMemory: connlimit.NewMemory(int64(headerMemoryShare * float64(cfg.MemoryBytes))),
 		},
 		ConfigKey: platform.ConfigKey, ServersPrefix: platform.ServersPrefix,
 		DecodeConfig: platform.DecodeConfig, DecodeServer: platform.DecodeServer,
