http1: a long request yields to others while it is read

Ordinary callers waited seconds beside small chunks.

Cause: chunks of three bytes cost the reader some 30 ns for each byte, a fast sender keeps the connection readable, and hundreds of readers each run until the scheduler takes the processor away after 10 ms.

A reader that has read 64 KB of a request lets others run before it reads the next 4 KB. Requests of up to 64 KB are read as before.

--- a/internal/caller/http1/conns.go
+++ b/internal/caller/http1/conns.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,9 @@
 // the first byte of the next request before it reports the connection as idle.
 const minIdle = 200 * time.Millisecond
 
+// fairBytes is what a request may send, in bytes, before its reading yields to others.
+const fairBytes = 64 << 10
+
 // Phase is what happens on a caller's connection.
 type Phase string
 
@@ -87,6 +91,9 @@
 }
 
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.bytesRead() > fairBytes {
+		runtime.Gosched() // small chunks take long to read, and others wait to run
+	}
 	n, err := c.Conn.Read(p)
 	// net/http reads one byte while a request is served, which shows the end of the connection.
 	if len(p) == 1 && errors.Is(err, os.ErrDeadlineExceeded) && c.goOnServing() {
