openai: a body that does not arrive in time has not run

Callers of our own interface whose body stalled got 400, which says that the request is malformed and is not sent again. It has not run: now 503 not_run with Retry-After, and the connection closes.

TestABodyThatDoesNotArriveHasNotRun failed before (400).

--- a/internal/caller/openai/body.go
+++ b/internal/caller/openai/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,8 +18,8 @@
 const (
 	// discardTimeout bounds the wait for the rest of a body that is refused.
 	discardTimeout = time.Second
-	// memoryRetryDelay is when a caller whose body found no memory should come again.
-	memoryRetryDelay = time.Second
+	// bodyRetryDelay is when a caller whose body found no memory or did not arrive should come again.
+	bodyRetryDelay = time.Second
 )
 
 var bodiesRefusedTotal = metrics.NewCounter("wisteriafield_request_bodies_refused_total")
@@ -51,10 +52,13 @@
 			_ = control.SetReadDeadline(time.Now().Add(discardTimeout))
 			_, _ = io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, limit))
 		}
-		return nil, apierror.NewRetryable(apierror.NotRun, "bodies of requests take too much memory", time.Now().Add(memoryRetryDelay))
+		return nil, apierror.NewRetryable(apierror.NotRun, "bodies of requests take too much memory", time.Now().Add(bodyRetryDelay))
 	case errors.As(err, &tooLarge):
 		w.Header().Set("Connection", "close") // otherwise net/http reads on before it answers
 		return nil, apierror.New(apierror.RequestTooLarge, "body is too large")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return nil, apierror.NewRetryable(apierror.NotRun, "body did not arrive in time", time.Now().Add(bodyRetryDelay))
 	}
 	return nil, apierror.New(apierror.BadRequest, "body could not be read")
 }
--- a/internal/caller/openai/body_test.go
+++ b/internal/caller/openai/body_test.go
@@ -87,3 +87,24 @@
 	_ = res.Body.Close()
 	g.Expect(res.StatusCode).To(Equal(http.StatusOK))
 }
+
+// A body that does not arrive was a bad request, which callers do not send again.
+func TestABodyThatDoesNotArriveHasNotRun(t *testing.T) {
+	g := NewWithT(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, refusal := openai.Bodies{MaxBytes: 100, Timeout: 50 * time.Millisecond, Memory: answermemory.New(1 << 20)}.Read(wrappedWriter{w}, r)
+		refusal.Write(w)
+	}))
+	t.Cleanup(s.Close)
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	_, err = fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nx")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(res.Header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(res.Close).To(BeTrue())
+}
