node: bound what callers take of a router of our own interface

The connections of both interfaces are bounded by the same code; our own has settings for it, whose defaults no client within our limits meets: Connections (2,048, at most 0.4 of the process's descriptors), HeaderMemory (16 MB), ReceiveMemory (128 MB).

--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -47,12 +47,22 @@
 	MaxBody       int           // bytes of a request body
 	BodyMemory    int           // bytes of all request bodies that are held at the same time
 	MaxHeader     int           // bytes of all headers
+	HeaderMemory  int           // bytes that the headers of all requests take at the same time
+	Connections   int           // of callers that are open at the same time
+	ReceiveMemory int           // bytes that callers have sent and the router has not read
 	HeaderTimeout time.Duration // maximum time to receive all headers
 	BodyTimeout   time.Duration // maximum time to receive the body
 	DrainTimeout  time.Duration // maximum time that a stop waits for streams
 	LameDuck      time.Duration // how long a stop still accepts connections, until load balancers have noticed it
 }
 
+const (
+	// headerMemoryFactor is above the memory that a byte of a header takes.
+	headerMemoryFactor = 128
+	minConnections     = 16
+	minReceiveBytes    = 8 << 10 // of one connection
+)
+
 // Settings is the complete content of the file.
 type Settings struct {
 	Host        Host
@@ -71,6 +81,9 @@
 			MaxBody:       1 << 20,
 			BodyMemory:    64 << 20,
 			MaxHeader:     16 << 10,
+			HeaderMemory:  16 << 20,
+			Connections:   2048,
+			ReceiveMemory: 128 << 20,
 			HeaderTimeout: 5 * time.Second,
 			BodyTimeout:   10 * time.Second,
 			DrainTimeout:  15 * time.Minute,
@@ -146,6 +159,15 @@
 	if cfg.Bounds.BodyMemory < cfg.Bounds.MaxBody {
 		f.AddError("Bounds", "BodyMemory", "%d is too small; expected at least MaxBody", cfg.Bounds.BodyMemory)
 	}
+	if least := headerMemoryFactor * cfg.Bounds.MaxHeader; cfg.Bounds.HeaderMemory < least {
+		f.AddError("Bounds", "HeaderMemory", "%d is too small; expected at least %d times MaxHeader", cfg.Bounds.HeaderMemory, headerMemoryFactor)
+	}
+	if cfg.Bounds.Connections < minConnections {
+		f.AddError("Bounds", "Connections", "%d is too small; expected at least %d", cfg.Bounds.Connections, minConnections)
+	}
+	if least := minReceiveBytes * cfg.Bounds.Connections; cfg.Bounds.ReceiveMemory < least {
+		f.AddError("Bounds", "ReceiveMemory", "%d is too small; expected at least %d for each of Connections", cfg.Bounds.ReceiveMemory, minReceiveBytes)
+	}
 }
 
 func validateAddress(f *inifile.File, section, key, value string) {
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -162,6 +162,7 @@
 	callers.HandleFunc("/", notFound)
 	n.callerServer = n.server(callers)
 	n.callerConns = http1.New(b.HeaderTimeout, n.logger("callers"))
+	n.callerConns.Limits = callerLimits(b)
 	n.callerConns.Attach(n.callerServer)
 
 	peers := http.NewServeMux()
--- a/internal/trial/e2e/clientflood_test.go
+++ b/internal/trial/e2e/clientflood_test.go
@@ -23,8 +23,11 @@
 
 const (
 	foreignClients = 300
-	foreignTime    = 4 * time.Second
-	foreignBody    = 1 << 20 // the largest that is legal
+	// manyForeignClients is the number of those that only take connections.
+	manyForeignClients = 1200
+	foreignHeader      = 15 << 10 // of its lines, below the largest that is legal
+	foreignTime        = 4 * time.Second
+	foreignBody        = 1 << 20 // the largest that is legal
 	// maxForeignMemory is what a router may take, in bytes, and maxForeignDescriptors what it may
 	// have open: a connection of each client, one to a service for each, and its own.
 	maxForeignMemory      = 128 << 20
@@ -35,7 +38,19 @@
 func TestARouterOfOurInterfaceOutlivesBodiesOfAllKinds(t *testing.T) {
 	bin := buildForeign(t)
 	for _, kind := range clientflood.Kinds(foreignBody) {
-		t.Run(kind.Name, func(t *testing.T) { testForeignClients(t, bin, kind) })
+		t.Run(kind.Name, func(t *testing.T) { testForeignClients(t, bin, kind, foreignClients, "") })
+	}
+}
+
+// Headers of requests and connections had no bound of all.
+func TestARouterOfOurInterfaceOutlivesHeadersAndConnections(t *testing.T) {
+	bin := buildForeign(t)
+	const bounds = "HeaderMemory = 8388608\nConnections = 280\nReceiveMemory = 33554432\n"
+	for _, kind := range clientflood.HeaderKinds(foreignHeader) {
+		t.Run(kind.Name, func(t *testing.T) { testForeignClients(t, bin, kind, foreignClients, bounds) })
+	}
+	for _, kind := range clientflood.ManyKinds() {
+		t.Run(kind.Name, func(t *testing.T) { testForeignClients(t, bin, kind, manyForeignClients, bounds) })
 	}
 }
 
@@ -53,12 +68,12 @@
 	return bin
 }
 
-func testForeignClients(t *testing.T, bin string, kind clientflood.Kind) {
+func testForeignClients(t *testing.T, bin string, kind clientflood.Kind, n int, bounds string) {
 	g := NewWithT(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
 	f := fleet.New(bin, t.TempDir())
-	f.ExtraBounds = fmt.Sprintf("BodyMemory = %d\n", 16<<20)
+	f.ExtraBounds = fmt.Sprintf("BodyMemory = %d\n", 16<<20) + bounds
 	defer f.Stop()
 	g.Expect(f.Start(1)).To(Succeed())
 	g.Expect(f.Configure(ctx, func(string) {})).To(Succeed())
@@ -68,7 +83,7 @@
 	floodCtx, endFlood := context.WithTimeout(ctx, foreignTime)
 	defer endFlood()
 	var clients sync.WaitGroup
-	for i := range foreignClients {
+	for i := range n {
 		path := []string{"/services/grant-ledger/rates", "/v1/completions"}[i%2]
 		head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\n", path, fleet.KeyQalamdaan)
 		clients.Go(func() {
