--- a/internal/trial/clientflood/clientflood.go
+++ b/internal/trial/clientflood/clientflood.go
@@ -32,9 +32,9 @@
 type Part string
 
 const (
-	ToBody    Part = ""          // the header and what the kind says of the body
-	Nothing   Part = "Nothing"   // the connection is open and silent
-	HalfAHead Part = "HalfAHead" // all header lines, but not the empty line
+	All        Part = ""           // the header and what the kind says of the body
+	Nothing    Part = "Nothing"    // the connection is open and silent
+	OpenHeader Part = "OpenHeader" // all header lines, but not the empty line
 )
 
 const (
@@ -76,8 +76,8 @@
 	)
 }
 
-// HeaderKinds returns kinds whose headers, of at most so many bytes, or whose number burdens a
-// router rather than their bodies.
+// HeaderKinds returns kinds with headers of at most so many bytes beside their usual lines, and one
+// with many requests.
 func HeaderKinds(headerBytes int) []Kind {
 	var short strings.Builder
 	for i := 0; short.Len() < headerBytes; i++ {
@@ -86,7 +86,7 @@
 	long := "x-long: " + strings.Repeat("x", headerBytes) + "\r\n"
 	return []Kind{
 		{Name: "header of short lines, body stopped short", Header: short.String(), Chunk: smallChunk, Bytes: 2},
-		{Name: "header of short lines, stopped short", Header: short.String(), Part: HalfAHead},
+		{Name: "header of short lines, stopped short", Header: short.String(), Part: OpenHeader},
 		{Name: "header of one long line, body stopped short", Header: long, Chunk: smallChunk, Bytes: 2},
 		{Name: "many requests at once", Announced: smallBody, Bytes: smallBody, Whole: true, Repeat: 1000},
 	}
@@ -98,7 +98,7 @@
 		{Name: "small body, stopped short", Announced: smallBody, Bytes: smallBody},
 		{Name: "small body, piece by piece", Chunk: smallBody / 64, Bytes: smallBody, Slow: true, Piece: smallBody / 64},
 		{Name: "open and silent", Part: Nothing},
-		{Name: "header, stopped short", Part: HalfAHead},
+		{Name: "header, stopped short", Part: OpenHeader},
 	}
 }
 
@@ -123,7 +123,7 @@
 	switch k.Part {
 	case Nothing:
 		return
-	case HalfAHead:
+	case OpenHeader:
 		_, _ = io.WriteString(w, head+k.Header)
 		return
 	}
