node: bound the garbage of a router of our own interface

Cause: the runtime of our own interface has no memory limit, so that garbage may be as large as what is in use, and more while the collector is late beside load; on the platform the limit is half of the host's memory.

HostMemory in the settings names the memory of the host; half of it becomes the runtime's soft limit. The test names its own bound there. Without the setting nothing changes.

--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -50,6 +50,7 @@
 	HeaderMemory  int           // bytes that the headers of all requests take at the same time
 	Connections   int           // of callers that are open at the same time
 	ReceiveMemory int           // bytes that callers have sent and the router has not read
+	HostMemory    int           // bytes of memory that this process may have; 0 for no bound
 	HeaderTimeout time.Duration // maximum time to receive all headers
 	BodyTimeout   time.Duration // maximum time to receive the body
 	DrainTimeout  time.Duration // maximum time that a stop waits for streams
@@ -60,6 +61,7 @@
 	// headerMemoryFactor is above the memory that a byte of a header takes.
 	headerMemoryFactor = 128
 	minConnections     = 16
+	minHostMemory      = 64 << 20
 	minReceiveBytes    = 8 << 10 // of one connection
 )
 
@@ -162,6 +164,9 @@
 	if least := headerMemoryFactor * cfg.Bounds.MaxHeader; cfg.Bounds.HeaderMemory < least {
 		f.AddError("Bounds", "HeaderMemory", "%d is too small; expected at least %d times MaxHeader", cfg.Bounds.HeaderMemory, headerMemoryFactor)
 	}
+	if m := cfg.Bounds.HostMemory; m != 0 && m < minHostMemory {
+		f.AddError("Bounds", "HostMemory", "%d is too small; expected at least %d, or 0 for no bound", m, minHostMemory)
+	}
 	if cfg.Bounds.Connections < minConnections {
 		f.AddError("Bounds", "Connections", "%d is too small; expected at least %d", cfg.Bounds.Connections, minConnections)
 	}
--- a/internal/config/settings/settings_test.go
+++ b/internal/config/settings/settings_test.go
@@ -27,6 +27,7 @@
 		{"address", "[Host]\nCallerAddress = catania\n", `host.ini: [Host] CallerAddress: "catania" is wrong; expected IP:PORT`},
 		{"level", "[Log]\nLevel = loud\n", `host.ini: [Log] Level: "loud" is wrong; expected one of [debug info warning error]`},
 		{"same credentials", "[Credentials]\nPeer = a\nAdmin = a\nOrders = b\n", "host.ini: [Credentials]: Peer, Admin and Orders must differ"},
+		{"little memory", "[Bounds]\nHostMemory = 100\n", "host.ini: [Bounds] HostMemory: 100 is too small; expected at least 67108864, or 0 for no bound"},
 		{"few connections", "[Bounds]\nConnections = 3\n", "host.ini: [Bounds] Connections: 3 is too small; expected at least 16"},
 		{"little memory for headers", "[Bounds]\nHeaderMemory = 100\n", "host.ini: [Bounds] HeaderMemory: 100 is too small; expected at least 128 times MaxHeader"},
 		{"little memory for what is not read", "[Bounds]\nReceiveMemory = 100\n", "host.ini: [Bounds] ReceiveMemory: 100 is too small; expected at least 8192 for each of Connections"},
--- a/internal/router/node/limits.go
+++ b/internal/router/node/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"runtime/debug"
 	"syscall"
 
 	"wisteriafield/internal/caller/http1"
@@ -9,6 +10,17 @@
 	"wisteriafield/internal/decision/connlimit"
 )
 
+// memoryLimitShare is the share of the host's memory that becomes the runtime's soft limit. The rest
+// is for what the runtime does not count and for what is allocated while it collects.
+const memoryLimitShare = 0.5
+
+// limitMemory makes the runtime collect more often as the host's memory fills up.
+func limitMemory(b settings.Bounds) {
+	if b.HostMemory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(b.HostMemory)))
+	}
+}
+
 // callerLimits returns the limits of callers' connections. They leave descriptors of the process
 // for other connections.
 func callerLimits(b settings.Bounds) http1.Limits {
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -194,6 +194,7 @@
 
 // Run listens and serves until ctx ends, then drains and stops the router.
 func (n *Node) Run(ctx context.Context) error {
+	limitMemory(n.cfg.Bounds)
 	listeners, err := n.listen()
 	if err != nil {
 		return err
--- a/internal/trial/e2e/clientflood_test.go
+++ b/internal/trial/e2e/clientflood_test.go
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
 	f := fleet.New(bin, t.TempDir())
-	f.ExtraBounds = fmt.Sprintf("BodyMemory = %d\n", 16<<20) + bounds
+	f.ExtraBounds = fmt.Sprintf("HostMemory = %d\nBodyMemory = %d\n", maxForeignMemory, 16<<20) + bounds
 	defer f.Stop()
 	g.Expect(f.Start(1)).To(Succeed())
 	g.Expect(f.Configure(ctx, func(string) {})).To(Succeed())
