--- a/internal/caller/http1/refusals.go
+++ b/internal/caller/http1/refusals.go
@@ -10,7 +10,7 @@
 // maxRefusals is the number of connections that may discard what arrives after the refusal of a
 // request that was not read. Clients that come again at once would otherwise hold as many as they
 // can open in lingerTime.
-const maxRefusals = 256
+const maxRefusals = 128
 
 // refusals are the connections of such requests.
 type refusals struct {
