http1: connections give way between requests

Callers saw their new connections closed for as long as clients with a next request on each connection held all of them, for instance with many requests in one write.

Cause: a connection that is in use never ends for others, and one whose next request is there already is in use again at once.

For a second after a new connection has found no room, answers say Connection: close, as they do while a router stops. While nobody waits they don't.

--- a/internal/caller/http1/announce.go
+++ b/internal/caller/http1/announce.go
@@ -1,19 +1,17 @@
 package http1
 
-import (
-	"net/http"
-	"sync/atomic"
-)
+import "net/http"
 
 // closingWriter tells the caller of an answer whose header is written while the server stops
-// that the connection closes. Otherwise its next request might cross the end.
+// that the connection closes. Otherwise its next request might cross the end. It does so too
+// while new connections find no room: one that always has a next request would never end.
 type closingWriter struct {
 	http.ResponseWriter
-	stopping *atomic.Bool
-	written  bool
-	c        *callerConn // nil if the connection is not a caller's
-	r        *http.Request
-	refusal  *refusal // nil unless the request was not read
+	conns   *Conns
+	written bool
+	c       *callerConn // nil if the connection is not a caller's
+	r       *http.Request
+	refusal *refusal // nil unless the request was not read
 }
 
 // begin is called before the header of the answer is written.
@@ -22,11 +20,14 @@
 		return
 	}
 	w.written = true
-	if w.stopping.Load() {
+	if w.conns.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if w.refuses() {
+	switch {
+	case w.refuses():
 		w.beginRefusal(status)
+	case w.conns.givesWay():
+		w.Header().Set("Connection", "close")
 	}
 }
 
--- a/internal/caller/http1/attach.go
+++ b/internal/caller/http1/attach.go
@@ -26,7 +26,7 @@
 // the connection closes if the server stops before the answer begins.
 func (cs *Conns) markServing(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		cw := &closingWriter{ResponseWriter: w, stopping: &cs.stopping, r: r}
+		cw := &closingWriter{ResponseWriter: w, conns: cs, r: r}
 		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
 			cw.c = c
 			fits := c.beginServing(r)
--- a/internal/caller/http1/conns.go
+++ b/internal/caller/http1/conns.go
@@ -57,8 +57,9 @@
 	removed   chan struct{} // has a value after one of them has closed
 	refusals  refusals
 
-	endingLogged atomic.Int64 // Unix nanoseconds when it was logged that connections end for others
-	usedAt       atomic.Int64 // Unix nanoseconds when a connection last began or ended to be in use
+	endingLogged  atomic.Int64 // Unix nanoseconds when it was logged that connections end for others
+	givesWayUntil atomic.Int64 // Unix nanoseconds until which connections end after their answers
+	usedAt        atomic.Int64 // Unix nanoseconds when a connection last began or ended to be in use
 
 	stopping atomic.Bool // answers tell callers to close their connections
 }
--- a/internal/caller/http1/limits.go
+++ b/internal/caller/http1/limits.go
@@ -19,6 +19,8 @@
 const (
 	// roomTime bounds the wait of a new connection for others that are ending.
 	roomTime = 100 * time.Millisecond
+	// giveWayTime is how long connections end after their answers once a new one found no room.
+	giveWayTime = time.Second
 	// endCheckInterval bounds the wait for a connection that is ending.
 	endCheckInterval = 5 * time.Millisecond
 	// endingLogInterval is the least time between two log lines of connections that end for others.
@@ -49,6 +51,7 @@
 		if !cs.isFull() {
 			return true
 		}
+		cs.givesWayUntil.Store(time.Now().Add(giveWayTime).UnixNano())
 		if next.IsZero() || next.After(deadline) {
 			break
 		}
@@ -62,6 +65,11 @@
 	return false
 }
 
+// givesWay reports whether connections end after their answers to accept others.
+func (cs *Conns) givesWay() bool {
+	return time.Now().UnixNano() < cs.givesWayUntil.Load() && connlimit.Excess(int(cs.n.Load()), cs.Limits.Connections) > 0
+}
+
 func (cs *Conns) isFull() bool { return int(cs.n.Load()) >= cs.Limits.Connections }
 
 // endForOthers ends connections that are not in use if there are too many. It returns when another
--- a/internal/caller/http1/limits_test.go
+++ b/internal/caller/http1/limits_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -79,6 +80,53 @@
 	g.Eventually(func() int { return answerStatus(dial(g, t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")) }, testTimeout).Should(Equal(http.StatusOK))
 }
 
+// A connection that always has a next request would never give way.
+func TestConnectionsGiveWayBetweenRequests(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	g := NewWithT(t)
+	s := newLimitedServer(func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) })
+	address := s.listen(g, t)
+	for range testConnections {
+		dial(g, t, address, strings.Repeat(request, int(2*testTimeout/(20*time.Millisecond))))
+	}
+	g.Eventually(func() int { return answerStatus(dial(g, t, address, request)) }, testTimeout).Should(Equal(http.StatusOK))
+}
+
+func TestAnswersSayThatTheirConnectionsGiveWay(t *testing.T) {
+	answer := strings.Repeat("a", 64<<10)
+	for name, others := range map[string]bool{"with others that wait": true, "without": false} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			release := make(chan bool)
+			s := newLimitedServer(func(w http.ResponseWriter, _ *http.Request) {
+				<-release
+				_, _ = io.WriteString(w, answer)
+			})
+			address := s.listen(g, t)
+			var conns []net.Conn
+			for range testConnections {
+				conns = append(conns, dial(g, t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+			}
+			g.Eventually(s.conns.Count, testTimeout).Should(Equal(map[Phase]int{Serving: testConnections}))
+			if others {
+				g.Expect(answerStatus(dial(g, t, address, ""))).To(BeZero())
+			}
+			close(release)
+			announced := 0
+			for _, conn := range conns {
+				res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(io.Copy(io.Discard, res.Body)).To(BeEquivalentTo(len(answer)))
+				if res.Close {
+					announced++
+				}
+			}
+			g.Expect(announced > 0).To(Equal(others))
+			g.Eventually(s.conns.n.Load, testTimeout).Should(BeEquivalentTo(testConnections - announced))
+		})
+	}
+}
+
 // A request whose last bytes had been read when its connection was to end is served.
 func TestARequestThatIsCompleteAfterAllIsServed(t *testing.T) {
 	g := NewWithT(t)
