http1: names and comments that a newcomer would misread

endForOthers of all connections becomes makeRoom, use becomes state, and the log line has a function of its own. Its field "ending" is gone: the documentation never named it.

--- a/internal/caller/http1/limits.go
+++ b/internal/caller/http1/limits.go
@@ -28,6 +28,8 @@
 	// minLingering is how long a connection may discard what arrives after its answer, though
 	// others want its place.
 	minLingering = 20 * time.Millisecond
+	// kernelOverhead is the factor by which Linux raises a receive buffer that is set.
+	kernelOverhead = 2
 )
 
 // Limits bound what the connections of callers take of a host. A zero value bounds nothing.
@@ -47,7 +49,7 @@
 	}
 	deadline := time.Now().Add(wait)
 	for {
-		next := cs.endForOthers(limit)
+		next := cs.makeRoom(limit)
 		if !cs.isFull() {
 			return true
 		}
@@ -72,15 +74,15 @@
 
 func (cs *Conns) isFull() bool { return int(cs.n.Load()) >= cs.Limits.Connections }
 
-// endForOthers ends connections that are not in use if there are too many. It returns when another
+// makeRoom ends connections that are not in use if there are too many. It returns when another
 // one may have ended or may be ended, zero if all are in use.
-func (cs *Conns) endForOthers(limit int) (next time.Time) {
+func (cs *Conns) makeRoom(limit int) (next time.Time) {
 	now := time.Now()
 	var all []*callerConn
 	var conns []connlimit.Conn
 	ending := 0
 	cs.each(func(c *callerConn) {
-		state, since, ends := c.use()
+		state, since, ends := c.state()
 		if ends {
 			ending++
 			c.endLingering(now)
@@ -91,22 +93,31 @@
 	})
 	chosen, next := connlimit.Choose(conns, connlimit.Excess(len(conns), limit), now)
 	endedForOthersTotal.Add(len(chosen))
-	if last := cs.endingLogged.Load(); len(chosen) > 0 && now.UnixNano()-last > int64(endingLogInterval) && cs.endingLogged.CompareAndSwap(last, now.UnixNano()) {
-		oldest := conns[chosen[0]]
-		cs.log.WithField("open", len(conns)).WithField("ending", ending).WithField("ended", len(chosen)).
-			WithField("state", string(oldest.State)).WithField("ms", now.Sub(oldest.Since).Milliseconds()).Info("connections ended to accept others")
-	}
 	for _, i := range chosen {
 		all[i].endForOthers()
 	}
+	if len(chosen) > 0 {
+		cs.logEnding(conns[chosen[0]], len(conns), len(chosen), now)
+	}
 	if ending+len(chosen) > 0 {
 		return now.Add(endCheckInterval)
 	}
 	return next
 }
 
-// use returns what a connection is used for and since when, and whether it is ending.
-func (c *callerConn) use() (state connlimit.State, since time.Time, ending bool) {
+// logEnding logs, at most once in endingLogInterval, that some of the open connections end, and the
+// first of them.
+func (cs *Conns) logEnding(first connlimit.Conn, open, ended int, now time.Time) {
+	last := cs.endingLogged.Load()
+	if now.UnixNano()-last <= int64(endingLogInterval) || !cs.endingLogged.CompareAndSwap(last, now.UnixNano()) {
+		return
+	}
+	cs.log.WithField("open", open).WithField("ended", ended).WithField("state", string(first.State)).
+		WithField("ms", now.Sub(first.Since).Milliseconds()).Info("connections ended to accept others")
+}
+
+// state returns what a connection is used for and since when, and whether it is ending.
+func (c *callerConn) state() (state connlimit.State, since time.Time, ending bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ending = c.ended || c.forOthers || c.phase == Closing
@@ -189,6 +200,7 @@
 	return c.setReadDeadline(t)
 }
 
+// setReadDeadline sets the deadline in any case. The caller holds mu.
 func (c *callerConn) setReadDeadline(t time.Time) error {
 	if err := c.Conn.SetReadDeadline(t); err != nil {
 		return fmt.Errorf("set read deadline: %w", err)
@@ -219,6 +231,3 @@
 	}
 	return nil
 }
-
-// kernelOverhead is the factor by which Linux raises a receive buffer that is set.
-const kernelOverhead = 2
