http1: the test of the grace time's end waits for that end

TestARequestThatCrossesTheEndOfTheGraceTimeIsRefused failed in 2 of 16 runs of its package beside six busy processes, with the race detector: 200 in place of 408.

Cause: the test slept 20 ms and took it that reading had ended by then. With a delay of 100 ms before that end it fails always, in the same way. The product was right: the request came before the end.

Now the test waits until all connections have ended. With the delay it passes; the answers that it expects are the same.

--- a/internal/caller/http1/graceend_test.go
+++ b/internal/caller/http1/graceend_test.go
@@ -31,7 +31,14 @@
 		s.conns.EndReading(time.Now().Add(time.Second))
 		_ = s.server.Close()
 	}()
-	time.Sleep(20 * time.Millisecond)
+	g.Eventually(func() (ended int) {
+		s.conns.each(func(c *callerConn) {
+			if _, _, ends := c.state(); ends {
+				ended++
+			}
+		})
+		return ended
+	}, testTimeout, time.Millisecond).Should(Equal(len(conns)))
 	for _, conn := range conns {
 		_, err := fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
 		g.Expect(err).NotTo(HaveOccurred())
