forward, relay: log why an attempt was stopped, and what it was sent for

Hypotheses: (1) the crash of a server is put down to a call only by the exchange that waits for it, and nobody waits once the client has left; (2) the check of the server is made and is inconclusive; (3) the repeats have different digests; (4) survivals refute the crashes. The lines of plain attempts had neither the digest nor the reason for which this router stopped waiting, so that (1), (3) and (4) looked alike.

Now they have both (`digest`, `stopped`: the caller left, time is up, or another server has answered), and those of streams have the session.

Two clients stayed, and their crashes were counted (`crashed: true`). 13 lines say `stopped: context canceled` after 2 to 16 ms and `crashed: false`; their servers broke off others' answers or refused connections 45 to 217 ms after the client had left. No attempt of the digest was answered. That is (1); it rules out (3) and (4), and (2), since no check is made once the client has left.

--- a/internal/router/forward/call.go
+++ b/internal/router/forward/call.go
@@ -34,6 +34,9 @@
 	awaitedLoan bool            // the call has waited for a loan without another retry in sight
 }
 
+// errAnswered ends the attempts of a call that another attempt has answered.
+var errAnswered = errors.New("another server has answered the call")
+
 // runNonIdempotent sends a request that may be executed at most once. It tries another
 // server only while no server can have executed the request.
 func (c *call) runNonIdempotent(ctx context.Context) {
@@ -92,8 +95,8 @@
 // that have it stay silent for longer than the first crash took. If the budget has no retry,
 // it is asked again while an answer may come in time.
 func (c *call) runIdempotent(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	results := make(chan result, c.req.Route.MaxAttempts+maxRefusals)
 	inFlight := 0
 	defer func() { go discard(results, inFlight) }()
@@ -146,6 +149,7 @@
 			inFlight--
 			c.recordResult(r)
 			if !c.best.failed() {
+				cancel(errAnswered)
 				return
 			}
 			if (c.crashes == 0 || inFlight == 0) && c.attemptsLeft(inFlight) > 0 {
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -214,12 +214,20 @@
 	}
 	e.Load.EndRequest(latency, r.failed() && ctx.Err() == nil)
 	attemptsTotal(&r).Inc()
-	f.cfg.Log.WithField("id", req.ID).WithField("server", e.ID).WithField("status", r.status).
-		WithField("notRun", r.notExecuted).WithField("ms", time.Since(startedAt).Milliseconds()).WithField("config", req.ConfigVersion).WithField("servers", f.cfg.Servers.Position().Revision).WithField("era", f.cfg.Servers.Position().Era).
+	f.cfg.Log.WithField("id", req.ID).WithField("digest", req.Digest).WithField("server", e.ID).WithField("status", r.status).
+		WithField("stopped", stopCause(ctx)).WithField("notRun", r.notExecuted).WithField("ms", time.Since(startedAt).Milliseconds()).WithField("config", req.ConfigVersion).WithField("servers", f.cfg.Servers.Position().Revision).WithField("era", f.cfg.Servers.Position().Era).
 		WithField("inFlight", load.InFlight).WithField("errors", load.ErrorRate).WithField("limited", r.limited).WithField("limit", r.rateLimit).WithField("retry", retry).WithField("crashed", r.crashed).WithError(r.err).Info("attempt ended")
 	return r
 }
 
+// stopCause returns why this router stopped waiting for an attempt, or nil.
+func stopCause(ctx context.Context) error {
+	if ctx.Err() == nil {
+		return nil
+	}
+	return context.Cause(ctx)
+}
+
 // recordUnreachable makes the router avoid a server that could not be connected to, and
 // notifies the peers. A server that did not answer the connection attempt is avoided by
 // this router only, and for less time: a packet may have been lost.
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -78,7 +78,7 @@
 	now := time.Now()
 	log := s.relay.cfg.Log.WithField("id", s.req.ID).WithField("server", target.ID).
 		WithField("outcome", string(r.outcome)).WithField("event", s.lastEventID).WithField("reason", r.reason).
-		WithField("began", r.began).WithField("attemptEvents", r.events).WithField("parts", s.req.SharedPartIDs())
+		WithField("began", r.began).WithField("attemptEvents", r.events).WithField("parts", s.req.SharedPartIDs()).WithField("session", s.req.SessionID())
 	if restoreFrom != nil {
 		log = log.WithField("copy", restoreFrom.Address)
 	}
