quarantine, forward: watch servers whose callers have left

Cause: a crash is put down to a call only by the exchange that sees its connection break, and only while its context lives. When the caller leaves or the time is up, this router closes the connection, and whatever the server does afterwards has no witness.

Now an attempt that this router ends is remembered with its server, until its deadline or for 2 s. A crash that anybody else sees at that server, here or at a peer, is put down to it too; else the server is checked 0.4 s later and at the end (three times in 2 s), and told from one that leaves or has been replaced. The connection is closed as before: nothing runs for the sake of evidence.

Sound calls: an attempt counts only if servers do not mostly outlive those of its call (of the last eight), and not if another server has answered it. Crashes found so have no exact time, so that they show a block only if they span a second; one alone does not keep a call from the last server. Bounds: 128 servers, 16 attempts each, one check in 0.4 s of each, 16 at a time; 2,048 calls' outcomes.

--- a/internal/backend/registry/registry.go
+++ b/internal/backend/registry/registry.go
@@ -103,6 +103,13 @@
 	return listed == nil || listed.Key() == s.Key() && listed.Leaving
 }
 
+// Replaced reports whether another incarnation has the address of a server. A restored store
+// may list an older one.
+func (r *Registry) Replaced(s *server.Server) bool {
+	current := r.ByAddress(s.Address)
+	return current != nil && current.Key() != s.Key() && current.Started >= s.Started
+}
+
 // ChangeCount returns a number that changes when this router's share of the load of any
 // server changes.
 func (r *Registry) ChangeCount() uint64 {
--- /dev/null
+++ b/internal/decision/quarantine/abandoned.go
@@ -0,0 +1,164 @@
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxWatchTime is how long a server may go on with a request that nobody waits for, until it
+	// notices. It does not work on one beyond its deadline, but for minWatchTime.
+	maxWatchTime = 2 * time.Second
+	minWatchTime = 500 * time.Millisecond
+	// firstCheck is how long after an attempt was abandoned its server is checked first. The time
+	// to the next check doubles, but for the last one, at the end of the watch.
+	firstCheck = 400 * time.Millisecond
+	// maxWatched bounds the servers with abandoned attempts, and maxAbandoned those of each
+	// server, of which the last ones are kept.
+	maxWatched   = 128
+	maxAbandoned = 16
+)
+
+// Attempt is an attempt that a router has ended while its server may have run it.
+type Attempt struct {
+	Suspects
+	At       time.Time // when it was ended
+	Deadline time.Time // of the request
+}
+
+// watchedUntil returns when the server has no part of the attempt left to run.
+func (a *Attempt) watchedUntil() time.Time {
+	left := min(max(a.Deadline.Sub(a.At), minWatchTime), maxWatchTime)
+	return a.At.Add(left)
+}
+
+// nextCheck returns when the server is to be checked after a check at the given time.
+func (a *Attempt) nextCheck(checkedAt time.Time) time.Time {
+	last := a.watchedUntil()
+	for age := firstCheck; ; age = 2*age + firstCheck {
+		next := a.At.Add(age)
+		if next.Add(firstCheck).After(last) {
+			return last
+		}
+		if next.After(checkedAt) {
+			return next
+		}
+	}
+}
+
+// Abandoned holds the attempts that a router has ended lately: their callers left, or their time
+// was up. A server that ends afterwards may have been crashed by one of them, which no
+// connection tells. A request that servers mostly outlive is not to blame.
+type Abandoned struct {
+	mu       sync.Mutex
+	servers  map[string]*watchedServer
+	outcomes outcomes
+}
+
+type watchedServer struct {
+	attempts  []Attempt
+	checkedAt time.Time // last time at which the server was known to live
+}
+
+// NewAbandoned returns an empty set.
+func NewAbandoned() *Abandoned { return &Abandoned{servers: make(map[string]*watchedServer)} }
+
+// Add adds an attempt at an incarnation of a server. It reports whether the server has to be
+// watched from now on: NextCheck says when it is checked.
+func (t *Abandoned) Add(incarnation string, a Attempt) (watch bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[incarnation]
+	if s == nil {
+		if len(t.servers) >= maxWatched {
+			return false
+		}
+		s, watch = &watchedServer{}, true
+		t.servers[incarnation] = s
+	}
+	s.attempts = append(s.attempts, a)
+	s.attempts = s.attempts[max(len(s.attempts)-maxAbandoned, 0):]
+	return watch
+}
+
+// NextCheck returns when a server is to be checked, and false if it need not be watched any more.
+func (t *Abandoned) NextCheck(incarnation string) (at time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[incarnation]
+	if s == nil {
+		return time.Time{}, false
+	}
+	for i := range s.attempts {
+		if next := s.attempts[i].nextCheck(s.checkedAt); at.IsZero() || next.Before(at) {
+			at = next
+		}
+	}
+	if earliest := s.checkedAt.Add(firstCheck); at.Before(earliest) {
+		at = earliest
+	}
+	return at, true
+}
+
+// Checked records a check of a server. With alive the server was seen alive; otherwise nothing is known of
+// it. Attempts that are not watched any more are removed.
+func (t *Abandoned) Checked(incarnation string, alive bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[incarnation]
+	if s == nil {
+		return
+	}
+	s.checkedAt = now
+	s.attempts = slices.DeleteFunc(s.attempts, func(a Attempt) bool {
+		over := !now.Before(a.watchedUntil())
+		if over && alive {
+			t.outcomes.addOutlived(a.origin())
+		}
+		return over
+	})
+	if len(s.attempts) == 0 {
+		delete(t.servers, incarnation)
+	}
+}
+
+// Ended removes a server that has ended by a plan.
+func (t *Abandoned) Ended(incarnation string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.servers, incarnation)
+}
+
+// Lost removes a server that was lost unplanned, and returns the crashes that its abandoned attempts may be to
+// blame for. lostAt is when it was lost; it is zero if that is only known to be before now.
+func (t *Abandoned) Lost(incarnation string, lostAt, now time.Time) []Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[incarnation]
+	if s == nil {
+		return nil
+	}
+	delete(t.servers, incarnation)
+	var crashes []Crash
+	for _, a := range s.attempts {
+		at := lostAt
+		if at.IsZero() {
+			at = later(a.At, s.checkedAt)
+		}
+		if at.Before(a.At) || slices.ContainsFunc(crashes, func(c Crash) bool { return c.origin() == a.origin() }) {
+			continue
+		}
+		if t.outcomes.addLost(a.origin(), now) {
+			crashes = append(crashes, Crash{Suspects: a.Suspects, Server: incarnation, At: at, Unanswered: true, Abandoned: true})
+		}
+	}
+	return crashes
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/decision/quarantine/candidate.go
+++ b/internal/decision/quarantine/candidate.go
@@ -37,9 +37,11 @@
 func (c *candidate) qualified() (q qualification, ok bool) {
 	slices.SortFunc(c.crashes, func(a, b knownCrash) int { return a.At.Compare(b.At) })
 	q.from = c.crashes[0].At
-	servers, answered := make(map[string]bool), make(map[string]bool)
+	servers, answered, witnessed := make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	origins, answeredOrigins := make(map[string]int), make(map[string]bool)
 	repeated := 0 // sessions that crashed more than one server
+	var firstWitnessed, lastWitnessed time.Time
+	waiting := waitingMoment
 	for _, k := range c.crashes {
 		servers[k.Server] = true
 		if origins[k.origin()]++; origins[k.origin()] == 2 {
@@ -48,12 +50,21 @@
 		if !k.Unanswered {
 			answered[k.Server], answeredOrigins[k.origin()] = true, true
 		}
+		if k.Abandoned {
+			waiting = abandonedMoment
+		} else {
+			witnessed[k.Server], lastWitnessed = true, k.At
+			if firstWitnessed.IsZero() {
+				firstWitnessed = k.At
+			}
+		}
 		span := k.At.Sub(q.from)
 		switch {
-		case c.own && len(servers) >= minServers && (!c.request || span > sameMoment),
+		case c.own && len(witnessed) >= minServers && (!c.request || lastWitnessed.Sub(firstWitnessed) > sameMoment),
+			c.own && len(servers) >= minServers && span > abandonedMoment,
 			!c.own && len(answered) >= minServers && len(answeredOrigins) >= minSessions:
 			return qualification{at: k.At, from: q.from}, true
-		case !ok && !c.own && len(servers) >= minServers && (len(origins) >= minWaiting || repeated >= minSessions) && span > waitingMoment:
+		case !ok && !c.own && len(servers) >= minServers && (len(origins) >= minWaiting || repeated >= minSessions) && span > waiting:
 			q.at, q.waited, ok = k.At, true, true
 		}
 	}
--- a/internal/decision/quarantine/evidence.go
+++ b/internal/decision/quarantine/evidence.go
@@ -31,7 +31,8 @@
 	if len(t.crashes.list) > maxCrashes {
 		t.forgetWeakest(now)
 	}
-	return true, t.crashedBy(c.Suspects, time.Time{}) == urgentCrashes
+	crashes, _ := t.crashedBy(c.Suspects, time.Time{})
+	return true, crashes == urgentCrashes
 }
 
 // forgetWeakest removes a quarter of the crashes, those with the least evidence. Peers may
--- a/internal/decision/quarantine/explain.go
+++ b/internal/decision/quarantine/explain.go
@@ -172,13 +172,13 @@
 	var moment time.Time // of the newest crash in it
 	inMoment, origins := 0, make(map[string]bool)
 	for _, c := range e.evidence {
-		waited := c.Unanswered && !c.owns(e.Suspect)
-		if d := moment.Sub(c.At).Abs(); d > waitingMoment || d > sameMoment && !waited {
+		own := c.owns(e.Suspect)
+		if moment.Sub(c.At).Abs() > c.moment(own) {
 			moment, inMoment = c.At, 0
 		}
 		inMoment++
 		next := c.following(e.Suspect)
-		atOnce := (c.Request == e.Suspect || waited) && inMoment >= minServers
+		atOnce := (c.Request == e.Suspect || c.Unanswered && !own || c.Abandoned) && inMoment >= minServers
 		reserved := max(minWaiting-len(origins), 0) // for other sessions
 		full := len(kept) >= maxEvidence-reserved || perNext[next] >= maxSimilarEvidence || atOnce
 		if another := !origins[c.origin()] && len(origins) < minWaiting; full && !another {
--- a/internal/decision/quarantine/lastserver.go
+++ b/internal/decision/quarantine/lastserver.go
@@ -8,11 +8,8 @@
 func (t *Table) SparesLastServer(s Suspects, usable func() []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	spareAfter := 1
-	if s.Session != "" {
-		spareAfter = sessionCrashes
-	}
-	if t.crashedBy(s, now.Add(-spareTime)) < spareAfter || !t.survivals.last(s.origin()).IsZero() {
+	crashes, witnessed := t.crashedBy(s, now.Add(-spareTime))
+	if crashes < sessionCrashes && (witnessed == 0 || s.Session != "") || !t.survivals.last(s.origin()).IsZero() {
 		return false
 	}
 	crashed := make(map[string]bool)
@@ -29,17 +26,23 @@
 }
 
 // crashedBy returns how many servers a session, or a request without one, has crashed since
-// a time, as far as is known and not refuted. The caller holds mu.
-func (t *Table) crashedBy(s Suspects, since time.Time) int {
+// a time, as far as is known and not refuted, and how many of them while it waited for their
+// answers. The caller holds mu.
+func (t *Table) crashedBy(s Suspects, since time.Time) (crashes, witnessed int) {
 	own := s.origin()
 	if own == "" || t.crashes.count(own) == 0 {
-		return 0
+		return 0, 0
 	}
-	servers := make(map[string]bool)
+	servers := make(map[string]bool) // whether the request waited
 	for _, c := range t.crashes.list {
 		if c.origin() == own && c.At.After(since) && !t.survivals.last(own).After(c.At) {
-			servers[c.Server] = true
+			servers[c.Server] = servers[c.Server] || !c.Abandoned
+		}
+	}
+	for _, waited := range servers {
+		if waited {
+			witnessed++
 		}
 	}
-	return len(servers)
+	return len(servers), witnessed
 }
--- a/internal/decision/quarantine/quarantine.go
+++ b/internal/decision/quarantine/quarantine.go
@@ -30,14 +30,17 @@
 	// waitingMoment is the same for servers where requests waited, whose losses each router
 	// notices at a time of its own.
 	waitingMoment = 300 * time.Millisecond
+	// abandonedMoment is the same for servers that were found to be gone when nobody waited for
+	// their answers: it is longer than most times between two checks.
+	abandonedMoment = time.Second
 	// urgentCrashes is how many servers a request must have crashed for peers to hear of it
 	// at once.
 	urgentCrashes = 2
 	// spareTime is how long after a crash under a request the last usable server of its
 	// service is spared. Servers are back after some seconds.
 	spareTime = 10 * time.Second
-	// sessionCrashes is how many servers a session must have crashed for that. A stream that
-	// lost one server, for whatever reason, must not pause.
+	// sessionCrashes is how many servers a session must have crashed for that, or a request whose
+	// callers had left. A stream that lost one server, for whatever reason, must not pause.
 	sessionCrashes = 2
 	// blockTime is how long a suspect is blocked after its last crash. Then requests are let
 	// through, and one crash within crashTTL blocks it again.
@@ -65,6 +68,22 @@
 	At     time.Time
 	// Unanswered says that the server had sent nothing: the request may have waited there.
 	Unanswered bool
+	// Abandoned says that this router had ended the attempt before the server was lost. At is
+	// the earliest possible time of the crash then, if the time is not known.
+	Abandoned bool
+}
+
+// moment is how far apart crashes may be that a common cause takes at once. own says that
+// the suspect is not shared with other sessions.
+func (c *Crash) moment(own bool) time.Duration {
+	switch {
+	case c.Abandoned:
+		return abandonedMoment
+	case c.Unanswered && !own:
+		return waitingMoment
+	default:
+		return sameMoment
+	}
 }
 
 // Block keeps the requests with a suspect from servers.
@@ -126,6 +145,20 @@
 	return Change{Blocks: added && t.review(now), Suspected: suspected}
 }
 
+// RecordCrashes records the crashes of one server, of which at most one request is the cause.
+func (t *Table) RecordCrashes(crashes []Crash, now time.Time) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var change Change
+	news := false
+	for _, c := range crashes {
+		added, suspected := t.add(c, now)
+		news, change.Suspected = added || news, suspected || change.Suspected
+	}
+	change.Blocks = news && t.review(now)
+	return change
+}
+
 // RecordSurvival records that a server got well into an answer to a request with the given
 // suspects.
 func (t *Table) RecordSurvival(s Suspects, now time.Time) Change {
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -155,6 +155,10 @@
 		Self: cfg.Host, Peers: e.peerNames, Demand: retryBudget.Demand, ContactTime: cfg.ContactTime,
 	}, e.logger("limits"))
 	e.quarantine = quarantine.New(cfg.ContactTime, func() { e.gossip.Trigger() }, e.logger("quarantine"))
+	e.quarantine.CheckServers(quarantine.Checks{
+		Listens: func(ctx context.Context, address string) (bool, error) { return cfg.Client.Listens(ctx, address) },
+		Leaves:  e.servers.Leaves, Replaced: e.servers.Replaced,
+	})
 	var streams *relay.Relay
 	e.placing = placing.New(placing.Config{
 		Self: cfg.Host, Servers: e.servers, Limits: e.limits, Cost: balance.FinishCost, Checks: engineChecks{func() *relay.Relay { return streams }},
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -45,9 +45,6 @@
 	hedgeDelayFactor = 0.45
 	// minRetryAfter is the least Retry-After of a refused request.
 	minRetryAfter = 50 * time.Millisecond
-	// crashCheckTimeout bounds the check whether a server that broke off an answer is lost.
-	// A host whose process is gone refuses a connection within a round trip.
-	crashCheckTimeout = 50 * time.Millisecond
 )
 
 // Client sends requests to backend servers.
@@ -75,6 +72,7 @@
 		SparesLastServer(req *server.Request, usable func() []string) bool
 		ServerLost(req *server.Request, s *server.Server, events int)
 		ServerFinished(req *server.Request)
+		AttemptAbandoned(req *server.Request, s *server.Server, events int)
 	}
 	Limits interface {
 		ObserveAnswer(s *server.Server, a *server.Answer, sentAt time.Time)
@@ -251,8 +249,7 @@
 	}
 	answer, err := f.cfg.Client.Send(sendCtx, dispatch)
 	if err != nil {
-		crashed := errors.Is(err, server.ErrLost) && ctx.Err() == nil && f.crashed(ctx, req, e)
-		return result{server: e, err: err, crashed: crashed}
+		return result{server: e, err: err, crashed: errors.Is(err, server.ErrLost) && f.crashed(ctx, req, e)}
 	}
 	f.cfg.Limits.ObserveAnswer(&e.Server, answer, sentAt)
 	defer answer.Body.Close()
@@ -272,7 +269,9 @@
 	switch {
 	case err == nil || errors.Is(err, answerbody.ErrTooLarge):
 		f.cfg.Quarantine.ServerFinished(req)
-	case ctx.Err() == nil && !errors.Is(err, answermemory.ErrExhausted):
+	case errors.Is(err, answermemory.ErrExhausted): // this router has broken it off
+		f.cfg.Quarantine.AttemptAbandoned(req, &e.Server, 0)
+	default:
 		r.crashed = f.crashed(ctx, req, e)
 	}
 	if err != nil {
@@ -280,20 +279,3 @@
 	}
 	return r
 }
-
-// crashed reports whether the server that broke off an answer is gone, which may be the
-// request's doing, and not only its connection.
-func (f *Forwarder) crashed(ctx context.Context, req *server.Request, e *registry.Entry) bool {
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-	defer cancel()
-	listens, err := f.cfg.Client.Listens(ctx, e.Address)
-	if err != nil || listens {
-		return false
-	}
-	f.recordUnreachable(e, false)
-	if f.cfg.Servers.Leaves(&e.Server) {
-		return false // its end was planned
-	}
-	f.cfg.Quarantine.ServerLost(req, &e.Server, 0)
-	return true
-}
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -37,8 +37,13 @@
 	repeatable int
 	servers    *registry.Registry
 	// gone means that a server that breaks off an answer is not there any more.
-	gone   bool
-	budget interface {
+	gone bool
+	// ended are the addresses of servers that are not there any more.
+	ended map[string]bool
+	// leaveAfter is how long callers wait; 0 for as long as it takes.
+	leaveAfter time.Duration
+	listened   int // checks whether a server is there
+	budget     interface {
 		Allow(service string, now time.Time) bool
 		NextAt(service string, now time.Time) time.Time
 		Return(service string, takenAt, now time.Time)
@@ -60,7 +65,12 @@
 	return respond(ctx)
 }
 
-func (s *fakeService) Listens(context.Context, string) (bool, error) { return !s.gone, nil }
+func (s *fakeService) Listens(ctx context.Context, address string) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listened++
+	return !s.gone && !s.ended[address], ctx.Err()
+}
 
 func (s *fakeService) respond(status int, after time.Duration) func(context.Context) (*server.Answer, error) {
 	return func(ctx context.Context) (*server.Answer, error) {
@@ -143,7 +153,9 @@
 	if s.budget == nil {
 		s.budget = fixedBudget(true)
 	}
-	f := forward.New(forward.Config{Servers: servers, Client: s, RetryBudget: s.budget, Borrow: s.borrow, Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")), Limits: limits, Memory: answermemory.New(16 << 20), Links: link.New(), Log: log.WithField("part", "plain")})
+	guard := quarantine.New(0, func() {}, log.WithField("part", "quarantine"))
+	guard.CheckServers(quarantine.Checks{Listens: s.Listens, Leaves: servers.Leaves, Replaced: servers.Replaced})
+	f := forward.New(forward.Config{Servers: servers, Client: s, RetryBudget: s.budget, Borrow: s.borrow, Quarantine: guard, Limits: limits, Memory: answermemory.New(16 << 20), Links: link.New(), Log: log.WithField("part", "plain")})
 	sessions := 0
 	return func(kind routes.Kind, attempts int, part string) *httptest.ResponseRecorder {
 		res := httptest.NewRecorder()
@@ -156,7 +168,12 @@
 			req.PromptParts = []server.PromptPart{{ID: part}, {ID: fmt.Sprintf("own-%d", sessions)}}
 		}
 		req.SetDigest()
-		f.Serve(res, context.Background(), req, &routes.Service{Name: "desk"})
+		ctx, leave := context.WithCancel(context.Background())
+		defer leave()
+		if s.leaveAfter > 0 {
+			defer time.AfterFunc(s.leaveAfter, leave).Stop()
+		}
+		f.Serve(res, ctx, req, &routes.Service{Name: "desk"})
 		return res
 	}
 }
--- a/internal/router/gossip/crashes.go
+++ b/internal/router/gossip/crashes.go
@@ -17,12 +17,14 @@
 	WaitingParts []string `json:",omitempty"`
 	Request      string   `json:",omitempty"` // digest
 	AgeMs        int64
+	// Abandoned says that nobody waited for the answer. Earlier releases ignore it.
+	Abandoned bool `json:",omitempty"`
 }
 
 // encodeCrashes returns the crashes of a report and the ages of its survivals.
 func encodeCrashes(r quarantine.Report, now time.Time) (crashes []crashRecord, survived map[string]int64) {
 	for _, c := range r.Crashes {
-		record := crashRecord{Server: c.Server, Session: c.Session, Request: c.Request, AgeMs: now.Sub(c.At).Milliseconds()}
+		record := crashRecord{Server: c.Server, Session: c.Session, Request: c.Request, AgeMs: now.Sub(c.At).Milliseconds(), Abandoned: c.Abandoned}
 		if c.Unanswered {
 			record.WaitingParts = c.Parts
 		} else {
@@ -45,7 +47,7 @@
 	for _, c := range m.Crashes {
 		r.Crashes = append(r.Crashes, quarantine.Crash{
 			Suspects: quarantine.Suspects{Parts: append(c.Parts, c.WaitingParts...), Session: c.Session, Request: c.Request},
-			Server:   c.Server, At: now.Add(-millis(c.AgeMs)), Unanswered: len(c.WaitingParts) > 0,
+			Server:   c.Server, At: now.Add(-millis(c.AgeMs)), Unanswered: len(c.WaitingParts) > 0, Abandoned: c.Abandoned,
 		})
 	}
 	for part, age := range m.Survived {
--- /dev/null
+++ b/internal/router/quarantine/abandoned.go
@@ -0,0 +1,109 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/decision/quarantine"
+)
+
+const (
+	// maxChecks bounds the checks of servers at a time.
+	maxChecks = 16
+	// abandonedCheckTimeout bounds a check. A host whose process is gone refuses a connection within
+	// a round trip.
+	abandonedCheckTimeout = 150 * time.Millisecond
+)
+
+var (
+	abandonedTotal        = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempts_watched_total")
+	abandonedChecksTotal  = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempts_checks_total")
+	abandonedCrashesTotal = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempts_crashes_total")
+)
+
+// Checks tells what became of a server that had an attempt when this router ended it.
+type Checks struct {
+	// Listens reports whether a process accepts connections at an address. The error says
+	// that this is not known.
+	Listens func(ctx context.Context, address string) (bool, error)
+	// Leaves reports whether the end of a server is planned.
+	Leaves func(s *server.Server) bool
+	// Replaced reports whether another incarnation is known to have the server's address. It may
+	// be nil.
+	Replaced func(s *server.Server) bool
+}
+
+// CheckServers makes the guard check servers that have abandoned attempts. It must be called before
+// the first one.
+func (g *Guard) CheckServers(c Checks) {
+	g.checks, g.checkSlots = c, make(chan struct{}, maxChecks)
+}
+
+// AttemptAbandoned records that this router has ended an attempt after the given number of events
+// had arrived, though its server had not: the caller has left, or the time was up. The server
+// may still run it, and is watched: if it ends soon, that may be the request's doing.
+func (g *Guard) AttemptAbandoned(req *server.Request, s *server.Server, events int) {
+	if events >= EarlyEvents || g.checks.Listens == nil {
+		return
+	}
+	abandonedTotal.Inc()
+	attempt := quarantine.Attempt{Suspects: suspectsOf(req), At: time.Now(), Deadline: req.Deadline}
+	if g.abandoned.Add(s.Key().String(), attempt) {
+		g.watch(*s)
+	}
+}
+
+// watch checks a server until none of its abandoned attempts can run there any more.
+func (g *Guard) watch(s server.Server) {
+	at, ok := g.abandoned.NextCheck(s.Key().String())
+	if !ok {
+		return
+	}
+	if wait := time.Until(at); wait > 0 {
+		time.AfterFunc(wait, func() { g.watch(s) })
+		return
+	}
+	g.check(&s)
+	g.watch(s)
+}
+
+// check finds out whether a server that is watched has ended.
+func (g *Guard) check(s *server.Server) {
+	g.checkSlots <- struct{}{}
+	defer func() { <-g.checkSlots }()
+	abandonedChecksTotal.Inc()
+	ctx, cancel := context.WithTimeout(context.Background(), abandonedCheckTimeout)
+	defer cancel()
+	listens, err := g.checks.Listens(ctx, s.Address)
+	now := time.Now()
+	incarnation := s.Key().String()
+	replaced := g.checks.Replaced != nil && g.checks.Replaced(s)
+	switch {
+	case g.checks.Leaves(s):
+		g.abandoned.Ended(incarnation)
+	case replaced || err == nil && !listens:
+		if g.recordAbandoned(incarnation, time.Time{}, now) {
+			g.onCrash()
+		}
+	default:
+		g.abandoned.Checked(incarnation, err == nil, now)
+	}
+}
+
+// recordAbandoned records that a server was lost that may have had abandoned attempts, and reports
+// whether it had. lostAt is zero if it is only known to be before now.
+func (g *Guard) recordAbandoned(incarnation string, lostAt, now time.Time) bool {
+	crashes := g.abandoned.Lost(incarnation, lostAt, now)
+	for _, c := range crashes {
+		abandonedCrashesTotal.Inc()
+		g.log.WithField("server", c.Server).WithField("parts", c.Parts).WithField("session", c.Session).WithField("digest", c.Request).
+			WithField("lostAt", c.At).Info("server was lost after an attempt was abandoned")
+	}
+	if g.table.RecordCrashes(crashes, now).Blocks {
+		g.logBlocks(now, "this router")
+	}
+	return len(crashes) > 0
+}
--- a/internal/router/quarantine/news.go
+++ b/internal/router/quarantine/news.go
@@ -23,9 +23,10 @@
 
 // CrashNews is a crash in News.
 type CrashNews struct {
-	Server  string
-	Request string
-	AgeMs   int64
+	Server    string
+	Request   string
+	AgeMs     int64
+	Abandoned bool `json:",omitempty"` // nobody waited for the answer
 }
 
 // News returns what peers are told, also those that have just started.
@@ -33,7 +34,7 @@
 	report := g.table.Report(maxNewsCrashes, true, now)
 	news := News{Blocked: report.Blocked}
 	for _, c := range report.Crashes {
-		news.Crashes = append(news.Crashes, CrashNews{c.Server, c.Request, now.Sub(c.At).Milliseconds()})
+		news.Crashes = append(news.Crashes, CrashNews{c.Server, c.Request, now.Sub(c.At).Milliseconds(), c.Abandoned})
 	}
 	if len(report.Survived) > 0 {
 		news.SurvivedMs = make(map[string]int64, len(report.Survived))
@@ -49,7 +50,7 @@
 	report := quarantine.Report{Survived: make(map[string]time.Time, len(news.SurvivedMs)), Blocked: news.Blocked}
 	for _, c := range news.Crashes {
 		report.Crashes = append(report.Crashes, quarantine.Crash{
-			Suspects: quarantine.Suspects{Request: c.Request}, Server: c.Server, At: ago(c.AgeMs, now),
+			Suspects: quarantine.Suspects{Request: c.Request}, Server: c.Server, At: ago(c.AgeMs, now), Abandoned: c.Abandoned,
 		})
 	}
 	for request, age := range news.SurvivedMs {
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -26,14 +26,17 @@
 type Guard struct {
 	table *quarantine.Table
 	// onCrash is called when this router saw a crash that peers should know of.
-	onCrash func()
-	log     *logrus.Entry
+	onCrash    func()
+	abandoned  *quarantine.Abandoned
+	checks     Checks
+	checkSlots chan struct{} // has a value for each check in progress
+	log        *logrus.Entry
 }
 
 // New returns a guard that knows no crashes. Routers hear each other's news within the
 // contact time.
 func New(contactTime time.Duration, onCrash func(), log *logrus.Entry) *Guard {
-	return &Guard{table: quarantine.New(time.Now(), contactTime), onCrash: onCrash, log: log}
+	return &Guard{table: quarantine.New(time.Now(), contactTime), onCrash: onCrash, abandoned: quarantine.NewAbandoned(), log: log}
 }
 
 // suspectsOf returns what may be to blame if a request crashes its server. A prompt says
@@ -94,6 +97,7 @@
 	if g.table.RecordCrash(crash, now).Blocks {
 		g.logBlocks(now, "this router")
 	}
+	g.recordAbandoned(crash.Server, now, now)
 	g.onCrash()
 }
 
@@ -126,6 +130,15 @@
 	if change.Blocks {
 		g.logBlocks(now, peer)
 	}
+	for _, c := range r.Crashes {
+		lostAt := c.At
+		if c.Abandoned {
+			lostAt = time.Time{} // it is the earliest possible time at the peer
+		}
+		if g.recordAbandoned(c.Server, lostAt, now) {
+			g.onCrash()
+		}
+	}
 	return change.Any()
 }
 
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -17,7 +17,7 @@
 func (s *stream) decideSilent(target *registry.Entry, detector *suspicion.Detector) suspicion.Decision {
 	_, quarantined := s.relay.cfg.Quarantine.Refuses(s.req)
 	decision := suspicion.Alternative{
-		Replaced:     s.relay.replaced(target),
+		Replaced:     s.relay.cfg.Servers.Replaced(&target.Server),
 		Retryable:    s.resumable(),
 		AttemptsLeft: s.req.Route.MaxAttempts - s.countedAttempts() - 1,
 		Quarantined:  quarantined,
@@ -102,13 +102,6 @@
 	})
 }
 
-// replaced reports whether another incarnation has the address of an engine. A restored store
-// may list an older one.
-func (r *Relay) replaced(e *registry.Entry) bool {
-	current := r.cfg.Servers.ByAddress(e.Address)
-	return current != nil && current.Key() != e.Key() && current.Started >= e.Started
-}
-
 // recordUnresponsive keeps new work away from an engine that does not answer probes, and
 // notifies the streams of its failure domain and the peers.
 func (s *stream) recordUnresponsive(target *registry.Entry, now time.Time) {
