relay: watch engines whose streams' callers have left

A stream that crashes each engine that runs it is never refused if its callers leave, or their time is up, before each crash.

`follow` ends the attempt with its caller (`callerDisconnected`), and a loss is recorded by the attempt alone. Besides, the reader's "context canceled" was now and then taken for the engine's doing, and counted against the engine's error rate.

Now these attempts are watched as those of calls are, if fewer than eight events had come. So are engines that broke off before an answer when the check whether they are gone gave no result within 50 ms.

--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -32,6 +32,11 @@
 	deadlyPart    string // a part of prompts that crashes every engine after its header
 	deadlySession string // crashes every engine before its header
 
+	// deadlyAfter is how long after it got a request with deadlySession an engine ends without an
+	// answer, whether the connection is open or not; 0 for at once.
+	deadlyAfter time.Duration
+	crashed     map[string]int       // by address, how often an engine has ended so
+	down        map[string]bool      // by address, until it is started again
 	gone        bool                 // no engine listens
 	probes      int                  // reports that were requested
 	pausedUntil map[string]time.Time // by server ID
@@ -61,6 +66,10 @@
 	switch {
 	case unreachable:
 		return nil, fmt.Errorf("dial: %w", server.ErrNotSent)
+	case e.deadlyAfter > 0 && e.isDown(d.Server.Address):
+		return nil, fmt.Errorf("dial: %w", server.ErrNotSent)
+	case e.deadlyAfter > 0 && d.Request.SessionID() == e.deadlySession:
+		return nil, e.crash(ctx, d.Server.Address)
 	case e.deadlySession != "" && d.Request.SessionID() == e.deadlySession:
 		return nil, fmt.Errorf("EOF: %w", server.ErrLost)
 	case e.deadlyPart != "" && slices.Contains(d.Request.SharedPartIDs(), e.deadlyPart):
@@ -172,8 +181,54 @@
 	_ = w.Close()
 }
 
+// crash ends an engine after deadlyAfter. It returns the error of the connection, which may be
+// closed before.
+func (e *fakeEngines) crash(ctx context.Context, address string) error {
+	ended := make(chan bool)
+	time.AfterFunc(e.deadlyAfter, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.crashed[address]++
+		e.down[address] = true
+		close(ended)
+	})
+	select {
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ctx.Err(), server.ErrLost)
+	case <-ended:
+		return fmt.Errorf("EOF: %w", server.ErrLost)
+	}
+}
+
+func (e *fakeEngines) isDown(address string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down[address]
+}
+
+// start starts the engines that are down.
+func (e *fakeEngines) start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.down)
+}
+
+// crashes returns how many engines have ended.
+func (e *fakeEngines) crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, times := range e.crashed {
+		n += times
+	}
+	return n
+}
+
 // Listens says that engines are gone if requests crash them.
-func (e *fakeEngines) Listens(context.Context, string) (bool, error) {
+func (e *fakeEngines) Listens(_ context.Context, address string) (bool, error) {
+	if e.deadlyAfter > 0 {
+		return !e.isDown(address), nil
+	}
 	return e.deadlySession == "" && e.deadlyPart == "" && !e.gone, nil
 }
 
--- a/internal/router/relay/harness_test.go
+++ b/internal/router/relay/harness_test.go
@@ -77,13 +77,14 @@
 	service  routes.Service
 	route    routes.Route
 
-	loadsUnknown bool // the loads that other routers put on the engines are not known
+	started      int64 // of the engines' incarnations
+	loadsUnknown bool  // the loads that other routers put on the engines are not known
 }
 
 func newHarness(t *testing.T) *harness {
 	h := &harness{
 		WithT:    NewWithT(t),
-		engines:  &fakeEngines{eventCount: 20, gap: 20 * time.Millisecond, faults: map[string]engineFaults{}, backups: map[string]bool{}, cachedPrompts: map[string]string{}, pausedUntil: map[string]time.Time{}, ended: map[string]time.Time{}},
+		engines:  &fakeEngines{eventCount: 20, gap: 20 * time.Millisecond, faults: map[string]engineFaults{}, backups: map[string]bool{}, cachedPrompts: map[string]string{}, pausedUntil: map[string]time.Time{}, ended: map[string]time.Time{}, crashed: map[string]int{}, down: map[string]bool{}},
 		servers:  registry.New(),
 		sessions: sessionTable{sessions.NewTable()},
 		service:  routes.Service{Name: "engines", Engine: &routes.Engine{MemoryTokens: 55000, SupportsBackups: true, CopiesKVCache: true, TokensPerEvent: 6, BackupTTL: 4 * time.Second}},
@@ -95,9 +96,11 @@
 	log.SetOutput(io.Discard)
 	h.hook = logtest.NewLocal(log)
 	h.limits = ratelimit.New(decision.Config{Self: "router", Peers: func(time.Time) []string { return nil }, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
+	guard := quarantine.New(0, func() {}, log.WithField("part", "quarantine"))
+	guard.CheckServers(quarantine.Checks{Listens: h.engines.Listens, Leaves: h.servers.Leaves, Replaced: h.servers.Replaced})
 	h.cfg = relay.Config{
 		Servers: h.servers, Client: h.engines, RetryBudget: h.budget, Links: link.New(), Domain: "a", Sessions: h.sessions, OnUnresponsive: func() {},
-		Quarantine: quarantine.New(0, func() {}, log.WithField("part", "quarantine")),
+		Quarantine: guard,
 		Limits:     h.limits,
 		Memory:     answermemory.New(16 << 20),
 		KnowsLoads: func() bool { return !h.loadsUnknown }, Log: log.WithField("part", "stream"),
@@ -111,7 +114,7 @@
 	var all []server.Server
 	for i := range 3 {
 		id := fmt.Sprintf("i-%d", i)
-		all = append(all, server.Server{ID: id, Service: "engines", Address: engineAddress(i), Domain: string(rune('a' + i)), Slots: 64, Leaving: leaving[id]})
+		all = append(all, server.Server{ID: id, Service: "engines", Address: engineAddress(i), Domain: string(rune('a' + i)), Slots: 64, Leaving: leaving[id], Started: h.started})
 	}
 	h.servers.Set(storehistory.Position{Revision: 1}, all)
 }
--- a/internal/router/relay/quarantine.go
+++ b/internal/router/relay/quarantine.go
@@ -15,7 +15,7 @@
 
 // recordEnd reports whether an engine that broke off is gone. It records a loss that may be
 // the request's doing: of an engine that is gone, or had begun to answer and may be gone. The
-// end of an engine that leaves is planned.
+// end of an engine that leaves is planned. One of which nothing is known is watched.
 func (s *stream) recordEnd(target *registry.Entry, r result) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
@@ -27,6 +27,8 @@
 		s.relay.cfg.Quarantine.ServerLost(s.req, &target.Server, r.events)
 	case gone:
 		s.relay.cfg.Quarantine.ServerLostUnanswered(s.req, &target.Server)
+	default:
+		s.relay.cfg.Quarantine.AttemptAbandoned(s.req, &target.Server, r.events)
 	}
 	return gone
 }
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -67,6 +67,7 @@
 	ServerLostUnanswered(req *server.Request, s *server.Server)
 	ServerAnswered(req *server.Request, events int)
 	ServerFinished(req *server.Request)
+	AttemptAbandoned(req *server.Request, s *server.Server, events int)
 }
 
 // Limits are what engines ask of routers: the limits that they name, and no requests if they
--- a/internal/router/relay/run.go
+++ b/internal/router/relay/run.go
@@ -129,6 +129,8 @@
 	defer func() {
 		r.replacement, r.events, r.began, r.sentAt = a.replacement, s.lastEventID-a.startEvent, a.answer != nil, a.sentAt
 		if !r.goesOn {
+			// The reader may report the end of the context as that of the answer.
+			r.callerDisconnected = r.callerDisconnected || r.outcome == lost && a.ctx.Err() != nil && !a.memory.Broken()
 			a.end()
 		}
 		if s.unflushed && r.outcome != finished {
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -120,7 +120,11 @@
 		if !r.callerDisconnected {
 			target.Load.RecordOutcome(true)
 		}
-		if !r.callerDisconnected && !r.silent && s.recordEnd(target, r) {
+		switch {
+		case r.silent:
+		case r.callerDisconnected:
+			s.relay.cfg.Quarantine.AttemptAbandoned(s.req, &target.Server, r.events)
+		case s.recordEnd(target, r):
 			s.ended++
 		}
 		s.refusals = 0
