relay: watch engines that were left for their silence

A stream that another engine takes up survives there, which refutes the crash.

Test: TestAStreamThatCrashesEnginesAfterTheyWereLeftAsSilentIsRefused, three engines, four calls: 5 crashes without the record in endSilent (at most 4 allowed: two are under way when the third is seen), 4 or fewer with it.

--- a/internal/router/relay/abandoned_test.go
+++ b/internal/router/relay/abandoned_test.go
@@ -48,3 +48,22 @@
 		})
 	}
 }
+
+// Guards against a stream that is never suspected since each engine that it crashes was left as
+// silent before.
+func TestAStreamThatCrashesEnginesAfterTheyWereLeftAsSilentIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.engines.deadlySession, h.engines.deadlyAfter = "deadly", 1500*time.Millisecond
+		for i := range 3 {
+			h.engines.pauseReplies(fmt.Sprintf("i-%d", i), time.Hour)
+		}
+		for range 4 {
+			h.serveFor(8*time.Second, "deadly")
+			time.Sleep(3 * time.Second)
+			h.restartEngines()
+		}
+		h.Expect(h.engines.crashes()).To(BeNumerically("<=", 4))
+		h.Expect(h.serveFor(time.Minute, "deadly").Code).To(Equal(http.StatusServiceUnavailable))
+	})
+}
--- a/internal/router/relay/run.go
+++ b/internal/router/relay/run.go
@@ -30,6 +30,7 @@
 	restoreFrom *server.KVBackup
 	sentAt      time.Time
 	startEvent  int            // last event that the caller had
+	events      int            // forwarded when the attempt was left for the silence of its engine
 	answer      *server.Answer // nil until the engine begins to answer
 	replacement *replacementBackup
 	load        *registry.Attempt
--- a/internal/router/relay/serve.go
+++ b/internal/router/relay/serve.go
@@ -31,7 +31,7 @@
 			s.endSilent()
 		}
 		if result.goesOn {
-			s.silent = a
+			s.silent, a.events = a, result.events
 		}
 		if result.outcome == notSent {
 			s.retryUnused = s.delivered > 0
--- a/internal/router/relay/silence.go
+++ b/internal/router/relay/silence.go
@@ -70,10 +70,13 @@
 
 // endSilent ends the attempt whose silent engine was left.
 func (s *stream) endSilent() {
-	if s.silent != nil {
-		s.silent.end()
-		s.silent = nil
+	a := s.silent
+	if a == nil {
+		return
 	}
+	a.end()
+	s.silent = nil
+	s.relay.cfg.Quarantine.AttemptAbandoned(s.req, &a.target.Server, a.events)
 }
 
 // otherEngineUsable reports whether another engine than the target could get the stream.
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -121,8 +121,8 @@
 			target.Load.RecordOutcome(true)
 		}
 		switch {
-		case r.silent:
-		case r.callerDisconnected:
+		case r.goesOn: // recorded by endSilent
+		case r.callerDisconnected, r.silent:
 			s.relay.cfg.Quarantine.AttemptAbandoned(s.req, &target.Server, r.events)
 		case s.recordEnd(target, r):
 			s.ended++
