service: watch servers whose callers of our own interface have left

A call that crashes each server that runs it is not refused if its caller leaves (idempotent calls), or its time is up, before each crash.

`observe` records a crash only while the call's context lives, and `sendTo` does not call it otherwise.

Now such servers are watched as on the platform, and not if another server has answered the call. Servers of this interface don't say when they started: they are watched by name, and a crash that a peer tells counts against what was abandoned before it only. The guard of a router checks them with one set of functions for calls and generations (`quarantine.Listens` takes the place of `Gone`, which did not tell "not known" from "there").

--- a/internal/caller/service/deadly_test.go
+++ b/internal/caller/service/deadly_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/sirupsen/logrus"
 
+	routed "wisteriafield/internal/backend/server"
 	backend "wisteriafield/internal/backend/service"
 	"wisteriafield/internal/caller/apierror"
 	"wisteriafield/internal/config/document"
@@ -62,6 +63,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	guard := quarantine.New(0, func() {}, log.WithField("part", "quarantine"))
+	guard.CheckServers(quarantine.Checks{Listens: quarantine.Listens, Incarnation: quarantine.Incarnation, Leaves: func(*routed.Server) bool { return false }})
 	return New(Deps{Hosts: hosts.New(hosts.Config{}), NonIdempotent: &NonIdempotentRunner{}, AnswerMemory: answermemory.New(16 << 20), Quarantine: guard, Log: log.WithField("part", "service")}), s, &crashes
 }
 
--- a/internal/caller/service/handler.go
+++ b/internal/caller/service/handler.go
@@ -136,6 +136,7 @@
 // sent to received no byte of it, so the next server may be tried.
 func (h *Handler) sendNonIdempotent(ctx context.Context, req nonIdempotentRequest) (*backend.Answer, error) {
 	suspect := suspectOf(req.Organisation, req.Service, req.Call)
+	suspect.Deadline, _ = ctx.Deadline()
 	if until, refused := h.refuses(suspect, req.Service); refused {
 		return nil, &blockedError{until}
 	}
--- a/internal/caller/service/idempotent.go
+++ b/internal/caller/service/idempotent.go
@@ -67,8 +67,9 @@
 		blockedRefusal(until).Write(w)
 		return
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	suspect.Deadline, _ = ctx.Deadline()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	b := budgetsFor(s.Name, &view.Policy)
 	candidates := h.servers.order(s, h.isLeaving)
 	results := make(chan attemptResult, len(candidates))
@@ -101,6 +102,7 @@
 		case r := <-results:
 			running--
 			if r.err == nil {
+				cancel(errAnswered)
 				defer r.answer.Release()
 				writeAnswer(w, r.answer)
 				return
@@ -149,13 +151,12 @@
 	startedAt := time.Now()
 	done := h.servers.beginCall(to.name)
 	answer, err := h.client.Do(ctx, to.address, call)
-	crashed := false
 	if ctx.Err() != nil {
 		done(nil)
 	} else {
 		done(err)
-		crashed = h.observe(ctx, suspect, to, err)
 	}
+	crashed := h.observe(ctx, suspect, to, err)
 	results <- attemptResult{answer, startedAt, err, crashed}
 }
 
--- a/internal/caller/service/quarantine.go
+++ b/internal/caller/service/quarantine.go
@@ -18,6 +18,9 @@
 // sparedRetryDelay is the Retry-After of a call that is not sent to the last server.
 const sparedRetryDelay = time.Second
 
+// errAnswered ends the attempts of a call that another server has answered.
+var errAnswered = errors.New("another server has answered the call")
+
 // blockedError means that a call was not sent because it crashes servers.
 type blockedError struct{ until time.Time }
 
@@ -62,14 +65,27 @@
 }
 
 // observe records what the end of an attempt says of its call: a server that is gone since,
-// and was not to leave, may have been crashed by it.
+// and was not to leave, may have been crashed by it. Where that is not known yet, since the
+// attempt was stopped or the check gave no result, the server is watched. It is not if another
+// one has answered the call.
 func (h *Handler) observe(ctx context.Context, suspect *routed.Request, to server, err error) (crashed bool) {
-	switch {
-	case err == nil:
+	if err == nil {
 		h.deps.Quarantine.ServerFinished(suspect)
-	case ctx.Err() == nil && !isNotSent(err) && !h.isLeaving(to.name) && quarantine.Gone(ctx, to.address):
+		return false
+	}
+	if isNotSent(err) || h.isLeaving(to.name) || errors.Is(context.Cause(ctx), errAnswered) {
+		return false
+	}
+	listens, err := true, ctx.Err()
+	if err == nil {
+		listens, err = quarantine.Listens(ctx, to.address)
+	}
+	if err != nil {
+		h.deps.Quarantine.AttemptAbandoned(suspect, &routed.Server{ID: to.name, Address: to.address}, 0)
+		return false
+	}
+	if !listens {
 		h.deps.Quarantine.ServerLost(suspect, quarantine.Incarnation(to.name, time.Now()), 0)
-		return true
 	}
-	return false
+	return !listens
 }
--- a/internal/decision/quarantine/abandoned.go
+++ b/internal/decision/quarantine/abandoned.go
@@ -24,13 +24,15 @@
 type Attempt struct {
 	Suspects
 	At       time.Time // when it was ended
-	Deadline time.Time // of the request
+	Deadline time.Time // of the request; zero if it has none
 }
 
 // watchedUntil returns when the server has no part of the attempt left to run.
 func (a *Attempt) watchedUntil() time.Time {
-	left := min(max(a.Deadline.Sub(a.At), minWatchTime), maxWatchTime)
-	return a.At.Add(left)
+	if a.Deadline.IsZero() {
+		return a.At.Add(maxWatchTime)
+	}
+	return a.At.Add(min(max(a.Deadline.Sub(a.At), minWatchTime), maxWatchTime))
 }
 
 // nextCheck returns when the server is to be checked after a check at the given time.
@@ -64,18 +66,18 @@
 // NewAbandoned returns an empty set.
 func NewAbandoned() *Abandoned { return &Abandoned{servers: make(map[string]*watchedServer)} }
 
-// Add adds an attempt at an incarnation of a server. It reports whether the server has to be
+// Add adds an attempt at a server. It reports whether the server has to be
 // watched from now on: NextCheck says when it is checked.
-func (t *Abandoned) Add(incarnation string, a Attempt) (watch bool) {
+func (t *Abandoned) Add(server string, a Attempt) (watch bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.servers[incarnation]
+	s := t.servers[server]
 	if s == nil {
 		if len(t.servers) >= maxWatched {
 			return false
 		}
 		s, watch = &watchedServer{}, true
-		t.servers[incarnation] = s
+		t.servers[server] = s
 	}
 	s.attempts = append(s.attempts, a)
 	s.attempts = s.attempts[max(len(s.attempts)-maxAbandoned, 0):]
@@ -83,10 +85,10 @@
 }
 
 // NextCheck returns when a server is to be checked, and false if it need not be watched any more.
-func (t *Abandoned) NextCheck(incarnation string) (at time.Time, ok bool) {
+func (t *Abandoned) NextCheck(server string) (at time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.servers[incarnation]
+	s := t.servers[server]
 	if s == nil {
 		return time.Time{}, false
 	}
@@ -103,10 +105,10 @@
 
 // Checked records a check of a server. With alive the server was seen alive; otherwise nothing is known of
 // it. Attempts that are not watched any more are removed.
-func (t *Abandoned) Checked(incarnation string, alive bool, now time.Time) {
+func (t *Abandoned) Checked(server string, alive bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.servers[incarnation]
+	s := t.servers[server]
 	if s == nil {
 		return
 	}
@@ -119,39 +121,44 @@
 		return over
 	})
 	if len(s.attempts) == 0 {
-		delete(t.servers, incarnation)
+		delete(t.servers, server)
 	}
 }
 
 // Ended removes a server that has ended by a plan.
-func (t *Abandoned) Ended(incarnation string) {
+func (t *Abandoned) Ended(server string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.servers, incarnation)
+	delete(t.servers, server)
 }
 
-// Lost removes a server that was lost unplanned, and returns the crashes that its abandoned attempts may be to
-// blame for. lostAt is when it was lost; it is zero if that is only known to be before now.
-func (t *Abandoned) Lost(incarnation string, lostAt, now time.Time) []Crash {
+// Lost records that a server was lost unplanned, and returns the crashes for which its abandoned
+// attempts may be to blame, which it removes. lostAt is when it was lost; it is zero if that is only
+// known to be before now. Attempts that were abandoned later remain.
+func (t *Abandoned) Lost(server string, lostAt, now time.Time) []Crash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.servers[incarnation]
+	s := t.servers[server]
 	if s == nil {
 		return nil
 	}
-	delete(t.servers, incarnation)
 	var crashes []Crash
-	for _, a := range s.attempts {
+	s.attempts = slices.DeleteFunc(s.attempts, func(a Attempt) bool {
 		at := lostAt
 		if at.IsZero() {
 			at = later(a.At, s.checkedAt)
 		}
-		if at.Before(a.At) || slices.ContainsFunc(crashes, func(c Crash) bool { return c.origin() == a.origin() }) {
-			continue
+		if at.Before(a.At) {
+			return false
 		}
-		if t.outcomes.addLost(a.origin(), now) {
-			crashes = append(crashes, Crash{Suspects: a.Suspects, Server: incarnation, At: at, Unanswered: true, Abandoned: true})
+		known := slices.ContainsFunc(crashes, func(c Crash) bool { return c.origin() == a.origin() })
+		if !known && t.outcomes.addLost(a.origin(), now) {
+			crashes = append(crashes, Crash{Suspects: a.Suspects, Server: server, At: at, Unanswered: true, Abandoned: true})
 		}
+		return true
+	})
+	if len(s.attempts) == 0 {
+		delete(t.servers, server)
 	}
 	return crashes
 }
--- a/internal/router/keeper/crash.go
+++ b/internal/router/keeper/crash.go
@@ -14,7 +14,10 @@
 // tokens is gone, if it is and was not to leave: that may be the request's doing.
 func (k *Keeper) checkCrash(ctx context.Context, a *attempt, address string, tokens int) bool {
 	name := a.serverName()
-	if tokens >= quarantine.EarlyEvents || k.leaves(name) || !quarantine.Gone(ctx, address) {
+	if tokens >= quarantine.EarlyEvents || k.Leaves(name) {
+		return false
+	}
+	if listens, err := quarantine.Listens(ctx, address); err != nil || listens {
 		return false
 	}
 	k.markDown(name)
@@ -24,8 +27,9 @@
 	return true
 }
 
-// leaves is isLeaving for callers that do not hold mu.
-func (k *Keeper) leaves(name string) bool {
+// Leaves reports whether a server gets no new work according to the order plan, the host list or
+// the server's own load report.
+func (k *Keeper) Leaves(name string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.isLeaving(name)
--- a/internal/router/keeper/keeper.go
+++ b/internal/router/keeper/keeper.go
@@ -143,8 +143,7 @@
 	return admission.Server{Name: e.Name, Slots: e.Slots, Speed: e.Speed, Carries: carries, Leaving: k.isLeaving(e.Name)}
 }
 
-// isLeaving reports whether a server gets no new work according to the order
-// plan, the host list or the server's own load report.
+// isLeaving is Leaves for callers that hold mu.
 func (k *Keeper) isLeaving(name string) bool {
 	if k.deps.Draining(name) {
 		return true
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"wisteriafield/internal/backend/engine"
+	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/base/loop"
 	"wisteriafield/internal/caller/http1"
 	"wisteriafield/internal/caller/openai"
@@ -110,6 +111,10 @@
 	n.rpcServer = control.NewServer()
 	n.peerWaits = entry.NewWaitTable()
 	n.quarantine = quarantine.New(contactTime, func() { n.configure.Trigger() }, n.logger("quarantine"))
+	n.quarantine.CheckServers(quarantine.Checks{
+		Listens: quarantine.Listens, Incarnation: quarantine.Incarnation,
+		Leaves: func(s *server.Server) bool { return n.keeper.Leaves(s.ID) },
+	})
 	n.configure = configure.New(configure.Deps{
 		Store: n.store, Peers: n.rpcClient, Members: n.members, Log: n.logger("configure"),
 		ExpectedWaits:   func() map[string]time.Duration { return n.keeper.ExpectedWaits() },
--- a/internal/router/quarantine/abandoned.go
+++ b/internal/router/quarantine/abandoned.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -34,6 +35,17 @@
 	// Replaced reports whether another incarnation is known to have the server's address. It may
 	// be nil.
 	Replaced func(s *server.Server) bool
+	// Incarnation returns the incarnation of a server that was lost at a time, where servers don't
+	// say when they started; nil where they do.
+	Incarnation func(name string, lostAt time.Time) *server.Server
+}
+
+// watched returns the name under which an incarnation is watched.
+func (c *Checks) watched(incarnation string) string {
+	if c.Incarnation == nil {
+		return incarnation
+	}
+	return incarnation[:max(strings.LastIndexByte(incarnation, '/'), 0)]
 }
 
 // CheckServers makes the guard check servers that have abandoned attempts. It must be called before
@@ -51,14 +63,14 @@
 	}
 	abandonedTotal.Inc()
 	attempt := quarantine.Attempt{Suspects: suspectsOf(req), At: time.Now(), Deadline: req.Deadline}
-	if g.abandoned.Add(s.Key().String(), attempt) {
+	if g.abandoned.Add(g.checks.watched(s.Key().String()), attempt) {
 		g.watch(*s)
 	}
 }
 
 // watch checks a server until none of its abandoned attempts can run there any more.
 func (g *Guard) watch(s server.Server) {
-	at, ok := g.abandoned.NextCheck(s.Key().String())
+	at, ok := g.abandoned.NextCheck(g.checks.watched(s.Key().String()))
 	if !ok {
 		return
 	}
@@ -79,25 +91,31 @@
 	defer cancel()
 	listens, err := g.checks.Listens(ctx, s.Address)
 	now := time.Now()
-	incarnation := s.Key().String()
+	lost := s
+	if g.checks.Incarnation != nil {
+		lost = g.checks.Incarnation(s.ID, now)
+	}
+	watched := g.checks.watched(s.Key().String())
 	replaced := g.checks.Replaced != nil && g.checks.Replaced(s)
 	switch {
 	case g.checks.Leaves(s):
-		g.abandoned.Ended(incarnation)
+		g.abandoned.Ended(watched)
 	case replaced || err == nil && !listens:
-		if g.recordAbandoned(incarnation, time.Time{}, now) {
+		if g.recordAbandoned(lost.Key().String(), time.Time{}, now) {
 			g.onCrash()
 		}
 	default:
-		g.abandoned.Checked(incarnation, err == nil, now)
+		g.abandoned.Checked(watched, err == nil, now)
 	}
 }
 
 // recordAbandoned records that a server was lost that may have had abandoned attempts, and reports
 // whether it had. lostAt is zero if it is only known to be before now.
 func (g *Guard) recordAbandoned(incarnation string, lostAt, now time.Time) bool {
-	crashes := g.abandoned.Lost(incarnation, lostAt, now)
-	for _, c := range crashes {
+	crashes := g.abandoned.Lost(g.checks.watched(incarnation), lostAt, now)
+	for i := range crashes {
+		c := &crashes[i]
+		c.Server = incarnation
 		abandonedCrashesTotal.Inc()
 		g.log.WithField("server", c.Server).WithField("parts", c.Parts).WithField("session", c.Session).WithField("digest", c.Request).
 			WithField("lostAt", c.At).Info("server was lost after an attempt was abandoned")
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -131,11 +131,7 @@
 		g.logBlocks(now, peer)
 	}
 	for _, c := range r.Crashes {
-		lostAt := c.At
-		if c.Abandoned {
-			lostAt = time.Time{} // it is the earliest possible time at the peer
-		}
-		if g.recordAbandoned(c.Server, lostAt, now) {
+		if g.recordAbandoned(c.Server, c.At, now) {
 			g.onCrash()
 		}
 	}
--- a/internal/router/quarantine/request.go
+++ b/internal/router/quarantine/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -33,14 +34,19 @@
 	return &server.Server{ID: name, Started: lostAt.Truncate(incarnationTime).UnixMilli()}
 }
 
-// Gone reports whether the process that listened at an address is known to be gone.
-func Gone(ctx context.Context, address string) bool {
+// Listens reports whether a process accepts connections at an address. The error says that this
+// is not known.
+func Listens(ctx context.Context, address string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, listenTimeout)
 	defer cancel()
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return false, nil
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	if err != nil {
+		return false, fmt.Errorf("connect to %s: %w", address, err)
+	}
+	_ = conn.Close()
+	return true, nil
 }
