keeper: watch engines whose attempts this router has stopped

What callers would see: a generation that makes its engines silent and then ends them is sent to one engine after the other: nine of nine engines ended within three requests.

`checkCrash` was called only while the attempt's context lived, so not after the watchdog or a cancelled generation had ended it; and where the engine's head took too long, the check came at once, before the crash.

Now the engine is watched if this router stopped the attempt: by its context, or since the engine's head did not come in time.

A caller who leaves was no fault here: the keeper goes on with the attempt for callers who come back, so that the crash has a witness. TestAGenerationWhoseCallersLeaveBeforeItCrashesEnginesIsRefused held on the code before as well, and guards it.

Test, seen failing before (9 engines ended, at most 5 allowed): TestAGenerationThatCrashesEnginesAfterTheyFellSilentIsRefused; 4 end now.

--- a/internal/router/keeper/attempt.go
+++ b/internal/router/keeper/attempt.go
@@ -216,9 +216,7 @@
 	for {
 		line, err := stream.Next()
 		if err != nil {
-			if ctx.Err() == nil {
-				k.checkCrash(ctx, a, address, w.tokens())
-			}
+			k.checkCrash(ctx, a, address, w.tokens(), err)
 			k.markLost(a, w.cause(err))
 			return
 		}
@@ -243,10 +241,14 @@
 func (k *Keeper) reportStartFailure(ctx context.Context, a *attempt, address string, err error) {
 	k.deps.Log.WithField("server", a.serverName()).Debugf("attempt did not start at its engine: %v", err)
 	reason := "EngineRefused"
-	if ctx.Err() == nil && !errors.Is(err, engine.ErrRefused) && !errors.Is(err, engine.ErrModelNotServed) {
+	answered := errors.Is(err, engine.ErrRefused) || errors.Is(err, engine.ErrModelNotServed)
+	if ctx.Err() != nil && !answered && wasSent(err) {
+		k.checkCrash(ctx, a, address, 0, err)
+	}
+	if ctx.Err() == nil && !answered {
 		reason = "EngineUnreachable"
 		k.markDown(a.serverName())
-		if wasSent(err) && k.checkCrash(ctx, a, address, 0) {
+		if wasSent(err) && k.checkCrash(ctx, a, address, 0, err) {
 			k.removeAttempt(a)
 			a.started <- Event{Kind: Lost, Reason: "engine crashed", Server: a.serverName(), CrashedAt: a.crashedAt.Load()}
 			return
--- a/internal/router/keeper/crash.go
+++ b/internal/router/keeper/crash.go
@@ -7,17 +7,26 @@
 
 	"github.com/pkg/errors"
 
+	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/router/quarantine"
 )
 
 // checkCrash records that the engine of an attempt that broke off after the given number of
-// tokens is gone, if it is and was not to leave: that may be the request's doing.
-func (k *Keeper) checkCrash(ctx context.Context, a *attempt, address string, tokens int) bool {
+// tokens is gone, if it is and was not to leave: that may be the request's doing. Where that is not
+// known yet, since this router stopped the attempt or the check gave no result, the engine is
+// watched.
+func (k *Keeper) checkCrash(ctx context.Context, a *attempt, address string, tokens int, cause error) bool {
 	name := a.serverName()
 	if tokens >= quarantine.EarlyEvents || k.Leaves(name) {
 		return false
 	}
-	if listens, err := quarantine.Listens(ctx, address); err != nil || listens {
+	stopped := ctx.Err() != nil || isTimeout(cause)
+	listens, err := quarantine.Listens(ctx, address)
+	if err != nil || listens && stopped {
+		k.deps.Quarantine.AttemptAbandoned(a.suspect, &server.Server{ID: name, Address: address}, tokens)
+		return false
+	}
+	if listens {
 		return false
 	}
 	k.markDown(name)
