quarantine: bounds of what is remembered of callers who left, and their tests

Cause: the attempts kept for a server were 16, each of which becomes a crash to be told if the server is lost. A message to peers holds 16 crashes, so that one server, lost amid a crowd that leaves, could fill the messages of its router. And the parts of a prompt were kept as slices of its header.

Now eight attempts are kept for each server, with at most the last eight shared parts and copies of their IDs: at most 128 x 8 of some hundred bytes.

Tests of the decision: what was found spans a second or shows nothing, one find does not spare the last server, a call that three servers outlive for each loss is not to blame, and the bounds.

--- a/internal/decision/quarantine/abandoned.go
+++ b/internal/decision/quarantine/abandoned.go
@@ -15,9 +15,9 @@
 	// to the next check doubles, but for the last one, at the end of the watch.
 	firstCheck = 400 * time.Millisecond
 	// maxWatched bounds the servers with abandoned attempts, and maxAbandoned those of each
-	// server, of which the last ones are kept.
+	// server, of which the last ones are kept: all may be told to peers if the server is lost.
 	maxWatched   = 128
-	maxAbandoned = 16
+	maxAbandoned = 8
 )
 
 // Attempt is an attempt that a router has ended while its server may have run it.
@@ -69,6 +69,10 @@
 // Add adds an attempt at a server. It reports whether the server has to be
 // watched from now on: NextCheck says when it is checked.
 func (t *Abandoned) Add(server string, a Attempt) (watch bool) {
+	if len(a.origin()) > maxIDBytes {
+		return false
+	}
+	a.Suspects = a.Suspects.bounded().clone()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[server]
--- /dev/null
+++ b/internal/decision/quarantine/abandoned_test.go
@@ -0,0 +1,115 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/decision/quarantine"
+)
+
+// found returns a crash of a server that was found when nobody waited for its answer.
+func found(server, request string, seconds float64) quarantine.Crash {
+	return quarantine.Crash{Suspects: quarantine.Suspects{Request: request}, Server: server, At: at(seconds), Unanswered: true, Abandoned: true}
+}
+
+// seen returns a crash of a server under a request that waited for its answer.
+func seen(server, request string, seconds float64) quarantine.Crash {
+	return quarantine.Crash{Suspects: quarantine.Suspects{Request: request}, Server: server, At: at(seconds)}
+}
+
+// Guards against a call that is blocked since servers that were lost together, as in a power cut,
+// are found one after the other.
+func TestCrashesFoundAfterCallersLeftHaveToSpanASecond(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		crashes []quarantine.Crash
+		blocked bool
+	}{
+		{"found within a second", []quarantine.Crash{found("a", "r", 0), found("b", "r", 0.4), found("c", "r", 0.9)}, false},
+		{"found over more than a second", []quarantine.Crash{found("a", "r", 0), found("b", "r", 0.4), found("c", "r", 1.1)}, true},
+		{"two seen and one found within a second", []quarantine.Crash{seen("a", "r", 0), seen("b", "r", 0.4), found("c", "r", 0.9)}, false},
+		{"three seen within a second", []quarantine.Crash{seen("a", "r", 0), seen("b", "r", 0.4), seen("c", "r", 0.9)}, true},
+		{"three seen at once and one found", []quarantine.Crash{seen("a", "r", 0), seen("b", "r", 0.01), seen("c", "r", 0.02), found("d", "r", 0.9)}, false},
+		{"two servers over more than a second", []quarantine.Crash{found("a", "r", 0), found("b", "r", 1.1)}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for order := range 2 {
+				table := quarantine.New(at(-10), 3*time.Second)
+				for i := range c.crashes {
+					if order == 1 {
+						i = len(c.crashes) - 1 - i
+					}
+					table.RecordCrash(c.crashes[i], at(2))
+				}
+				_, blocked := table.Blocked(quarantine.Suspects{Request: "r"}, at(2))
+				NewWithT(t).Expect(blocked).To(Equal(c.blocked), "order %d", order)
+			}
+		})
+	}
+}
+
+// Guards against a sound call that is kept from the last server since its caller left shortly
+// before another one crashed.
+func TestOneCrashFoundAfterACallerLeftSparesNoServer(t *testing.T) {
+	g := NewWithT(t)
+	table := quarantine.New(at(-10), 3*time.Second)
+	call := quarantine.Suspects{Request: "r"}
+	usable := func() []string { return []string{"c"} }
+	table.RecordCrash(found("a", "r", 0), at(0))
+	g.Expect(table.SparesLastServer(call, usable, at(1))).To(BeFalse())
+	table.RecordCrash(found("b", "r", 1), at(1))
+	g.Expect(table.SparesLastServer(call, usable, at(2))).To(BeTrue())
+}
+
+// Guards against a sound call that is blamed for each server that crashes for another reason, as
+// many of its callers leave.
+func TestACallThatServersMostlyOutliveIsNotToBlame(t *testing.T) {
+	for _, c := range []struct {
+		outlived int // for each server that is lost
+		blamed   bool
+	}{{0, true}, {1, true}, {2, true}, {3, false}, {20, false}} {
+		g := NewWithT(t)
+		abandoned := quarantine.NewAbandoned()
+		now := at(0)
+		blamed := 0
+		for round := range 10 {
+			for i := range c.outlived {
+				server := fmt.Sprintf("sound-%d-%d", round, i)
+				abandoned.Add(server, quarantine.Attempt{Suspects: quarantine.Suspects{Request: "r"}, At: now, Deadline: now.Add(time.Second)})
+				now = now.Add(time.Second)
+				abandoned.Checked(server, true, now)
+			}
+			server := fmt.Sprintf("lost-%d", round)
+			abandoned.Add(server, quarantine.Attempt{Suspects: quarantine.Suspects{Request: "r"}, At: now, Deadline: now.Add(time.Second)})
+			now = now.Add(2 * time.Second)
+			blamed += len(abandoned.Lost(server, time.Time{}, now))
+		}
+		if c.blamed {
+			g.Expect(blamed).To(Equal(10), "%d outlived", c.outlived)
+		} else {
+			g.Expect(blamed).To(BeZero(), "%d outlived", c.outlived)
+		}
+	}
+}
+
+// Guards against memory that grows with the callers who leave, and with what their headers hold.
+func TestAbandonedAttemptsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	abandoned := quarantine.NewAbandoned()
+	watched := 0
+	for i := range 100_000 {
+		a := quarantine.Attempt{Suspects: quarantine.Suspects{Session: fmt.Sprint(i), Parts: make([]string, 100)}, At: at(0)}
+		if abandoned.Add(fmt.Sprintf("s-%d", i%500), a) {
+			watched++
+		}
+	}
+	g.Expect(watched).To(Equal(128))
+	crashes := abandoned.Lost("s-0", time.Time{}, at(1))
+	g.Expect(crashes).To(HaveLen(8))
+	g.Expect(len(crashes[0].Parts)).To(BeNumerically("<=", 8))
+	g.Expect(abandoned.Add("s-0", quarantine.Attempt{Suspects: quarantine.Suspects{Session: strings.Repeat("x", 1000)}, At: at(0)})).To(BeFalse())
+}
--- a/internal/decision/quarantine/suspects.go
+++ b/internal/decision/quarantine/suspects.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // Suspects are what may be to blame for the loss of a server that ran a request.
 type Suspects struct {
@@ -22,6 +25,15 @@
 	return all
 }
 
+// clone returns a copy that does not keep the request's headers in memory.
+func (s Suspects) clone() Suspects {
+	c := Suspects{Request: strings.Clone(s.Request), Session: strings.Clone(s.Session)}
+	for _, p := range s.Parts {
+		c.Parts = append(c.Parts, strings.Clone(p))
+	}
+	return c
+}
+
 // owns reports whether a suspect is not shared with other sessions.
 func (s *Suspects) owns(suspect string) bool { return suspect == s.Session || suspect == s.Request }
 
