quarantine: an unknown state of a server is no sign of life, and none that leaves is checked

Cause: the earliest time of a crash was that of the last check, also of one that gave no result. A server that did not answer at 0.4 s and was gone at 1.2 s counted as lost after 0.4 s, so that crashes of one moment could seem to be further apart than they were. And a server that leaves was connected to before its plan was looked at.

Now only a check that finds the server alive moves that time, and leaving servers are not connected to. The metrics have their final names.

--- a/internal/decision/quarantine/abandoned.go
+++ b/internal/decision/quarantine/abandoned.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxWatchTime is how long a server may go on with a request that nobody waits for, until it
-	// notices. It does not work on one beyond its deadline, but for minWatchTime.
+	// maxWatchTime is how long a server may go on with a request that nobody waits for. It knows
+	// the request's deadline, and stops within minWatchTime after it.
 	maxWatchTime = 2 * time.Second
 	minWatchTime = 500 * time.Millisecond
 	// firstCheck is how long after an attempt was abandoned its server is checked first. The time
@@ -27,7 +27,7 @@
 	Deadline time.Time // of the request; zero if it has none
 }
 
-// watchedUntil returns when the server has no part of the attempt left to run.
+// watchedUntil returns until when the server may run the attempt.
 func (a *Attempt) watchedUntil() time.Time {
 	if a.Deadline.IsZero() {
 		return a.At.Add(maxWatchTime)
@@ -60,14 +60,15 @@
 
 type watchedServer struct {
 	attempts  []Attempt
-	checkedAt time.Time // last time at which the server was known to live
+	checkedAt time.Time
+	aliveAt   time.Time // of the last check that found the server alive
 }
 
 // NewAbandoned returns an empty set.
 func NewAbandoned() *Abandoned { return &Abandoned{servers: make(map[string]*watchedServer)} }
 
-// Add adds an attempt at a server. It reports whether the server has to be
-// watched from now on: NextCheck says when it is checked.
+// Add adds an attempt at a server. It reports whether the server has to be watched from now on:
+// NextCheck says when it is to be checked.
 func (t *Abandoned) Add(server string, a Attempt) (watch bool) {
 	if len(a.origin()) > maxIDBytes {
 		return false
@@ -107,8 +108,8 @@
 	return at, true
 }
 
-// Checked records a check of a server. With alive the server was seen alive; otherwise nothing is known of
-// it. Attempts that are not watched any more are removed.
+// Checked records a check of a server that did not find it gone: it was alive, or nothing is
+// known. Attempts whose watch is over are removed.
 func (t *Abandoned) Checked(server string, alive bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -117,6 +118,9 @@
 		return
 	}
 	s.checkedAt = now
+	if alive {
+		s.aliveAt = now
+	}
 	s.attempts = slices.DeleteFunc(s.attempts, func(a Attempt) bool {
 		over := !now.Before(a.watchedUntil())
 		if over && alive {
@@ -150,7 +154,7 @@
 	s.attempts = slices.DeleteFunc(s.attempts, func(a Attempt) bool {
 		at := lostAt
 		if at.IsZero() {
-			at = later(a.At, s.checkedAt)
+			at = later(a.At, s.aliveAt)
 		}
 		if at.Before(a.At) {
 			return false
--- a/internal/router/quarantine/abandoned.go
+++ b/internal/router/quarantine/abandoned.go
@@ -20,9 +20,9 @@
 )
 
 var (
-	abandonedTotal        = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempts_watched_total")
-	abandonedChecksTotal  = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempts_checks_total")
-	abandonedCrashesTotal = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempts_crashes_total")
+	abandonedTotal        = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempts_total")
+	abandonedChecksTotal  = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempt_checks_total")
+	abandonedCrashesTotal = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempt_crashes_total")
 )
 
 // Checks tells what became of a server that had an attempt when this router ended it.
@@ -48,7 +48,7 @@
 	return incarnation[:max(strings.LastIndexByte(incarnation, '/'), 0)]
 }
 
-// CheckServers makes the guard check servers that have abandoned attempts. It must be called before
+// CheckServers makes the guard watch servers that have abandoned attempts. It must be called before
 // the first one.
 func (g *Guard) CheckServers(c Checks) {
 	g.checks, g.checkSlots = c, make(chan struct{}, maxChecks)
@@ -84,6 +84,11 @@
 
 // check finds out whether a server that is watched has ended.
 func (g *Guard) check(s *server.Server) {
+	watched := g.checks.watched(s.Key().String())
+	if g.checks.Leaves(s) {
+		g.abandoned.Ended(watched)
+		return
+	}
 	g.checkSlots <- struct{}{}
 	defer func() { <-g.checkSlots }()
 	abandonedChecksTotal.Inc()
@@ -91,21 +96,17 @@
 	defer cancel()
 	listens, err := g.checks.Listens(ctx, s.Address)
 	now := time.Now()
+	replaced := g.checks.Replaced != nil && g.checks.Replaced(s)
+	if !replaced && (err != nil || listens) {
+		g.abandoned.Checked(watched, err == nil, now)
+		return
+	}
 	lost := s
 	if g.checks.Incarnation != nil {
 		lost = g.checks.Incarnation(s.ID, now)
 	}
-	watched := g.checks.watched(s.Key().String())
-	replaced := g.checks.Replaced != nil && g.checks.Replaced(s)
-	switch {
-	case g.checks.Leaves(s):
-		g.abandoned.Ended(watched)
-	case replaced || err == nil && !listens:
-		if g.recordAbandoned(lost.Key().String(), time.Time{}, now) {
-			g.onCrash()
-		}
-	default:
-		g.abandoned.Checked(watched, err == nil, now)
+	if g.recordAbandoned(lost.Key().String(), time.Time{}, now) {
+		g.onCrash()
 	}
 }
 
