--- a/internal/router/forward/abandoned_test.go
+++ b/internal/router/forward/abandoned_test.go
@@ -89,6 +89,22 @@
 	})
 }
 
+// Guards against a crash that is forgotten since the check right after it gave no result.
+func TestACallThatCrashesServersWhoseChecksTakeLongIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newUnheededService(8, 60*time.Millisecond)
+		s.checkTime = 100 * time.Millisecond
+		send := newForwarder(s, 8)
+		for range 8 {
+			send(routes.NonIdempotent, 1, "")
+			time.Sleep(time.Second)
+		}
+		g.Expect(s.ended).To(HaveLen(3))
+		g.Expect(send(routes.NonIdempotent, 1, "").Code).To(Equal(http.StatusServiceUnavailable))
+	})
+}
+
 // Guards against checks of servers that were slow with a call which another one has answered: it
 // crashes none.
 func TestServersOfACallThatWasAnsweredAreNotChecked(t *testing.T) {
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -42,7 +42,8 @@
 	ended map[string]bool
 	// leaveAfter is how long callers wait; 0 for as long as it takes.
 	leaveAfter time.Duration
-	listened   int // checks whether a server is there
+	listened   int           // checks whether a server is there
+	checkTime  time.Duration // that a check takes
 	budget     interface {
 		Allow(service string, now time.Time) bool
 		NextAt(service string, now time.Time) time.Time
@@ -66,6 +67,10 @@
 }
 
 func (s *fakeService) Listens(ctx context.Context, address string) (bool, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(s.checkTime):
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listened++
