edgesoak: callers of deadly requests who leave before the crash

`--leaving` has these callers leave after 20 to 80 ms, and the stand-in servers crash 100 ms after they began to run such a request, whether its connection is open or not. The checks are the same.

--- a/internal/standin/cli/backend.go
+++ b/internal/standin/cli/backend.go
@@ -35,6 +35,7 @@
 	Work      time.Duration `long:"work" default:"15ms"`
 	Gap       time.Duration `long:"gap" default:"25ms"`
 	Deadly    string        `long:"deadly" description:"a request with this text in its path, body or prompt crashes the server"`
+	Delay     time.Duration `long:"crash-delay" description:"how long a deadly request runs, whether its connection is open or not; 0: it varies"`
 	Drain     time.Duration `long:"drain" default:"4s" description:"how long it serves after it announced that it is leaving"`
 }
 
@@ -49,7 +50,7 @@
 	store := kv.New(kv.Config{Address: c.Store, Timeout: storeTimeout})
 	cfg := backend.Config{
 		Name: c.Name, Service: c.Service, Domain: c.Domain, Slots: c.Slots, Engine: c.Engine,
-		Advertise: c.Advertise, ServiceTime: c.Work, EventInterval: c.Gap, DeadlyMarker: c.Deadly, Log: os.Stdout,
+		Advertise: c.Advertise, ServiceTime: c.Work, EventInterval: c.Gap, DeadlyMarker: c.Deadly, CrashDelay: c.Delay, Log: os.Stdout,
 	}
 	for {
 		b := backend.New(cfg)
--- a/internal/trial/edgesoak/deadly.go
+++ b/internal/trial/edgesoak/deadly.go
@@ -20,6 +20,10 @@
 	deadlyCallers = 4
 	// maxDownTime is how long a crashed stand-in server takes to be back and listed.
 	maxDownTime = 4 * time.Second
+	// leavingCrashDelay is how long a server runs a deadly request whose caller leaves, and
+	// leavingWait how long the caller waits at most.
+	leavingCrashDelay = 100 * time.Millisecond
+	leavingWait       = 80 * time.Millisecond
 	// repeats is how often a sound request is sent before it counts as not served.
 	repeats = 5
 )
@@ -66,7 +70,12 @@
 	return func(ctx context.Context, r *rand.Rand) {
 		d := pick(requests, r)
 		if time.Now().After(d.since) {
-			d.send(ctx, client, pick(s.routers, r), d.key)
+			sendCtx, leave := context.WithCancel(ctx)
+			if s.Leaving {
+				time.AfterFunc(leavingWait/4+time.Duration(r.Int64N(int64(leavingWait*3/4))), leave)
+			}
+			d.send(sendCtx, client, pick(s.routers, r), d.key)
+			leave()
 		}
 		loop.Sleep(ctx, time.Duration(100+r.IntN(500))*time.Millisecond)
 	}
--- a/internal/trial/edgesoak/harness.go
+++ b/internal/trial/edgesoak/harness.go
@@ -156,6 +156,9 @@
 func (h *harness) startBackend(b *backend) error {
 	args := []string{"backend", "--listen", b.listenAddress, "--advertise", b.link.Address, "--name", b.name, "--service", b.service,
 		"--domain", b.domain, "--store", h.storeAddress, "--deadly", deadlyMarker}
+	if h.opts.Leaving {
+		args = append(args, "--crash-delay", leavingCrashDelay.String())
+	}
 	if b.service == engineService || b.service == otherEngineService {
 		args = append(args, "--engine", "--work", "100ms")
 		if h.opts.Planned { // as slow as routers estimate, so that a silence outlasts the estimate
--- a/internal/trial/edgesoak/soak.go
+++ b/internal/trial/edgesoak/soak.go
@@ -44,6 +44,7 @@
 	Engines  int           `long:"engines" default:"6" description:"number of stand-in engines"`
 	Services int           `long:"desks" default:"3" description:"number of stand-in servers of the service"`
 	Deadly   int           `long:"deadly" default:"1" description:"number of deadly requests of each kind"`
+	Leaving  bool          `long:"leaving" description:"callers of deadly requests leave before the crash"`
 	Others   int           `long:"others" default:"2" description:"number of stand-in servers of each other service, to which routes move; 0 for no moves"`
 	Planned  bool          `long:"planned" description:"planned faults only, several at once"`
 	Scarce   bool          `long:"scarce" description:"routers have as few retries as those of a large fleet"`
@@ -172,6 +173,6 @@
 	for _, p := range s.problems {
 		fmt.Println("BROKEN: " + p)
 	}
-	fmt.Printf("logs are in %s; again with: make build && bin/fleet edge-soak --seed %d --last %s --routers %d --engines %d --desks %d --others %d --deadly %d%s%s\n", dir, s.Seed, s.Duration, s.Routers, s.Engines, s.Services, s.Others, s.Deadly, choose(s.Planned, " --planned", "")+choose(s.Scarce, " --scarce", ""), choose(s.Storms, " --storms", ""))
+	fmt.Printf("logs are in %s; again with: make build && bin/fleet edge-soak --seed %d --last %s --routers %d --engines %d --desks %d --others %d --deadly %d%s%s\n", dir, s.Seed, s.Duration, s.Routers, s.Engines, s.Services, s.Others, s.Deadly, choose(s.Planned, " --planned", "")+choose(s.Scarce, " --scarce", ""), choose(s.Storms, " --storms", "")+choose(s.Leaving, " --leaving", ""))
 	return ErrCheckFailed
 }
