--- a/internal/trial/edgesoak/soak_test.go
+++ b/internal/trial/edgesoak/soak_test.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// Guards against requests that crash server after server since their callers leave before each
+// crash (review/8).
+func TestRequestsThatCrashServersAfterTheirCallersLeftAreStoppedUnderRandomFaults(t *testing.T) {
+	opts := edgesoak.Options{Seed: 1, Duration: 20 * time.Second, Routers: 4, Engines: 6, Services: 3, Deadly: 1, Leaving: true}
+	NewWithT(t).Expect(edgesoak.Run(context.Background(), buildPrograms(t), opts)).To(Succeed())
+}
+
 // buildPrograms builds the programs of a soak and returns their directory.
 func buildPrograms(t *testing.T) string {
 	t.Helper()
