quarantine, gossip, forward: tests without data races of their own

Each race was the test's: one gave the guards of running routers their checks, which the product does before it starts them; the others read the count of checks without its lock.

Now the fixture gives each guard its checks before its router runs, and the counts are read under their locks.

--- a/internal/router/forward/abandoned_test.go
+++ b/internal/router/forward/abandoned_test.go
@@ -48,6 +48,18 @@
 	return s.ended[address]
 }
 
+func (s *fakeService) endedCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.ended)
+}
+
+func (s *fakeService) checked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listened
+}
+
 // Guards against a call that crashes one server after the other and is never suspected, as its
 // callers leave before each crash (review/8).
 func TestACallWhoseCallersLeaveBeforeItCrashesServersIsRefused(t *testing.T) {
@@ -63,7 +75,7 @@
 						send(kind, 1, "")
 						time.Sleep(time.Second)
 					}
-					g.Expect(s.ended).To(HaveLen(3))
+					g.Expect(s.endedCount()).To(Equal(3))
 					s.leaveAfter = 0
 					res := send(kind, 1, "")
 					g.Expect(res.Code).To(Equal(http.StatusServiceUnavailable))
@@ -84,7 +96,7 @@
 			send(routes.NonIdempotent, 1, "")
 			time.Sleep(time.Second)
 		}
-		g.Expect(s.ended).To(HaveLen(3))
+		g.Expect(s.endedCount()).To(Equal(3))
 		g.Expect(send(routes.NonIdempotent, 1, "").Code).To(Equal(http.StatusServiceUnavailable))
 	})
 }
@@ -100,7 +112,7 @@
 			send(routes.NonIdempotent, 1, "")
 			time.Sleep(time.Second)
 		}
-		g.Expect(s.ended).To(HaveLen(3))
+		g.Expect(s.endedCount()).To(Equal(3))
 		g.Expect(send(routes.NonIdempotent, 1, "").Code).To(Equal(http.StatusServiceUnavailable))
 	})
 }
@@ -115,6 +127,6 @@
 		g.Expect(serve(s, routes.Idempotent, 2).Code).To(Equal(http.StatusOK))
 		time.Sleep(5 * time.Second)
 		g.Expect(s.sentTo).To(HaveLen(2))
-		g.Expect(s.listened).To(BeZero())
+		g.Expect(s.checked()).To(BeZero())
 	})
 }
--- a/internal/router/gossip/abandoned_test.go
+++ b/internal/router/gossip/abandoned_test.go
@@ -1,16 +1,13 @@
 package gossip_test
 
 import (
-	"context"
 	"fmt"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/backend/server"
-	"wisteriafield/internal/router/quarantine"
 )
 
 // Guards against a call that each router sees crash one server, after its caller left, and that no
@@ -19,23 +16,20 @@
 	for name, inTurn := range map[string]bool{"one after the other": true, "together": false} {
 		t.Run(name, func(t *testing.T) {
 			runRouters(t, 6, func(g *WithT, _ *network, all []*router) {
-				var ended atomic.Bool
 				call := &server.Request{ID: "c", Target: "/rate", Deadline: time.Now().Add(time.Minute)}
 				call.SetDigest()
 				for i := range 3 {
-					all[i].quarantine.CheckServers(quarantine.Checks{
-						Listens: func(context.Context, string) (bool, error) { return !ended.Load(), nil },
-						Leaves:  func(*server.Server) bool { return false },
-					})
 					all[i].quarantine.AttemptAbandoned(call, &server.Server{ID: fmt.Sprintf("e-%d", i)}, 0)
 					pause := 100 * time.Millisecond
 					if inTurn {
-						ended.Store(true)
+						all[i].serversEnded.Store(true)
 						pause = 700 * time.Millisecond
 					}
 					time.Sleep(pause)
 				}
-				ended.Store(true)
+				for _, r := range all {
+					r.serversEnded.Store(true)
+				}
 				time.Sleep(3 * time.Second)
 				for i, r := range all {
 					_, refused := r.quarantine.Refuses(call)
--- a/internal/router/gossip/fixture_test.go
+++ b/internal/router/gossip/fixture_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,6 +95,7 @@
 	gossip       *gossip.Gossip
 	servers      *registry.Registry
 	quarantine   *quarantine.Guard
+	serversEnded atomic.Bool // the servers that this router checks are gone
 	limits       *ratelimit.Limiter
 	budget       *retrybudget.Budget
 	unresponsive []string // engines that peers reported
@@ -227,6 +229,10 @@
 	r := &router{servers: registry.New(), role: storereader.Idle}
 	r.limits = ratelimit.New(decision.Config{Self: fmt.Sprintf("router-%d", i), Peers: r.peerNames, Demand: func(string, time.Time) float64 { return 1 }}, log.WithField("part", "limits"))
 	r.quarantine = quarantine.New(net.contactTime, func() { r.gossip.Trigger() }, log.WithField("part", "quarantine"))
+	r.quarantine.CheckServers(quarantine.Checks{
+		Listens: func(context.Context, string) (bool, error) { return !r.serversEnded.Load(), nil },
+		Leaves:  func(*server.Server) bool { return false },
+	})
 	r.servers.Set(storehistory.Position{Revision: 1}, []server.Server{{ID: "e", Service: "engines", Address: "10.9.0.1:1", Domain: "a"}})
 	r.budget = retrybudget.New(retrybudget.Config{Ratio: 1, Window: 10 * time.Second, Lending: true, Routers: func() int { return routers }}, time.Now())
 	self := gossip.Host{Name: fmt.Sprintf("router-%d", i), Address: fmt.Sprintf("call-%d", i), DatagramAddress: fmt.Sprintf("notice-%d", i)}
--- a/internal/router/quarantine/abandoned_test.go
+++ b/internal/router/quarantine/abandoned_test.go
@@ -37,6 +37,12 @@
 	return !h.ended[address], nil
 }
 
+func (h *hosts) checked() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.checks
+}
+
 func (h *hosts) set(states map[string]bool, s *server.Server) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -210,10 +216,10 @@
 			time.Sleep(time.Second / perSecond)
 		}
 		time.Sleep(3 * time.Second)
-		g.Expect(h.checks).To(BeNumerically("<=", 128*3*(seconds+3)), "128 servers, three a second each")
-		checks := h.checks
+		g.Expect(h.checked()).To(BeNumerically("<=", 128*3*(seconds+3)), "128 servers, three a second each")
+		checks := h.checked()
 		time.Sleep(time.Minute)
-		g.Expect(h.checks).To(Equal(checks), "no check without a caller who left lately")
+		g.Expect(h.checked()).To(Equal(checks), "no check without a caller who left lately")
 	})
 }
 
@@ -243,7 +249,7 @@
 					h.set(h.ended, serverAt(i))
 					time.Sleep(2 * time.Second)
 				}
-				NewWithT(t).Expect(h.checks).To(Equal(c.checks))
+				NewWithT(t).Expect(h.checked()).To(Equal(c.checks))
 				NewWithT(t).Expect(refuses(guard, "deadly")).To(Equal(c.blocked))
 			})
 		})
@@ -255,6 +261,6 @@
 		h := newHosts()
 		newWatchingGuard(h).AttemptAbandoned(call("sound", callTime), serverAt(1), 0)
 		time.Sleep(time.Minute)
-		NewWithT(t).Expect(h.checks).To(Equal(2))
+		NewWithT(t).Expect(h.checked()).To(Equal(2))
 	})
 }
