--- a/internal/decision/quarantine/abandoned.go
+++ b/internal/decision/quarantine/abandoned.go
@@ -49,6 +49,27 @@
 	}
 }
 
+// Sign is what a router learned of a server that has abandoned attempts.
+type Sign string
+
+const (
+	Answered Sign = "Answered" // the server has answered this router
+	Accepted Sign = "Accepted" // its address accepts connections
+	Unknown  Sign = "Unknown"  // a check gave no result
+	Refused  Sign = "Refused"  // its address refuses connections
+	Replaced Sign = "Replaced" // another incarnation has its address
+	Seen     Sign = "Seen"     // somebody who waited for its answer saw it end, here or at a peer
+	Left     Sign = "Left"     // its end was planned
+)
+
+// WatchEnd says what ended the watch of an abandoned attempt.
+type WatchEnd struct {
+	Attempt
+	Sign   Sign
+	SignAt time.Time // zero if nothing is known
+	Blamed bool      // the server was lost, and the attempt may be the cause
+}
+
 // Abandoned holds the attempts that a router has ended lately: their callers left, or their time
 // was up. A server that ends afterwards may have been crashed by one of them, which no
 // connection tells. A request that servers mostly outlive is not to blame.
@@ -109,13 +130,13 @@
 }
 
 // Checked records a check of a server that did not find it gone. aliveAt is when it was last seen
-// alive; it is zero if nothing is known. Attempts whose watch is over are removed.
-func (t *Abandoned) Checked(server string, aliveAt, now time.Time) {
+// alive; it is zero if nothing is known. Attempts whose watch is over are removed and returned.
+func (t *Abandoned) Checked(server string, sign Sign, aliveAt, now time.Time) (ended []WatchEnd) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[server]
 	if s == nil {
-		return
+		return nil
 	}
 	s.checkedAt = now
 	s.aliveAt = later(s.aliveAt, aliveAt)
@@ -124,31 +145,40 @@
 		if over && !aliveAt.IsZero() {
 			t.outcomes.addOutlived(a.origin())
 		}
+		if over {
+			ended = append(ended, WatchEnd{Attempt: a, Sign: sign, SignAt: aliveAt})
+		}
 		return over
 	})
 	if len(s.attempts) == 0 {
 		delete(t.servers, server)
 	}
+	return ended
 }
 
-// Ended removes a server that has ended by a plan.
-func (t *Abandoned) Ended(server string) {
+// Ended removes a server that has ended by a plan, and returns its attempts.
+func (t *Abandoned) Ended(server string, now time.Time) (ended []WatchEnd) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.servers, server)
+	if s := t.servers[server]; s != nil {
+		for _, a := range s.attempts {
+			ended = append(ended, WatchEnd{Attempt: a, Sign: Left, SignAt: now})
+		}
+		delete(t.servers, server)
+	}
+	return ended
 }
 
 // Lost records that a server was lost unplanned, and returns the crashes for which its abandoned
-// attempts may be to blame, which it removes. lostAt is when it was lost; it is zero if that is only
-// known to be before now. Attempts that were abandoned later remain.
-func (t *Abandoned) Lost(server string, lostAt, now time.Time) []Crash {
+// attempts may be to blame, and the attempts that it removes. lostAt is when it was lost; it is zero
+// if that is only known to be before now. Attempts that were abandoned later remain.
+func (t *Abandoned) Lost(server string, sign Sign, lostAt, now time.Time) (crashes []Crash, ended []WatchEnd) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.servers[server]
 	if s == nil {
-		return nil
+		return nil, nil
 	}
-	var crashes []Crash
 	s.attempts = slices.DeleteFunc(s.attempts, func(a Attempt) bool {
 		at := lostAt
 		if at.IsZero() {
@@ -158,7 +188,9 @@
 			return false
 		}
 		known := slices.ContainsFunc(crashes, func(c Crash) bool { return c.origin() == a.origin() })
-		if !known && t.outcomes.addLost(a.origin(), now) {
+		blamed := known || t.outcomes.addLost(a.origin(), now)
+		ended = append(ended, WatchEnd{Attempt: a, Sign: sign, SignAt: now, Blamed: blamed})
+		if blamed && !known {
 			crashes = append(crashes, Crash{Suspects: a.Suspects, Server: server, At: at, Unanswered: true, Abandoned: true})
 		}
 		return true
@@ -166,7 +198,7 @@
 	if len(s.attempts) == 0 {
 		delete(t.servers, server)
 	}
-	return crashes
+	return crashes, ended
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/decision/quarantine/abandoned_test.go
+++ b/internal/decision/quarantine/abandoned_test.go
@@ -81,12 +81,13 @@
 				server := fmt.Sprintf("sound-%d-%d", round, i)
 				abandoned.Add(server, quarantine.Attempt{Suspects: quarantine.Suspects{Request: "r"}, At: now, Deadline: now.Add(time.Second)})
 				now = now.Add(time.Second)
-				abandoned.Checked(server, now, now)
+				abandoned.Checked(server, quarantine.Answered, now, now)
 			}
 			server := fmt.Sprintf("lost-%d", round)
 			abandoned.Add(server, quarantine.Attempt{Suspects: quarantine.Suspects{Request: "r"}, At: now, Deadline: now.Add(time.Second)})
 			now = now.Add(2 * time.Second)
-			blamed += len(abandoned.Lost(server, time.Time{}, now))
+			crashes, _ := abandoned.Lost(server, quarantine.Refused, time.Time{}, now)
+			blamed += len(crashes)
 		}
 		if c.blamed {
 			g.Expect(blamed).To(Equal(10), "%d outlived", c.outlived)
@@ -108,7 +109,8 @@
 		}
 	}
 	g.Expect(watched).To(Equal(128))
-	crashes := abandoned.Lost("s-0", time.Time{}, at(1))
+	crashes, ended := abandoned.Lost("s-0", quarantine.Refused, time.Time{}, at(1))
+	g.Expect(ended).To(HaveLen(8))
 	g.Expect(crashes).To(HaveLen(8))
 	g.Expect(len(crashes[0].Parts)).To(BeNumerically("<=", 8))
 	g.Expect(abandoned.Add("s-0", quarantine.Attempt{Suspects: quarantine.Suspects{Session: strings.Repeat("x", 1000)}, At: at(0)})).To(BeFalse())
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -103,6 +103,7 @@
 	rateLimit   float64
 	limited     bool // the server named a rateLimit
 	crashed     bool // the server is gone
+	check       check
 	err         error
 }
 
@@ -214,7 +215,7 @@
 	attemptsTotal(&r).Inc()
 	f.cfg.Log.WithField("id", req.ID).WithField("digest", req.Digest).WithField("server", e.ID).WithField("status", r.status).
 		WithField("stopped", stopCause(ctx)).WithField("notRun", r.notExecuted).WithField("ms", time.Since(startedAt).Milliseconds()).WithField("config", req.ConfigVersion).WithField("servers", f.cfg.Servers.Position().Revision).WithField("era", f.cfg.Servers.Position().Era).
-		WithField("inFlight", load.InFlight).WithField("errors", load.ErrorRate).WithField("limited", r.limited).WithField("limit", r.rateLimit).WithField("retry", retry).WithField("crashed", r.crashed).WithError(r.err).Info("attempt ended")
+		WithField("inFlight", load.InFlight).WithField("errors", load.ErrorRate).WithField("limited", r.limited).WithField("limit", r.rateLimit).WithField("retry", retry).WithField("crashed", r.crashed).WithField("check", string(r.check)).WithError(r.err).Info("attempt ended")
 	return r
 }
 
@@ -249,7 +250,11 @@
 	}
 	answer, err := f.cfg.Client.Send(sendCtx, dispatch)
 	if err != nil {
-		return result{server: e, err: err, crashed: errors.Is(err, server.ErrLost) && f.crashed(ctx, req, e)}
+		r := result{server: e, err: err}
+		if errors.Is(err, server.ErrLost) {
+			r.crashed, r.check = f.crashed(ctx, req, e)
+		}
+		return r
 	}
 	f.cfg.Limits.ObserveAnswer(&e.Server, answer, sentAt)
 	e.Load.RecordAnswer(time.Now())
@@ -273,7 +278,7 @@
 	case errors.Is(err, answermemory.ErrExhausted): // this router has broken it off
 		f.cfg.Quarantine.AttemptAbandoned(req, &e.Server, 0)
 	default:
-		r.crashed = f.crashed(ctx, req, e)
+		r.crashed, r.check = f.crashed(ctx, req, e)
 	}
 	if err != nil {
 		r.err = fmt.Errorf("answer has no end: %v: %w", err, server.ErrLost)
--- a/internal/router/quarantine/abandoned.go
+++ b/internal/router/quarantine/abandoned.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -25,6 +26,7 @@
 
 var (
 	abandonedTotal        = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempts_total")
+	unwatchedTotal        = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempts_unwatched_total")
 	abandonedChecksTotal  = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempt_checks_total")
 	abandonedCrashesTotal = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempt_crashes_total")
 )
@@ -70,8 +72,11 @@
 	}
 	abandonedTotal.Inc()
 	attempt := quarantine.Attempt{Suspects: suspectsOf(req), At: time.Now(), Deadline: req.Deadline}
-	if g.abandoned.Add(g.checks.watched(s.Key().String()), attempt) {
+	watched := g.checks.watched(s.Key().String())
+	if g.abandoned.Add(watched, attempt) {
 		g.watch(*s)
+	} else if _, ok := g.abandoned.NextCheck(watched); !ok {
+		unwatchedTotal.Inc()
 	}
 }
 
@@ -93,13 +98,14 @@
 func (g *Guard) check(s *server.Server) {
 	watched := g.checks.watched(s.Key().String())
 	if g.checks.Leaves(s) {
-		g.abandoned.Ended(watched)
+		now := time.Now()
+		g.logWatchEnds(watched, g.abandoned.Ended(watched, now), now)
 		return
 	}
 	if g.checks.Health != nil {
 		now := time.Now()
 		if answeredAt, down := g.checks.Health(s, now); !down && now.Sub(answeredAt) < quietTime {
-			g.abandoned.Checked(watched, answeredAt, now)
+			g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Answered, answeredAt, now), now)
 			return
 		}
 	}
@@ -112,26 +118,31 @@
 	now := time.Now()
 	replaced := g.checks.Replaced != nil && g.checks.Replaced(s)
 	if !replaced && (err != nil || listens) {
-		aliveAt := now
+		sign, aliveAt := quarantine.Accepted, now
 		if err != nil {
-			aliveAt = time.Time{}
+			sign, aliveAt = quarantine.Unknown, time.Time{}
 		}
-		g.abandoned.Checked(watched, aliveAt, now)
+		g.logWatchEnds(watched, g.abandoned.Checked(watched, sign, aliveAt, now), now)
 		return
 	}
+	sign := quarantine.Refused
+	if replaced {
+		sign = quarantine.Replaced
+	}
 	lost := s
 	if g.checks.Incarnation != nil {
 		lost = g.checks.Incarnation(s.ID, now)
 	}
-	if g.recordAbandoned(lost.Key().String(), time.Time{}, now) {
+	if g.recordAbandoned(lost.Key().String(), sign, time.Time{}, now) {
 		g.onCrash()
 	}
 }
 
 // recordAbandoned records that a server was lost that may have had abandoned attempts, and reports
 // whether it had. lostAt is zero if it is only known to be before now.
-func (g *Guard) recordAbandoned(incarnation string, lostAt, now time.Time) bool {
-	crashes := g.abandoned.Lost(g.checks.watched(incarnation), lostAt, now)
+func (g *Guard) recordAbandoned(incarnation string, sign quarantine.Sign, lostAt, now time.Time) bool {
+	crashes, ended := g.abandoned.Lost(g.checks.watched(incarnation), sign, lostAt, now)
+	g.logWatchEnds(incarnation, ended, now)
 	for i := range crashes {
 		c := &crashes[i]
 		c.Server = incarnation
@@ -144,3 +155,22 @@
 	}
 	return len(crashes) > 0
 }
+
+// logWatchEnds logs and counts what ended the watch of attempts at a server, and how old that sign was.
+func (g *Guard) logWatchEnds(incarnation string, ended []quarantine.WatchEnd, now time.Time) {
+	for i := range ended {
+		e := &ended[i]
+		watchEndsTotal(e.Sign, e.Blamed).Inc()
+		log := g.log.WithField("server", incarnation).WithField("session", e.Session).WithField("digest", e.Request).
+			WithField("sign", string(e.Sign)).WithField("blamed", e.Blamed).WithField("watchedMs", now.Sub(e.At).Milliseconds())
+		if !e.SignAt.IsZero() {
+			log = log.WithField("signAgeMs", now.Sub(e.SignAt).Milliseconds())
+		}
+		log.Info("watch of an abandoned attempt ended")
+	}
+}
+
+// watchEndsTotal counts the watches of abandoned attempts by the sign that ended them.
+func watchEndsTotal(sign quarantine.Sign, blamed bool) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("wisteriafield_abandoned_attempt_watches_total{sign=%q,blamed=\"%t\"}", sign, blamed))
+}
--- a/internal/router/quarantine/quarantine.go
+++ b/internal/router/quarantine/quarantine.go
@@ -97,7 +97,7 @@
 	if g.table.RecordCrash(crash, now).Blocks {
 		g.logBlocks(now, "this router")
 	}
-	g.recordAbandoned(crash.Server, now, now)
+	g.recordAbandoned(crash.Server, quarantine.Seen, now, now)
 	g.onCrash()
 }
 
@@ -131,7 +131,7 @@
 		g.logBlocks(now, peer)
 	}
 	for _, c := range r.Crashes {
-		if g.recordAbandoned(c.Server, c.At, now) {
+		if g.recordAbandoned(c.Server, quarantine.Seen, c.At, now) {
 			g.onCrash()
 		}
 	}
