--- a/internal/decision/quarantine/abandoned.go
+++ b/internal/decision/quarantine/abandoned.go
@@ -7,13 +7,20 @@
 )
 
 const (
-	// maxWatchTime is how long a server may go on with a request that nobody waits for. It knows
-	// the request's deadline, and stops within minWatchTime after it.
-	maxWatchTime = 2 * time.Second
-	minWatchTime = 500 * time.Millisecond
+	// maxRunTime is how long a server may go on with a request that nobody waits for. It knows
+	// the request's deadline, and stops within minRunTime after it.
+	maxRunTime = 2 * time.Second
+	minRunTime = 500 * time.Millisecond
 	// firstCheck is how long after an attempt was abandoned its server is checked first. The time
-	// to the next check doubles, but for the last one, at the end of the watch.
+	// to the next check doubles, but for the one at the end of the time that it may run.
 	firstCheck = 400 * time.Millisecond
+	// settleTime is how long after that time a server is watched of which nothing has shown that
+	// it is still there: one that has crashed is back after some seconds. It is checked each
+	// settleInterval.
+	settleTime     = 4 * time.Second
+	settleInterval = 800 * time.Millisecond
+	// noticeTime is how long after a crash somebody who waits for an answer may notice it.
+	noticeTime = waitingMoment
 	// maxWatched bounds the servers with abandoned attempts, and maxAbandoned those of each
 	// server, of which the last ones are kept: all may be told to peers if the server is lost.
 	maxWatched   = 128
@@ -27,17 +34,27 @@
 	Deadline time.Time // of the request; zero if it has none
 }
 
-// watchedUntil returns until when the server may run the attempt.
-func (a *Attempt) watchedUntil() time.Time {
+// runsUntil returns until when the server may run the attempt.
+func (a *Attempt) runsUntil() time.Time {
 	if a.Deadline.IsZero() {
-		return a.At.Add(maxWatchTime)
+		return a.At.Add(maxRunTime)
 	}
-	return a.At.Add(min(max(a.Deadline.Sub(a.At), minWatchTime), maxWatchTime))
+	return a.At.Add(min(max(a.Deadline.Sub(a.At), minRunTime), maxRunTime))
 }
 
+// forgottenAt returns when the attempt is not watched any more, though nothing has shown whether
+// the server outlived it.
+func (a *Attempt) forgottenAt() time.Time { return a.runsUntil().Add(settleTime) }
+
 // nextCheck returns when the server is to be checked after a check at the given time.
 func (a *Attempt) nextCheck(checkedAt time.Time) time.Time {
-	last := a.watchedUntil()
+	last := a.runsUntil()
+	if !checkedAt.Before(last) {
+		if next := checkedAt.Add(settleInterval); next.Before(a.forgottenAt()) {
+			return next
+		}
+		return a.forgottenAt()
+	}
 	for age := firstCheck; ; age = 2*age + firstCheck {
 		next := a.At.Add(age)
 		if next.Add(firstCheck).After(last) {
@@ -55,7 +72,7 @@
 const (
 	Answered Sign = "Answered" // the server has answered this router
 	Accepted Sign = "Accepted" // its address accepts connections
-	Unknown  Sign = "Unknown"  // a check gave no result
+	Unknown  Sign = "Unknown"  // nothing was learned
 	Refused  Sign = "Refused"  // its address refuses connections
 	Replaced Sign = "Replaced" // another incarnation has its address
 	Seen     Sign = "Seen"     // somebody who waited for its answer saw it end, here or at a peer
@@ -66,7 +83,7 @@
 type WatchEnd struct {
 	Attempt
 	Sign   Sign
-	SignAt time.Time // zero if nothing is known
+	SignAt time.Time // for Unknown, of the last sign of life; zero if there was none
 	Blamed bool      // the server was lost, and the attempt may be the cause
 }
 
@@ -83,6 +100,7 @@
 	attempts  []Attempt
 	checkedAt time.Time
 	aliveAt   time.Time // when the server was last seen alive
+	sign      Sign      // of life, at aliveAt
 }
 
 // NewAbandoned returns an empty set.
@@ -130,7 +148,8 @@
 }
 
 // Checked records a check of a server that did not find it gone. aliveAt is when it was last seen
-// alive; it is zero if nothing is known. Attempts whose watch is over are removed and returned.
+// alive; it is zero if nothing is known. A sign of life from before the end of the time that an
+// attempt may run says nothing of it. Attempts whose watch is over are removed and returned.
 func (t *Abandoned) Checked(server string, sign Sign, aliveAt, now time.Time) (ended []WatchEnd) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -139,16 +158,20 @@
 		return nil
 	}
 	s.checkedAt = now
-	s.aliveAt = later(s.aliveAt, aliveAt)
+	if aliveAt.After(s.aliveAt) {
+		s.aliveAt, s.sign = aliveAt, sign
+	}
 	s.attempts = slices.DeleteFunc(s.attempts, func(a Attempt) bool {
-		over := !now.Before(a.watchedUntil())
-		if over && !aliveAt.IsZero() {
+		switch {
+		case !s.aliveAt.Before(a.runsUntil()):
 			t.outcomes.addOutlived(a.origin())
+			ended = append(ended, WatchEnd{Attempt: a, Sign: s.sign, SignAt: s.aliveAt})
+		case !now.Before(a.forgottenAt()):
+			ended = append(ended, WatchEnd{Attempt: a, Sign: Unknown, SignAt: s.aliveAt})
+		default:
+			return false
 		}
-		if over {
-			ended = append(ended, WatchEnd{Attempt: a, Sign: sign, SignAt: aliveAt})
-		}
-		return over
+		return true
 	})
 	if len(s.attempts) == 0 {
 		delete(t.servers, server)
@@ -184,8 +207,13 @@
 		if at.IsZero() {
 			at = later(a.At, s.aliveAt)
 		}
-		if at.Before(a.At) {
+		switch {
+		case at.Before(a.At):
 			return false
+		case at.After(a.runsUntil().Add(noticeTime)):
+			t.outcomes.addOutlived(a.origin())
+			ended = append(ended, WatchEnd{Attempt: a, Sign: sign, SignAt: at})
+			return true
 		}
 		known := slices.ContainsFunc(crashes, func(c Crash) bool { return c.origin() == a.origin() })
 		blamed := known || t.outcomes.addLost(a.origin(), now)
--- a/internal/router/quarantine/abandoned.go
+++ b/internal/router/quarantine/abandoned.go
@@ -15,8 +15,8 @@
 const (
 	// maxChecks bounds the checks of servers at a time.
 	maxChecks = 16
-	// quietTime is how long a server has not answered this router before it is checked though nobody
-	// found it down. A busy server that ends is found down by the requests that it gets, and a
+	// quietTime is how long a server has not answered this router before it is connected to though
+	// nobody found it down. A busy server that ends is found down by the requests that it gets, and a
 	// connection without one takes some of its capacity.
 	quietTime = 3 * time.Second
 	// abandonedCheckTimeout bounds a check. A host whose process is gone refuses a connection within
@@ -96,14 +96,16 @@
 
 // check finds out whether a server that is watched has ended.
 func (g *Guard) check(s *server.Server) {
-	watched := g.checks.watched(s.Key().String())
+	watched, now := g.checks.watched(s.Key().String()), time.Now()
 	if g.checks.Leaves(s) {
-		now := time.Now()
 		g.logWatchEnds(watched, g.abandoned.Ended(watched, now), now)
 		return
 	}
+	if g.checks.Replaced != nil && g.checks.Replaced(s) {
+		g.recordEnd(s, quarantine.Replaced, now)
+		return
+	}
 	if g.checks.Health != nil {
-		now := time.Now()
 		if answeredAt, down := g.checks.Health(s, now); !down && now.Sub(answeredAt) < quietTime {
 			g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Answered, answeredAt, now), now)
 			return
@@ -115,20 +117,19 @@
 	ctx, cancel := context.WithTimeout(context.Background(), abandonedCheckTimeout)
 	defer cancel()
 	listens, err := g.checks.Listens(ctx, s.Address)
-	now := time.Now()
-	replaced := g.checks.Replaced != nil && g.checks.Replaced(s)
-	if !replaced && (err != nil || listens) {
-		sign, aliveAt := quarantine.Accepted, now
-		if err != nil {
-			sign, aliveAt = quarantine.Unknown, time.Time{}
-		}
-		g.logWatchEnds(watched, g.abandoned.Checked(watched, sign, aliveAt, now), now)
-		return
-	}
-	sign := quarantine.Refused
-	if replaced {
-		sign = quarantine.Replaced
+	now = time.Now()
+	switch {
+	case err != nil:
+		g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Unknown, time.Time{}, now), now)
+	case listens:
+		g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Accepted, now, now), now)
+	default:
+		g.recordEnd(s, quarantine.Refused, now)
 	}
+}
+
+// recordEnd records that a server that is watched was found to have ended unplanned.
+func (g *Guard) recordEnd(s *server.Server, sign quarantine.Sign, now time.Time) {
 	lost := s
 	if g.checks.Incarnation != nil {
 		lost = g.checks.Incarnation(s.ID, now)
--- a/internal/router/quarantine/abandoned_test.go
+++ b/internal/router/quarantine/abandoned_test.go
@@ -20,11 +20,12 @@
 type hosts struct {
 	mu                         sync.Mutex
 	ended, dark, left, renewed map[string]bool
+	answers                    map[string]time.Time // when each last answered
 	checks                     int
 }
 
 func newHosts() *hosts {
-	return &hosts{ended: make(map[string]bool), dark: make(map[string]bool), left: make(map[string]bool), renewed: make(map[string]bool)}
+	return &hosts{answers: make(map[string]time.Time), ended: make(map[string]bool), dark: make(map[string]bool), left: make(map[string]bool), renewed: make(map[string]bool)}
 }
 
 func (h *hosts) listens(_ context.Context, address string) (bool, error) {
@@ -43,6 +44,19 @@
 	return h.checks
 }
 
+// answer has a server answer another request.
+func (h *hosts) answer(s *server.Server) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answers[s.Address] = time.Now()
+}
+
+func (h *hosts) answeredAt(s *server.Server) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.answers[s.Address]
+}
+
 func (h *hosts) set(states map[string]bool, s *server.Server) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -256,6 +270,60 @@
 	}
 }
 
+// Guards against an answer that a server gave before the caller left and that passes for a sign that
+// it outlived the call: servers that crash then are never put down to it.
+func TestAnAnswerBeforeTheCallerLeftIsNoSignOfLife(t *testing.T) {
+	for name, back := range map[string]time.Duration{"they are back while they count as busy": 2 * time.Second, "they stay away": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				h := newHosts()
+				guard := newGuard()
+				guard.CheckServers(quarantine.Checks{
+					Listens: h.listens, Leaves: h.has(h.left), Replaced: h.has(h.renewed),
+					Health: func(s *server.Server, _ time.Time) (time.Time, bool) { return h.answeredAt(s), false },
+				})
+				for i := range 3 {
+					h.answer(serverAt(i))
+					guard.AttemptAbandoned(call("deadly", callTime), serverAt(i), 0)
+					h.set(h.ended, serverAt(i))
+					time.AfterFunc(back, func() { h.set(h.renewed, serverAt(i)) })
+					time.Sleep(5 * time.Second)
+				}
+				g.Expect(refuses(guard, "deadly")).To(BeTrue())
+				time.Sleep(time.Hour)
+			})
+		})
+	}
+}
+
+// Guards against a sound call that is blamed as its busy servers crash later: they have answered
+// others since.
+func TestAnAnswerAfterTheEndOfACallShowsThatItsServerOutlivedIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHosts()
+		guard := newGuard()
+		guard.CheckServers(quarantine.Checks{
+			Listens: h.listens, Leaves: h.has(h.left), Replaced: h.has(h.renewed),
+			Health: func(s *server.Server, _ time.Time) (time.Time, bool) { return h.answeredAt(s), false },
+		})
+		for i := range 10 {
+			guard.AttemptAbandoned(call("sound", callTime), serverAt(i), 0)
+			for range 20 {
+				h.answer(serverAt(i))
+				time.Sleep(100 * time.Millisecond)
+			}
+			h.set(h.ended, serverAt(i))
+			time.Sleep(time.Second)
+			h.set(h.renewed, serverAt(i))
+			time.Sleep(3 * time.Second)
+		}
+		g.Expect(refuses(guard, "sound")).To(BeFalse())
+		g.Expect(h.checked()).To(BeZero())
+	})
+}
+
 func TestAServerIsCheckedTwiceAfterASingleCallerLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHosts()
