--- a/internal/decision/quarantine/abandoned.go
+++ b/internal/decision/quarantine/abandoned.go
@@ -7,86 +7,12 @@
 )
 
 const (
-	// maxRunTime is how long a server may go on with a request that nobody waits for. It knows
-	// the request's deadline, and stops within minRunTime after it.
-	maxRunTime = 2 * time.Second
-	minRunTime = 500 * time.Millisecond
-	// firstCheck is how long after an attempt was abandoned its server is checked first. The time
-	// to the next check doubles, but for the one at the end of the time that it may run.
-	firstCheck = 400 * time.Millisecond
-	// settleTime is how long after that time a server is watched of which nothing has shown that
-	// it is still there: one that has crashed is back after some seconds. It is checked each
-	// settleInterval.
-	settleTime     = 4 * time.Second
-	settleInterval = 800 * time.Millisecond
-	// noticeTime is how long after a crash somebody who waits for an answer may notice it.
-	noticeTime = waitingMoment
 	// maxWatched bounds the servers with abandoned attempts, and maxAbandoned those of each
 	// server, of which the last ones are kept: all may be told to peers if the server is lost.
 	maxWatched   = 128
 	maxAbandoned = 8
 )
 
-// Attempt is an attempt that a router has ended while its server may have run it.
-type Attempt struct {
-	Suspects
-	At       time.Time // when it was ended
-	Deadline time.Time // of the request; zero if it has none
-}
-
-// runsUntil returns until when the server may run the attempt.
-func (a *Attempt) runsUntil() time.Time {
-	if a.Deadline.IsZero() {
-		return a.At.Add(maxRunTime)
-	}
-	return a.At.Add(min(max(a.Deadline.Sub(a.At), minRunTime), maxRunTime))
-}
-
-// forgottenAt returns when the attempt is not watched any more, though nothing has shown whether
-// the server outlived it.
-func (a *Attempt) forgottenAt() time.Time { return a.runsUntil().Add(settleTime) }
-
-// nextCheck returns when the server is to be checked after a check at the given time.
-func (a *Attempt) nextCheck(checkedAt time.Time) time.Time {
-	last := a.runsUntil()
-	if !checkedAt.Before(last) {
-		if next := checkedAt.Add(settleInterval); next.Before(a.forgottenAt()) {
-			return next
-		}
-		return a.forgottenAt()
-	}
-	for age := firstCheck; ; age = 2*age + firstCheck {
-		next := a.At.Add(age)
-		if next.Add(firstCheck).After(last) {
-			return last
-		}
-		if next.After(checkedAt) {
-			return next
-		}
-	}
-}
-
-// Sign is what a router learned of a server that has abandoned attempts.
-type Sign string
-
-const (
-	Answered Sign = "Answered" // the server has answered this router
-	Accepted Sign = "Accepted" // its address accepts connections
-	Unknown  Sign = "Unknown"  // nothing was learned
-	Refused  Sign = "Refused"  // its address refuses connections
-	Replaced Sign = "Replaced" // another incarnation has its address
-	Seen     Sign = "Seen"     // somebody who waited for its answer saw it end, here or at a peer
-	Left     Sign = "Left"     // its end was planned
-)
-
-// WatchEnd says what ended the watch of an abandoned attempt.
-type WatchEnd struct {
-	Attempt
-	Sign   Sign
-	SignAt time.Time // for Unknown, of the last sign of life; zero if there was none
-	Blamed bool      // the server was lost, and the attempt may be the cause
-}
-
 // Abandoned holds the attempts that a router has ended lately: their callers left, or their time
 // was up. A server that ends afterwards may have been crashed by one of them, which no
 // connection tells. A request that servers mostly outlive is not to blame.
@@ -97,12 +23,30 @@
 }
 
 type watchedServer struct {
-	attempts  []Attempt
-	checkedAt time.Time
-	aliveAt   time.Time // when the server was last seen alive
-	sign      Sign      // of life, at aliveAt
+	attempts []Attempt
+	// accepted are attempts since whose end the address has accepted a connection, though the server
+	// has not answered: something else may listen there until another incarnation does.
+	accepted   []Attempt
+	checkedAt  time.Time
+	answeredAt time.Time // when the server last answered
+	acceptedAt time.Time // when its address last accepted a connection
 }
 
+// lastSign returns the last sign of life, and when it was.
+func (s *watchedServer) lastSign() (Sign, time.Time) {
+	switch {
+	case s.acceptedAt.After(s.answeredAt):
+		return Accepted, s.acceptedAt
+	case !s.answeredAt.IsZero():
+		return Answered, s.answeredAt
+	default:
+		return Unknown, time.Time{}
+	}
+}
+
+// watched reports whether there are attempts to watch.
+func (s *watchedServer) watched() bool { return len(s.attempts)+len(s.accepted) > 0 }
+
 // NewAbandoned returns an empty set.
 func NewAbandoned() *Abandoned { return &Abandoned{servers: make(map[string]*watchedServer)} }
 
@@ -117,7 +61,7 @@
 	defer t.mu.Unlock()
 	s := t.servers[server]
 	if s == nil {
-		if len(t.servers) >= maxWatched {
+		if len(t.servers) >= maxWatched && !t.removeAccepted() {
 			return false
 		}
 		s, watch = &watchedServer{}, true
@@ -128,6 +72,18 @@
 	return watch
 }
 
+// removeAccepted makes room for a server whose attempts may still run, and reports whether it could. The
+// caller holds mu.
+func (t *Abandoned) removeAccepted() bool {
+	for name, s := range t.servers {
+		if len(s.attempts) == 0 {
+			delete(t.servers, name)
+			return true
+		}
+	}
+	return false
+}
+
 // NextCheck returns when a server is to be checked, and false if it need not be watched any more.
 func (t *Abandoned) NextCheck(server string) (at time.Time, ok bool) {
 	t.mu.Lock()
@@ -136,8 +92,8 @@
 	if s == nil {
 		return time.Time{}, false
 	}
-	for i := range s.attempts {
-		if next := s.attempts[i].nextCheck(s.checkedAt); at.IsZero() || next.Before(at) {
+	for _, a := range slices.Concat(s.attempts, s.accepted) {
+		if next := a.nextCheck(s.checkedAt); at.IsZero() || next.Before(at) {
 			at = next
 		}
 	}
@@ -147,9 +103,19 @@
 	return at, true
 }
 
+// NeedsConnection reports whether a server has attempts of which nothing shows yet that they are over.
+func (t *Abandoned) NeedsConnection(server string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[server]
+	return s != nil && len(s.attempts) > 0
+}
+
 // Checked records a check of a server that did not find it gone. aliveAt is when it was last seen
 // alive; it is zero if nothing is known. A sign of life from before the end of the time that an
-// attempt may run says nothing of it. Attempts whose watch is over are removed and returned.
+// attempt may run says nothing of it. A connection that is accepted counts for the server, but another
+// incarnation may still show that it was not the server. Attempts whose watch is over are removed and
+// returned.
 func (t *Abandoned) Checked(server string, sign Sign, aliveAt, now time.Time) (ended []WatchEnd) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -158,22 +124,37 @@
 		return nil
 	}
 	s.checkedAt = now
-	if aliveAt.After(s.aliveAt) {
-		s.aliveAt, s.sign = aliveAt, sign
+	switch sign {
+	case Answered:
+		s.answeredAt = later(s.answeredAt, aliveAt)
+	case Accepted:
+		s.acceptedAt = later(s.acceptedAt, aliveAt)
 	}
-	s.attempts = slices.DeleteFunc(s.attempts, func(a Attempt) bool {
-		switch {
-		case !s.aliveAt.Before(a.runsUntil()):
-			t.outcomes.addOutlived(a.origin())
-			ended = append(ended, WatchEnd{Attempt: a, Sign: s.sign, SignAt: s.aliveAt})
-		case !now.Before(a.forgottenAt()):
-			ended = append(ended, WatchEnd{Attempt: a, Sign: Unknown, SignAt: s.aliveAt})
-		default:
+	over := func(a Attempt) bool {
+		if s.answeredAt.Before(a.runsUntil()) && now.Before(a.forgottenAt()) {
 			return false
 		}
+		last, at := s.lastSign()
+		ended = append(ended, WatchEnd{Attempt: a, Sign: last, SignAt: at})
 		return true
+	}
+	s.accepted = slices.DeleteFunc(s.accepted, over)
+	s.attempts = slices.DeleteFunc(s.attempts, func(a Attempt) bool {
+		_, at := s.lastSign()
+		outlived := !at.Before(a.runsUntil())
+		if outlived {
+			t.outcomes.addOutlived(a.origin())
+		}
+		if over(a) {
+			return true
+		}
+		if outlived {
+			s.accepted = append(s.accepted, a)
+		}
+		return outlived
 	})
-	if len(s.attempts) == 0 {
+	s.accepted = s.accepted[max(len(s.accepted)-maxAbandoned, 0):]
+	if !s.watched() {
 		delete(t.servers, server)
 	}
 	return ended
@@ -184,7 +165,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.servers[server]; s != nil {
-		for _, a := range s.attempts {
+		for _, a := range slices.Concat(s.attempts, s.accepted) {
 			ended = append(ended, WatchEnd{Attempt: a, Sign: Left, SignAt: now})
 		}
 		delete(t.servers, server)
@@ -202,28 +183,41 @@
 	if s == nil {
 		return nil, nil
 	}
-	s.attempts = slices.DeleteFunc(s.attempts, func(a Attempt) bool {
-		at := lostAt
-		if at.IsZero() {
-			at = later(a.At, s.aliveAt)
-		}
-		switch {
-		case at.Before(a.At):
-			return false
-		case at.After(a.runsUntil().Add(noticeTime)):
-			t.outcomes.addOutlived(a.origin())
-			ended = append(ended, WatchEnd{Attempt: a, Sign: sign, SignAt: at})
+	aliveAt := s.answeredAt
+	if sign != Replaced {
+		// Where an address refuses connections, one that it accepted was the server's.
+		aliveAt = later(aliveAt, s.acceptedAt)
+	}
+	remove := func(accepted bool) func(a Attempt) bool {
+		return func(a Attempt) bool {
+			at, outlived := lostAt, lostAt.After(a.runsUntil().Add(noticeTime))
+			if at.IsZero() {
+				at = later(a.At, aliveAt)
+				outlived = !at.Before(a.runsUntil())
+			}
+			if at.Before(a.At) {
+				return false
+			}
+			end := WatchEnd{Attempt: a, Sign: sign, SignAt: now}
+			if outlived {
+				if !accepted {
+					t.outcomes.addOutlived(a.origin())
+				}
+				ended = append(ended, end)
+				return true
+			}
+			known := slices.ContainsFunc(crashes, func(c Crash) bool { return c.origin() == a.origin() })
+			end.Blamed = known || t.outcomes.addLost(a.origin(), now)
+			ended = append(ended, end)
+			if end.Blamed && !known {
+				crashes = append(crashes, Crash{Suspects: a.Suspects, Server: server, At: at, Unanswered: true, Abandoned: true})
+			}
 			return true
 		}
-		known := slices.ContainsFunc(crashes, func(c Crash) bool { return c.origin() == a.origin() })
-		blamed := known || t.outcomes.addLost(a.origin(), now)
-		ended = append(ended, WatchEnd{Attempt: a, Sign: sign, SignAt: now, Blamed: blamed})
-		if blamed && !known {
-			crashes = append(crashes, Crash{Suspects: a.Suspects, Server: server, At: at, Unanswered: true, Abandoned: true})
-		}
-		return true
-	})
-	if len(s.attempts) == 0 {
+	}
+	s.attempts = slices.DeleteFunc(s.attempts, remove(false))
+	s.accepted = slices.DeleteFunc(s.accepted, remove(true))
+	if !s.watched() {
 		delete(t.servers, server)
 	}
 	return crashes, ended
--- a/internal/decision/quarantine/abandoned_test.go
+++ b/internal/decision/quarantine/abandoned_test.go
@@ -97,6 +97,40 @@
 	}
 }
 
+// Guards against a sound call that is blamed for the end of a server which it had left in time, or
+// that is not blamed as its server's address accepted a connection.
+func TestWhatShowsLaterThatAServerHadEnded(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		sign   quarantine.Sign
+		lostAt float64 // seconds after the attempt was abandoned; 0 if that is not known
+		blamed bool
+	}{
+		{"another incarnation", quarantine.Replaced, 0, true},
+		{"connections that are refused", quarantine.Refused, 0, false},
+		{"a loss that was seen while the attempt may have run", quarantine.Seen, 0.9, true},
+		{"a loss that was seen later", quarantine.Seen, 1.5, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			abandoned := quarantine.NewAbandoned()
+			abandoned.Add("s", quarantine.Attempt{Suspects: quarantine.Suspects{Request: "r"}, At: at(0), Deadline: at(1)})
+			g.Expect(abandoned.Checked("s", quarantine.Accepted, at(1), at(1))).To(BeEmpty())
+			g.Expect(abandoned.NeedsConnection("s")).To(BeFalse())
+			var lostAt time.Time
+			if c.lostAt > 0 {
+				lostAt = at(c.lostAt)
+			}
+			crashes, ended := abandoned.Lost("s", c.sign, lostAt, at(3))
+			g.Expect(crashes).To(HaveLen(map[bool]int{true: 1}[c.blamed]))
+			g.Expect(ended).To(HaveLen(1))
+			g.Expect(ended[0].Blamed).To(Equal(c.blamed))
+			_, watched := abandoned.NextCheck("s")
+			g.Expect(watched).To(BeFalse())
+		})
+	}
+}
+
 // Guards against memory that grows with the callers who leave, and with what their headers hold.
 func TestAbandonedAttemptsAreBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/router/quarantine/abandoned.go
+++ b/internal/router/quarantine/abandoned.go
@@ -105,11 +105,14 @@
 		g.recordEnd(s, quarantine.Replaced, now)
 		return
 	}
+	var answeredAt time.Time
+	down := false
 	if g.checks.Health != nil {
-		if answeredAt, down := g.checks.Health(s, now); !down && now.Sub(answeredAt) < quietTime {
-			g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Answered, answeredAt, now), now)
-			return
-		}
+		answeredAt, down = g.checks.Health(s, now)
+	}
+	if !down && (now.Sub(answeredAt) < quietTime || !g.abandoned.NeedsConnection(watched)) {
+		g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Answered, answeredAt, now), now)
+		return
 	}
 	g.checkSlots <- struct{}{}
 	defer func() { <-g.checkSlots }()
--- a/internal/router/quarantine/abandoned_test.go
+++ b/internal/router/quarantine/abandoned_test.go
@@ -297,6 +297,28 @@
 	}
 }
 
+// Guards against a connection that something else accepts at the address of a server that has ended,
+// and that passes for a sign that the server outlived the call.
+func TestACallIsBlockedWhoseServersAreBackThoughTheirAddressesAcceptedConnections(t *testing.T) {
+	for _, back := range []time.Duration{1600, 2500, 5000} { // ms
+		t.Run(fmt.Sprintf("back after %d ms", back), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHosts()
+				guard := newWatchingGuard(h)
+				for i := range 3 {
+					guard.AttemptAbandoned(call("deadly", callTime), serverAt(i), 0)
+					time.Sleep(back * time.Millisecond)
+					h.set(h.renewed, serverAt(i))
+				}
+				time.Sleep(time.Second)
+				NewWithT(t).Expect(refuses(guard, "deadly")).To(BeTrue())
+				time.Sleep(time.Minute)
+				NewWithT(t).Expect(h.checked()).To(Equal(6), "an address that accepts connections is not connected to again")
+			})
+		})
+	}
+}
+
 // Guards against a sound call that is blamed as its busy servers crash later: they have answered
 // others since.
 func TestAnAnswerAfterTheEndOfACallShowsThatItsServerOutlivedIt(t *testing.T) {
