--- a/internal/decision/quarantine/abandoned.go
+++ b/internal/decision/quarantine/abandoned.go
@@ -29,7 +29,8 @@
 	accepted   []Attempt
 	checkedAt  time.Time
 	answeredAt time.Time // when the server last answered
-	acceptedAt time.Time // when its address last accepted a connection
+	acceptedAt time.Time // when its address last accepted a connection and kept it open
+	closedAt   time.Time // since when its address closes connections at once; zero if it does not
 }
 
 // lastSign returns the last sign of life, and when it was.
@@ -130,6 +131,9 @@
 	case Accepted:
 		s.acceptedAt = later(s.acceptedAt, aliveAt)
 	}
+	if _, at := s.lastSign(); at.After(s.closedAt) {
+		s.closedAt = time.Time{}
+	}
 	over := func(a Attempt) bool {
 		if s.answeredAt.Before(a.runsUntil()) && now.Before(a.forgottenAt()) {
 			return false
@@ -160,6 +164,22 @@
 	return ended
 }
 
+// FoundClosing records that the address of a server accepted a connection and closed it at once. It
+// reports whether that shows that the server has ended: another connection was closed before, and the
+// server has not answered in between.
+func (t *Abandoned) FoundClosing(server string, now time.Time) (ended bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[server]
+	if s == nil {
+		return false
+	}
+	if s.closedAt.IsZero() || !s.answeredAt.Before(s.closedAt) {
+		s.closedAt = now
+	}
+	return now.Sub(s.closedAt) >= minClosing
+}
+
 // Ended removes a server that has ended by a plan, and returns its attempts.
 func (t *Abandoned) Ended(server string, now time.Time) (ended []WatchEnd) {
 	t.mu.Lock()
@@ -195,7 +215,7 @@
 				at = later(a.At, aliveAt)
 				outlived = !at.Before(a.runsUntil())
 			}
-			if at.Before(a.At) {
+			if at.Before(a.lostFrom()) {
 				return false
 			}
 			end := WatchEnd{Attempt: a, Sign: sign, SignAt: now}
--- a/internal/decision/quarantine/attempt.go
+++ b/internal/decision/quarantine/attempt.go
@@ -15,32 +15,49 @@
 	// settleInterval.
 	settleTime     = 4 * time.Second
 	settleInterval = 800 * time.Millisecond
+	// minClosing is how long an address must have closed connections to show that its server has
+	// ended. It is less than the time between two checks.
+	minClosing = firstCheck / 2
 	// noticeTime is how long after a crash somebody who waits for an answer may notice it.
 	noticeTime = waitingMoment
 )
 
-// Attempt is an attempt that a router has ended while its server may have run it.
+// Attempt is an attempt that a router has ended while its server may have run it, or that broke off.
 type Attempt struct {
 	Suspects
-	At       time.Time // when it was ended
+	At       time.Time // when it ended for the router
 	Deadline time.Time // of the request; zero if it has none
+	// BrokenOff says that the server ended the attempt's connection, or somebody between: the attempt
+	// runs no longer, and what is not known is whether the server has ended.
+	BrokenOff bool
 }
 
 // runsUntil returns until when the server may run the attempt.
 func (a *Attempt) runsUntil() time.Time {
+	if a.BrokenOff {
+		return a.At.Add(sameMoment)
+	}
 	if a.Deadline.IsZero() {
 		return a.At.Add(maxRunTime)
 	}
 	return a.At.Add(min(max(a.Deadline.Sub(a.At), minRunTime), maxRunTime))
 }
 
+// lostFrom returns the earliest time of a loss that may be the attempt's doing.
+func (a *Attempt) lostFrom() time.Time {
+	if a.BrokenOff {
+		return a.At.Add(-noticeTime)
+	}
+	return a.At
+}
+
 // forgottenAt returns when the attempt is not watched any more, though nothing has shown whether
 // the server outlived it.
 func (a *Attempt) forgottenAt() time.Time { return a.runsUntil().Add(settleTime) }
 
 // nextCheck returns when the server is to be checked after a check at the given time.
 func (a *Attempt) nextCheck(checkedAt time.Time) time.Time {
-	last := a.runsUntil()
+	last := later(a.runsUntil(), a.At.Add(firstCheck))
 	if !checkedAt.Before(last) {
 		if next := checkedAt.Add(settleInterval); next.Before(a.forgottenAt()) {
 			return next
@@ -66,6 +83,7 @@
 	Accepted Sign = "Accepted" // its address accepts connections
 	Unknown  Sign = "Unknown"  // nothing was learned
 	Refused  Sign = "Refused"  // its address refuses connections
+	Closed   Sign = "Closed"   // its address closes the connections that it accepts
 	Replaced Sign = "Replaced" // another incarnation has its address
 	Seen     Sign = "Seen"     // somebody who waited for its answer saw it end, here or at a peer
 	Left     Sign = "Left"     // its end was planned
--- a/internal/router/forward/crash.go
+++ b/internal/router/forward/crash.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"wisteriafield/internal/backend/liveness"
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
 )
@@ -21,37 +22,43 @@
 	notChecked check = "" // this router had ended the attempt
 	listening  check = "Listening"
 	refusing   check = "Refusing"
+	closing    check = "Closing" // the connection was closed at once
 	noResult   check = "NoResult"
 )
 
 // crashed reports whether the server of an attempt without a complete answer is gone, which may
-// be the request's doing, and not only its connection. Where that is not known yet, since this
-// router has ended the attempt or the check gave no result, the server is watched. It is not
-// if another one has answered the request.
+// be the request's doing, and not only its connection. Where that is not known yet, the server is
+// watched: this router has ended the attempt, the check gave no result, or something accepts
+// connections, which need not be the server. It is not if another one has answered the request.
 func (f *Forwarder) crashed(ctx context.Context, req *server.Request, e *registry.Entry) (crashed bool, c check) {
 	if errors.Is(context.Cause(ctx), errAnswered) {
 		return false, notChecked
 	}
-	listens, err := true, ctx.Err()
-	if err == nil {
-		checkCtx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
-		listens, err = f.cfg.Client.Listens(checkCtx, e.Address)
-		cancel()
+	if ctx.Err() != nil {
+		f.cfg.Quarantine.AttemptAbandoned(req, &e.Server, 0)
+		return false, notChecked
 	}
+	endedAt := time.Now()
+	checkCtx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	listens, err := f.cfg.Client.Listens(checkCtx, e.Address)
+	cancel()
 	switch {
-	case err != nil:
-		f.cfg.Quarantine.AttemptAbandoned(req, &e.Server, 0)
-		if ctx.Err() != nil {
-			return false, notChecked
+	case err == nil && !listens:
+		f.recordUnreachable(e, false)
+		if f.cfg.Servers.Leaves(&e.Server) {
+			return false, refusing // its end was planned
 		}
-		return false, noResult
-	case listens:
-		return false, listening
-	}
-	f.recordUnreachable(e, false)
-	if f.cfg.Servers.Leaves(&e.Server) {
-		return false, refusing // its end was planned
+		f.cfg.Quarantine.ServerLost(req, &e.Server, 0)
+		return true, refusing
+	case err == nil:
+		c = listening
+	case errors.Is(err, liveness.ErrClosed):
+		// Requests that may run once are lost at such an address.
+		f.recordUnreachable(e, false)
+		c = closing
+	default:
+		c = noResult
 	}
-	f.cfg.Quarantine.ServerLost(req, &e.Server, 0)
-	return true, refusing
+	f.cfg.Quarantine.AnswerBrokenOff(req, &e.Server, 0, endedAt)
+	return false, c
 }
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -50,8 +50,8 @@
 // Client sends requests to backend servers.
 type Client interface {
 	Send(ctx context.Context, d server.Dispatch) (*server.Answer, error)
-	// Listens reports whether a process accepts connections at an address. The error says
-	// that this is not known.
+	// Listens reports whether a process accepts connections at an address and keeps them open. The
+	// error says that this is not known; it is liveness.ErrClosed if they are closed at once.
 	Listens(ctx context.Context, address string) (bool, error)
 }
 
@@ -73,6 +73,7 @@
 		ServerLost(req *server.Request, s *server.Server, events int)
 		ServerFinished(req *server.Request)
 		AttemptAbandoned(req *server.Request, s *server.Server, events int)
+		AnswerBrokenOff(req *server.Request, s *server.Server, events int, at time.Time)
 	}
 	Limits interface {
 		ObserveAnswer(s *server.Server, a *server.Answer, sentAt time.Time)
--- a/internal/router/forward/forward_test.go
+++ b/internal/router/forward/forward_test.go
@@ -42,8 +42,9 @@
 	ended map[string]bool
 	// leaveAfter is how long callers wait; 0 for as long as it takes.
 	leaveAfter time.Duration
-	listened   int           // checks whether a server is there
-	checkTime  time.Duration // that a check takes
+	listened   int                                // checks whether a server is there
+	checkTime  time.Duration                      // that a check takes
+	check      func(address string) (bool, error) // nil for whether the server has ended
 	budget     interface {
 		Allow(service string, now time.Time) bool
 		NextAt(service string, now time.Time) time.Time
@@ -74,6 +75,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listened++
+	if s.check != nil {
+		return s.check(address)
+	}
 	return !s.gone && !s.ended[address], ctx.Err()
 }
 
--- a/internal/router/quarantine/abandoned.go
+++ b/internal/router/quarantine/abandoned.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 
+	"wisteriafield/internal/backend/liveness"
 	"wisteriafield/internal/backend/server"
 	"wisteriafield/internal/decision/quarantine"
 )
@@ -26,6 +28,7 @@
 
 var (
 	abandonedTotal        = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempts_total")
+	brokenOffTotal        = metrics.GetOrCreateCounter("wisteriafield_broken_off_attempts_watched_total")
 	unwatchedTotal        = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempts_unwatched_total")
 	abandonedChecksTotal  = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempt_checks_total")
 	abandonedCrashesTotal = metrics.GetOrCreateCounter("wisteriafield_abandoned_attempt_crashes_total")
@@ -33,8 +36,8 @@
 
 // Checks tells what became of a server that had an attempt when this router ended it.
 type Checks struct {
-	// Listens reports whether a process accepts connections at an address. The error says
-	// that this is not known.
+	// Listens reports whether a process accepts connections at an address and keeps them open. The
+	// error says that this is not known; it is liveness.ErrClosed if they are closed at once.
 	Listens func(ctx context.Context, address string) (bool, error)
 	// Leaves reports whether the end of a server is planned.
 	Leaves func(s *server.Server) bool
@@ -71,7 +74,22 @@
 		return
 	}
 	abandonedTotal.Inc()
-	attempt := quarantine.Attempt{Suspects: suspectsOf(req), At: time.Now(), Deadline: req.Deadline}
+	g.addAttempt(s, quarantine.Attempt{Suspects: suspectsOf(req), At: time.Now(), Deadline: req.Deadline})
+}
+
+// AnswerBrokenOff records that the answer to an attempt broke off at a time, after the given number of
+// events had arrived, though a check did not find its server gone: something may accept connections in
+// its place. The server is watched. One that answers another request is not lost.
+func (g *Guard) AnswerBrokenOff(req *server.Request, s *server.Server, events int, at time.Time) {
+	if events >= EarlyEvents || g.checks.Listens == nil || g.checks.Leaves(s) {
+		return
+	}
+	brokenOffTotal.Inc()
+	g.addAttempt(s, quarantine.Attempt{Suspects: suspectsOf(req), At: at, BrokenOff: true})
+}
+
+// addAttempt watches the server of an attempt.
+func (g *Guard) addAttempt(s *server.Server, attempt quarantine.Attempt) {
 	watched := g.checks.watched(s.Key().String())
 	if g.abandoned.Add(watched, attempt) {
 		g.watch(*s)
@@ -122,6 +140,8 @@
 	listens, err := g.checks.Listens(ctx, s.Address)
 	now = time.Now()
 	switch {
+	case errors.Is(err, liveness.ErrClosed) && g.abandoned.FoundClosing(watched, now):
+		g.recordEnd(s, quarantine.Closed, now)
 	case err != nil:
 		g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Unknown, time.Time{}, now), now)
 	case listens:
@@ -166,7 +186,7 @@
 		e := &ended[i]
 		watchEndsTotal(e.Sign, e.Blamed).Inc()
 		log := g.log.WithField("server", incarnation).WithField("session", e.Session).WithField("digest", e.Request).
-			WithField("sign", string(e.Sign)).WithField("blamed", e.Blamed).WithField("watchedMs", now.Sub(e.At).Milliseconds())
+			WithField("sign", string(e.Sign)).WithField("blamed", e.Blamed).WithField("brokenOff", e.BrokenOff).WithField("watchedMs", now.Sub(e.At).Milliseconds())
 		if !e.SignAt.IsZero() {
 			log = log.WithField("signAgeMs", now.Sub(e.SignAt).Milliseconds())
 		}
--- a/internal/router/quarantine/request.go
+++ b/internal/router/quarantine/request.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"net"
-	"syscall"
 	"time"
 
+	"wisteriafield/internal/backend/liveness"
 	"wisteriafield/internal/backend/server"
 )
 
@@ -34,19 +32,10 @@
 	return &server.Server{ID: name, Started: lostAt.Truncate(incarnationTime).UnixMilli()}
 }
 
-// Listens reports whether a process accepts connections at an address. The error says that this
-// is not known.
+// Listens reports whether a process accepts connections at an address and keeps them open. The error
+// says that this is not known; it is liveness.ErrClosed if they are closed at once.
 func Listens(ctx context.Context, address string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, listenTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return false, nil
-	}
-	if err != nil {
-		return false, fmt.Errorf("connect to %s: %w", address, err)
-	}
-	_ = conn.Close()
-	return true, nil
+	return liveness.Listens(ctx, new(net.Dialer).DialContext, address)
 }
