--- a/internal/decision/quarantine/attempt.go
+++ b/internal/decision/quarantine/attempt.go
@@ -30,6 +30,7 @@
 	// BrokenOff says that the server ended the attempt's connection, or somebody between: the attempt
 	// runs no longer, and what is not known is whether the server has ended.
 	BrokenOff bool
+	Answered  bool // the server had begun to answer
 }
 
 // runsUntil returns until when the server may run the attempt.
--- a/internal/router/forward/crash.go
+++ b/internal/router/forward/crash.go
@@ -9,6 +9,7 @@
 	"wisteriafield/internal/backend/liveness"
 	"wisteriafield/internal/backend/registry"
 	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/router/quarantine"
 )
 
 // crashCheckTimeout bounds the check whether a server that broke off an answer is lost. A host
@@ -59,6 +60,6 @@
 	default:
 		c = noResult
 	}
-	f.cfg.Quarantine.AnswerBrokenOff(req, &e.Server, 0, endedAt)
+	f.cfg.Quarantine.AnswerBrokenOff(req, &e.Server, quarantine.BrokenOff{At: endedAt})
 	return false, c
 }
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -21,6 +21,7 @@
 	"wisteriafield/internal/decision/answermemory"
 	"wisteriafield/internal/decision/balance"
 	"wisteriafield/internal/decision/link"
+	"wisteriafield/internal/router/quarantine"
 )
 
 const (
@@ -73,7 +74,7 @@
 		ServerLost(req *server.Request, s *server.Server, events int)
 		ServerFinished(req *server.Request)
 		AttemptAbandoned(req *server.Request, s *server.Server, events int)
-		AnswerBrokenOff(req *server.Request, s *server.Server, events int, at time.Time)
+		AnswerBrokenOff(req *server.Request, s *server.Server, end quarantine.BrokenOff)
 	}
 	Limits interface {
 		ObserveAnswer(s *server.Server, a *server.Answer, sentAt time.Time)
--- a/internal/router/quarantine/abandoned.go
+++ b/internal/router/quarantine/abandoned.go
@@ -77,15 +77,22 @@
 	g.addAttempt(s, quarantine.Attempt{Suspects: suspectsOf(req), At: time.Now(), Deadline: req.Deadline})
 }
 
-// AnswerBrokenOff records that the answer to an attempt broke off at a time, after the given number of
-// events had arrived, though a check did not find its server gone: something may accept connections in
-// its place. The server is watched. One that answers another request is not lost.
-func (g *Guard) AnswerBrokenOff(req *server.Request, s *server.Server, events int, at time.Time) {
-	if events >= EarlyEvents || g.checks.Listens == nil || g.checks.Leaves(s) {
+// BrokenOff is the end of an attempt whose answer broke off.
+type BrokenOff struct {
+	At       time.Time
+	Answered bool // the server had begun to answer
+	Events   int  // that had arrived
+}
+
+// AnswerBrokenOff records that the answer to an attempt broke off, though a check did not find its
+// server gone: something may accept connections in its place. The server is watched. One that answers
+// another request is not lost.
+func (g *Guard) AnswerBrokenOff(req *server.Request, s *server.Server, end BrokenOff) {
+	if end.Events >= EarlyEvents || g.checks.Listens == nil || g.checks.Leaves(s) {
 		return
 	}
 	brokenOffTotal.Inc()
-	g.addAttempt(s, quarantine.Attempt{Suspects: suspectsOf(req), At: at, BrokenOff: true})
+	g.addAttempt(s, quarantine.Attempt{Suspects: suspectsOf(req), At: end.At, BrokenOff: true, Answered: end.Answered})
 }
 
 // addAttempt watches the server of an attempt.
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -43,6 +43,7 @@
 	doubted      bool               // the engine does not have the attempt, or its events don't arrive
 	goesOn       bool               // until another engine accepts the stream
 	erred        bool               // the engine answered with an error instead of the rest of the stream
+	brokeOff     bool               // the connection ended before a complete answer
 	replaced     bool               // another incarnation has the address
 
 	callerDisconnected bool
@@ -136,9 +137,9 @@
 	case errors.Is(err, server.ErrNotSent):
 		return result{outcome: notSent, reason: err.Error(), unanswered: errors.Is(err, server.ErrConnectTimeout)}
 	case err != io.EOF || answer == nil || !s.headersSent && s.req.LastEventID == 0:
-		return result{outcome: lost, reason: err.Error(), backup: backup}
+		return result{outcome: lost, reason: err.Error(), backup: backup, brokeOff: true}
 	case answer.CloseDelimited && s.service.Engine != nil && !s.relay.answersProbes(ctx, target):
-		return result{outcome: lost, reason: "engine closed the connection and is gone", backup: backup}
+		return result{outcome: lost, reason: "engine closed the connection and is gone", backup: backup, brokeOff: true}
 	default:
 		s.sendHeaders(answer) // a caller who has all events gets none
 		return result{outcome: finished}
--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -35,13 +35,14 @@
 	// deadlyAfter is how long after it got a request with deadlySession an engine ends without an
 	// answer, whether the connection is open or not; 0 for at once.
 	deadlyAfter time.Duration
-	crashed     map[string]int       // by address, how often an engine has ended so
-	down        map[string]bool      // by address, until it is started again
-	gone        bool                 // no engine listens
-	probes      int                  // reports that were requested
-	pausedUntil map[string]time.Time // by server ID
-	sent        []time.Time          // of the dispatches
-	ended       map[string]time.Time // by server ID, when an attempt was cancelled
+	crashed     map[string]int                     // by address, how often an engine has ended so
+	down        map[string]bool                    // by address, until it is started again
+	gone        bool                               // no engine listens
+	check       func(address string) (bool, error) // in place of what Listens tells; may be nil
+	probes      int                                // reports that were requested
+	pausedUntil map[string]time.Time               // by server ID
+	sent        []time.Time                        // of the dispatches
+	ended       map[string]time.Time               // by server ID, when an attempt was cancelled
 }
 
 func (e *fakeEngines) Send(ctx context.Context, d server.Dispatch) (*server.Answer, error) {
@@ -66,6 +67,8 @@
 	switch {
 	case unreachable:
 		return nil, fmt.Errorf("dial: %w", server.ErrNotSent)
+	case e.check != nil && e.isDown(d.Server.Address):
+		return nil, fmt.Errorf("EOF: %w", server.ErrLost)
 	case e.deadlyAfter > 0 && e.isDown(d.Server.Address):
 		return nil, fmt.Errorf("dial: %w", server.ErrNotSent)
 	case e.deadlyAfter > 0 && d.Request.SessionID() == e.deadlySession:
@@ -183,6 +186,9 @@
 
 // Listens says that engines are gone if requests crash them.
 func (e *fakeEngines) Listens(_ context.Context, address string) (bool, error) {
+	if e.check != nil {
+		return e.check(address)
+	}
 	if e.deadlyAfter > 0 {
 		return !e.isDown(address), nil
 	}
--- a/internal/router/relay/relay.go
+++ b/internal/router/relay/relay.go
@@ -19,6 +19,7 @@
 	"wisteriafield/internal/decision/enginetable"
 	"wisteriafield/internal/decision/link"
 	"wisteriafield/internal/decision/suspicion"
+	"wisteriafield/internal/router/quarantine"
 	"wisteriafield/internal/router/sessions"
 )
 
@@ -48,8 +49,8 @@
 	CachedPromptParts(ctx context.Context, address string) ([]server.PromptPart, error)
 	CopyKVCache(ctx context.Context, address, attemptID, target string) (string, error)
 	DeleteBackup(ctx context.Context, backup server.KVBackup) error
-	// Listens reports whether a process accepts connections at an address. The error says
-	// that this is not known.
+	// Listens reports whether a process accepts connections at an address and keeps them open. The
+	// error says that this is not known; it is liveness.ErrClosed if they are closed at once.
 	Listens(ctx context.Context, address string) (bool, error)
 }
 
@@ -68,6 +69,7 @@
 	ServerAnswered(req *server.Request, events int)
 	ServerFinished(req *server.Request)
 	AttemptAbandoned(req *server.Request, s *server.Server, events int)
+	AnswerBrokenOff(req *server.Request, s *server.Server, end quarantine.BrokenOff)
 }
 
 // Limits are what engines ask of routers: the limits that they name, and no requests if they
