--- a/internal/decision/quarantine/abandoned.go
+++ b/internal/decision/quarantine/abandoned.go
@@ -48,6 +48,21 @@
 // watched reports whether there are attempts to watch.
 func (s *watchedServer) watched() bool { return len(s.attempts)+len(s.accepted) > 0 }
 
+// lossTime returns the earliest time at which the server may have been lost, and whether the attempt may
+// have run then. A loss that is noticed later may have happened earlier, if something else held
+// connections at the address.
+func (s *watchedServer) lossTime(a *Attempt, accepted bool, sign Sign, lostAt time.Time) (at time.Time, mayHaveRun bool) {
+	switch {
+	case !lostAt.IsZero() && !lostAt.After(a.runsUntil().Add(noticeTime)):
+		return lostAt, true
+	case sign == Replaced:
+		return later(a.At, s.answeredAt), true
+	default:
+		// Unless it is replaced, an address is taken to have accepted connections for its server.
+		return later(a.At, later(s.answeredAt, s.acceptedAt)), !accepted
+	}
+}
+
 // NewAbandoned returns an empty set.
 func NewAbandoned() *Abandoned { return &Abandoned{servers: make(map[string]*watchedServer)} }
 
@@ -203,26 +218,14 @@
 	if s == nil {
 		return nil, nil
 	}
-	aliveAt := s.answeredAt
-	if sign != Replaced {
-		// Where an address refuses connections, one that it accepted was the server's.
-		aliveAt = later(aliveAt, s.acceptedAt)
-	}
 	remove := func(accepted bool) func(a Attempt) bool {
 		return func(a Attempt) bool {
-			at, outlived := lostAt, lostAt.After(a.runsUntil().Add(noticeTime))
-			if at.IsZero() {
-				at = later(a.At, aliveAt)
-				outlived = !at.Before(a.runsUntil())
-			}
-			if at.Before(a.lostFrom()) {
+			if !lostAt.IsZero() && lostAt.Before(a.lostFrom()) {
 				return false
 			}
+			at, mayBeBlamed := s.lossTime(&a, accepted, sign, lostAt)
 			end := WatchEnd{Attempt: a, Sign: sign, SignAt: now}
-			if outlived {
-				if !accepted {
-					t.outcomes.addOutlived(a.origin())
-				}
+			if !mayBeBlamed {
 				ended = append(ended, end)
 				return true
 			}
--- a/internal/decision/quarantine/abandoned_test.go
+++ b/internal/decision/quarantine/abandoned_test.go
@@ -131,6 +131,30 @@
 	}
 }
 
+// Guards against a call that is never blamed for the end of its server, as a request that was held at
+// the address of the server shows it seconds later only.
+func TestALossThatIsNoticedLateMayHaveHappenedInTime(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		answeredAt float64 // seconds after the attempt was abandoned
+		blamed     bool
+	}{{"the server did not answer since", -0.2, true}, {"it answered while the attempt may have run", 0.5, true}, {"it answered later", 1.1, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			abandoned := quarantine.NewAbandoned()
+			abandoned.Add("s", quarantine.Attempt{Suspects: quarantine.Suspects{Request: "r"}, At: at(0), Deadline: at(1)})
+			abandoned.Checked("s", quarantine.Answered, at(c.answeredAt), at(1.2))
+			crashes, _ := abandoned.Lost("s", quarantine.Seen, at(2), at(2))
+			if !c.blamed {
+				g.Expect(crashes).To(BeEmpty())
+				return
+			}
+			g.Expect(crashes).To(HaveLen(1))
+			g.Expect(crashes[0].At).To(Equal(at(max(c.answeredAt, 0))), "the earliest possible time")
+		})
+	}
+}
+
 // Guards against memory that grows with the callers who leave, and with what their headers hold.
 func TestAbandonedAttemptsAreBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/router/quarantine/abandoned.go
+++ b/internal/router/quarantine/abandoned.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -172,6 +173,7 @@
 // recordAbandoned records that a server was lost that may have had abandoned attempts, and reports
 // whether it had. lostAt is zero if it is only known to be before now.
 func (g *Guard) recordAbandoned(incarnation string, sign quarantine.Sign, lostAt, now time.Time) bool {
+	g.recordLastAnswer(incarnation, now)
 	crashes, ended := g.abandoned.Lost(g.checks.watched(incarnation), sign, lostAt, now)
 	g.logWatchEnds(incarnation, ended, now)
 	for i := range crashes {
@@ -187,6 +189,20 @@
 	return len(crashes) > 0
 }
 
+// recordLastAnswer records when a server that is watched last answered this router, which may have been
+// after its last check.
+func (g *Guard) recordLastAnswer(incarnation string, now time.Time) {
+	if _, ok := g.abandoned.NextCheck(incarnation); !ok || g.checks.Health == nil {
+		return
+	}
+	id, started, _ := strings.Cut(incarnation, "/")
+	s := server.Server{ID: id}
+	s.Started, _ = strconv.ParseInt(started, 10, 64)
+	if answeredAt, _ := g.checks.Health(&s, now); !answeredAt.IsZero() {
+		g.logWatchEnds(incarnation, g.abandoned.Checked(incarnation, quarantine.Answered, answeredAt, now), now)
+	}
+}
+
 // logWatchEnds logs and counts what ended the watch of attempts at a server, and how old that sign was.
 func (g *Guard) logWatchEnds(incarnation string, ended []quarantine.WatchEnd, now time.Time) {
 	for i := range ended {
--- a/internal/router/quarantine/abandoned_test.go
+++ b/internal/router/quarantine/abandoned_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -82,6 +83,8 @@
 	return &server.Server{ID: fmt.Sprintf("s-%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i)}
 }
 
+func serverAddress(id string) string { return fmt.Sprintf("10.0.0.%s:1", strings.TrimPrefix(id, "s-")) }
+
 // call returns a call that has so long to its deadline.
 func call(body string, left time.Duration) *server.Request {
 	req := &server.Request{Target: "/book", Body: []byte(body), Deadline: time.Now().Add(left)}
@@ -270,82 +273,6 @@
 	}
 }
 
-// Guards against an answer that a server gave before the caller left and that passes for a sign that
-// it outlived the call: servers that crash then are never put down to it.
-func TestAnAnswerBeforeTheCallerLeftIsNoSignOfLife(t *testing.T) {
-	for name, back := range map[string]time.Duration{"they are back while they count as busy": 2 * time.Second, "they stay away": time.Hour} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				h := newHosts()
-				guard := newGuard()
-				guard.CheckServers(quarantine.Checks{
-					Listens: h.listens, Leaves: h.has(h.left), Replaced: h.has(h.renewed),
-					Health: func(s *server.Server, _ time.Time) (time.Time, bool) { return h.answeredAt(s), false },
-				})
-				for i := range 3 {
-					h.answer(serverAt(i))
-					guard.AttemptAbandoned(call("deadly", callTime), serverAt(i), 0)
-					h.set(h.ended, serverAt(i))
-					time.AfterFunc(back, func() { h.set(h.renewed, serverAt(i)) })
-					time.Sleep(5 * time.Second)
-				}
-				g.Expect(refuses(guard, "deadly")).To(BeTrue())
-				time.Sleep(time.Hour)
-			})
-		})
-	}
-}
-
-// Guards against a connection that something else accepts at the address of a server that has ended,
-// and that passes for a sign that the server outlived the call.
-func TestACallIsBlockedWhoseServersAreBackThoughTheirAddressesAcceptedConnections(t *testing.T) {
-	for _, back := range []time.Duration{1600, 2500, 5000} { // ms
-		t.Run(fmt.Sprintf("back after %d ms", back), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				h := newHosts()
-				guard := newWatchingGuard(h)
-				for i := range 3 {
-					guard.AttemptAbandoned(call("deadly", callTime), serverAt(i), 0)
-					time.Sleep(back * time.Millisecond)
-					h.set(h.renewed, serverAt(i))
-				}
-				time.Sleep(time.Second)
-				NewWithT(t).Expect(refuses(guard, "deadly")).To(BeTrue())
-				time.Sleep(time.Minute)
-				NewWithT(t).Expect(h.checked()).To(Equal(6), "an address that accepts connections is not connected to again")
-			})
-		})
-	}
-}
-
-// Guards against a sound call that is blamed as its busy servers crash later: they have answered
-// others since.
-func TestAnAnswerAfterTheEndOfACallShowsThatItsServerOutlivedIt(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
-		h := newHosts()
-		guard := newGuard()
-		guard.CheckServers(quarantine.Checks{
-			Listens: h.listens, Leaves: h.has(h.left), Replaced: h.has(h.renewed),
-			Health: func(s *server.Server, _ time.Time) (time.Time, bool) { return h.answeredAt(s), false },
-		})
-		for i := range 10 {
-			guard.AttemptAbandoned(call("sound", callTime), serverAt(i), 0)
-			for range 20 {
-				h.answer(serverAt(i))
-				time.Sleep(100 * time.Millisecond)
-			}
-			h.set(h.ended, serverAt(i))
-			time.Sleep(time.Second)
-			h.set(h.renewed, serverAt(i))
-			time.Sleep(3 * time.Second)
-		}
-		g.Expect(refuses(guard, "sound")).To(BeFalse())
-		g.Expect(h.checked()).To(BeZero())
-	})
-}
-
 func TestAServerIsCheckedTwiceAfterASingleCallerLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHosts()
--- /dev/null
+++ b/internal/router/quarantine/signs_test.go
@@ -0,0 +1,116 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"wisteriafield/internal/backend/server"
+	"wisteriafield/internal/router/quarantine"
+)
+
+// Guards against an answer that a server gave before the caller left and that passes for a sign that
+// it outlived the call: servers that crash then are never put down to it.
+func TestAnAnswerBeforeTheCallerLeftIsNoSignOfLife(t *testing.T) {
+	for name, back := range map[string]time.Duration{"they are back while they count as busy": 2 * time.Second, "they stay away": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				h := newHosts()
+				guard := newGuard()
+				guard.CheckServers(quarantine.Checks{
+					Listens: h.listens, Leaves: h.has(h.left), Replaced: h.has(h.renewed),
+					Health: func(s *server.Server, _ time.Time) (time.Time, bool) { return h.answeredAt(s), false },
+				})
+				for i := range 3 {
+					h.answer(serverAt(i))
+					guard.AttemptAbandoned(call("deadly", callTime), serverAt(i), 0)
+					h.set(h.ended, serverAt(i))
+					time.AfterFunc(back, func() { h.set(h.renewed, serverAt(i)) })
+					time.Sleep(5 * time.Second)
+				}
+				g.Expect(refuses(guard, "deadly")).To(BeTrue())
+				time.Sleep(time.Hour)
+			})
+		})
+	}
+}
+
+// Guards against a sound call that is blamed for a crash that others saw right after the server's last
+// answer, before the next check of it.
+func TestAnAnswerSinceTheLastCheckCountsWhenTheServerIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHosts()
+		guard := newGuard()
+		guard.CheckServers(quarantine.Checks{
+			Listens: h.listens, Leaves: h.has(h.left), Replaced: h.has(h.renewed),
+			Health: func(s *server.Server, _ time.Time) (time.Time, bool) {
+				return h.answeredAt(&server.Server{Address: serverAddress(s.ID)}), false
+			},
+		})
+		for i := range 6 {
+			guard.AttemptAbandoned(call("sound", callTime), serverAt(i), 0)
+			time.Sleep(callTime - 50*time.Millisecond)
+			h.answer(serverAt(i))
+			time.Sleep(500 * time.Millisecond) // checked at the end of its time, not since
+			h.answer(serverAt(i))
+			time.Sleep(100 * time.Millisecond)
+			guard.ServerLost(call(fmt.Sprintf("beside-%d", i), callTime), serverAt(i), 0)
+			time.Sleep(time.Second)
+		}
+		g.Expect(refuses(guard, "sound")).To(BeFalse())
+	})
+}
+
+// Guards against a connection that something else accepts at the address of a server that has ended,
+// and that passes for a sign that the server outlived the call.
+func TestACallIsBlockedWhoseServersAreBackThoughTheirAddressesAcceptedConnections(t *testing.T) {
+	for _, back := range []time.Duration{1600, 2500, 5000} { // ms
+		t.Run(fmt.Sprintf("back after %d ms", back), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHosts()
+				guard := newWatchingGuard(h)
+				for i := range 3 {
+					guard.AttemptAbandoned(call("deadly", callTime), serverAt(i), 0)
+					time.Sleep(back * time.Millisecond)
+					h.set(h.renewed, serverAt(i))
+				}
+				time.Sleep(time.Second)
+				NewWithT(t).Expect(refuses(guard, "deadly")).To(BeTrue())
+				time.Sleep(time.Minute)
+				NewWithT(t).Expect(h.checked()).To(Equal(6), "an address that accepts connections is not connected to again")
+			})
+		})
+	}
+}
+
+// Guards against a sound call that is blamed as its busy servers crash later: they have answered
+// others since.
+func TestAnAnswerAfterTheEndOfACallShowsThatItsServerOutlivedIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHosts()
+		guard := newGuard()
+		guard.CheckServers(quarantine.Checks{
+			Listens: h.listens, Leaves: h.has(h.left), Replaced: h.has(h.renewed),
+			Health: func(s *server.Server, _ time.Time) (time.Time, bool) { return h.answeredAt(s), false },
+		})
+		for i := range 10 {
+			guard.AttemptAbandoned(call("sound", callTime), serverAt(i), 0)
+			for range 20 {
+				h.answer(serverAt(i))
+				time.Sleep(100 * time.Millisecond)
+			}
+			h.set(h.ended, serverAt(i))
+			time.Sleep(time.Second)
+			h.set(h.renewed, serverAt(i))
+			time.Sleep(3 * time.Second)
+		}
+		g.Expect(refuses(guard, "sound")).To(BeFalse())
+		g.Expect(h.checked()).To(BeZero())
+	})
+}
