--- a/internal/backend/server/types.go
+++ b/internal/backend/server/types.go
@@ -195,6 +195,12 @@
 	RetryAt time.Time
 }
 
+// Genuine reports whether the answer comes from the server that got the request, and not from another one
+// at its address or from a proxy in front of it.
+func (a *Answer) Genuine() bool {
+	return !a.Mismatched && (a.Signed || a.NotExecuted && a.Status != http.StatusMisdirectedRequest)
+}
+
 // Unproven reports whether the status would tell a caller that its request was not executed
 // and never will be, though the server does not state so.
 func (a *Answer) Unproven() bool {
--- a/internal/router/forward/forward.go
+++ b/internal/router/forward/forward.go
@@ -259,7 +259,11 @@
 		return r
 	}
 	f.cfg.Limits.ObserveAnswer(&e.Server, answer, sentAt)
-	e.Load.RecordAnswer(time.Now())
+	if answer.Genuine() {
+		e.Load.RecordAnswer(time.Now())
+	} else if !answer.NotExecuted {
+		f.cfg.Quarantine.AnswerBrokenOff(req, &e.Server, quarantine.BrokenOff{At: time.Now()})
+	}
 	defer answer.Body.Close()
 	r := result{server: e, status: answer.Status, header: answer.Header, notExecuted: answer.NotExecuted, rateLimit: answer.RateLimit, limited: answer.Limited}
 	if r.notExecuted {
@@ -276,7 +280,9 @@
 	r.body, err = answerbody.Read(answer.Body, maxAnswerBytes, f.cfg.Memory, cancel)
 	switch {
 	case err == nil || errors.Is(err, answerbody.ErrTooLarge):
-		f.cfg.Quarantine.ServerFinished(req)
+		if answer.Genuine() {
+			f.cfg.Quarantine.ServerFinished(req)
+		}
 	case errors.Is(err, answermemory.ErrExhausted): // this router has broken it off
 		f.cfg.Quarantine.AttemptAbandoned(req, &e.Server, 0)
 	default:
--- a/internal/router/forward/proxied_test.go
+++ b/internal/router/forward/proxied_test.go
@@ -144,3 +144,61 @@
 		g.Expect(load.OwnShare(time.Now()).DownMs).To(BeNumerically(">", 0))
 	})
 }
+
+// Guards against an answer of somebody else at a server's address that passes for a sign of life of the
+// server: of another incarnation, or of a proxy whose server is gone.
+func TestOnlyAnAnswerOfTheServerItselfIsASignOfLife(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer server.Answer
+		alive  bool
+	}{
+		"signed":                               {server.Answer{Status: http.StatusOK, Signed: true}, true},
+		"a failure, signed":                    {server.Answer{Status: http.StatusInternalServerError, Signed: true}, true},
+		"not executed":                         {server.Answer{Status: http.StatusServiceUnavailable, NotExecuted: true}, true},
+		"another incarnation has the address":  {server.Answer{Status: http.StatusMisdirectedRequest, NotExecuted: true}, false},
+		"a failure of a proxy":                 {server.Answer{Status: http.StatusBadGateway}, false},
+		"a refusal of a proxy":                 {server.Answer{Status: http.StatusServiceUnavailable}, false},
+		"an answer to another request, signed": {server.Answer{Status: http.StatusOK, Signed: true, Mismatched: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := &fakeService{responses: map[string]response{"i-0": func(context.Context) (*server.Answer, error) {
+					a := c.answer
+					a.Body = http.NoBody
+					return &a, nil
+				}}}
+				newForwarder(s, 1)(routes.NonIdempotent, 1, "")
+				answeredAt, _ := s.servers.Health(&s.servers.Get("i-0").Server, time.Now())
+				g.Expect(!answeredAt.IsZero()).To(Equal(c.alive))
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// Guards against a call that crashes one server after the other and is never suspected, as a proxy
+// answers in the place of each.
+func TestACallThatCrashesServersBehindAProxyIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const servers = 8
+		p := newProxiedService(servers, 60*time.Millisecond)
+		p.check = p.listens
+		for id, crash := range p.responses {
+			p.responses[id] = func(ctx context.Context) (*server.Answer, error) {
+				_, _ = crash(ctx)
+				return &server.Answer{Status: http.StatusBadGateway, Body: http.NoBody}, nil
+			}
+		}
+		send := newForwarder(p.fakeService, servers)
+		for range 8 {
+			send(routes.NonIdempotent, 1, "")
+			time.Sleep(2 * time.Second)
+			p.restart(servers)
+			time.Sleep(time.Second)
+		}
+		g.Expect(p.crashes).To(Equal(3))
+		g.Expect(send(routes.NonIdempotent, 1, "").Code).To(Equal(http.StatusServiceUnavailable))
+	})
+}
--- a/internal/router/relay/attempt.go
+++ b/internal/router/relay/attempt.go
@@ -43,7 +43,7 @@
 	doubted      bool               // the engine does not have the attempt, or its events don't arrive
 	goesOn       bool               // until another engine accepts the stream
 	erred        bool               // the engine answered with an error instead of the rest of the stream
-	brokeOff     bool               // the connection ended before a complete answer
+	brokeOff     bool               // there was no complete answer, or none of the engine itself
 	replaced     bool               // another incarnation has the address
 
 	callerDisconnected bool
@@ -155,16 +155,16 @@
 	}
 	if s.headersSent {
 		// The caller has a part of the stream already, and no error may be sent into it.
-		return result{outcome: lost, reason: "answered in mid-stream: " + http.StatusText(a.Status), erred: true}
+		return result{outcome: lost, reason: "answered in mid-stream: " + http.StatusText(a.Status), erred: true, brokeOff: !a.Genuine()}
 	}
 	if a.Status == http.StatusOK || a.Status < http.StatusMultipleChoices && !a.Signed || a.Mismatched || a.Unproven() || a.Status >= http.StatusInternalServerError && s.countedAttempts()+1 < s.req.Route.MaxAttempts {
-		return result{outcome: lost, reason: "no valid answer: " + http.StatusText(a.Status)}
+		return result{outcome: lost, reason: "no valid answer: " + http.StatusText(a.Status), brokeOff: !a.Genuine()}
 	}
 	body, err := answerbody.Read(a.Body, maxErrorBytes, s.relay.cfg.Memory, cancel)
 	if err != nil {
 		return result{outcome: lost, reason: err.Error(), backup: backup}
 	}
-	return result{outcome: answered, answer: &bufferedAnswer{a.Status, a.Header, body}}
+	return result{outcome: answered, answer: &bufferedAnswer{a.Status, a.Header, body}, brokeOff: !a.Genuine()}
 }
 
 // forwardError forwards a server's own error to the caller, who has no headers yet.
--- a/internal/router/relay/occupied_test.go
+++ b/internal/router/relay/occupied_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/backend/liveness"
+	"wisteriafield/internal/backend/server"
 )
 
 // Guards against a stream that crashes one engine after the other and is never suspected, as something
@@ -63,3 +64,27 @@
 		h.Expect(res.Code).To(Equal(http.StatusServiceUnavailable))
 	})
 }
+
+// Guards against a stream that crashes one engine after the other and is never suspected, as a proxy
+// answers with a failure in the place of each.
+func TestAStreamThatCrashesEnginesBehindAProxyIsRefused(t *testing.T) {
+	for attempts := 1; attempts <= 2; attempts++ {
+		t.Run(fmt.Sprintf("%d attempts", attempts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.route.MaxAttempts = attempts
+				for i := range 3 {
+					h.engines.faults[fmt.Sprintf("i-%d", i)] = engineFaults{answer: &server.Answer{Status: http.StatusBadGateway}}
+				}
+				for range 4 {
+					h.serveFor(time.Minute, "deadly")
+					time.Sleep(2 * time.Second)
+					h.restartEngines()
+					time.Sleep(time.Second)
+				}
+				h.Expect(len(h.engines.dispatched())).To(BeNumerically("<=", 4))
+				h.Expect(h.serveFor(time.Minute, "deadly").Code).To(Equal(http.StatusServiceUnavailable))
+			})
+		})
+	}
+}
--- a/internal/router/relay/stream.go
+++ b/internal/router/relay/stream.go
@@ -91,6 +91,10 @@
 		if r.replacement != nil {
 			go s.relay.deleteReplacement(r.replacement)
 		}
+	case answered:
+		if r.brokeOff {
+			s.recordEnd(target, r)
+		}
 	case refused:
 		switch {
 		case r.replaced:
