--- a/internal/backend/registry/registry.go
+++ b/internal/backend/registry/registry.go
@@ -103,6 +103,9 @@
 	return listed == nil || listed.Key() == s.Key() && listed.Leaving
 }
 
+// Removed reports whether a server is not in the list any more.
+func (r *Registry) Removed(s *server.Server) bool { return r.Get(s.ID) == nil }
+
 // Replaced reports whether another incarnation has the address of a server. A restored store
 // may list an older one.
 func (r *Registry) Replaced(s *server.Server) bool {
--- a/internal/decision/quarantine/abandoned.go
+++ b/internal/decision/quarantine/abandoned.go
@@ -57,6 +57,9 @@
 		return lostAt, true
 	case sign == Replaced:
 		return later(a.At, s.answeredAt), true
+	case sign == Removed:
+		// A server that leaves may not have said so before, but breaks nothing off by then.
+		return later(a.At, s.answeredAt), a.BrokenOff
 	default:
 		// Unless it is replaced, an address is taken to have accepted connections for its server.
 		return later(a.At, later(s.answeredAt, s.acceptedAt)), !accepted
--- a/internal/decision/quarantine/attempt.go
+++ b/internal/decision/quarantine/attempt.go
@@ -87,6 +87,7 @@
 	Closed   Sign = "Closed"   // its address closes the connections that it accepts
 	Replaced Sign = "Replaced" // another incarnation has its address
 	Seen     Sign = "Seen"     // somebody who waited for its answer saw it end, here or at a peer
+	Removed  Sign = "Removed"  // it is not listed any more
 	Left     Sign = "Left"     // its end was planned
 )
 
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -157,7 +157,7 @@
 	e.quarantine = quarantine.New(cfg.ContactTime, func() { e.gossip.Trigger() }, e.logger("quarantine"))
 	e.quarantine.CheckServers(quarantine.Checks{
 		Listens: func(ctx context.Context, address string) (bool, error) { return cfg.Client.Listens(ctx, address) },
-		Leaves:  e.servers.Leaves, Replaced: e.servers.Replaced, Health: e.servers.Health,
+		Leaves:  e.servers.Leaves, Removed: e.servers.Removed, Replaced: e.servers.Replaced, Health: e.servers.Health,
 	})
 	var streams *relay.Relay
 	e.placing = placing.New(placing.Config{
--- a/internal/router/quarantine/abandoned.go
+++ b/internal/router/quarantine/abandoned.go
@@ -42,6 +42,9 @@
 	Listens func(ctx context.Context, address string) (bool, error)
 	// Leaves reports whether the end of a server is planned.
 	Leaves func(s *server.Server) bool
+	// Removed reports whether a server is not listed any more: it has left, perhaps without a word
+	// before, or was silent for too long. It may be nil.
+	Removed func(s *server.Server) bool
 	// Replaced reports whether another incarnation is known to have the server's address. It may
 	// be nil.
 	Replaced func(s *server.Server) bool
@@ -123,6 +126,10 @@
 // check finds out whether a server that is watched has ended.
 func (g *Guard) check(s *server.Server) {
 	watched, now := g.checks.watched(s.Key().String()), time.Now()
+	if g.checks.Removed != nil && g.checks.Removed(s) {
+		g.recordEnd(s, quarantine.Removed, now)
+		return
+	}
 	if g.checks.Leaves(s) {
 		g.logWatchEnds(watched, g.abandoned.Ended(watched, now), now)
 		return
--- a/internal/router/quarantine/signs_test.go
+++ b/internal/router/quarantine/signs_test.go
@@ -114,3 +114,43 @@
 		g.Expect(h.checked()).To(BeZero())
 	})
 }
+
+// Guards against a call that is never blamed for the ends of its servers, as something holds connections
+// at their addresses until long after their entries have lapsed. A server that leaves without a word
+// before is freed at once.
+func TestTheLapseOfAnEntryShowsWhyAnAnswerBrokeOff(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		brokeOff bool
+		answers  bool // others are answered by the server since
+		blocked  bool
+	}{{"the answers broke off", true, false, true}, {"the answers broke off and the servers lived", true, true, false}, {"the callers left", false, false, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				h := newHosts()
+				guard := newGuard()
+				guard.CheckServers(quarantine.Checks{
+					Listens: h.listens, Leaves: h.has(h.left), Removed: h.has(h.left),
+					Health: func(s *server.Server, _ time.Time) (time.Time, bool) { return h.answeredAt(s), false },
+				})
+				for i := range 3 {
+					if c.brokeOff {
+						guard.AnswerBrokenOff(call("deadly", callTime), serverAt(i), quarantine.BrokenOff{At: time.Now()})
+					} else {
+						guard.AttemptAbandoned(call("deadly", callTime), serverAt(i), 0)
+					}
+					time.Sleep(time.Second)
+					if c.answers {
+						h.answer(serverAt(i))
+					}
+					time.Sleep(2 * time.Second)
+					h.set(h.left, serverAt(i))
+					time.Sleep(time.Second)
+				}
+				g.Expect(refuses(guard, "deadly")).To(Equal(c.blocked))
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
