--- a/internal/router/forward/crash.go
+++ b/internal/router/forward/crash.go
@@ -16,15 +16,13 @@
 // whose process is gone refuses a connection within a round trip.
 const crashCheckTimeout = 50 * time.Millisecond
 
-// check is what the check after an attempt without a complete answer found.
+// check is what the check after an attempt without a complete answer found, or the text of its error.
 type check string
 
 const (
 	notChecked check = "" // this router had ended the attempt
 	listening  check = "Listening"
 	refusing   check = "Refusing"
-	closing    check = "Closing" // the connection was closed at once
-	noResult   check = "NoResult"
 )
 
 // crashed reports whether the server of an attempt without a complete answer is gone, which may
@@ -56,9 +54,9 @@
 	case errors.Is(err, liveness.ErrClosed):
 		// Requests that may run once are lost at such an address.
 		f.recordUnreachable(e, false)
-		c = closing
+		fallthrough
 	default:
-		c = noResult
+		c = check(err.Error())
 	}
 	f.cfg.Quarantine.AnswerBrokenOff(req, &e.Server, quarantine.BrokenOff{At: endedAt})
 	return false, c
--- a/internal/router/forward/proxied_test.go
+++ b/internal/router/forward/proxied_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,7 @@
 type proxiedService struct {
 	*fakeService
 	closes  bool // it closes them at once; it keeps them open otherwise
+	fails   bool // connections fail with an error that is no refusal, in place of that
 	crashes int
 }
 
@@ -32,6 +34,9 @@
 	for i := range n {
 		address := fmt.Sprintf("10.0.0.%d:1", i+1)
 		p.responses[fmt.Sprintf("i-%d", i)] = func(ctx context.Context) (*server.Answer, error) {
+			if p.fails && p.hasEnded(address) {
+				return unreachable(ctx)
+			}
 			if !p.hasEnded(address) {
 				crashed := make(chan bool)
 				time.AfterFunc(crashAfter, func() {
@@ -58,7 +63,12 @@
 
 // listens is the check of an address at which something accepts connections.
 func (p *proxiedService) listens(address string) (bool, error) {
-	if p.closes && p.ended[address] {
+	switch {
+	case !p.ended[address]:
+		return true, nil
+	case p.fails:
+		return false, fmt.Errorf("check: %w", syscall.EHOSTUNREACH)
+	case p.closes:
 		return false, fmt.Errorf("check: %w", liveness.ErrClosed)
 	}
 	return true, nil
@@ -81,18 +91,19 @@
 	p.servers.Set(storehistory.Position{Revision: 2}, all)
 }
 
-// Guards against a call that crashes one server after the other and is never suspected, as something
-// else accepts connections at their addresses, whether its callers stay or leave.
-func TestACallThatCrashesServersWhoseAddressesAcceptConnectionsIsRefused(t *testing.T) {
+// Guards against a call that crashes one server after the other and is never suspected, as their
+// addresses refuse no connections, whether its callers stay or leave: something else accepts them, or
+// they fail with another error.
+func TestACallThatCrashesServersWhoseAddressesRefuseNoConnectionsIsRefused(t *testing.T) {
 	for _, kind := range []routes.Kind{routes.NonIdempotent, routes.Idempotent} {
-		for name, closes := range map[string]bool{"and close them": true, "and hold them": false} {
+		for name, shape := range map[string]proxiedService{"closed": {closes: true}, "held": {}, "failing": {fails: true}} {
 			for _, leave := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, %s, callers leave: %t", kind, name, leave), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
 						g := NewWithT(t)
 						const servers = 8
 						p := newProxiedService(servers, 60*time.Millisecond)
-						p.closes, p.check = closes, p.listens
+						p.closes, p.fails, p.check = shape.closes, shape.fails, p.listens
 						send := newForwarder(p.fakeService, servers)
 						if leave {
 							p.leaveAfter = 20 * time.Millisecond
--- a/internal/router/quarantine/abandoned.go
+++ b/internal/router/quarantine/abandoned.go
@@ -158,6 +158,7 @@
 	case errors.Is(err, liveness.ErrClosed) && g.abandoned.FoundClosing(watched, now):
 		g.recordEnd(s, quarantine.Closed, now)
 	case err != nil:
+		g.log.WithField("server", watched).WithError(err).Info("check of a server with abandoned attempts gave no result")
 		g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Unknown, time.Time{}, now), now)
 	case listens:
 		g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Accepted, now, now), now)
