--- a/internal/router/relay/slowcaller.go
+++ b/internal/router/relay/slowcaller.go
@@ -45,16 +45,17 @@
 }
 
 // cutForCaller reports whether an answer was cut off since its caller did not read it: the
-// engine still listens. It is no loss of the engine then, and another attempt would be of no
-// use to a caller that does not read.
-func (s *stream) cutForCaller(ctx context.Context, got readResult, target *registry.Entry) bool {
+// engine is still there. It is no loss of the engine then, and another attempt would be of no
+// use to a caller that does not read. That something accepts connections at its address does not show
+// that an engine is there, so it is probed.
+func (s *stream) cutForCaller(callerCtx context.Context, got readResult, target *registry.Entry) bool {
 	if !got.held || !s.headersSent {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	ctx, cancel := context.WithTimeout(callerCtx, crashCheckTimeout)
 	defer cancel()
 	listens, err := s.relay.cfg.Client.Listens(ctx, target.Address)
-	if err != nil || !listens {
+	if err != nil || !listens || s.service.Engine != nil && !s.relay.answersProbes(callerCtx, target) {
 		return false
 	}
 	slowCallersTotal.Inc()
--- a/internal/router/relay/slowcaller_test.go
+++ b/internal/router/relay/slowcaller_test.go
@@ -29,7 +29,9 @@
 func (h *harness) serveStalling(stall time.Duration) (body string, cut bool) {
 	h.engines.gap, h.engines.eventCount = 5*time.Millisecond, 100
 	for _, id := range []string{"i-0", "i-1", "i-2"} {
-		h.engines.faults[id] = engineFaults{cutsUnread: 3 * time.Second}
+		f := h.engines.faults[id]
+		f.cutsUnread = 3 * time.Second
+		h.engines.faults[id] = f
 	}
 	caller := &stallingCaller{httptest.NewRecorder(), 5, stall}
 	defer func() {
@@ -82,6 +84,20 @@
 	})
 }
 
+// Guards against an answer that is cut beside a stalled caller, though its engine is gone and another
+// one has room, as something else accepts connections at the engine's address.
+func TestAnEngineWhoseAddressAcceptsConnectionsIsLostBesideAStalledCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t)
+		h.engines.check = func(string) (bool, error) { return true, nil }
+		h.engines.faults["i-0"] = engineFaults{unresponsive: true}
+		body, cut := h.serveStalling(5 * time.Second)
+		h.Expect(cut).To(BeFalse())
+		h.Expect(body).To(Equal(eventText(1, 100)))
+		h.Expect(h.engines.dispatched()).To(HaveLen(2))
+	})
+}
+
 // quarantined reports whether the request would be refused.
 func (h *harness) quarantined() bool {
 	_, refused := h.cfg.Quarantine.Refuses(h.newRequest(0))
