--- a/internal/decision/quarantine/abandoned.go
+++ b/internal/decision/quarantine/abandoned.go
@@ -130,6 +130,15 @@
 	return s != nil && len(s.attempts) > 0
 }
 
+// BrokenOffSince reports whether an attempt at a server broke off later than the server answered last: it
+// may be gone, however busy it was.
+func (t *Abandoned) BrokenOffSince(server string, answeredAt time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[server]
+	return s != nil && slices.ContainsFunc(s.attempts, func(a Attempt) bool { return a.BrokenOff && a.At.After(answeredAt) })
+}
+
 // Checked records a check of a server that did not find it gone. aliveAt is when it was last seen
 // alive; it is zero if nothing is known. A sign of life from before the end of the time that an
 // attempt may run says nothing of it. A connection that is accepted counts for the server, but another
--- a/internal/router/edge/edge.go
+++ b/internal/router/edge/edge.go
@@ -45,12 +45,6 @@
 	maxHeaderBytes = 64 << 10 // a first bound, before the configuration's bound applies
 )
 
-// Client sends requests to backend servers.
-type Client interface {
-	relay.Client
-	forward.Client
-}
-
 // Connections are connections to backend servers that are kept between requests.
 type Connections interface {
 	// SetServers sets the servers to which connections are kept. maxIdle returns how many idle
@@ -155,10 +149,7 @@
 		Self: cfg.Host, Peers: e.peerNames, Demand: retryBudget.Demand, ContactTime: cfg.ContactTime,
 	}, e.logger("limits"))
 	e.quarantine = quarantine.New(cfg.ContactTime, func() { e.gossip.Trigger() }, e.logger("quarantine"))
-	e.quarantine.CheckServers(quarantine.Checks{
-		Listens: func(ctx context.Context, address string) (bool, error) { return cfg.Client.Listens(ctx, address) },
-		Leaves:  e.servers.Leaves, Removed: e.servers.Removed, Replaced: e.servers.Replaced, Health: e.servers.Health,
-	})
+	e.quarantine.CheckServers(e.serverChecks())
 	var streams *relay.Relay
 	e.placing = placing.New(placing.Config{
 		Self: cfg.Host, Servers: e.servers, Limits: e.limits, Cost: balance.FinishCost, Checks: engineChecks{func() *relay.Relay { return streams }},
--- a/internal/router/quarantine/abandoned.go
+++ b/internal/router/quarantine/abandoned.go
@@ -40,6 +40,9 @@
 	// Listens reports whether a process accepts connections at an address and keeps them open. The
 	// error says that this is not known; it is liveness.ErrClosed if they are closed at once.
 	Listens func(ctx context.Context, address string) (bool, error)
+	// Probe finds out more than Listens, with one connection: whether the server itself answers. The error
+	// says that nothing was learned. It may be nil.
+	Probe func(ctx context.Context, s *server.Server) (quarantine.Sign, error)
 	// Leaves reports whether the end of a server is planned.
 	Leaves func(s *server.Server) bool
 	// Removed reports whether a server is not listed any more: it has left, perhaps without a word
@@ -143,7 +146,8 @@
 	if g.checks.Health != nil {
 		answeredAt, down = g.checks.Health(s, now)
 	}
-	if !down && (now.Sub(answeredAt) < quietTime || !g.abandoned.NeedsConnection(watched)) {
+	busy := now.Sub(answeredAt) < quietTime && !g.abandoned.BrokenOffSince(watched, answeredAt)
+	if !down && (busy || !g.abandoned.NeedsConnection(watched)) {
 		g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Answered, answeredAt, now), now)
 		return
 	}
@@ -152,18 +156,39 @@
 	abandonedChecksTotal.Inc()
 	ctx, cancel := context.WithTimeout(context.Background(), abandonedCheckTimeout)
 	defer cancel()
-	listens, err := g.checks.Listens(ctx, s.Address)
+	sign, err := g.probe(ctx, s)
 	now = time.Now()
 	switch {
-	case errors.Is(err, liveness.ErrClosed) && g.abandoned.FoundClosing(watched, now):
-		g.recordEnd(s, quarantine.Closed, now)
 	case err != nil:
 		g.log.WithField("server", watched).WithError(err).Info("check of a server with abandoned attempts gave no result")
 		g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Unknown, time.Time{}, now), now)
-	case listens:
-		g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Accepted, now, now), now)
+	case sign == quarantine.Refused, sign == quarantine.Replaced, sign == quarantine.Closed && g.abandoned.FoundClosing(watched, now):
+		g.recordEnd(s, sign, now)
+	case sign == quarantine.Closed:
+		g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Unknown, time.Time{}, now), now)
+	default:
+		g.logWatchEnds(watched, g.abandoned.Checked(watched, sign, now, now), now)
+	}
+}
+
+func (g *Guard) probe(ctx context.Context, s *server.Server) (quarantine.Sign, error) {
+	if g.checks.Probe != nil {
+		return g.checks.Probe(ctx, s)
+	}
+	return CheckAddress(ctx, g.checks.Listens, s.Address)
+}
+
+// CheckAddress returns what a check whether a process listens at an address shows of its server.
+func CheckAddress(ctx context.Context, listens func(ctx context.Context, address string) (bool, error), address string) (quarantine.Sign, error) {
+	switch ok, err := listens(ctx, address); {
+	case errors.Is(err, liveness.ErrClosed):
+		return quarantine.Closed, nil
+	case err != nil:
+		return quarantine.Unknown, err
+	case ok:
+		return quarantine.Accepted, nil
 	default:
-		g.recordEnd(s, quarantine.Refused, now)
+		return quarantine.Refused, nil
 	}
 }
 
--- a/internal/router/quarantine/signs_test.go
+++ b/internal/router/quarantine/signs_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriafield/internal/backend/server"
+	decision "wisteriafield/internal/decision/quarantine"
 	"wisteriafield/internal/router/quarantine"
 )
 
@@ -154,3 +156,39 @@
 		})
 	}
 }
+
+// Guards against a busy server that is gone and is not connected to for seconds, though an answer broke
+// off since it answered last.
+func TestABusyServerIsProbedAfterAnAnswerBrokeOff(t *testing.T) {
+	for sign, blocked := range map[decision.Sign]bool{decision.Closed: true, decision.Replaced: true, decision.Answered: false, decision.Accepted: false} {
+		t.Run(string(sign), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				h := newHosts()
+				guard := newGuard()
+				probes := 0
+				guard.CheckServers(quarantine.Checks{
+					Listens: h.listens, Leaves: h.has(h.left), Replaced: h.has(h.renewed),
+					Health: func(s *server.Server, _ time.Time) (time.Time, bool) { return h.answeredAt(s), false },
+					Probe: func(context.Context, *server.Server) (decision.Sign, error) {
+						probes++
+						return sign, nil
+					},
+				})
+				for i := range 3 {
+					h.answer(serverAt(i))
+					time.Sleep(10 * time.Millisecond)
+					guard.AttemptAbandoned(call("deadly", callTime), serverAt(i), 0)
+					time.Sleep(20 * time.Millisecond)
+					guard.AnswerBrokenOff(call(fmt.Sprintf("beside-%d", i), callTime), serverAt(i), quarantine.BrokenOff{At: time.Now()})
+					time.Sleep(1500 * time.Millisecond)
+				}
+				g.Expect(refuses(guard, "deadly")).To(Equal(blocked))
+				g.Expect(refuses(guard, "beside-1")).To(BeFalse())
+				g.Expect(probes).To(BeNumerically(">=", 3))
+				time.Sleep(time.Minute)
+				g.Expect(probes).To(BeNumerically("<=", 12))
+			})
+		})
+	}
+}
