--- a/internal/router/quarantine/signs_test.go
+++ b/internal/router/quarantine/signs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -166,12 +167,12 @@
 				g := NewWithT(t)
 				h := newHosts()
 				guard := newGuard()
-				probes := 0
+				var probes atomic.Int32
 				guard.CheckServers(quarantine.Checks{
 					Listens: h.listens, Leaves: h.has(h.left), Replaced: h.has(h.renewed),
 					Health: func(s *server.Server, _ time.Time) (time.Time, bool) { return h.answeredAt(s), false },
 					Probe: func(context.Context, *server.Server) (decision.Sign, error) {
-						probes++
+						probes.Add(1)
 						return sign, nil
 					},
 				})
@@ -185,9 +186,9 @@
 				}
 				g.Expect(refuses(guard, "deadly")).To(Equal(blocked))
 				g.Expect(refuses(guard, "beside-1")).To(BeFalse())
-				g.Expect(probes).To(BeNumerically(">=", 3))
+				g.Expect(probes.Load()).To(BeNumerically(">=", 3))
 				time.Sleep(time.Minute)
-				g.Expect(probes).To(BeNumerically("<=", 12))
+				g.Expect(probes.Load()).To(BeNumerically("<=", 12))
 			})
 		})
 	}
