--- a/internal/decision/quarantine/abandoned.go
+++ b/internal/decision/quarantine/abandoned.go
@@ -55,7 +55,7 @@
 	switch {
 	case !lostAt.IsZero() && !lostAt.After(a.runsUntil().Add(noticeTime)):
 		return lostAt, true
-	case sign == Replaced:
+	case sign == Replaced, sign == Vacated:
 		return later(a.At, s.answeredAt), true
 	case sign == Removed:
 		// A server that leaves may not have said so before, but breaks nothing off by then.
@@ -155,7 +155,7 @@
 	switch sign {
 	case Answered:
 		s.answeredAt = later(s.answeredAt, aliveAt)
-	case Accepted:
+	case Accepted, Unanswered:
 		s.acceptedAt = later(s.acceptedAt, aliveAt)
 	}
 	if _, at := s.lastSign(); at.After(s.closedAt) {
--- a/internal/decision/quarantine/attempt.go
+++ b/internal/decision/quarantine/attempt.go
@@ -80,15 +80,17 @@
 type Sign string
 
 const (
-	Answered Sign = "Answered" // the server has answered this router
-	Accepted Sign = "Accepted" // its address accepts connections
-	Unknown  Sign = "Unknown"  // nothing was learned
-	Refused  Sign = "Refused"  // its address refuses connections
-	Closed   Sign = "Closed"   // its address closes the connections that it accepts
-	Replaced Sign = "Replaced" // another incarnation has its address
-	Seen     Sign = "Seen"     // somebody who waited for its answer saw it end, here or at a peer
-	Removed  Sign = "Removed"  // it is not listed any more
-	Left     Sign = "Left"     // its end was planned
+	Answered   Sign = "Answered"   // the server has answered this router
+	Accepted   Sign = "Accepted"   // its address accepts connections
+	Unanswered Sign = "Unanswered" // its address accepts connections, and the server does not answer there
+	Unknown    Sign = "Unknown"    // nothing was learned
+	Refused    Sign = "Refused"    // its address refuses connections
+	Closed     Sign = "Closed"     // its address closes the connections that it accepts
+	Replaced   Sign = "Replaced"   // another incarnation has its address
+	Seen       Sign = "Seen"       // somebody who waited for its answer saw it end, here or at a peer
+	Removed    Sign = "Removed"    // it is not listed any more
+	Vacated    Sign = "Vacated"    // it is not listed any more, and something else holds its address
+	Left       Sign = "Left"       // its end was planned
 )
 
 // WatchEnd says what ended the watch of an abandoned attempt.
--- a/internal/router/quarantine/abandoned.go
+++ b/internal/router/quarantine/abandoned.go
@@ -130,7 +130,7 @@
 func (g *Guard) check(s *server.Server) {
 	watched, now := g.checks.watched(s.Key().String()), time.Now()
 	if g.checks.Removed != nil && g.checks.Removed(s) {
-		g.recordEnd(s, quarantine.Removed, now)
+		g.recordEnd(s, g.signOfRemoved(s), time.Now())
 		return
 	}
 	if g.checks.Leaves(s) {
@@ -151,12 +151,7 @@
 		g.logWatchEnds(watched, g.abandoned.Checked(watched, quarantine.Answered, answeredAt, now), now)
 		return
 	}
-	g.checkSlots <- struct{}{}
-	defer func() { <-g.checkSlots }()
-	abandonedChecksTotal.Inc()
-	ctx, cancel := context.WithTimeout(context.Background(), abandonedCheckTimeout)
-	defer cancel()
-	sign, err := g.probe(ctx, s)
+	sign, err := g.probe(s)
 	now = time.Now()
 	switch {
 	case err != nil:
@@ -171,13 +166,30 @@
 	}
 }
 
-func (g *Guard) probe(ctx context.Context, s *server.Server) (quarantine.Sign, error) {
+// probe asks a server for a sign of life, or its address.
+func (g *Guard) probe(s *server.Server) (quarantine.Sign, error) {
+	g.checkSlots <- struct{}{}
+	defer func() { <-g.checkSlots }()
+	abandonedChecksTotal.Inc()
+	ctx, cancel := context.WithTimeout(context.Background(), abandonedCheckTimeout)
+	defer cancel()
 	if g.checks.Probe != nil {
 		return g.checks.Probe(ctx, s)
 	}
 	return CheckAddress(ctx, g.checks.Listens, s.Address)
 }
 
+// signOfRemoved returns the sign of a server that is not listed any more. One that leaves without a word
+// before still answers for a while, and its address refuses connections afterwards.
+func (g *Guard) signOfRemoved(s *server.Server) quarantine.Sign {
+	switch sign, err := g.probe(s); {
+	case err == nil && (sign == quarantine.Unanswered || sign == quarantine.Closed):
+		return quarantine.Vacated
+	default:
+		return quarantine.Removed
+	}
+}
+
 // CheckAddress returns what a check whether a process listens at an address shows of its server.
 func CheckAddress(ctx context.Context, listens func(ctx context.Context, address string) (bool, error), address string) (quarantine.Sign, error) {
 	switch ok, err := listens(ctx, address); {
--- a/internal/router/quarantine/signs_test.go
+++ b/internal/router/quarantine/signs_test.go
@@ -158,6 +158,33 @@
 	}
 }
 
+// Guards against a call that is never blamed for the ends of its servers, as its callers left, and something
+// holds connections at their addresses until long after their entries have lapsed.
+func TestACallIsBlockedWhoseServersLapseWhileTheirAddressesAreHeld(t *testing.T) {
+	for sign, blocked := range map[decision.Sign]bool{decision.Unanswered: true, decision.Closed: true, decision.Answered: false, decision.Accepted: false, decision.Refused: false} {
+		t.Run(string(sign), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHosts()
+				guard := newGuard()
+				guard.CheckServers(quarantine.Checks{
+					Listens: h.listens, Leaves: h.has(h.left), Removed: h.has(h.left),
+					Health: func(s *server.Server, _ time.Time) (time.Time, bool) { return h.answeredAt(s), false },
+					Probe:  func(context.Context, *server.Server) (decision.Sign, error) { return sign, nil },
+				})
+				for i := range 3 {
+					h.answer(serverAt(i))
+					guard.AttemptAbandoned(call("deadly", callTime), serverAt(i), 0)
+					time.Sleep(2500 * time.Millisecond) // it counts as busy until then
+					h.set(h.left, serverAt(i))
+					time.Sleep(time.Second)
+				}
+				NewWithT(t).Expect(refuses(guard, "deadly")).To(Equal(blocked))
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
 // Guards against a busy server that is gone and is not connected to for seconds, though an answer broke
 // off since it answered last.
 func TestABusyServerIsProbedAfterAnAnswerBrokeOff(t *testing.T) {
