--- a/internal/router/node/deadly_test.go
+++ b/internal/router/node/deadly_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -60,6 +61,13 @@
 func (b *builder) lateClosingEngines(count int, acceptTime, awayTime time.Duration) *atomic.Int32 {
 	var crashes atomic.Int32
 	for i := range count {
+		var ended atomic.Bool
+		var mu sync.Mutex // held while the engine is killed or started
+		locked := func(f func()) {
+			mu.Lock()
+			defer mu.Unlock()
+			f()
+		}
 		name := fmt.Sprintf("redattore-%d", i+1)
 		e := engine.New(engine.Config{Name: name, Slots: 4, Speed: 500, Models: map[string]string{"redattore": "1"}})
 		var s *faults.Server
@@ -75,14 +83,17 @@
 			}
 			time.Sleep(prefillTime)
 			crashes.Add(1)
-			time.AfterFunc(acceptTime, func() {
-				s.Kill()
-				time.AfterFunc(awayTime, func() { _ = s.Restart() })
-			})
+			if !ended.Swap(true) {
+				time.AfterFunc(acceptTime, func() { locked(s.Kill) })
+				time.AfterFunc(acceptTime+awayTime, func() {
+					ended.Store(false)
+					locked(func() { _ = s.Restart() })
+				})
+			}
 			panic(http.ErrAbortHandler)
 		}))
 		b.g.Expect(err).NotTo(HaveOccurred())
-		b.stops = append(b.stops, func() { s.Kill() })
+		b.stops = append(b.stops, func() { locked(s.Kill) })
 		b.engines = append(b.engines, fmt.Sprintf("[Engine %s]\nAddress = %s\nDomain = catania\nRegion = sicilia\nSlots = 4\nSpeed = 500\nModels = redattore\n", name, s.Address))
 	}
 	return &crashes
