--- a/internal/router/relay/fake_test.go
+++ b/internal/router/relay/fake_test.go
@@ -88,7 +88,9 @@
 		return &server.Answer{Status: http.StatusMisdirectedRequest, NotExecuted: true, ActualServerID: "i-other", Body: http.NoBody}, nil
 	case f.answer != nil:
 		a := *f.answer
-		a.Body = io.NopCloser(strings.NewReader(f.answerBody))
+		if a.Body == nil {
+			a.Body = io.NopCloser(strings.NewReader(f.answerBody))
+		}
 		return &a, nil
 	case f.errorBytes > 0:
 		body := strings.NewReader(strings.Repeat("x", f.errorBytes))
--- a/internal/router/relay/occupied_test.go
+++ b/internal/router/relay/occupied_test.go
@@ -1,9 +1,12 @@
 package relay_test
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -88,3 +91,29 @@
 		})
 	}
 }
+
+// Guards against a stream that crashes one engine after the other and is never suspected, as the engines
+// answer with errors that break off, and something else accepts connections at their addresses.
+func TestAStreamThatCrashesEnginesInTheirErrorsIsRefused(t *testing.T) {
+	for _, accepts := range []bool{false, true} {
+		t.Run(fmt.Sprintf("addresses accept connections: %t", accepts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.route.MaxAttempts = 1
+				h.engines.check = func(string) (bool, error) { return accepts, nil }
+				cut := io.NopCloser(iotest.ErrReader(errors.New("connection reset")))
+				for i := range 3 {
+					h.engines.faults[fmt.Sprintf("i-%d", i)] = engineFaults{answer: &server.Answer{Status: http.StatusInternalServerError, Signed: true, Body: cut}}
+				}
+				for range 8 {
+					h.serveFor(time.Minute, "deadly")
+					time.Sleep(2 * time.Second)
+					h.restartEngines()
+					time.Sleep(time.Second)
+				}
+				h.Expect(h.engines.dispatched()).To(HaveLen(3))
+				h.Expect(h.serveFor(time.Minute, "deadly").Code).To(Equal(http.StatusServiceUnavailable))
+			})
+		})
+	}
+}
